Lay out the workspace and the shared vocabulary

Cause: nothing existed. All later parts need the same names, messages and refusals. Ruled out: message types per crate, which would have to be translated between decisions and entry. Grant messages are encoded as arrays by hand since they are sent for every request.

--- /dev/null
+++ b/crates/ctl/src/lib.rs
@@ -0,0 +1,1 @@
+//! The operators' command: check, sign, roll out, status, history, dump.
--- /dev/null
+++ b/crates/decisions/src/lib.rs
@@ -0,0 +1,1 @@
+//! Every decision of monsoonspread, as state machines without sockets, clocks or tasks.
--- /dev/null
+++ b/crates/demo/src/lib.rs
@@ -0,0 +1,1 @@
+//! Everything in one process on loopback, to try the project.
--- /dev/null
+++ b/crates/entry/src/lib.rs
@@ -0,0 +1,1 @@
+//! The entry process: filter chain for requests and controllers for state.
--- /dev/null
+++ b/crates/load/src/lib.rs
@@ -0,0 +1,1 @@
+//! Open-loop load, policy comparison and slope measurement.
--- /dev/null
+++ b/crates/model/src/bundle/delta.rs
@@ -0,0 +1,93 @@
+//! Differences between bundles.
+
+use std::collections::BTreeMap;
+
+use serde::{Deserialize, Serialize};
+
+use super::{AdapterEntry, Bundle, BundleVersion, CallerEntry, ServiceEntry};
+use crate::{AdapterName, CallerName, ServiceName};
+
+/// What changes from one version to the next; `None` removes an entry.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct BundleDelta {
+    /// The version it applies to.
+    pub from: BundleVersion,
+    /// The version that results.
+    pub to: BundleVersion,
+    /// Changed adapters.
+    pub adapters: BTreeMap<AdapterName, Option<AdapterEntry>>,
+    /// Changed callers.
+    pub callers: BTreeMap<CallerName, Option<CallerEntry>>,
+    /// Changed services.
+    pub services: BTreeMap<ServiceName, Option<ServiceEntry>>,
+}
+
+impl BundleDelta {
+    /// Works out what changes from `old` to `new`.
+    ///
+    /// ```
+    /// # use monsoonspread_model::Bundle;
+    /// # use monsoonspread_model::bundle::BundleDelta;
+    /// let bundle = Bundle::default();
+    /// assert!(BundleDelta::between(&bundle, &bundle).adapters.is_empty());
+    /// ```
+    pub fn between(old: &Bundle, new: &Bundle) -> Self {
+        Self {
+            from: old.version,
+            to: new.version,
+            adapters: changes(&old.adapters, &new.adapters),
+            callers: changes(&old.callers, &new.callers),
+            services: changes(&old.services, &new.services),
+        }
+    }
+
+    /// Applies the changes; `None` when `old` is not the version they start from.
+    ///
+    /// ```
+    /// # use monsoonspread_model::Bundle;
+    /// # use monsoonspread_model::bundle::BundleDelta;
+    /// let bundle = Bundle::default();
+    /// let delta = BundleDelta::between(&bundle, &bundle);
+    /// assert_eq!(delta.apply(&bundle), Some(bundle));
+    /// ```
+    pub fn apply(&self, old: &Bundle) -> Option<Bundle> {
+        if old.version != self.from {
+            return None;
+        }
+        Some(Bundle {
+            version: self.to,
+            adapters: applied(&old.adapters, &self.adapters),
+            callers: applied(&old.callers, &self.callers),
+            services: applied(&old.services, &self.services),
+        })
+    }
+}
+
+fn changes<K: Clone + Ord, V: Clone + PartialEq>(
+    old: &BTreeMap<K, V>,
+    new: &BTreeMap<K, V>,
+) -> BTreeMap<K, Option<V>> {
+    let removed = old
+        .keys()
+        .filter(|key| !new.contains_key(key))
+        .map(|key| (key.clone(), None));
+    let written = new
+        .iter()
+        .filter(|(key, value)| old.get(key) != Some(value))
+        .map(|(key, value)| (key.clone(), Some(value.clone())));
+    removed.chain(written).collect()
+}
+
+fn applied<K: Clone + Ord, V: Clone>(
+    old: &BTreeMap<K, V>,
+    changes: &BTreeMap<K, Option<V>>,
+) -> BTreeMap<K, V> {
+    let mut result = old.clone();
+    for (key, change) in changes {
+        match change {
+            Some(value) => result.insert(key.clone(), value.clone()),
+            None => result.remove(key),
+        };
+    }
+    result
+}
--- /dev/null
+++ b/crates/model/src/message/grant_request.rs
@@ -0,0 +1,132 @@
+//! Asking for a grant.
+
+use std::fmt;
+
+use serde::de::{self, Deserialize, Deserializer, SeqAccess, Visitor};
+use serde::ser::{Serialize, SerializeTuple, Serializer};
+
+use crate::{AdapterRef, BundleVersion, CallerName, RequestClass, UnixMs, UpstreamName};
+
+/// A request's number, unique within the entry instance that received it.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    Default,
+    serde::Deserialize,
+    Eq,
+    Hash,
+    Ord,
+    PartialEq,
+    PartialOrd,
+    serde::Serialize,
+)]
+#[serde(transparent)]
+pub struct RequestId(pub u64);
+
+/// Asks the owner of an upstream for a place for one request.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct GrantRequest {
+    /// The request.
+    pub request: RequestId,
+    /// The upstream whose owner is asked.
+    pub upstream: UpstreamName,
+    /// What the request runs on.
+    pub adapter: AdapterRef,
+    /// Its class.
+    pub class: RequestClass,
+    /// Its priority; higher goes first.
+    pub priority: u8,
+    /// Who sent it.
+    pub caller: CallerName,
+    /// Tokens it is expected to generate.
+    pub tokens: u32,
+    /// When the entry received it.
+    pub arrived_at_unix_ms: UnixMs,
+    /// When its first token must be there at the latest.
+    pub deadline_unix_ms: UnixMs,
+    /// The bundle version under which it was resolved.
+    pub bundle_version: BundleVersion,
+}
+
+/// Number of elements in the encoded array.
+const FIELDS: usize = 11;
+
+impl Serialize for GrantRequest {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        let mut tuple = serializer.serialize_tuple(FIELDS)?;
+        tuple.serialize_element(&self.request.0)?;
+        tuple.serialize_element(&self.upstream)?;
+        tuple.serialize_element(&self.adapter.adapter)?;
+        tuple.serialize_element(&self.adapter.version)?;
+        tuple.serialize_element(&(self.class as u8))?;
+        tuple.serialize_element(&self.priority)?;
+        tuple.serialize_element(&self.caller)?;
+        tuple.serialize_element(&self.tokens)?;
+        tuple.serialize_element(&self.arrived_at_unix_ms)?;
+        // Sent relative to the arrival, which takes fewer bytes than a second point in time.
+        tuple.serialize_element(&self.deadline_unix_ms.ms_since(self.arrived_at_unix_ms))?;
+        tuple.serialize_element(&self.bundle_version)?;
+        tuple.end()
+    }
+}
+
+impl<'de> Deserialize<'de> for GrantRequest {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        deserializer.deserialize_tuple(FIELDS, GrantRequestVisitor)
+    }
+}
+
+struct GrantRequestVisitor;
+
+impl<'de> Visitor<'de> for GrantRequestVisitor {
+    type Value = GrantRequest;
+
+    fn expecting(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("a grant request")
+    }
+
+    fn visit_seq<A: SeqAccess<'de>>(self, mut seq: A) -> Result<Self::Value, A::Error> {
+        let request = RequestId(element(&mut seq, 0)?);
+        let upstream = element(&mut seq, 1)?;
+        let adapter = element(&mut seq, 2)?;
+        let version = element(&mut seq, 3)?;
+        let class: u8 = element(&mut seq, 4)?;
+        let class = class_of(class)?;
+        let priority = element(&mut seq, 5)?;
+        let caller = element(&mut seq, 6)?;
+        let tokens = element(&mut seq, 7)?;
+        let arrived_at_unix_ms: UnixMs = element(&mut seq, 8)?;
+        let deadline_after_ms: u64 = element(&mut seq, 9)?;
+        let bundle_version = element(&mut seq, 10)?;
+        Ok(GrantRequest {
+            request,
+            upstream,
+            adapter: AdapterRef { adapter, version },
+            class,
+            priority,
+            caller,
+            tokens,
+            arrived_at_unix_ms,
+            deadline_unix_ms: arrived_at_unix_ms + deadline_after_ms,
+            bundle_version,
+        })
+    }
+}
+
+fn class_of<E: de::Error>(class: u8) -> Result<RequestClass, E> {
+    RequestClass::ALL
+        .get(usize::from(class))
+        .copied()
+        .ok_or_else(|| E::custom(format!("{class} is not a request class")))
+}
+
+/// Reads element `index` of a sequence, which must be there.
+pub(super) fn element<'de, T, A>(seq: &mut A, index: usize) -> Result<T, A::Error>
+where
+    T: Deserialize<'de>,
+    A: SeqAccess<'de>,
+{
+    seq.next_element()?
+        .ok_or_else(|| de::Error::invalid_length(index, &"a longer array"))
+}
--- /dev/null
+++ b/crates/standin/src/lib.rs
@@ -0,0 +1,1 @@
+//! Stand-ins for the platform and the upstreams, with faults switched at run time.
