Fix the borders to the platform and the upstreams as traits

Cause: stand-ins, clients and the entry are written at the same time and need one contract. Ruled out: a client for the weight store; engines read it, the system only spends its budget.

--- /dev/null
+++ b/crates/platform/src/instance_list/mod.rs
@@ -0,0 +1,17 @@
+//! The platform's lagging list of live and leaving instances.
+
+use async_trait::async_trait;
+use displaydoc::Display;
+use monsoonspread_model::ListedInstance;
+use thiserror::Error;
+
+/// the instance list can't be read: {0}
+#[derive(Clone, Debug, Display, Eq, Error, PartialEq)]
+pub struct InstanceListError(pub String);
+
+/// The platform's list of instances.
+#[async_trait]
+pub trait InstanceList: Send + Sync {
+    /// Reads the whole list.
+    async fn list(&self) -> Result<Vec<ListedInstance>, InstanceListError>;
+}
--- /dev/null
+++ b/crates/platform/src/service/mod.rs
@@ -0,0 +1,40 @@
+//! Plain services.
+
+use async_trait::async_trait;
+use displaydoc::Display;
+use thiserror::Error;
+
+/// The answer of a plain service.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct ServiceReply {
+    /// HTTP status.
+    pub status: u16,
+    /// Media type of the body.
+    pub content_type: String,
+    /// The body.
+    pub body: Vec<u8>,
+}
+
+/// Why a call gave no answer.
+#[derive(Clone, Debug, Display, Eq, Error, PartialEq)]
+pub enum ServiceError {
+    /// no connection to the service: {0}
+    Unreachable(String),
+    /// the service said that it did not run the call: {0}
+    NotRun(String),
+    /// the service's answer was lost, the call may have run: {0}
+    AnswerLost(String),
+}
+
+/// One server of a plain service.
+#[async_trait]
+pub trait Service: Send + Sync {
+    /// Makes one call; never sends it twice.
+    async fn call(
+        &self,
+        call: &str,
+        body: &[u8],
+        idempotency_key: Option<&str>,
+        timeout_ms: u64,
+    ) -> Result<ServiceReply, ServiceError>;
+}
