--- /dev/null
+++ b/crates/decisions/src/bundle_spread/mod.rs
@@ -0,0 +1,1 @@
+//! Spread of signed bundles between instances.
--- /dev/null
+++ b/crates/decisions/src/claims/mod.rs
@@ -0,0 +1,1 @@
+//! At-most-once runs of keyed calls.
--- /dev/null
+++ b/crates/decisions/src/dispatch/mod.rs
@@ -0,0 +1,1 @@
+//! One model request from admission to its one answer.
--- /dev/null
+++ b/crates/decisions/src/membership/mod.rs
@@ -0,0 +1,1 @@
+//! Failure detection within a zone.
--- /dev/null
+++ b/crates/decisions/src/owner/mod.rs
@@ -0,0 +1,1 @@
+//! Grants, queues, loads and evictions of owned upstreams.
--- /dev/null
+++ b/crates/decisions/src/ownership/mod.rs
@@ -0,0 +1,1 @@
+//! Who owns which upstream.
--- /dev/null
+++ b/crates/decisions/src/placement/mod.rs
@@ -0,0 +1,1 @@
+//! Which upstreams may serve an adapter.
--- /dev/null
+++ b/crates/decisions/src/quarantine/mod.rs
@@ -0,0 +1,1 @@
+//! Requests that crash upstreams.
--- /dev/null
+++ b/crates/decisions/src/retry_budget/mod.rs
@@ -0,0 +1,1 @@
+//! How many retries and hedges an instance may send.
--- /dev/null
+++ b/crates/decisions/src/service_route/mod.rs
@@ -0,0 +1,1 @@
+//! Which server of a plain service gets a call.
--- /dev/null
+++ b/crates/decisions/src/straggler/mod.rs
@@ -0,0 +1,1 @@
+//! Which upstreams are slow now.
