Read TOML as a whole with every finding in its place

Cause: settings, workloads and bundles all need findings with file, line and key, together. Ruled out: serde's derive, which stops at the first wrong value.

--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod ownership_table;
 pub mod refusal;
 pub mod request_class;
+pub mod toml_check;
 pub mod unix_ms;
 
 pub use adapter_ref::{AdapterRef, ModelSelector};
