--- a/crates/model/src/bundle/content.rs
+++ b/crates/model/src/bundle/content.rs
@@ -6,7 +6,8 @@
 
 use super::{AdapterEntry, BundleVersion, CallEntry, CallerEntry, ServiceEntry};
 use crate::{
-    AdapterName, AdapterRef, CallerName, ModelSelector, Refusal, RefusalReason, ServiceName,
+    AdapterName, AdapterRef, BaseModelName, CallerName, ModelSelector, Refusal, RefusalReason,
+    ServiceName,
 };
 
 /// A whole bundle.
@@ -15,6 +16,9 @@
 pub struct Bundle {
     /// Its version.
     pub version: BundleVersion,
+    /// Models that adapters may be tuned from.
+    #[serde(default)]
+    pub base_models: Vec<BaseModelName>,
     /// Offered adapters.
     #[serde(default)]
     pub adapters: BTreeMap<AdapterName, AdapterEntry>,
--- a/crates/model/src/bundle/delta.rs
+++ b/crates/model/src/bundle/delta.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::{AdapterEntry, Bundle, BundleVersion, CallerEntry, ServiceEntry};
-use crate::{AdapterName, CallerName, ServiceName};
+use crate::{AdapterName, BaseModelName, CallerName, ServiceName};
 
 /// What changes from one version to the next; `None` removes an entry.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -14,6 +14,8 @@
     pub from: BundleVersion,
     /// The version that results.
     pub to: BundleVersion,
+    /// The base models of the version that results; a handful at most.
+    pub base_models: Vec<BaseModelName>,
     /// Changed adapters.
     pub adapters: BTreeMap<AdapterName, Option<AdapterEntry>>,
     /// Changed callers.
@@ -35,6 +37,7 @@
         Self {
             from: old.version,
             to: new.version,
+            base_models: new.base_models.clone(),
             adapters: changes(&old.adapters, &new.adapters),
             callers: changes(&old.callers, &new.callers),
             services: changes(&old.services, &new.services),
@@ -56,6 +59,7 @@
         }
         Some(Bundle {
             version: self.to,
+            base_models: self.base_models.clone(),
             adapters: applied(&old.adapters, &self.adapters),
             callers: applied(&old.callers, &self.callers),
             services: applied(&old.services, &self.services),
--- a/crates/model/src/bundle/manifest.rs
+++ b/crates/model/src/bundle/manifest.rs
@@ -1,8 +1,12 @@
 //! Signed descriptions of bundles.
 
+use ed25519_dalek::{Signer, SigningKey};
 use serde::{Deserialize, Serialize};
 
-use super::BundleVersion;
+use super::{BundleVersion, digest, split};
+
+/// Separates signatures of bundles from any other use of the same key.
+const SIGNING_CONTEXT: &str = "monsoonspread bundle 1";
 
 /// What operators sign: a version and the digest of its content.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -16,3 +20,38 @@
     /// Ed25519 signature of version, digest and parts, in hexadecimal digits.
     pub signature: String,
 }
+
+impl Manifest {
+    /// Signs the encoded content of a bundle.
+    ///
+    /// ```
+    /// # use ed25519_dalek::SigningKey;
+    /// # use monsoonspread_model::{bundle, Bundle, BundleVersion};
+    /// let key = SigningKey::from_bytes(&[7; 32]);
+    /// let content = bundle::encode(&Bundle::default());
+    /// let manifest = bundle::Manifest::sign(BundleVersion(1), &content, &key);
+    /// let verifier = bundle::Verifier::new(vec![key.verifying_key()]);
+    /// assert!(verifier.verify(&manifest));
+    /// ```
+    pub fn sign(version: BundleVersion, content: &[u8], key: &SigningKey) -> Self {
+        let mut manifest = Self {
+            version,
+            digest: digest(content),
+            parts: split(content).into_iter().map(digest).collect(),
+            signature: String::new(),
+        };
+        let signature = key.sign(&manifest.signed_bytes());
+        manifest.signature = hex::encode(signature.to_bytes());
+        manifest
+    }
+
+    /// The bytes that the signature covers.
+    pub(super) fn signed_bytes(&self) -> Vec<u8> {
+        let mut text = format!("{SIGNING_CONTEXT}\n{}\n{}\n", self.version, self.digest);
+        for part in &self.parts {
+            text.push_str(part);
+            text.push('\n');
+        }
+        text.into_bytes()
+    }
+}
