Let a grant request say whether it may cost a load

Cause: a request that tries a second upstream for lack of time would otherwise load its adapter twice, and loads are what the store gives least of. Ruled out: asking one upstream only, which waits behind a slow owner.

--- a/crates/model/src/message/grant_request.rs
+++ b/crates/model/src/message/grant_request.rs
@@ -47,10 +47,13 @@
     pub deadline_unix_ms: UnixMs,
     /// The bundle version under which it was resolved.
     pub bundle_version: BundleVersion,
+    /// Whether the owner may load the adapter for it; a request that tries a second upstream
+    /// asks only for a copy that is there or on its way.
+    pub may_load: bool,
 }
 
 /// Number of elements in the encoded array.
-const FIELDS: usize = 11;
+const FIELDS: usize = 12;
 
 impl Serialize for GrantRequest {
     fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
@@ -67,6 +70,7 @@
         // Sent relative to the arrival, which takes fewer bytes than a second point in time.
         tuple.serialize_element(&self.deadline_unix_ms.ms_since(self.arrived_at_unix_ms))?;
         tuple.serialize_element(&self.bundle_version)?;
+        tuple.serialize_element(&self.may_load)?;
         tuple.end()
     }
 }
@@ -99,6 +103,7 @@
         let arrived_at_unix_ms: UnixMs = element(&mut seq, 8)?;
         let deadline_after_ms: u64 = element(&mut seq, 9)?;
         let bundle_version = element(&mut seq, 10)?;
+        let may_load = element(&mut seq, 11)?;
         Ok(GrantRequest {
             request,
             upstream,
@@ -110,6 +115,7 @@
             arrived_at_unix_ms,
             deadline_unix_ms: arrived_at_unix_ms + deadline_after_ms,
             bundle_version,
+            may_load,
         })
     }
 }
