Add the network clients behind the platform's traits

Cause: the borders to the key-value service, the instance list, the engines and the plain services were traits without a client.

One HTTP client serves them all and never sends a request twice. A request counts as not sent only when the connection failed or closed before the request left the client's queue; everything else may have taken effect.

--- a/crates/platform/src/engine/mod.rs
+++ b/crates/platform/src/engine/mod.rs
@@ -1,5 +1,10 @@
 //! Model engines.
 
+mod sse_reader;
+mod vllm_engine;
+
+pub use vllm_engine::{FENCING_HEADER, REQUEST_ID_HEADER, VllmEngine};
+
 use async_trait::async_trait;
 use displaydoc::Display;
 use monsoonspread_model::{CopyName, Epoch, LoadReport};
--- /dev/null
+++ b/crates/platform/src/engine/vllm_engine.rs
@@ -0,0 +1,192 @@
+//! Engines with the OpenAI API and vLLM-style orders.
+
+use std::net::SocketAddr;
+
+use async_trait::async_trait;
+use hyper::StatusCode;
+use monsoonspread_model::{CopyName, Epoch, LoadReport};
+use serde_json::{Value, json};
+use tokio::sync::mpsc;
+
+use super::sse_reader::read_events;
+use super::{Engine, EngineError, GenerateRequest, Generation, OrderError};
+use crate::http::{self, HttpClient, Reply, SendError};
+
+/// Header that carries the fencing number of an order.
+pub const FENCING_HEADER: &str = "x-fencing-number";
+/// Header that carries the request's identity.
+pub const REQUEST_ID_HEADER: &str = "x-request-id";
+
+const LOAD_TIMEOUT_MS: u64 = 15_000;
+const ORDER_TIMEOUT_MS: u64 = 2_000;
+const REPORT_TIMEOUT_MS: u64 = 1_000;
+const HEADERS_TIMEOUT_MS: u64 = 30_000;
+const EVENTS_CAPACITY: usize = 64;
+
+/// Client of one engine.
+#[derive(Clone, Debug)]
+pub struct VllmEngine {
+    client: HttpClient,
+    address: SocketAddr,
+    load_timeout_ms: u64,
+}
+
+impl VllmEngine {
+    /// A client of the engine at `address`.
+    ///
+    /// ```
+    /// # use monsoonspread_platform::engine::VllmEngine;
+    /// let engine = VllmEngine::new("127.0.0.1:9200".parse().unwrap());
+    /// ```
+    pub fn new(address: SocketAddr) -> Self {
+        Self {
+            client: HttpClient::new(),
+            address,
+            load_timeout_ms: LOAD_TIMEOUT_MS,
+        }
+    }
+
+    /// Names the calling instance in every request.
+    #[must_use]
+    pub fn with_peer_name(mut self, name: &str) -> Self {
+        self.client = self.client.with_peer_name(name);
+        self
+    }
+
+    /// Sets after how long the answer to a load order counts as lost.
+    #[must_use]
+    pub fn with_load_timeout_ms(mut self, timeout_ms: u64) -> Self {
+        self.load_timeout_ms = timeout_ms;
+        self
+    }
+
+    async fn order(
+        &self,
+        path: &str,
+        body: &Value,
+        epoch: Epoch,
+        timeout_ms: u64,
+    ) -> Result<Reply, OrderError> {
+        let request = self
+            .client
+            .post_json(self.address, path)
+            .header(FENCING_HEADER, epoch.0);
+        let reply = self
+            .client
+            .send(request, body.to_string(), timeout_ms)
+            .await?;
+        match reply.status {
+            StatusCode::CONFLICT => Err(OrderError::Fenced(epoch)),
+            _ => Ok(reply),
+        }
+    }
+}
+
+#[async_trait]
+impl Engine for VllmEngine {
+    async fn load(&self, copy: &CopyName, epoch: Epoch) -> Result<(), OrderError> {
+        let body = json!({
+            "lora_name": copy.to_string(),
+            "lora_path": copy.adapter.to_string(),
+        });
+        let reply = self
+            .order("/v1/load_lora_adapter", &body, epoch, self.load_timeout_ms)
+            .await?;
+        carried_out(&reply)
+    }
+
+    async fn unload(&self, copy: &CopyName, epoch: Epoch) -> Result<(), OrderError> {
+        let body = json!({ "lora_name": copy.to_string() });
+        let reply = self
+            .order("/v1/unload_lora_adapter", &body, epoch, ORDER_TIMEOUT_MS)
+            .await?;
+        match reply.status {
+            StatusCode::NOT_FOUND => Ok(()),
+            _ => carried_out(&reply),
+        }
+    }
+
+    async fn fence(&self, epoch: Epoch) -> Result<(), OrderError> {
+        let reply = self
+            .order("/v1/fence", &json!({}), epoch, ORDER_TIMEOUT_MS)
+            .await?;
+        carried_out(&reply)
+    }
+
+    async fn report(&self) -> Result<LoadReport, OrderError> {
+        let request = self.client.request("GET", self.address, "/load");
+        let reply = self.client.send(request, "", REPORT_TIMEOUT_MS).await?;
+        carried_out(&reply)?;
+        serde_json::from_slice(&reply.body).map_err(|error| OrderError::Failed(error.to_string()))
+    }
+
+    async fn generate(&self, request: GenerateRequest) -> Result<Generation, EngineError> {
+        let builder = self
+            .client
+            .post_json(self.address, &request.path)
+            .header(REQUEST_ID_HEADER, &request.request_id);
+        let response = self
+            .client
+            .start(builder, body_of(&request)?, HEADERS_TIMEOUT_MS)
+            .await?;
+        if response.status() != StatusCode::OK {
+            let reply = http::whole(response).await?;
+            return Err(refusal(&reply, &request.copy));
+        }
+        let (sender, events) = mpsc::channel(EVENTS_CAPACITY);
+        tokio::spawn(read_events(response.into_body(), sender));
+        Ok(Generation { events })
+    }
+}
+
+impl From<SendError> for OrderError {
+    fn from(error: SendError) -> Self {
+        match error {
+            SendError::NotSent(text) => Self::Unreachable(text),
+            SendError::AnswerLost(text) => Self::AnswerLost(text),
+        }
+    }
+}
+
+impl From<SendError> for EngineError {
+    fn from(error: SendError) -> Self {
+        match error {
+            SendError::NotSent(text) => Self::Unreachable(text),
+            SendError::AnswerLost(text) => Self::Broken(text),
+        }
+    }
+}
+
+fn carried_out(reply: &Reply) -> Result<(), OrderError> {
+    if reply.status.is_success() {
+        Ok(())
+    } else {
+        Err(OrderError::Failed(reply.summary()))
+    }
+}
+
+/// The caller's body with what the client sets in it.
+fn body_of(request: &GenerateRequest) -> Result<String, EngineError> {
+    let Value::Object(mut body) = request.body.clone() else {
+        return Err(EngineError::Refused(
+            "the body is not a JSON object".to_owned(),
+        ));
+    };
+    // vLLM runs the lowest number first.
+    let engine_priority = u8::MAX - request.priority;
+    body.insert("model".to_owned(), request.copy.to_string().into());
+    body.insert("stream".to_owned(), true.into());
+    body.insert("priority".to_owned(), engine_priority.into());
+    Ok(Value::Object(body).to_string())
+}
+
+fn refusal(reply: &Reply, copy: &CopyName) -> EngineError {
+    if reply.status == StatusCode::NOT_FOUND {
+        return EngineError::CopyMissing(copy.to_string());
+    }
+    // A client error is found before anything runs.
+    if reply.says_not_run() || reply.status.is_client_error() {
+        return EngineError::Refused(reply.summary());
+    }
+    EngineError::Broken(reply.summary())
+}
--- /dev/null
+++ b/crates/platform/src/http/http_client.rs
@@ -0,0 +1,142 @@
+//! A client that never sends a request twice.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use hyper::header::{CONTENT_TYPE, HeaderValue};
+use hyper::http::request;
+use hyper::{Request, Response};
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::{TokioExecutor, TokioTimer};
+
+use super::{PEER_HEADER, Reply, SendError};
+
+const CONNECT_TIMEOUT_MS: u64 = 300;
+const IDLE_TIMEOUT_MS: u64 = 20_000;
+const MAX_REPLY_BYTES: usize = 64 * 1024 * 1024;
+
+/// An HTTP/1.1 client with pooled connections that never sends a request twice.
+#[derive(Clone, Debug)]
+pub struct HttpClient {
+    client: Client<HttpConnector, Full<Bytes>>,
+    peer_name: Option<HeaderValue>,
+}
+
+impl HttpClient {
+    /// A client without open connections.
+    ///
+    /// ```
+    /// # use monsoonspread_platform::http::HttpClient;
+    /// let client = HttpClient::new();
+    /// ```
+    pub fn new() -> Self {
+        let mut connector = HttpConnector::new();
+        connector.set_nodelay(true);
+        connector.set_connect_timeout(Some(Duration::from_millis(CONNECT_TIMEOUT_MS)));
+        let client = Client::builder(TokioExecutor::new())
+            .pool_timer(TokioTimer::new())
+            .pool_idle_timeout(Duration::from_millis(IDLE_TIMEOUT_MS))
+            .retry_canceled_requests(false)
+            .build(connector);
+        Self {
+            client,
+            peer_name: None,
+        }
+    }
+
+    /// Names the calling instance in every request.
+    ///
+    /// ```
+    /// # use monsoonspread_platform::http::HttpClient;
+    /// let client = HttpClient::new().with_peer_name("entry-1");
+    /// ```
+    #[must_use]
+    pub fn with_peer_name(mut self, name: &str) -> Self {
+        self.peer_name = HeaderValue::from_str(name).ok();
+        self
+    }
+
+    /// Starts a request to `path` at `address`, with the headers common to all.
+    pub(crate) fn request(
+        &self,
+        method: &str,
+        address: SocketAddr,
+        path: &str,
+    ) -> request::Builder {
+        let builder = Request::builder()
+            .method(method)
+            .uri(format!("http://{address}{path}"));
+        match &self.peer_name {
+            None => builder,
+            Some(name) => builder.header(PEER_HEADER, name),
+        }
+    }
+
+    /// Starts a POST of JSON.
+    pub(crate) fn post_json(&self, address: SocketAddr, path: &str) -> request::Builder {
+        self.request("POST", address, path)
+            .header(CONTENT_TYPE, "application/json")
+    }
+
+    /// Sends a request and waits for the headers of its answer.
+    pub(crate) async fn start(
+        &self,
+        builder: request::Builder,
+        body: impl Into<Bytes>,
+        timeout_ms: u64,
+    ) -> Result<Response<Incoming>, SendError> {
+        let request = builder
+            .body(Full::new(body.into()))
+            .map_err(|error| SendError::NotSent(error.to_string()))?;
+        let answer = self.client.request(request);
+        tokio::time::timeout(Duration::from_millis(timeout_ms), answer)
+            .await
+            .map_err(|_| no_answer(timeout_ms))?
+            .map_err(SendError::from)
+    }
+
+    /// Sends a request and waits for its whole answer.
+    pub(crate) async fn send(
+        &self,
+        builder: request::Builder,
+        body: impl Into<Bytes>,
+        timeout_ms: u64,
+    ) -> Result<Reply, SendError> {
+        let exchange = async {
+            let response = self.start(builder, body, timeout_ms).await?;
+            whole(response).await
+        };
+        tokio::time::timeout(Duration::from_millis(timeout_ms), exchange)
+            .await
+            .map_err(|_| no_answer(timeout_ms))?
+    }
+}
+
+impl Default for HttpClient {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+fn no_answer(timeout_ms: u64) -> SendError {
+    SendError::AnswerLost(format!("no answer within {timeout_ms} ms"))
+}
+
+/// Reads the whole body of an answer.
+pub(crate) async fn whole(response: Response<Incoming>) -> Result<Reply, SendError> {
+    let (head, body) = response.into_parts();
+    let body = Limited::new(body, MAX_REPLY_BYTES)
+        .collect()
+        .await
+        .map_err(|error| SendError::AnswerLost(error.to_string()))?
+        .to_bytes();
+    Ok(Reply {
+        status: head.status,
+        headers: head.headers,
+        body,
+    })
+}
--- /dev/null
+++ b/crates/platform/src/http/mod.rs
@@ -0,0 +1,16 @@
+//! The HTTP client that all network clients of this crate share.
+
+mod http_client;
+mod reply;
+mod send_error;
+
+pub use http_client::HttpClient;
+pub(crate) use http_client::whole;
+pub use reply::Reply;
+pub use send_error::SendError;
+
+/// Header by which an upstream says that it did not run a request.
+pub const NOT_RUN_HEADER: &str = "x-not-run";
+
+/// Header that names the calling instance.
+pub const PEER_HEADER: &str = "x-peer";
--- /dev/null
+++ b/crates/platform/src/http/reply.rs
@@ -0,0 +1,56 @@
+//! Whole answers.
+
+use bytes::Bytes;
+use hyper::{HeaderMap, StatusCode};
+
+use super::NOT_RUN_HEADER;
+
+/// A whole answer.
+#[derive(Clone, Debug)]
+pub struct Reply {
+    /// The status.
+    pub status: StatusCode,
+    /// The headers.
+    pub headers: HeaderMap,
+    /// The body.
+    pub body: Bytes,
+}
+
+impl Reply {
+    /// Whether the answering process says that it did not run the request.
+    ///
+    /// ```
+    /// # use monsoonspread_platform::http::Reply;
+    /// let mut reply = Reply {
+    ///     status: hyper::StatusCode::SERVICE_UNAVAILABLE,
+    ///     headers: hyper::HeaderMap::new(),
+    ///     body: Default::default(),
+    /// };
+    /// assert!(!reply.says_not_run());
+    /// reply.headers.insert("x-not-run", "true".parse().unwrap());
+    /// assert!(reply.says_not_run());
+    /// ```
+    pub fn says_not_run(&self) -> bool {
+        self.headers
+            .get(NOT_RUN_HEADER)
+            .is_some_and(|value| value.as_bytes() == b"true")
+    }
+
+    /// Status and the start of the body, for error messages.
+    ///
+    /// ```
+    /// # use monsoonspread_platform::http::Reply;
+    /// let reply = Reply {
+    ///     status: hyper::StatusCode::NOT_FOUND,
+    ///     headers: hyper::HeaderMap::new(),
+    ///     body: "gone".into(),
+    /// };
+    /// assert_eq!(reply.summary(), "status 404: gone");
+    /// ```
+    pub fn summary(&self) -> String {
+        const MAX_BODY_BYTES: usize = 200;
+        let body = &self.body[..self.body.len().min(MAX_BODY_BYTES)];
+        let text = String::from_utf8_lossy(body);
+        format!("status {}: {text}", self.status.as_u16())
+    }
+}
--- /dev/null
+++ b/crates/platform/src/instance_list/http_list.rs
@@ -0,0 +1,71 @@
+//! The instance list over HTTP.
+
+use std::net::SocketAddr;
+
+use async_trait::async_trait;
+use monsoonspread_model::ListedInstance;
+
+use super::{InstanceList, InstanceListError};
+use crate::http::{HttpClient, Reply};
+
+const TIMEOUT_MS: u64 = 2_000;
+
+/// Reads the list by `GET /instances` from the first address that answers.
+#[derive(Clone, Debug)]
+pub struct HttpInstanceList {
+    client: HttpClient,
+    addresses: Vec<SocketAddr>,
+}
+
+impl HttpInstanceList {
+    /// A client of the list's servers.
+    ///
+    /// ```
+    /// # use monsoonspread_platform::instance_list::HttpInstanceList;
+    /// let list = HttpInstanceList::new(vec!["127.0.0.1:9000".parse().unwrap()]);
+    /// ```
+    pub fn new(addresses: Vec<SocketAddr>) -> Self {
+        Self {
+            client: HttpClient::new(),
+            addresses,
+        }
+    }
+
+    /// Names the calling instance in every request.
+    #[must_use]
+    pub fn with_peer_name(mut self, name: &str) -> Self {
+        self.client = self.client.with_peer_name(name);
+        self
+    }
+
+    async fn list_at(&self, address: SocketAddr) -> Result<Vec<ListedInstance>, InstanceListError> {
+        let request = self.client.request("GET", address, "/instances");
+        let reply = self
+            .client
+            .send(request, "", TIMEOUT_MS)
+            .await
+            .map_err(|error| InstanceListError(error.to_string()))?;
+        parse(&reply)
+    }
+}
+
+#[async_trait]
+impl InstanceList for HttpInstanceList {
+    async fn list(&self) -> Result<Vec<ListedInstance>, InstanceListError> {
+        let mut last_error = InstanceListError("no address is set".to_owned());
+        for address in &self.addresses {
+            match self.list_at(*address).await {
+                Ok(rows) => return Ok(rows),
+                Err(error) => last_error = error,
+            }
+        }
+        Err(last_error)
+    }
+}
+
+fn parse(reply: &Reply) -> Result<Vec<ListedInstance>, InstanceListError> {
+    if !reply.status.is_success() {
+        return Err(InstanceListError(reply.summary()));
+    }
+    serde_json::from_slice(&reply.body).map_err(|error| InstanceListError(error.to_string()))
+}
--- a/crates/platform/src/instance_list/mod.rs
+++ b/crates/platform/src/instance_list/mod.rs
@@ -1,5 +1,9 @@
 //! The platform's lagging list of live and leaving instances.
 
+mod http_list;
+
+pub use http_list::HttpInstanceList;
+
 use async_trait::async_trait;
 use displaydoc::Display;
 use monsoonspread_model::ListedInstance;
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -3,6 +3,7 @@
 //! Each border is a trait with one network client behind it; tests put small fakes there.
 
 pub mod engine;
+pub mod http;
 pub mod instance_list;
 pub mod service;
 pub mod store;
--- a/crates/platform/src/service/mod.rs
+++ b/crates/platform/src/service/mod.rs
@@ -1,5 +1,9 @@
 //! Plain services.
 
+mod http_service;
+
+pub use http_service::{HttpService, IDEMPOTENCY_KEY_HEADER};
+
 use async_trait::async_trait;
 use displaydoc::Display;
 use thiserror::Error;
--- a/crates/platform/src/store/mod.rs
+++ b/crates/platform/src/store/mod.rs
@@ -1,5 +1,11 @@
 //! The platform's key-value service.
 
+mod etcd_gateway;
+mod etcd_wire;
+mod watch_reader;
+
+pub use etcd_gateway::EtcdGateway;
+
 use async_trait::async_trait;
 use displaydoc::Display;
 use thiserror::Error;
