Decide who owns which upstream

Cause: an upstream needs one owner, and the next one at once when it falls silent, also while the key-value service is down.

--- /dev/null
+++ b/crates/decisions/src/ownership/directory.rs
@@ -0,0 +1,94 @@
+//! Owners of upstreams in other zones.
+
+use std::collections::BTreeMap;
+
+use monsoonspread_model::{
+    Epoch, InstanceName, OwnershipTable, Succession, UnixMs, UpstreamName, ZoneName,
+};
+
+/// The latest table of each zone, and what is known of instances there.
+#[derive(Clone, Debug, Default)]
+pub struct TableDirectory {
+    tables: BTreeMap<ZoneName, OwnershipTable>,
+    failing_until: BTreeMap<InstanceName, UnixMs>,
+    floors: BTreeMap<UpstreamName, Epoch>,
+}
+
+impl TableDirectory {
+    /// An empty directory.
+    ///
+    /// ```
+    /// # use monsoonspread_decisions::ownership::TableDirectory;
+    /// # use monsoonspread_model::{OwnershipTable, UnixMs};
+    /// let mut directory = TableDirectory::new();
+    /// let table = OwnershipTable { revision: 1, ..OwnershipTable::new("baltic-2") };
+    /// assert!(directory.on_table(table.clone()));
+    /// assert!(!directory.on_table(table));
+    /// assert_eq!(directory.owner_of(UnixMs(0), &"engine-9".into()), None);
+    /// ```
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Takes a table; true when it is newer than the one held.
+    pub fn on_table(&mut self, table: OwnershipTable) -> bool {
+        if table.revision <= self.revision_of(&table.zone) {
+            return false;
+        }
+        self.tables.insert(table.zone.clone(), table);
+        true
+    }
+
+    /// Notes that `instance` did not answer; it is passed over until `until_unix_ms`.
+    pub fn on_failing(&mut self, instance: &InstanceName, until_unix_ms: UnixMs) {
+        self.failing_until.insert(instance.clone(), until_unix_ms);
+    }
+
+    /// Notes that `instance` answered.
+    pub fn on_answering(&mut self, instance: &InstanceName) {
+        self.failing_until.remove(instance);
+    }
+
+    /// Notes that `epoch` is in use for `upstream`.
+    pub fn on_epoch_seen(&mut self, upstream: &UpstreamName, epoch: Epoch) {
+        let floor = self.floors.entry(upstream.clone()).or_default();
+        *floor = epoch.max(*floor);
+    }
+
+    /// Revision of the table held for `zone`, 0 for none.
+    pub fn revision_of(&self, zone: &ZoneName) -> u64 {
+        self.tables.get(zone).map_or(0, |table| table.revision)
+    }
+
+    /// The tables held.
+    pub fn tables(&self) -> impl Iterator<Item = &OwnershipTable> {
+        self.tables.values()
+    }
+
+    /// The zone whose table names `upstream`.
+    pub fn zone_of(&self, upstream: &UpstreamName) -> Option<&ZoneName> {
+        self.table_of(upstream).map(|table| &table.zone)
+    }
+
+    /// The first in the failover order of `upstream` that is not known to fail.
+    pub fn owner_of(&self, now: UnixMs, upstream: &UpstreamName) -> Option<&Succession> {
+        let floor = self.floors.get(upstream).copied().unwrap_or_default();
+        self.table_of(upstream)?
+            .order_of(upstream)
+            .iter()
+            .filter(|place| place.epoch >= floor)
+            .find(|place| !self.is_failing(now, &place.instance))
+    }
+
+    fn table_of(&self, upstream: &UpstreamName) -> Option<&OwnershipTable> {
+        self.tables
+            .values()
+            .find(|table| table.upstreams.contains_key(upstream))
+    }
+
+    fn is_failing(&self, now: UnixMs, instance: &InstanceName) -> bool {
+        self.failing_until
+            .get(instance)
+            .is_some_and(|until| now < *until)
+    }
+}
--- /dev/null
+++ b/crates/decisions/src/ownership/planner.rs
@@ -0,0 +1,242 @@
+//! The next table of a zone.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use monsoonspread_model::{Epoch, InstanceName, OwnershipTable, Succession, UpstreamName};
+use xxhash_rust::xxh3::xxh3_64;
+
+/// Plans a table from the one before it, moving as few owners as balance allows.
+pub struct Planner<'a> {
+    current: &'a OwnershipTable,
+    live: &'a BTreeSet<InstanceName>,
+    upstreams: &'a BTreeSet<UpstreamName>,
+    order_length: usize,
+    floors: &'a BTreeMap<UpstreamName, Epoch>,
+    lapsed: &'a BTreeSet<InstanceName>,
+    first_epoch: Epoch,
+}
+
+impl<'a> Planner<'a> {
+    /// Plans for `live` instances and `upstreams`, with `order_length` places in each order.
+    pub fn new(
+        current: &'a OwnershipTable,
+        live: &'a BTreeSet<InstanceName>,
+        upstreams: &'a BTreeSet<UpstreamName>,
+        order_length: usize,
+    ) -> Self {
+        static NO_FLOORS: BTreeMap<UpstreamName, Epoch> = BTreeMap::new();
+        static NO_LAPSED: BTreeSet<InstanceName> = BTreeSet::new();
+        Self {
+            current,
+            live,
+            upstreams,
+            order_length,
+            floors: &NO_FLOORS,
+            lapsed: &NO_LAPSED,
+            first_epoch: current.next_epoch,
+        }
+    }
+
+    /// Takes the lowest fencing number that is still in force for each upstream.
+    #[must_use]
+    pub fn with_floors(mut self, floors: &'a BTreeMap<UpstreamName, Epoch>) -> Self {
+        self.floors = floors;
+        self
+    }
+
+    /// Takes the instances that lost their places in the current table.
+    #[must_use]
+    pub fn with_lapsed(mut self, lapsed: &'a BTreeSet<InstanceName>) -> Self {
+        self.lapsed = lapsed;
+        self
+    }
+
+    /// Issues no fencing number below `first_epoch`.
+    #[must_use]
+    pub fn with_first_epoch(mut self, first_epoch: Epoch) -> Self {
+        self.first_epoch = self.first_epoch.max(first_epoch);
+        self
+    }
+
+    /// The table to write, or `None` when the current one still fits.
+    ///
+    /// ```
+    /// # use std::collections::BTreeSet;
+    /// # use monsoonspread_decisions::ownership::Planner;
+    /// # use monsoonspread_model::OwnershipTable;
+    /// let table = OwnershipTable::new("vestland-1");
+    /// let live = BTreeSet::from(["entry-1".into()]);
+    /// let upstreams = BTreeSet::from(["engine-1".into()]);
+    /// let next = Planner::new(&table, &live, &upstreams, 3).plan().unwrap();
+    /// assert_eq!(next.order_of(&"engine-1".into())[0].instance, "entry-1".into());
+    /// assert_eq!(Planner::new(&next, &live, &upstreams, 3).plan(), None);
+    /// ```
+    pub fn plan(&self) -> Option<OwnershipTable> {
+        if self.live.is_empty() {
+            return None;
+        }
+        let owners = self.owners();
+        let mut next = OwnershipTable {
+            zone: self.current.zone.clone(),
+            revision: self.current.revision + 1,
+            next_epoch: self.first_free_epoch(),
+            members: self.live.iter().cloned().collect(),
+            upstreams: BTreeMap::new(),
+        };
+        for (upstream, owner) in owners {
+            let order = self.order(upstream, owner, &mut next.next_epoch);
+            next.upstreams.insert(upstream.clone(), order);
+        }
+        let changed =
+            next.members != self.current.members || next.upstreams != self.current.upstreams;
+        changed.then_some(next)
+    }
+
+    fn first_free_epoch(&self) -> Epoch {
+        let above_floors = self.floors.values().map(|floor| Epoch(floor.0 + 1));
+        above_floors
+            .max()
+            .map_or(self.first_epoch, |free| free.max(self.first_epoch))
+    }
+
+    /// The owner of each upstream: who has it now, moved only as far as an even share asks.
+    fn owners(&self) -> BTreeMap<&'a UpstreamName, &'a InstanceName> {
+        let mut owners = BTreeMap::new();
+        let mut counts: BTreeMap<_, _> = self.live.iter().map(|name| (name, 0)).collect();
+        for upstream in self.upstreams {
+            if let Some(owner) = self.present_owner(upstream) {
+                *counts.entry(owner).or_default() += 1;
+                owners.insert(upstream, owner);
+            }
+        }
+        for upstream in self.upstreams {
+            if owners.contains_key(upstream) {
+                continue;
+            }
+            let owner = least_loaded(upstream, &counts);
+            *counts.entry(owner).or_default() += 1;
+            owners.insert(upstream, owner);
+        }
+        level(&mut owners, &mut counts);
+        owners
+    }
+
+    fn present_owner(&self, upstream: &UpstreamName) -> Option<&'a InstanceName> {
+        self.current
+            .order_of(upstream)
+            .iter()
+            .filter(|place| self.holds_place(upstream, place))
+            .find_map(|place| self.live.get(&place.instance))
+    }
+
+    fn holds_place(&self, upstream: &UpstreamName, place: &Succession) -> bool {
+        let floor = self.floors.get(upstream).copied().unwrap_or_default();
+        place.epoch >= floor && !self.lapsed.contains(&place.instance)
+    }
+
+    /// The failover order of one upstream; its fencing numbers grow from place to place.
+    fn order(
+        &self,
+        upstream: &UpstreamName,
+        owner: &InstanceName,
+        next_epoch: &mut Epoch,
+    ) -> Vec<Succession> {
+        let present = self.current.order_of(upstream);
+        let mut last = Epoch(0);
+        self.instances(upstream, owner)
+            .into_iter()
+            .map(|instance| {
+                let kept = present
+                    .iter()
+                    .find(|place| place.instance == *instance && place.epoch > last)
+                    .filter(|place| self.holds_place(upstream, place))
+                    .filter(|place| last > Epoch(0) || self.heads(upstream, place));
+                let epoch = kept.map_or_else(|| issue(next_epoch), |place| place.epoch);
+                last = epoch;
+                Succession {
+                    instance: instance.clone(),
+                    epoch,
+                }
+            })
+            .collect()
+    }
+
+    /// Whether `place` is the one whose holder owns the upstream under the current table.
+    fn heads(&self, upstream: &UpstreamName, place: &Succession) -> bool {
+        self.present_owner(upstream) == Some(&place.instance)
+    }
+
+    /// The owner, then the backups that hold a place already, then others by rendezvous hash.
+    fn instances(&self, upstream: &UpstreamName, owner: &'a InstanceName) -> Vec<&'a InstanceName> {
+        let mut chosen = vec![owner];
+        let present = self
+            .current
+            .order_of(upstream)
+            .iter()
+            .filter(|place| self.holds_place(upstream, place))
+            .filter_map(|place| self.live.get(&place.instance));
+        let mut others: Vec<_> = self.live.iter().collect();
+        others.sort_by_key(|instance| u64::MAX - weight(upstream, instance));
+        for instance in present.chain(others) {
+            if chosen.len() >= self.order_length {
+                break;
+            }
+            if !chosen.contains(&instance) {
+                chosen.push(instance);
+            }
+        }
+        chosen
+    }
+}
+
+fn least_loaded<'a>(
+    upstream: &UpstreamName,
+    counts: &BTreeMap<&'a InstanceName, usize>,
+) -> &'a InstanceName {
+    counts
+        .iter()
+        .min_by_key(|(instance, count)| (**count, u64::MAX - weight(upstream, instance)))
+        .map(|(instance, _)| *instance)
+        .expect("a plan is made for one live instance at least")
+}
+
+/// Moves upstreams from the instance with most to the one with fewest until they differ by one.
+fn level<'a>(
+    owners: &mut BTreeMap<&'a UpstreamName, &'a InstanceName>,
+    counts: &mut BTreeMap<&'a InstanceName, usize>,
+) {
+    loop {
+        let most = counts.iter().max_by_key(|(_, count)| **count);
+        let fewest = counts.iter().min_by_key(|(_, count)| **count);
+        let (Some((most, high)), Some((fewest, low))) = (most, fewest) else {
+            return;
+        };
+        if high - low < 2 {
+            return;
+        }
+        let (most, fewest) = (*most, *fewest);
+        let moved = owners
+            .iter()
+            .filter(|(_, owner)| **owner == most)
+            .max_by_key(|(upstream, _)| weight(upstream, fewest))
+            .map(|(upstream, _)| *upstream);
+        let Some(upstream) = moved else { return };
+        owners.insert(upstream, fewest);
+        *counts.entry(most).or_default() -= 1;
+        *counts.entry(fewest).or_default() += 1;
+    }
+}
+
+fn issue(next_epoch: &mut Epoch) -> Epoch {
+    let issued = *next_epoch;
+    next_epoch.0 += 1;
+    issued
+}
+
+fn weight(upstream: &UpstreamName, instance: &InstanceName) -> u64 {
+    let mut key = Vec::with_capacity(upstream.as_str().len() + instance.as_str().len() + 1);
+    key.extend_from_slice(upstream.as_str().as_bytes());
+    key.push(0);
+    key.extend_from_slice(instance.as_str().as_bytes());
+    xxh3_64(&key)
+}
