Run keyed calls at most once

Cause: an offset commit or card dispatch must not run twice, whatever is lost. A claim is created by compare-and-swap before the call; only its creator runs it; a lost answer is resolved by reading back the own token; a claim that may have been created by a holder that gave up is recorded as not run once the service answers again. Ruled out: letting a repeat run when the holder's deadline has passed, as the holder may be paused and run later.

An answer goes to the caller before its outcome is recorded: waiting for the write adds a slow service's delay to each call, and a crash between the two is 'outcome unknown' either way.

--- /dev/null
+++ b/crates/decisions/src/claims/claim.rs
@@ -0,0 +1,441 @@
+//! The state machine of one keyed call.
+
+use monsoonspread_model::{Refusal, RefusalReason, UnixMs};
+
+use super::{
+    ClaimAction, ClaimAnswer, ClaimDump, ClaimKey, ClaimRecord, ClaimSettings, ClaimState,
+    ClaimToken, MAX_STORED_BODY_BYTES, OutcomeWrite, RunResult,
+};
+
+/// One keyed call on one instance, from its arrival until its outcome is recorded.
+#[derive(Clone, Debug)]
+pub struct Claim {
+    key: ClaimKey,
+    token: ClaimToken,
+    body_digest: String,
+    deadline_unix_ms: UnixMs,
+    settings: ClaimSettings,
+    phase: Phase,
+    answered: bool,
+    ran: bool,
+    attempts: u32,
+    poll_ms: u64,
+    mod_revision: Option<u64>,
+}
+
+#[derive(Clone, Debug, Eq, PartialEq)]
+enum Phase {
+    New,
+    /// A create or a retake is under way.
+    Claiming,
+    /// The answer to a create or a retake was lost.
+    ReadingBack,
+    /// Another holds the claim.
+    Waiting,
+    Running,
+    /// The outcome is being recorded.
+    Recording(ClaimState),
+    Done,
+}
+
+impl Claim {
+    /// Prepares a call that must be answered by `deadline_unix_ms`.
+    ///
+    /// ```
+    /// # use monsoonspread_decisions::claims::*;
+    /// # use monsoonspread_model::UnixMs;
+    /// # use rand_chacha::{ChaCha8Rng, rand_core::SeedableRng};
+    /// let token = ClaimToken::random(&mut ChaCha8Rng::seed_from_u64(1));
+    /// let key = ClaimKey::new(&"records".into(), &"bench".into(), "offset-17");
+    /// let mut claim = Claim::new(key, token, body_digest("commit", b"{}"), UnixMs(900));
+    /// assert!(matches!(claim.start(UnixMs(0))[..], [ClaimAction::Create(_)]));
+    /// assert_eq!(claim.on_created(UnixMs(4), Some(7)), [ClaimAction::Run]);
+    /// ```
+    pub fn new(
+        key: ClaimKey,
+        token: ClaimToken,
+        body_digest: String,
+        deadline_unix_ms: UnixMs,
+    ) -> Self {
+        let settings = ClaimSettings::default();
+        Self {
+            key,
+            token,
+            body_digest,
+            deadline_unix_ms,
+            poll_ms: settings.poll_ms,
+            settings,
+            phase: Phase::New,
+            answered: false,
+            ran: false,
+            attempts: 0,
+            mod_revision: None,
+        }
+    }
+
+    /// Takes other settings.
+    #[must_use]
+    pub fn with_settings(mut self, settings: ClaimSettings) -> Self {
+        self.poll_ms = settings.poll_ms;
+        self.settings = settings;
+        self
+    }
+
+    /// Where the record is kept.
+    pub fn key(&self) -> &ClaimKey {
+        &self.key
+    }
+
+    /// Whether nothing is left to do.
+    pub fn is_done(&self) -> bool {
+        self.phase == Phase::Done
+    }
+
+    /// Starts; nothing has run before.
+    pub fn start(&mut self, now: UnixMs) -> Vec<ClaimAction> {
+        if self.phase != Phase::New {
+            return Vec::new();
+        }
+        if now >= self.deadline_unix_ms {
+            return self.refuse_and_end(too_late());
+        }
+        self.create()
+    }
+
+    /// The record was created or retaken; `mod_revision` is its revision where known.
+    pub fn on_created(&mut self, now: UnixMs, mod_revision: Option<u64>) -> Vec<ClaimAction> {
+        if !matches!(self.phase, Phase::Claiming | Phase::ReadingBack) {
+            return Vec::new();
+        }
+        self.mod_revision = mod_revision;
+        if self.answered {
+            return self.record(now, ClaimState::NotRun);
+        }
+        if now >= self.deadline_unix_ms {
+            let mut actions = self.refuse(too_late());
+            actions.extend(self.record(now, ClaimState::NotRun));
+            return actions;
+        }
+        self.phase = Phase::Running;
+        self.ran = true;
+        vec![ClaimAction::Run]
+    }
+
+    /// The record was not created or retaken, as the key holds `record`.
+    pub fn on_exists(
+        &mut self,
+        now: UnixMs,
+        record: &ClaimRecord,
+        mod_revision: u64,
+    ) -> Vec<ClaimAction> {
+        if !matches!(self.phase, Phase::Claiming | Phase::ReadingBack) {
+            return Vec::new();
+        }
+        self.on_found(now, record, mod_revision)
+    }
+
+    /// The answer to a create or a retake was lost.
+    pub fn on_write_unknown(&mut self, _now: UnixMs) -> Vec<ClaimAction> {
+        if self.phase != Phase::Claiming {
+            return Vec::new();
+        }
+        self.phase = Phase::ReadingBack;
+        vec![ClaimAction::Read]
+    }
+
+    /// A create, a retake or a read did not reach the key-value service.
+    pub fn on_store_unreachable(&mut self, now: UnixMs) -> Vec<ClaimAction> {
+        match self.phase {
+            Phase::Claiming if self.attempts <= 1 => self.refuse_and_end(no_store(now)),
+            Phase::Claiming | Phase::ReadingBack => {
+                let mut actions = self.refuse(no_store(now));
+                actions.extend(self.read_later(now, Phase::ReadingBack));
+                actions
+            }
+            Phase::Waiting => self.refuse_and_end(unknown()),
+            Phase::Recording(_) => self.read_later(now, self.phase.clone()),
+            Phase::New | Phase::Running | Phase::Done => Vec::new(),
+        }
+    }
+
+    /// The record was read.
+    pub fn on_read(&mut self, now: UnixMs, found: Option<(&ClaimRecord, u64)>) -> Vec<ClaimAction> {
+        match (self.phase.clone(), found) {
+            (Phase::ReadingBack | Phase::Waiting, Some((record, mod_revision))) => {
+                self.on_found(now, record, mod_revision)
+            }
+            (Phase::ReadingBack, None) => self.on_nothing_found(now),
+            (Phase::Waiting, None) => self.refuse_and_end(unknown()),
+            (Phase::Recording(outcome), Some((record, mod_revision))) => {
+                self.on_recorded(record, mod_revision, outcome)
+            }
+            (Phase::Recording(_), None) => self.end(),
+            (Phase::New | Phase::Claiming | Phase::Running | Phase::Done, _) => Vec::new(),
+        }
+    }
+
+    /// The call ended.
+    pub fn on_run_result(&mut self, now: UnixMs, result: RunResult) -> Vec<ClaimAction> {
+        if self.phase != Phase::Running {
+            return Vec::new();
+        }
+        let (answer, outcome) = answer_and_outcome(result);
+        let mut actions = self.answer(answer);
+        actions.extend(self.record(now, outcome));
+        actions
+    }
+
+    /// The outcome was written, or not.
+    pub fn on_outcome_written(&mut self, now: UnixMs, write: OutcomeWrite) -> Vec<ClaimAction> {
+        if !matches!(self.phase, Phase::Recording(_)) {
+            return Vec::new();
+        }
+        match write {
+            OutcomeWrite::Written | OutcomeWrite::Conflict => self.end(),
+            OutcomeWrite::Unknown => vec![ClaimAction::Read],
+            OutcomeWrite::Unreachable => self.read_later(now, self.phase.clone()),
+        }
+    }
+
+    /// How far the call is.
+    pub fn dump(&self, _now: UnixMs) -> ClaimDump {
+        let phase = match self.phase {
+            Phase::New => "new",
+            Phase::Claiming => "claiming",
+            Phase::ReadingBack => "reading_back",
+            Phase::Waiting => "waiting",
+            Phase::Running => "running",
+            Phase::Recording(_) => "recording",
+            Phase::Done => "done",
+        };
+        ClaimDump {
+            phase,
+            deadline_unix_ms: self.deadline_unix_ms,
+            ran: self.ran,
+        }
+    }
+
+    fn create(&mut self) -> Vec<ClaimAction> {
+        self.phase = Phase::Claiming;
+        self.attempts += 1;
+        vec![ClaimAction::Create(self.record_of(ClaimState::Started))]
+    }
+
+    /// The key holds `record`.
+    fn on_found(
+        &mut self,
+        now: UnixMs,
+        record: &ClaimRecord,
+        mod_revision: u64,
+    ) -> Vec<ClaimAction> {
+        if record.token == self.token && self.phase != Phase::Waiting {
+            return self.on_created(now, Some(mod_revision));
+        }
+        if self.answered {
+            return self.end();
+        }
+        if record.body_digest != self.body_digest {
+            return self.refuse_and_end(key_conflict());
+        }
+        match &record.state {
+            ClaimState::Replied {
+                status,
+                content_type,
+                body,
+            } => {
+                let answer = ClaimAnswer::Replied {
+                    status: *status,
+                    content_type: content_type.clone(),
+                    body: body.clone(),
+                    replayed: true,
+                };
+                self.phase = Phase::Done;
+                self.answer(answer)
+            }
+            ClaimState::Unknown => self.refuse_and_end(unknown()),
+            ClaimState::NotRun => self.retake(now, mod_revision),
+            ClaimState::Started => self.wait(now, record),
+        }
+    }
+
+    /// Reading back found no record: the lost create may still take effect.
+    fn on_nothing_found(&mut self, now: UnixMs) -> Vec<ClaimAction> {
+        if self.answered {
+            return self.read_later(now, Phase::ReadingBack);
+        }
+        if self.attempts < self.settings.create_attempts && now < self.deadline_unix_ms {
+            return self.create();
+        }
+        let mut actions = self.refuse(no_store(now));
+        actions.extend(self.read_later(now, Phase::ReadingBack));
+        actions
+    }
+
+    fn retake(&mut self, now: UnixMs, expected_mod_revision: u64) -> Vec<ClaimAction> {
+        if now >= self.deadline_unix_ms {
+            return self.refuse_and_end(too_late());
+        }
+        self.phase = Phase::Claiming;
+        self.attempts += 1;
+        vec![ClaimAction::Retake {
+            record: self.record_of(ClaimState::Started),
+            expected_mod_revision,
+        }]
+    }
+
+    /// Waits for the outcome of another's run, as long as that can come in time.
+    fn wait(&mut self, now: UnixMs, record: &ClaimRecord) -> Vec<ClaimAction> {
+        let ends_at = record.deadline_unix_ms + self.settings.grace_ms;
+        if now >= ends_at {
+            return self.refuse_and_end(unknown());
+        }
+        let read_at = now + self.poll_ms;
+        if read_at >= self.deadline_unix_ms {
+            return self.refuse_and_end(unknown().with_retry_at(ends_at));
+        }
+        self.poll_ms = (self.poll_ms * 2).min(self.settings.max_poll_ms);
+        self.phase = Phase::Waiting;
+        vec![ClaimAction::ReadAt(read_at)]
+    }
+
+    /// Records `outcome`, reading the record's revision first where it is not known.
+    fn record(&mut self, _now: UnixMs, outcome: ClaimState) -> Vec<ClaimAction> {
+        self.phase = Phase::Recording(outcome.clone());
+        match self.mod_revision {
+            Some(mod_revision) => vec![self.write(outcome, mod_revision)],
+            None => vec![ClaimAction::Read],
+        }
+    }
+
+    /// The record was read while its outcome was being recorded.
+    fn on_recorded(
+        &mut self,
+        record: &ClaimRecord,
+        mod_revision: u64,
+        outcome: ClaimState,
+    ) -> Vec<ClaimAction> {
+        if record.token != self.token || record.state != ClaimState::Started {
+            return self.end();
+        }
+        vec![self.write(outcome, mod_revision)]
+    }
+
+    fn write(&self, outcome: ClaimState, expected_mod_revision: u64) -> ClaimAction {
+        ClaimAction::WriteOutcome {
+            record: self.record_of(outcome),
+            expected_mod_revision,
+        }
+    }
+
+    /// Reads again after a pause, or gives up when the time for that has passed.
+    fn read_later(&mut self, now: UnixMs, phase: Phase) -> Vec<ClaimAction> {
+        let read_at = now + self.settings.store_retry_ms;
+        if read_at >= self.deadline_unix_ms + self.settings.record_for_ms {
+            return self.end();
+        }
+        self.phase = phase;
+        vec![ClaimAction::ReadAt(read_at)]
+    }
+
+    fn record_of(&self, state: ClaimState) -> ClaimRecord {
+        ClaimRecord {
+            token: self.token.clone(),
+            body_digest: self.body_digest.clone(),
+            deadline_unix_ms: self.deadline_unix_ms,
+            state,
+        }
+    }
+
+    fn refuse(&mut self, refusal: Refusal) -> Vec<ClaimAction> {
+        self.answer(ClaimAnswer::Refused(refusal))
+    }
+
+    fn refuse_and_end(&mut self, refusal: Refusal) -> Vec<ClaimAction> {
+        self.phase = Phase::Done;
+        self.refuse(refusal)
+    }
+
+    fn answer(&mut self, answer: ClaimAnswer) -> Vec<ClaimAction> {
+        if std::mem::replace(&mut self.answered, true) {
+            return Vec::new();
+        }
+        vec![ClaimAction::Answer(answer)]
+    }
+
+    fn end(&mut self) -> Vec<ClaimAction> {
+        self.phase = Phase::Done;
+        Vec::new()
+    }
+}
+
+fn answer_and_outcome(result: RunResult) -> (ClaimAnswer, ClaimState) {
+    match result {
+        RunResult::Replied {
+            status,
+            content_type,
+            body,
+        } => {
+            let outcome = stored(status, &content_type, &body);
+            let answer = ClaimAnswer::Replied {
+                status,
+                content_type,
+                body,
+                replayed: false,
+            };
+            (answer, outcome)
+        }
+        RunResult::NotRun => (ClaimAnswer::Refused(not_run()), ClaimState::NotRun),
+        RunResult::Unknown => (ClaimAnswer::Refused(unknown()), ClaimState::Unknown),
+    }
+}
+
+/// The state that keeps an answer for repeats.
+fn stored(status: u16, content_type: &str, body: &[u8]) -> ClaimState {
+    if body.len() > MAX_STORED_BODY_BYTES {
+        return ClaimState::Unknown;
+    }
+    ClaimState::Replied {
+        status,
+        content_type: content_type.to_owned(),
+        body: body.to_vec(),
+    }
+}
+
+fn too_late() -> Refusal {
+    Refusal::not_run(
+        RefusalReason::DeadlineExceeded,
+        "the call's deadline passed before it could run",
+    )
+}
+
+fn not_run() -> Refusal {
+    Refusal::not_run(
+        RefusalReason::Unavailable,
+        "the service did not run the call",
+    )
+}
+
+fn key_conflict() -> Refusal {
+    Refusal::not_run(
+        RefusalReason::KeyConflict,
+        "the idempotency key belongs to a call with another body",
+    )
+}
+
+fn unknown() -> Refusal {
+    Refusal::may_have_run(
+        RefusalReason::OutcomeUnknown,
+        "a call with this idempotency key may have run, its outcome is not known",
+    )
+}
+
+/// Pause that callers are asked to keep while the key-value service can't be reached.
+const STORE_RETRY_MS: u64 = 1_000;
+
+fn no_store(now: UnixMs) -> Refusal {
+    Refusal::not_run(
+        RefusalReason::StoreUnavailable,
+        "the key-value service can't be reached to claim the idempotency key",
+    )
+    .with_retry_at(now + STORE_RETRY_MS)
+}
--- /dev/null
+++ b/crates/decisions/src/claims/record.rs
@@ -0,0 +1,55 @@
+//! What the key-value service keeps of a keyed call.
+
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD;
+use monsoonspread_model::UnixMs;
+use serde::{Deserialize, Deserializer, Serialize, Serializer, de};
+
+use super::ClaimToken;
+
+/// Largest body of an answer that is kept for repeats; an answer above it counts as unknown.
+pub const MAX_STORED_BODY_BYTES: usize = 512 * 1024;
+
+/// A claim, as stored.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct ClaimRecord {
+    /// Who holds it.
+    pub token: ClaimToken,
+    /// The call and its body.
+    pub body_digest: String,
+    /// When the holder's call ends at the latest; decides only how long others wait for it.
+    pub deadline_unix_ms: UnixMs,
+    /// How far the call is.
+    pub state: ClaimState,
+}
+
+/// How far a keyed call is.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum ClaimState {
+    /// The holder may run the call at any time.
+    Started,
+    /// The service answered.
+    Replied {
+        /// HTTP status.
+        status: u16,
+        /// Media type of the body.
+        content_type: String,
+        /// The body.
+        #[serde(serialize_with = "to_base64", deserialize_with = "from_base64")]
+        body: Vec<u8>,
+    },
+    /// The call certainly did not run; another attempt may claim it.
+    NotRun,
+    /// The call may have run.
+    Unknown,
+}
+
+fn to_base64<S: Serializer>(bytes: &[u8], serializer: S) -> Result<S::Ok, S::Error> {
+    serializer.serialize_str(&STANDARD.encode(bytes))
+}
+
+fn from_base64<'de, D: Deserializer<'de>>(deserializer: D) -> Result<Vec<u8>, D::Error> {
+    let text = String::deserialize(deserializer)?;
+    STANDARD.decode(text).map_err(de::Error::custom)
+}
