Read and check the entry's settings as a whole

Cause: a wrong setting must be found before anything starts, and all of them at once. serde's deny_unknown_fields was ruled out, as it stops at the first finding; the document is walked with spans and each finding carries file, line and key.

--- /dev/null
+++ b/crates/entry/src/settings/mesh_key.rs
@@ -0,0 +1,38 @@
+//! The key that entry instances share.
+
+use std::fmt;
+
+/// A pre-shared key; never shown.
+#[derive(Clone, Eq, PartialEq)]
+pub struct MeshKey(Vec<u8>);
+
+impl MeshKey {
+    /// Fewest bytes of a key.
+    pub const MIN_BYTES: usize = 16;
+
+    /// Takes the key's bytes.
+    ///
+    /// ```
+    /// # use monsoonspread_entry::settings::MeshKey;
+    /// assert_eq!(format!("{:?}", MeshKey::new(b"0123456789abcdef")), "MeshKey(..)");
+    /// ```
+    pub fn new(bytes: &[u8]) -> Self {
+        Self(bytes.to_vec())
+    }
+
+    /// Borrows the key's bytes.
+    ///
+    /// ```
+    /// # use monsoonspread_entry::settings::MeshKey;
+    /// assert_eq!(MeshKey::new(b"abc").as_bytes(), b"abc");
+    /// ```
+    pub fn as_bytes(&self) -> &[u8] {
+        &self.0
+    }
+}
+
+impl fmt::Debug for MeshKey {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("MeshKey(..)")
+    }
+}
--- /dev/null
+++ b/crates/entry/src/settings/tests.rs
@@ -0,0 +1,62 @@
+//! Settings are checked as a whole.
+
+use quickcheck::{Arbitrary, Gen};
+
+use super::parse;
+
+const GOOD: &str = r#"
+instance = "entry-1"
+zone = "vestland-1"
+region_zones = ["vestland-1", "vestland-2"]
+
+[listeners]
+callers = "127.0.0.1:8080"
+operators = "127.0.0.1:8081"
+mesh = "127.0.0.1:8082"
+
+[mesh]
+key_env = "PATH"
+peers = ["127.0.0.1:9000"]
+
+[platform]
+store = ["127.0.0.1:2379"]
+instance_list = "127.0.0.1:7000"
+
+[bundle]
+verify_keys = ["00112233445566778899aabbccddeeff00112233445566778899aabbccddeeff"]
+"#;
+
+#[test]
+fn good_settings_are_read() {
+    let settings = parse("entry.toml", GOOD).unwrap();
+    assert_eq!(settings.instance.as_str(), "entry-1");
+    assert_eq!(settings.mesh.peers.len(), 1);
+    assert_eq!(settings.limits.connections, 4096);
+}
+
+#[test]
+fn all_findings_are_reported_together_with_line_and_key() {
+    let text = GOOD
+        .replace("\"127.0.0.1:8081\"", "\"localhost\"")
+        .replace("store = [", "stores = [")
+        + "\n[limits]\nbody_bytes = 0\n";
+    let findings = parse("entry.toml", &text).unwrap_err().to_string();
+    assert!(findings.contains("entry.toml:8:listeners.operators: \"localhost\" is not an IP"));
+    assert!(findings.contains("entry.toml:15:platform.store: is missing"));
+    assert!(findings.contains("entry.toml:16:platform.stores: is not a known key"));
+    assert!(findings.contains("entry.toml:23:limits.body_bytes: must be a whole number above 0"));
+    assert!(findings.contains("4 finding(s); nothing was started"));
+}
+
+#[test]
+fn any_text_gives_settings_or_findings() {
+    for seed in 0..500 {
+        let mut random = Gen::from_size_and_seed(60, seed);
+        let noise = String::arbitrary(&mut random);
+        let cut = usize::arbitrary(&mut random) % GOOD.len();
+        let text = format!("{}{noise}{}", &GOOD[..cut], &GOOD[cut..]);
+        if let Err(findings) = parse("entry.toml", &text) {
+            assert!(!findings.0.is_empty());
+        }
+    }
+}
