Connect entry instances by an authenticated mesh, and number log events

Cause: grants and membership need one long-lived connection for each pair that talks. Both ends prove the pre-shared key by HMAC over both nonces, so that the key is never sent. An idle connection is closed by agreement: what the peer sent before it learnt is still read, and what waited is sent over a new connection. Messages that can't be sent are reported back. Proof: mesh tests pass on loopback, with idle_ms 5 and 20 reopened connections without loss.

--- a/crates/entry/src/cli.rs
+++ b/crates/entry/src/cli.rs
@@ -12,10 +12,18 @@
 #[command(name = "monsoonspread-entry", version)]
 pub struct Cli {
     /// Settings file in TOML
-    #[arg(long, value_name = "FILE")]
-    pub config: PathBuf,
+    #[arg(
+        long,
+        value_name = "FILE",
+        required_unless_present = "print_log_events"
+    )]
+    pub config: Option<PathBuf>,
 
     /// Check the settings, print the findings and stop
     #[arg(long)]
     pub check: bool,
+
+    /// Print the catalogue of log events as Markdown and stop
+    #[arg(long)]
+    pub print_log_events: bool,
 }
--- /dev/null
+++ b/crates/entry/src/event/mod.rs
@@ -0,0 +1,310 @@
+//! Numbered log events with `key=value` fields.
+
+mod catalogue;
+mod code;
+mod value;
+
+#[cfg(test)]
+mod tests;
+
+use std::fmt;
+use std::net::SocketAddr;
+
+use monsoonspread_model::{
+    BundleVersion, Epoch, InstanceName, RefusalReason, ServiceName, UpstreamName, ZoneName,
+};
+
+pub use catalogue::{CATALOGUE, CatalogueEntry, catalogue_markdown};
+pub use code::EventCode;
+use value::Value;
+
+/// Something that operators may want to know of.
+#[derive(Clone, Copy, Debug)]
+pub enum Event<'a> {
+    /// The instance serves.
+    Started {
+        /// The instance.
+        instance: &'a InstanceName,
+        /// Its zone.
+        zone: &'a ZoneName,
+        /// Callers' listener.
+        callers: SocketAddr,
+        /// Operators' listener.
+        operators: SocketAddr,
+        /// Mesh listener.
+        mesh: SocketAddr,
+    },
+    /// A planned stop began.
+    DrainBegun {
+        /// Requests in flight.
+        in_flight: usize,
+    },
+    /// A planned stop ended.
+    Stopped {
+        /// The instance.
+        instance: &'a InstanceName,
+    },
+    /// A peer could not be connected to.
+    PeerUnreachable {
+        /// The peer.
+        peer: &'a InstanceName,
+    },
+    /// A connection failed its handshake.
+    PeerRejected {
+        /// The other end.
+        address: SocketAddr,
+        /// What went wrong.
+        error: &'a str,
+    },
+    /// Membership of the zone changed.
+    MemberChanged {
+        /// The member.
+        member: &'a InstanceName,
+        /// What is said of it now.
+        health: &'a dyn fmt::Debug,
+    },
+    /// A request was wrong.
+    BadRequest {
+        /// The peer's address.
+        address: SocketAddr,
+        /// Why.
+        reason: RefusalReason,
+        /// The sentence that the caller got.
+        message: &'a str,
+    },
+    /// An engine's answer named another copy than the granted one.
+    WrongAdapter {
+        /// The engine.
+        upstream: &'a UpstreamName,
+        /// What was asked for.
+        expected: &'a str,
+    },
+    /// A stream broke after it had begun.
+    StreamBroken {
+        /// The engine.
+        upstream: &'a UpstreamName,
+        /// What was seen.
+        error: &'a str,
+    },
+    /// The instance list could not be read.
+    ListUnavailable {
+        /// What was seen.
+        error: &'a str,
+    },
+    /// The instance list is read again.
+    ListAvailable,
+    /// This instance decides for an upstream now.
+    OwnershipTaken {
+        /// The upstream.
+        upstream: &'a UpstreamName,
+        /// The fencing number.
+        epoch: Epoch,
+    },
+    /// This instance decides for an upstream no more.
+    OwnershipEnded {
+        /// The upstream.
+        upstream: &'a UpstreamName,
+        /// The fencing number.
+        epoch: Epoch,
+    },
+    /// An order to an engine failed.
+    OrderFailed {
+        /// The engine.
+        upstream: &'a UpstreamName,
+        /// Which order.
+        order: &'a str,
+        /// What was seen.
+        error: &'a str,
+    },
+    /// The owner's state machine reports something.
+    OwnerNotice {
+        /// What it reports.
+        notice: &'a dyn fmt::Debug,
+    },
+    /// The ownership table's state machine reports something.
+    OwnershipNotice {
+        /// What it reports.
+        notice: &'a dyn fmt::Debug,
+    },
+    /// A bundle is in force.
+    BundleInForce {
+        /// Its version.
+        version: BundleVersion,
+    },
+    /// The bundle's state machine reports something.
+    BundleNotice {
+        /// What it reports.
+        notice: &'a dyn fmt::Debug,
+    },
+    /// The key-value service could not be used.
+    StoreUnavailable {
+        /// What was tried.
+        call: &'a str,
+        /// What was seen.
+        error: &'a str,
+    },
+    /// The outcome of a call is not known.
+    OutcomeUnknown {
+        /// The service.
+        service: &'a ServiceName,
+        /// The call.
+        call: &'a str,
+    },
+    /// A request crashed an upstream.
+    CrashSuspected {
+        /// The upstream.
+        upstream: &'a UpstreamName,
+        /// The request's fingerprint.
+        fingerprint: u64,
+    },
+    /// The membership's state machine reports something.
+    MembershipNotice {
+        /// What it reports.
+        notice: &'a dyn fmt::Debug,
+    },
+    /// A queue between tasks was full and a message was dropped.
+    QueueFull {
+        /// The task that was to get it.
+        task: &'a str,
+    },
+    /// Metrics can't be sent.
+    MetricsUnavailable {
+        /// What was seen.
+        error: &'a str,
+    },
+}
+
+impl Event<'_> {
+    /// The event's number.
+    ///
+    /// ```
+    /// # use monsoonspread_entry::event::Event;
+    /// assert_eq!(Event::ListAvailable.code().to_string(), "MS1402");
+    /// ```
+    pub fn code(&self) -> EventCode {
+        EventCode(match self {
+            Self::Started { .. } => 1001,
+            Self::DrainBegun { .. } => 1002,
+            Self::Stopped { .. } => 1003,
+            Self::QueueFull { .. } => 1004,
+            Self::MetricsUnavailable { .. } => 1005,
+            Self::PeerUnreachable { .. } => 1201,
+            Self::PeerRejected { .. } => 1202,
+            Self::MemberChanged { .. } => 1203,
+            Self::MembershipNotice { .. } => 1204,
+            Self::BadRequest { .. } => 1301,
+            Self::WrongAdapter { .. } => 1302,
+            Self::StreamBroken { .. } => 1303,
+            Self::ListUnavailable { .. } => 1401,
+            Self::ListAvailable => 1402,
+            Self::OwnershipTaken { .. } => 1501,
+            Self::OwnershipEnded { .. } => 1502,
+            Self::OwnershipNotice { .. } => 1503,
+            Self::OrderFailed { .. } => 1601,
+            Self::OwnerNotice { .. } => 1602,
+            Self::BundleInForce { .. } => 1701,
+            Self::BundleNotice { .. } => 1702,
+            Self::StoreUnavailable { .. } => 1801,
+            Self::OutcomeUnknown { .. } => 1802,
+            Self::CrashSuspected { .. } => 1901,
+        })
+    }
+
+    /// Writes the event to the log at its level.
+    pub fn log(&self) {
+        let level = self
+            .code()
+            .entry()
+            .map_or(log::Level::Warn, |entry| entry.level);
+        log::log!(target: "monsoonspread", level, "{self}");
+    }
+
+    fn fields(&self) -> Vec<Value> {
+        match self {
+            Self::Started {
+                instance,
+                zone,
+                callers,
+                operators,
+                mesh,
+            } => vec![
+                Value::new("instance", instance),
+                Value::new("zone", zone),
+                Value::new("callers", callers),
+                Value::new("operators", operators),
+                Value::new("mesh", mesh),
+            ],
+            Self::DrainBegun { in_flight } => vec![Value::new("in_flight", in_flight)],
+            Self::Stopped { instance } => vec![Value::new("instance", instance)],
+            Self::PeerUnreachable { peer } => vec![Value::new("peer", peer)],
+            Self::PeerRejected { address, error } => {
+                vec![Value::new("address", address), Value::new("error", error)]
+            }
+            Self::MemberChanged { member, health } => {
+                vec![Value::new("member", member), Value::debug("health", health)]
+            }
+            Self::BadRequest {
+                address,
+                reason,
+                message,
+            } => vec![
+                Value::new("address", address),
+                Value::new("reason", &reason.as_str()),
+                Value::new("message", message),
+            ],
+            Self::WrongAdapter { upstream, expected } => vec![
+                Value::new("upstream", upstream),
+                Value::new("expected", expected),
+            ],
+            Self::StreamBroken { upstream, error } => {
+                vec![Value::new("upstream", upstream), Value::new("error", error)]
+            }
+            Self::ListUnavailable { error } | Self::MetricsUnavailable { error } => {
+                vec![Value::new("error", error)]
+            }
+            Self::ListAvailable => Vec::new(),
+            Self::OwnershipTaken { upstream, epoch } | Self::OwnershipEnded { upstream, epoch } => {
+                vec![Value::new("upstream", upstream), Value::new("epoch", epoch)]
+            }
+            Self::OrderFailed {
+                upstream,
+                order,
+                error,
+            } => vec![
+                Value::new("upstream", upstream),
+                Value::new("order", order),
+                Value::new("error", error),
+            ],
+            Self::OwnerNotice { notice }
+            | Self::OwnershipNotice { notice }
+            | Self::MembershipNotice { notice }
+            | Self::BundleNotice { notice } => vec![Value::debug("notice", notice)],
+            Self::BundleInForce { version } => vec![Value::new("version", version)],
+            Self::StoreUnavailable { call, error } => {
+                vec![Value::new("call", call), Value::new("error", error)]
+            }
+            Self::OutcomeUnknown { service, call } => {
+                vec![Value::new("service", service), Value::new("call", call)]
+            }
+            Self::CrashSuspected {
+                upstream,
+                fingerprint,
+            } => vec![
+                Value::new("upstream", upstream),
+                Value::new("fingerprint", fingerprint),
+            ],
+            Self::QueueFull { task } => vec![Value::new("task", task)],
+        }
+    }
+}
+
+impl fmt::Display for Event<'_> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let code = self.code();
+        write!(f, "{code} {}", code.entry().map_or("", |entry| entry.title))?;
+        for value in self.fields() {
+            write!(f, " {value}")?;
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/entry/src/mesh/connection.rs
@@ -0,0 +1,155 @@
+//! One open connection.
+
+use std::time::Duration;
+
+use futures_util::{SinkExt, StreamExt};
+use monsoonspread_model::InstanceName;
+use monsoonspread_model::message::{MeshMessage, decode, encode};
+use tokio::sync::mpsc;
+use tokio::time::{Instant, sleep_until, timeout};
+use tokio_tungstenite::tungstenite::Message;
+
+use super::handshake::Socket;
+use super::{HubCommand, MeshEvent, SharedContext};
+
+/// Time for the peer to answer the end of a connection.
+const CLOSE_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Tells connections to the same peer apart.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct ConnectionId(pub u64);
+
+/// A task that owns one socket.
+pub(super) struct Connection {
+    pub(super) id: ConnectionId,
+    pub(super) peer: InstanceName,
+    pub(super) socket: Socket,
+    pub(super) queue: mpsc::Receiver<MeshMessage>,
+    pub(super) context: SharedContext,
+}
+
+/// How a connection came to its end.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum End {
+    /// Agreed by both sides; every message was delivered.
+    Clean,
+    /// Broken; messages may be lost.
+    Broken,
+}
+
+impl Connection {
+    /// Carries messages until the connection ends, then tells the hub.
+    pub(super) async fn run(mut self) {
+        let end = self.carry().await;
+        self.queue.close();
+        let mut unsent = Vec::new();
+        while let Ok(message) = self.queue.try_recv() {
+            unsent.push(message);
+        }
+        let command = HubCommand::Closed {
+            peer: self.peer,
+            id: self.id,
+            unsent,
+            clean: end == End::Clean,
+        };
+        let _ = self.context.hub.send(command).await;
+    }
+
+    async fn carry(&mut self) -> End {
+        let idle = Duration::from_millis(self.context.idle_ms);
+        let mut idle_at = Instant::now() + idle;
+        loop {
+            tokio::select! {
+                received = self.socket.next() => match received {
+                    Some(Ok(Message::Binary(bytes))) => {
+                        if !self.deliver(&bytes).await {
+                            return End::Broken;
+                        }
+                        idle_at = Instant::now() + idle;
+                    }
+                    Some(Ok(Message::Close(_))) => return self.finish_close().await,
+                    Some(Ok(_)) => {}
+                    Some(Err(_)) | None => return End::Broken,
+                },
+                message = self.queue.recv() => {
+                    let Some(message) = message else {
+                        return self.close().await;
+                    };
+                    if !self.write(message).await {
+                        return End::Broken;
+                    }
+                    idle_at = Instant::now() + idle;
+                }
+                () = sleep_until(idle_at) => return self.close().await,
+            }
+        }
+    }
+
+    async fn write(&mut self, message: MeshMessage) -> bool {
+        let bytes = encode(&message);
+        if self
+            .socket
+            .feed(Message::Binary(bytes.into()))
+            .await
+            .is_err()
+        {
+            self.report_undelivered(message).await;
+            return false;
+        }
+        // What waits already shares the next flush.
+        while let Ok(message) = self.queue.try_recv() {
+            let bytes = encode(&message);
+            if self
+                .socket
+                .feed(Message::Binary(bytes.into()))
+                .await
+                .is_err()
+            {
+                self.report_undelivered(message).await;
+                return false;
+            }
+        }
+        self.socket.flush().await.is_ok()
+    }
+
+    async fn deliver(&mut self, bytes: &[u8]) -> bool {
+        let Ok(message) = decode(bytes) else {
+            return false;
+        };
+        let from = self.peer.clone();
+        let event = MeshEvent::Received { from, message };
+        self.context.events.send(event).await.is_ok()
+    }
+
+    async fn report_undelivered(&mut self, message: MeshMessage) {
+        let to = self.peer.clone();
+        let event = MeshEvent::Undelivered { to, message };
+        let _ = self.context.events.send(event).await;
+    }
+
+    /// Ends an idle connection; what the peer sent before it learnt that is still read.
+    async fn close(&mut self) -> End {
+        if self.socket.close(None).await.is_err() {
+            return End::Broken;
+        }
+        let deadline = Instant::now() + CLOSE_TIMEOUT;
+        loop {
+            let left = deadline.saturating_duration_since(Instant::now());
+            match timeout(left, self.socket.next()).await {
+                Ok(Some(Ok(Message::Binary(bytes)))) => {
+                    if !self.deliver(&bytes).await {
+                        return End::Broken;
+                    }
+                }
+                Ok(Some(Ok(Message::Close(_))) | None) => return End::Clean,
+                Ok(Some(Ok(_))) => {}
+                Ok(Some(Err(_))) | Err(_) => return End::Broken,
+            }
+        }
+    }
+
+    async fn finish_close(&mut self) -> End {
+        let _ = timeout(CLOSE_TIMEOUT, self.socket.flush()).await;
+        End::Clean
+    }
+}
--- /dev/null
+++ b/crates/entry/src/mesh/event.rs
@@ -0,0 +1,27 @@
+//! What the mesh reports.
+
+use monsoonspread_model::InstanceName;
+use monsoonspread_model::message::{Hello, MeshMessage};
+
+/// Something that happened on the mesh.
+#[derive(Debug)]
+pub enum MeshEvent {
+    /// A connection to a peer is open.
+    Opened(Hello),
+    /// A message arrived.
+    Received {
+        /// The sender.
+        from: InstanceName,
+        /// The message.
+        message: MeshMessage,
+    },
+    /// A message could not be sent.
+    Undelivered {
+        /// The peer it was for.
+        to: InstanceName,
+        /// The message.
+        message: MeshMessage,
+    },
+    /// The last connection to a peer broke; messages sent over it may be lost.
+    Lost(InstanceName),
+}
--- /dev/null
+++ b/crates/entry/src/mesh/handshake.rs
@@ -0,0 +1,107 @@
+//! The first frames on a connection: both ends prove the key, then greet.
+
+use displaydoc::Display;
+use futures_util::{SinkExt, StreamExt};
+use monsoonspread_model::message::{Hello, MeshMessage, PROTOCOL_VERSION, decode, encode};
+use thiserror::Error;
+use tokio::net::TcpStream;
+use tokio_tungstenite::WebSocketStream;
+use tokio_tungstenite::tungstenite::protocol::WebSocketConfig;
+use tokio_tungstenite::tungstenite::{self, Message};
+
+use super::authentication::{PROOF_BYTES, Side, matches, nonce, proof};
+use super::{Context, MAX_MESSAGE_BYTES};
+
+/// A connection between instances.
+pub(super) type Socket = WebSocketStream<TcpStream>;
+
+/// Why a connection did not come about.
+#[derive(Debug, Display, Error)]
+pub(super) enum HandshakeError {
+    /// the connection broke: {0}
+    Broken(#[from] tungstenite::Error),
+    /// the peer closed the connection
+    Closed,
+    /// the peer does not know the mesh key
+    WrongKey,
+    /// the peer speaks protocol version {0}, which this build does not speak
+    WrongVersion(u32),
+    /// the peer's first message is not a greeting
+    NoHello,
+}
+
+/// Opens the WebSocket as its client and greets.
+pub(super) async fn dial(
+    stream: TcpStream,
+    context: &Context,
+) -> Result<(Socket, Hello), HandshakeError> {
+    let request = format!(
+        "ws://{}/mesh",
+        stream.peer_addr().map_err(tungstenite::Error::from)?
+    );
+    let (mut socket, _) =
+        tokio_tungstenite::client_async_with_config(request, stream, Some(config())).await?;
+    let own_nonce = nonce();
+    send(&mut socket, own_nonce.to_vec()).await?;
+    let challenge = receive(&mut socket).await?;
+    let (peer_nonce, peer_proof) = challenge
+        .split_at_checked(PROOF_BYTES)
+        .ok_or(HandshakeError::WrongKey)?;
+    let expected = proof(&context.key, Side::Acceptor, &own_nonce, peer_nonce);
+    if !matches(&expected, peer_proof) {
+        return Err(HandshakeError::WrongKey);
+    }
+    let own_proof = proof(&context.key, Side::Dialer, &own_nonce, peer_nonce);
+    send(&mut socket, own_proof.to_vec()).await?;
+    let hello = greet(&mut socket, context).await?;
+    Ok((socket, hello))
+}
+
+/// Opens the WebSocket as its server and greets.
+pub(super) async fn accept(
+    stream: TcpStream,
+    context: &Context,
+) -> Result<(Socket, Hello), HandshakeError> {
+    let mut socket = tokio_tungstenite::accept_async_with_config(stream, Some(config())).await?;
+    let peer_nonce = receive(&mut socket).await?;
+    let own_nonce = nonce();
+    let own_proof = proof(&context.key, Side::Acceptor, &peer_nonce, &own_nonce);
+    send(&mut socket, [own_nonce, own_proof].concat()).await?;
+    let peer_proof = receive(&mut socket).await?;
+    let expected = proof(&context.key, Side::Dialer, &peer_nonce, &own_nonce);
+    if !matches(&expected, &peer_proof) {
+        return Err(HandshakeError::WrongKey);
+    }
+    let hello = greet(&mut socket, context).await?;
+    Ok((socket, hello))
+}
+
+async fn greet(socket: &mut Socket, context: &Context) -> Result<Hello, HandshakeError> {
+    let own = context.hello.borrow().clone();
+    send(socket, encode(&MeshMessage::Hello(own))).await?;
+    let Ok(MeshMessage::Hello(hello)) = decode(&receive(socket).await?) else {
+        return Err(HandshakeError::NoHello);
+    };
+    if hello.protocol_version != PROTOCOL_VERSION {
+        return Err(HandshakeError::WrongVersion(hello.protocol_version));
+    }
+    Ok(hello)
+}
+
+async fn send(socket: &mut Socket, bytes: Vec<u8>) -> Result<(), HandshakeError> {
+    Ok(socket.send(Message::Binary(bytes.into())).await?)
+}
+
+async fn receive(socket: &mut Socket) -> Result<Vec<u8>, HandshakeError> {
+    match socket.next().await {
+        Some(Ok(Message::Binary(bytes))) => Ok(bytes.to_vec()),
+        Some(Err(error)) => Err(error.into()),
+        _ => Err(HandshakeError::Closed),
+    }
+}
+
+fn config() -> WebSocketConfig {
+    WebSocketConfig::default()
+        .max_message_size(Some(MAX_MESSAGE_BYTES))
+        .max_frame_size(Some(MAX_MESSAGE_BYTES))
+}
--- /dev/null
+++ b/crates/entry/src/mesh/hub.rs
@@ -0,0 +1,317 @@
+//! The task that owns the table of peers.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use monsoonspread_model::message::{Hello, MeshMessage};
+use monsoonspread_model::{InstanceName, UnixMs};
+use serde::Serialize;
+use tokio::net::TcpStream;
+use tokio::sync::{mpsc, oneshot, watch};
+use tokio::task::JoinSet;
+use tokio::time::timeout;
+
+use super::connection::{Connection, ConnectionId};
+use super::handshake::{self, Socket};
+use super::peer::{Link, Peer};
+use super::{
+    Context, IDLE_MS, MeshEvent, MeshHandle, OPEN_TIMEOUT_MS, PEER_QUEUE_MESSAGES, SharedContext,
+};
+use crate::event::Event;
+use crate::settings::MeshKey;
+
+/// Commands that may wait for the hub.
+const HUB_QUEUE: usize = 8192;
+/// After a failed dial, messages fail at once for this long.
+const DIAL_BACKOFF_MS: u64 = 200;
+
+/// What the hub is told.
+pub enum HubCommand {
+    /// Send a message.
+    Send {
+        /// The peer.
+        to: InstanceName,
+        /// The message.
+        message: MeshMessage,
+    },
+    /// Where instances listen.
+    Know(Vec<(InstanceName, SocketAddr)>),
+    /// Connect to whichever instance listens there.
+    Dial(SocketAddr),
+    /// A connection is open and authenticated.
+    Opened {
+        /// The peer's greeting.
+        hello: Hello,
+        /// The socket.
+        socket: Box<Socket>,
+        /// The name that was dialled, when one was.
+        dialled: Option<InstanceName>,
+    },
+    /// A dial to a named peer failed.
+    DialFailed(InstanceName),
+    /// A connection ended.
+    Closed {
+        /// The peer.
+        peer: InstanceName,
+        /// Which connection.
+        id: ConnectionId,
+        /// Messages that were not sent.
+        unsent: Vec<MeshMessage>,
+        /// Whether both sides agreed to end it.
+        clean: bool,
+    },
+    /// Describe the connections.
+    Dump(oneshot::Sender<MeshDump>),
+}
+
+/// The open connections.
+#[derive(Clone, Debug, Default, Serialize)]
+pub struct MeshDump {
+    /// Peers with an open connection.
+    pub connected: Vec<InstanceName>,
+    /// Peers whose address is known.
+    pub known: usize,
+    /// Messages that were dropped as a queue was full.
+    pub dropped: u64,
+}
+
+/// Owns the table of peers.
+pub struct Hub {
+    own: InstanceName,
+    peers: BTreeMap<InstanceName, Peer>,
+    commands: mpsc::Receiver<HubCommand>,
+    context: SharedContext,
+    connections: JoinSet<()>,
+    next_id: u64,
+    dropped: u64,
+}
+
+impl Hub {
+    /// Creates a hub and the handle to send through it.
+    pub fn new(
+        key: MeshKey,
+        hello: watch::Receiver<Hello>,
+        events: mpsc::Sender<MeshEvent>,
+    ) -> (Self, MeshHandle) {
+        Self::with_idle_ms(key, hello, events, IDLE_MS)
+    }
+
+    /// Creates a hub whose connections end after `idle_ms` without a message.
+    pub fn with_idle_ms(
+        key: MeshKey,
+        hello: watch::Receiver<Hello>,
+        events: mpsc::Sender<MeshEvent>,
+        idle_ms: u64,
+    ) -> (Self, MeshHandle) {
+        let (sender, commands) = mpsc::channel(HUB_QUEUE);
+        let own = hello.borrow().instance.clone();
+        let handle = MeshHandle::new(own.clone(), sender.clone(), events.clone());
+        let context = Arc::new(Context {
+            key,
+            hello,
+            events,
+            hub: sender,
+            idle_ms,
+        });
+        let hub = Self {
+            own,
+            peers: BTreeMap::new(),
+            commands,
+            context,
+            connections: JoinSet::new(),
+            next_id: 0,
+            dropped: 0,
+        };
+        (hub, handle)
+    }
+
+    pub(super) fn context(&self) -> SharedContext {
+        Arc::clone(&self.context)
+    }
+
+    /// Serves commands until every handle is gone.
+    pub async fn run(mut self) {
+        while let Some(command) = self.commands.recv().await {
+            self.on_command(command).await;
+            while self.connections.try_join_next().is_some() {}
+        }
+    }
+
+    async fn on_command(&mut self, command: HubCommand) {
+        match command {
+            HubCommand::Send { to, message } => self.send(to, message).await,
+            HubCommand::Know(addresses) => self.know(addresses),
+            HubCommand::Dial(address) => self.dial(address, None),
+            HubCommand::Opened {
+                hello,
+                socket,
+                dialled,
+            } => self.on_opened(hello, *socket, dialled).await,
+            HubCommand::DialFailed(peer) => self.on_dial_failed(peer).await,
+            HubCommand::Closed {
+                peer,
+                id,
+                unsent,
+                clean,
+            } => self.on_closed(peer, id, unsent, clean).await,
+            HubCommand::Dump(reply) => {
+                let _ = reply.send(self.dump());
+            }
+        }
+    }
+
+    async fn send(&mut self, to: InstanceName, message: MeshMessage) {
+        let peer = self.peers.entry(to.clone()).or_default();
+        if !peer.links.is_empty() {
+            if let Some(message) = peer.push(message) {
+                self.dropped += 1;
+                self.undelivered(to, message).await;
+            }
+            return;
+        }
+        let may_dial = peer.dialing || peer.retry_at_unix_ms <= UnixMs::now();
+        let Some(address) = peer.address.filter(|_| may_dial) else {
+            self.undelivered(to, message).await;
+            return;
+        };
+        if peer.waiting.len() == PEER_QUEUE_MESSAGES {
+            self.dropped += 1;
+            self.undelivered(to, message).await;
+            return;
+        }
+        peer.waiting.push_back(message);
+        if !peer.dialing {
+            peer.dialing = true;
+            self.dial(address, Some(to));
+        }
+    }
+
+    fn know(&mut self, addresses: Vec<(InstanceName, SocketAddr)>) {
+        let others = addresses.into_iter().filter(|(name, _)| *name != self.own);
+        for (name, address) in others {
+            self.peers.entry(name).or_default().address = Some(address);
+        }
+    }
+
+    fn dial(&self, address: SocketAddr, name: Option<InstanceName>) {
+        let context = self.context();
+        tokio::spawn(async move {
+            let limit = Duration::from_millis(OPEN_TIMEOUT_MS);
+            let opened = timeout(limit, open(address, &context)).await;
+            let command = match (opened.ok().flatten(), name) {
+                (Some((socket, hello)), dialled) => HubCommand::Opened {
+                    hello,
+                    socket: Box::new(socket),
+                    dialled,
+                },
+                (None, Some(name)) => HubCommand::DialFailed(name),
+                (None, None) => return,
+            };
+            let _ = context.hub.send(command).await;
+        });
+    }
+
+    async fn on_opened(&mut self, hello: Hello, socket: Socket, dialled: Option<InstanceName>) {
+        let name = hello.instance.clone();
+        if let Some(other) = dialled.filter(|dialled| *dialled != name) {
+            self.on_dial_failed(other).await;
+        }
+        if name == self.own {
+            return;
+        }
+        self.next_id += 1;
+        let id = ConnectionId(self.next_id);
+        let (sender, queue) = mpsc::channel(PEER_QUEUE_MESSAGES);
+        let connection = Connection {
+            id,
+            peer: name.clone(),
+            socket,
+            queue,
+            context: self.context(),
+        };
+        self.connections.spawn(connection.run());
+        let peer = self.peers.entry(name).or_default();
+        peer.dialing = false;
+        peer.retry_at_unix_ms = UnixMs::default();
+        for message in peer.waiting.drain(..) {
+            // The new queue is as long as what may wait.
+            let _ = sender.try_send(message);
+        }
+        peer.links.push(Link { id, queue: sender });
+        let _ = self.context.events.send(MeshEvent::Opened(hello)).await;
+    }
+
+    async fn on_dial_failed(&mut self, name: InstanceName) {
+        let Some(peer) = self.peers.get_mut(&name) else {
+            return;
+        };
+        peer.dialing = false;
+        peer.retry_at_unix_ms = UnixMs::now() + DIAL_BACKOFF_MS;
+        let waiting: Vec<_> = peer.waiting.drain(..).collect();
+        Event::PeerUnreachable { peer: &name }.log();
+        for message in waiting {
+            self.undelivered(name.clone(), message).await;
+        }
+    }
+
+    async fn on_closed(
+        &mut self,
+        name: InstanceName,
+        id: ConnectionId,
+        unsent: Vec<MeshMessage>,
+        clean: bool,
+    ) {
+        let Some(peer) = self.peers.get_mut(&name) else {
+            return;
+        };
+        peer.links.retain(|link| link.id != id);
+        let lost = !clean && peer.links.is_empty();
+        for message in unsent {
+            if clean {
+                Box::pin(self.send(name.clone(), message)).await;
+            } else {
+                self.undelivered(name.clone(), message).await;
+            }
+        }
+        if lost {
+            let _ = self.context.events.send(MeshEvent::Lost(name)).await;
+        }
+    }
+
+    async fn undelivered(&self, to: InstanceName, message: MeshMessage) {
+        let event = MeshEvent::Undelivered { to, message };
+        let _ = self.context.events.send(event).await;
+    }
+
+    fn dump(&self) -> MeshDump {
+        let connected = self
+            .peers
+            .iter()
+            .filter(|(_, peer)| !peer.links.is_empty())
+            .map(|(name, _)| name.clone())
+            .collect();
+        MeshDump {
+            connected,
+            known: self.peers.len(),
+            dropped: self.dropped,
+        }
+    }
+}
+
+async fn open(address: SocketAddr, context: &Context) -> Option<(Socket, Hello)> {
+    let stream = TcpStream::connect(address).await.ok()?;
+    stream.set_nodelay(true).ok()?;
+    handshake::dial(stream, context)
+        .await
+        .inspect_err(|error| {
+            let error = error.to_string();
+            Event::PeerRejected {
+                address,
+                error: &error,
+            }
+            .log();
+        })
+        .ok()
+}
--- a/crates/entry/src/options.rs
+++ b/crates/entry/src/options.rs
@@ -1,10 +1,11 @@
 //! Checked options of the process.
 
 use displaydoc::Display;
+use monsoonspread_model::toml_check::Findings;
 use thiserror::Error;
 
 use crate::cli::Cli;
-use crate::settings::{self, Findings, Settings};
+use crate::settings::{self, Settings};
 
 /// Options after every check.
 #[derive(Clone, Debug)]
@@ -22,8 +23,9 @@
     ///
     /// Fails when the file can't be read or its settings are wrong.
     pub fn from_cli(cli: &Cli) -> Result<Self, OptionsError> {
-        let file = cli.config.display().to_string();
-        let toml = std::fs::read_to_string(&cli.config)
+        let path = cli.config.as_deref().ok_or(OptionsError::NoFile)?;
+        let file = path.display().to_string();
+        let toml = std::fs::read_to_string(path)
             .map_err(|error| OptionsError::Unreadable(file.clone(), error.to_string()))?;
         Ok(Self {
             settings: settings::parse(&file, &toml)?,
@@ -35,6 +37,8 @@
 /// Why the process does not start.
 #[derive(Clone, Debug, Display, Eq, Error, PartialEq)]
 pub enum OptionsError {
+    /// no settings file is named
+    NoFile,
     /// settings file "{0}" can't be read: {1}
     Unreadable(String, String),
     /// {0}
--- a/crates/entry/src/settings/mod.rs
+++ b/crates/entry/src/settings/mod.rs
@@ -1,6 +1,5 @@
 //! Settings of the process: read from TOML, checked as a whole.
 
-mod finding;
 mod limits;
 mod listeners;
 mod load_budget;
@@ -8,16 +7,15 @@
 mod mesh_settings;
 mod parse;
 mod platform_settings;
-mod table_reader;
 
 #[cfg(test)]
 mod tests;
 
 use std::net::SocketAddr;
 
+use monsoonspread_model::bundle::Verifier;
 use monsoonspread_model::{InstanceName, ZoneName};
 
-pub use finding::{Finding, Findings};
 pub use limits::Limits;
 pub use listeners::Listeners;
 pub use load_budget::LoadBudget;
@@ -41,8 +39,8 @@
     pub mesh: MeshSettings,
     /// Where the platform's services are.
     pub platform: PlatformSettings,
-    /// Ed25519 public keys that may sign bundles, in hexadecimal digits.
-    pub bundle_verify_keys: Vec<String>,
+    /// Checks who signed a bundle.
+    pub verifier: Verifier,
     /// What it takes from callers.
     pub limits: Limits,
     /// Its part of the weight store's rate.
@@ -68,7 +66,7 @@
             listeners: Listeners::default(),
             mesh: MeshSettings::default(),
             platform: PlatformSettings::default(),
-            bundle_verify_keys: Vec::new(),
+            verifier: Verifier::new(Vec::new()),
             limits: Limits::default(),
             load_budget: LoadBudget::default(),
             statsd: None,
@@ -82,10 +80,10 @@
         self
     }
 
-    /// Adds a key that may sign bundles.
+    /// Sets who may sign bundles.
     #[must_use]
-    pub fn with_bundle_verify_key(mut self, key_hex: &str) -> Self {
-        self.bundle_verify_keys.push(key_hex.to_owned());
+    pub fn with_verifier(mut self, verifier: Verifier) -> Self {
+        self.verifier = verifier;
         self
     }
 
--- a/crates/entry/src/settings/parse.rs
+++ b/crates/entry/src/settings/parse.rs
@@ -1,15 +1,26 @@
 //! Settings from TOML.
 
+use std::net::SocketAddr;
+use std::ops::RangeInclusive;
+
 use monsoonspread_model::ZoneName;
-use toml::de::DeTable;
+use monsoonspread_model::bundle::Verifier;
+use monsoonspread_model::toml_check::{Document, Findings, TableReader};
 
-use super::table_reader::{FindingSink, TableReader, address, count, list, number, text};
-use super::{
-    Findings, Limits, Listeners, LoadBudget, MeshKey, MeshSettings, PlatformSettings, Settings,
-};
+use super::{Limits, Listeners, LoadBudget, MeshKey, MeshSettings, PlatformSettings, Settings};
 
-/// Digits of an Ed25519 public key.
-const VERIFY_KEY_DIGITS: usize = 64;
+/// What an address must look like, for findings.
+const ADDRESS: &str = "an IP address with a port, such as \"10.0.0.7:8080\"";
+/// Sizes that may be set.
+const BYTES: RangeInclusive<u64> = 1..=64 * 1024 * 1024;
+/// Lengths of time that may be set.
+const LENGTH_MS: RangeInclusive<u64> = 1..=3_600_000;
+/// Numbers of connections that may be set.
+const CONNECTIONS: RangeInclusive<u64> = 1..=1_000_000;
+/// Rates of loads that may be set.
+const LOADS_PER_S: RangeInclusive<f64> = 0.001..=1_000_000.0;
+/// Parts of the load rate that may be set.
+const SHARE: RangeInclusive<f64> = 0.0..=1.0;
 
 /// Reads and checks settings; `file` is named in findings.
 ///
@@ -20,146 +31,168 @@
 /// ```
 /// # use monsoonspread_entry::settings;
 /// let findings = settings::parse("entry.toml", "instance = 7\n").unwrap_err();
-/// let first = &findings.0[0];
-/// assert_eq!((first.line, first.key.as_str()), (1, "instance"));
+/// assert!(findings.to_string().contains("entry.toml:1: instance: must be a string"));
 /// ```
 pub fn parse(file: &str, toml: &str) -> Result<Settings, Findings> {
-    let sink = FindingSink::new(file, toml);
-    let (document, errors) = DeTable::parse_recoverable(toml);
-    for error in &errors {
-        let span = error.span().unwrap_or_default();
-        sink.add(span, "", error.message().to_owned());
+    let document = Document::parse(file, toml)?;
+    let settings = read(&document.root());
+    document.finish(settings)
+}
+
+fn read(root: &TableReader<'_>) -> Option<Settings> {
+    let instance = name(root, "instance");
+    let zone = name(root, "zone");
+    let zones = region_zones(root, zone.as_deref());
+    let listeners = required_table(root, "listeners").and_then(|table| listeners(&table));
+    let mesh = required_table(root, "mesh").and_then(|table| mesh(&table));
+    let platform = required_table(root, "platform").and_then(|table| platform(&table));
+    let verifier = required_table(root, "bundle").and_then(|table| verifier(&table));
+    let limits = root.table("limits").map(|table| limits(&table));
+    let load_budget = root.table("weight_store").map(|table| load_budget(&table));
+    let statsd = root
+        .table("metrics")
+        .and_then(|table| table.optional_parsed("statsd", ADDRESS));
+    Some(Settings {
+        instance: instance?.into(),
+        zone: zone?.into(),
+        region_zones: zones,
+        listeners: listeners?,
+        mesh: mesh?,
+        platform: platform?,
+        verifier: verifier?,
+        limits: limits.unwrap_or_default(),
+        load_budget: load_budget.unwrap_or_default(),
+        statsd,
+    })
+}
+
+fn required_table<'d>(root: &TableReader<'d>, key: &str) -> Option<TableReader<'d>> {
+    if !root.has(key) {
+        root.finding(key, "is missing");
     }
-    let settings = read(TableReader::root(&sink, document.get_ref()));
-    let findings = sink.into_findings();
-    if findings.is_empty() {
-        return Ok(settings);
+    root.table(key)
+}
+
+fn name(root: &TableReader<'_>, key: &str) -> Option<String> {
+    let name = root.string(key)?;
+    if name.is_empty() {
+        root.finding(key, "must not be empty");
     }
-    Err(Findings(findings))
+    Some(name)
 }
 
-fn read(root: TableReader<'_>) -> Settings {
-    let instance = root.required("instance", String::new(), text);
-    let zone = root.required("zone", String::new(), text);
-    let zones = root.required("region_zones", Vec::new(), list(text));
-    if !zone.is_empty() && !zones.is_empty() && !zones.contains(&zone) {
-        root.finding("region_zones", &format!("must name zone \"{zone}\""));
+fn region_zones(root: &TableReader<'_>, own: Option<&str>) -> Vec<ZoneName> {
+    let zones = root.strings("region_zones");
+    if let Some(own) = own.filter(|own| !zones.iter().any(|zone| zone == own)) {
+        root.finding("region_zones", &format!("must name zone \"{own}\""));
     }
-    let settings = Settings {
-        instance: instance.into(),
-        zone: zone.into(),
-        region_zones: zones.into_iter().map(ZoneName::from).collect(),
-        listeners: listeners(root.table("listeners")),
-        mesh: mesh(root.table("mesh")),
-        platform: platform(root.table("platform")),
-        bundle_verify_keys: verify_keys(root.table("bundle")),
-        limits: limits(root.table("limits")),
-        load_budget: load_budget(root.table("weight_store")),
-        statsd: statsd(root.table("metrics")),
-    };
-    root.close();
-    settings
+    zones.into_iter().map(ZoneName::from).collect()
 }
 
-fn listeners(table: TableReader<'_>) -> Listeners {
-    let absent = Listeners::default();
-    let listeners = Listeners {
-        callers: table.required("callers", absent.callers, address),
-        operators: table.required("operators", absent.operators, address),
-        mesh: table.required("mesh", absent.mesh, address),
-    };
-    table.close();
-    listeners
+fn listeners(table: &TableReader<'_>) -> Option<Listeners> {
+    let callers = table.parsed("callers", ADDRESS);
+    let operators = table.parsed("operators", ADDRESS);
+    let mesh = table.parsed("mesh", ADDRESS);
+    Some(Listeners {
+        callers: callers?,
+        operators: operators?,
+        mesh: mesh?,
+    })
+}
+
+fn mesh(table: &TableReader<'_>) -> Option<MeshSettings> {
+    let peers = table.parsed_list::<SocketAddr>("peers", ADDRESS);
+    Some(MeshSettings {
+        key: mesh_key(table)?,
+        peers,
+    })
 }
 
-fn mesh(table: TableReader<'_>) -> MeshSettings {
-    let key_file = table.optional("key_file", text);
-    let key_env = table.optional("key_env", text);
-    let key = match (key_file, key_env) {
-        (Some(path), None) => std::fs::read(&path)
-            .map_err(|error| table.finding("key_file", &format!("can't be read: {error}"))),
-        (None, Some(name)) => std::env::var(&name)
-            .map(String::into_bytes)
-            .map_err(|_| table.finding("key_env", &format!("variable \"{name}\" is not set"))),
+fn mesh_key(table: &TableReader<'_>) -> Option<MeshKey> {
+    let file = table.optional_string("key_file");
+    let variable = table.optional_string("key_env");
+    let (key, bytes) = match (file, variable) {
+        (Some(path), None) => ("key_file", key_from_file(table, &path)?),
+        (None, Some(name)) => ("key_env", key_from_environment(table, &name)?),
         _ => {
             table.finding("key_file", "one of key_file and key_env must be given");
-            Err(())
+            return None;
         }
     };
-    let key = key.unwrap_or_default();
-    let key = key.trim_ascii();
-    if !key.is_empty() && key.len() < MeshKey::MIN_BYTES {
+    let bytes = bytes.trim_ascii();
+    if bytes.len() < MeshKey::MIN_BYTES {
         let message = format!("the key must have {} bytes or more", MeshKey::MIN_BYTES);
-        table.finding("key_file", &message);
+        table.finding(key, &message);
     }
-    let settings = MeshSettings {
-        key: MeshKey::new(key),
-        peers: table.optional("peers", list(address)).unwrap_or_default(),
-    };
-    table.close();
-    settings
+    Some(MeshKey::new(bytes))
 }
 
-fn platform(table: TableReader<'_>) -> PlatformSettings {
-    let absent = PlatformSettings::default();
-    let settings = PlatformSettings {
-        store: table.required("store", Vec::new(), list(address)),
-        instance_list: table.required("instance_list", None, |value| address(value).map(Some)),
-        list_poll_ms: table
-            .optional("list_poll_ms", count)
-            .unwrap_or(absent.list_poll_ms),
-    };
-    table.close();
-    settings
+fn key_from_file(table: &TableReader<'_>, path: &str) -> Option<Vec<u8>> {
+    std::fs::read(path)
+        .map_err(|error| table.finding("key_file", &format!("\"{path}\" can't be read: {error}")))
+        .ok()
+}
+
+fn key_from_environment(table: &TableReader<'_>, name: &str) -> Option<Vec<u8>> {
+    std::env::var(name)
+        .map(String::into_bytes)
+        .map_err(|_| table.finding("key_env", &format!("variable \"{name}\" is not set")))
+        .ok()
+}
+
+fn platform(table: &TableReader<'_>) -> Option<PlatformSettings> {
+    if !table.has("store") {
+        table.finding("store", "is missing");
+    }
+    let store = table.parsed_list("store", ADDRESS);
+    let instance_list = table.parsed("instance_list", ADDRESS);
+    let absent = PlatformSettings::default().list_poll_ms;
+    Some(PlatformSettings {
+        store,
+        list_poll_ms: table.integer_or("list_poll_ms", LENGTH_MS, absent),
+        instance_list: Some(instance_list?),
+    })
 }
 
-fn verify_keys(table: TableReader<'_>) -> Vec<String> {
-    let keys = table.required("verify_keys", Vec::new(), list(text));
-    let well_formed =
-        |key: &String| key.len() == VERIFY_KEY_DIGITS && hex::decode(key.as_str()).is_ok();
-    if !keys.iter().all(well_formed) {
-        let message = "each key must be an Ed25519 public key of 64 hexadecimal digits";
-        table.finding("verify_keys", message);
+fn verifier(table: &TableReader<'_>) -> Option<Verifier> {
+    let keys = table.strings("verify_keys");
+    if keys.is_empty() {
+        table.finding("verify_keys", "must name one key or more");
     }
-    table.close();
-    keys
+    Verifier::from_hex(&keys)
+        .map_err(|error| table.finding("verify_keys", &error.to_string()))
+        .ok()
 }
 
-fn limits(table: TableReader<'_>) -> Limits {
+fn limits(table: &TableReader<'_>) -> Limits {
     let absent = Limits::default();
-    let of = |key: &str, absent: u64| table.optional(key, count).unwrap_or(absent);
     let limits = Limits {
-        body_bytes: of("body_bytes", absent.body_bytes as u64) as usize,
-        header_timeout_ms: of("header_timeout_ms", absent.header_timeout_ms),
-        body_timeout_ms: of("body_timeout_ms", absent.body_timeout_ms),
-        connections: of("connections", absent.connections as u64) as usize,
-        default_deadline_ms: of("default_deadline_ms", absent.default_deadline_ms),
-        max_deadline_ms: of("max_deadline_ms", absent.max_deadline_ms),
+        body_bytes: table.integer_or("body_bytes", BYTES, absent.body_bytes as u64) as usize,
+        header_timeout_ms: table.integer_or(
+            "header_timeout_ms",
+            LENGTH_MS,
+            absent.header_timeout_ms,
+        ),
+        body_timeout_ms: table.integer_or("body_timeout_ms", LENGTH_MS, absent.body_timeout_ms),
+        connections: table.integer_or("connections", CONNECTIONS, absent.connections as u64)
+            as usize,
+        default_deadline_ms: table.integer_or(
+            "default_deadline_ms",
+            LENGTH_MS,
+            absent.default_deadline_ms,
+        ),
+        max_deadline_ms: table.integer_or("max_deadline_ms", LENGTH_MS, absent.max_deadline_ms),
     };
     if limits.default_deadline_ms > limits.max_deadline_ms {
         table.finding("default_deadline_ms", "must not be above max_deadline_ms");
     }
-    table.close();
     limits
 }
 
-fn load_budget(table: TableReader<'_>) -> LoadBudget {
+fn load_budget(table: &TableReader<'_>) -> LoadBudget {
     let absent = LoadBudget::default();
-    let budget = LoadBudget {
-        loads_per_s: table
-            .optional("loads_per_s", number)
-            .unwrap_or(absent.loads_per_s),
-        share: table.optional("share", number),
-    };
-    if budget.share.is_some_and(|share| share > 1.0) {
-        table.finding("share", "must not be above 1");
+    LoadBudget {
+        loads_per_s: table.float_or("loads_per_s", LOADS_PER_S, absent.loads_per_s),
+        share: table.optional_float("share", SHARE),
     }
-    table.close();
-    budget
-}
-
-fn statsd(table: TableReader<'_>) -> Option<std::net::SocketAddr> {
-    let statsd = table.optional("statsd", address);
-    table.close();
-    statsd
 }
