Serve callers' connections, read the instance list and put answers together

Cause: the request path needs a listener with limits, a directory of upstreams and answers in the callers' API. hyper serves the callers rather than salvo: a planned stop has to end each connection after its request, and a caller that goes away has to end its work.

--- /dev/null
+++ b/crates/entry/src/answer/sse.rs
@@ -0,0 +1,28 @@
+//! Server-sent events.
+
+use bytes::Bytes;
+use monsoonspread_model::Refusal;
+use serde_json::Value;
+
+use crate::http::refusal_object;
+
+/// Ends a whole answer.
+pub const DONE: Bytes = Bytes::from_static(b"data: [DONE]\n\n");
+
+/// One chunk of an answer.
+///
+/// ```
+/// # use monsoonspread_entry::answer::event;
+/// assert_eq!(&event(&serde_json::json!({"a": 1}))[..], b"data: {\"a\":1}\n\n");
+/// ```
+pub fn event(chunk: &Value) -> Bytes {
+    Bytes::from(format!("data: {chunk}\n\n"))
+}
+
+/// Ends an answer that is not whole; nothing follows, above all no `[DONE]`.
+pub fn error_event(refusal: &Refusal) -> Bytes {
+    Bytes::from(format!(
+        "event: error\ndata: {}\n\n",
+        refusal_object(refusal)
+    ))
+}
--- /dev/null
+++ b/crates/entry/src/directory/mod.rs
@@ -0,0 +1,11 @@
+//! Which instances there are, as the platform's lagging list says.
+
+mod engine_row;
+mod poller;
+mod service_row;
+mod snapshot;
+
+pub use engine_row::EngineRow;
+pub use poller::Poller;
+pub use service_row::ServiceRow;
+pub use snapshot::Directory;
--- /dev/null
+++ b/crates/entry/src/platform.rs
@@ -0,0 +1,31 @@
+//! What the entry needs from the outside, behind traits.
+
+use std::sync::Arc;
+
+use monsoonspread_model::ListedInstance;
+use monsoonspread_platform::{Engine, InstanceList, KeyValueStore, Service};
+
+/// Makes clients of engines.
+pub trait EngineFactory: Send + Sync {
+    /// A client of the listed engine.
+    fn engine(&self, listed: &ListedInstance) -> Arc<dyn Engine>;
+}
+
+/// Makes clients of plain services' servers.
+pub trait ServiceFactory: Send + Sync {
+    /// A client of the listed server.
+    fn service(&self, listed: &ListedInstance) -> Arc<dyn Service>;
+}
+
+/// The platform and the upstreams.
+#[derive(Clone)]
+pub struct Platform {
+    /// Key-value service.
+    pub store: Arc<dyn KeyValueStore>,
+    /// Instance list.
+    pub list: Arc<dyn InstanceList>,
+    /// Clients of engines.
+    pub engines: Arc<dyn EngineFactory>,
+    /// Clients of plain services.
+    pub services: Arc<dyn ServiceFactory>,
+}
