--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -1,1 +1,4 @@
 //! Open-loop load, policy comparison and slope measurement.
+
+pub mod plan;
+pub mod workload;
