--- /dev/null
+++ b/crates/load/src/slopes/tests.rs
@@ -0,0 +1,31 @@
+use super::{Line, Point, probes};
+
+#[test]
+fn a_line_through_scattered_points_says_how_well_it_fits() {
+    let points = [(1.0, 2.0), (2.0, 4.5), (3.0, 5.5), (4.0, 8.0)];
+    let points = points.map(|(size, value)| Point { size, value });
+    let line = Line::fit(&points);
+    assert!((line.slope - 1.9).abs() < 1e-9);
+    assert!((line.at(0.0) - 0.25).abs() < 1e-9);
+    assert!(line.r_squared > 0.9 && line.r_squared < 1.0);
+}
+
+#[test]
+fn sizes_on_the_wire_grow_in_a_line() {
+    let wire = probes()
+        .into_iter()
+        .filter(|probe| probe.name.contains("wire"));
+    for probe in wire {
+        let slope = probe.run();
+        assert!(slope.line.slope > 0.0, "{slope:?}");
+        assert!(slope.line.r_squared > 0.99, "{slope:?}");
+    }
+}
+
+#[test]
+fn probe_names_are_unique() {
+    let mut names: Vec<&str> = probes().iter().map(|probe| probe.name).collect();
+    names.sort_unstable();
+    names.dedup();
+    assert_eq!(names.len(), probes().len());
+}
