Send planned requests through baseline policies and record their ends

Cause: a comparison needs baselines that behave as sensible clients do. Times count from the planned sending, which corrects coordinated omission.

--- /dev/null
+++ b/crates/load/src/compare/player.rs
@@ -0,0 +1,84 @@
+//! Playing the requests of a phase in open loop.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use tokio::task::JoinSet;
+
+use crate::client::{Attempt, Client};
+use crate::plan::PlannedRequest;
+use crate::policy::Policy;
+use crate::record::{Ending, Outcome};
+
+/// Targets that one request is sent to at most.
+const MAX_TRIES: usize = 3;
+
+/// Sends requests at their planned times, whatever became of earlier ones.
+#[derive(Clone)]
+pub struct Player {
+    client: Client,
+    policy: Arc<dyn Policy>,
+    client_one_way: Duration,
+}
+
+impl Player {
+    /// Sends through `policy`, from clients at a distance of `client_one_way`.
+    pub fn new(policy: Arc<dyn Policy>, client_one_way: Duration) -> Self {
+        Self {
+            client: Client::new(),
+            policy,
+            client_one_way,
+        }
+    }
+
+    /// Plays `requests`, which are in the order of their times, and waits for every end.
+    pub async fn play(&self, requests: &[PlannedRequest]) -> Vec<Outcome> {
+        let start = Instant::now();
+        let mut running = JoinSet::new();
+        for request in requests {
+            let planned_at = start + Duration::from_micros(request.at_us);
+            tokio::time::sleep_until(planned_at.into()).await;
+            let player = self.clone();
+            let request = *request;
+            running.spawn(async move { player.serve(request, planned_at).await });
+        }
+        running.join_all().await
+    }
+
+    async fn serve(&self, request: PlannedRequest, planned_at: Instant) -> Outcome {
+        let sent_late = planned_at.elapsed();
+        let give_up_at =
+            planned_at + Duration::from_millis(request.deadline_ms) - self.client_one_way;
+        tokio::time::sleep_until((planned_at + self.client_one_way).into()).await;
+        let mut tried = Vec::new();
+        let (ending, first_token_at) = loop {
+            let Some(target) = self.policy.target(&request, &tried) else {
+                break (Ending::Broken("no target is left".to_owned()), None);
+            };
+            tried.push(target.address);
+            match self.client.send(&target, &request, give_up_at).await {
+                Attempt::Ended {
+                    ending,
+                    first_token_at,
+                } => break (ending, first_token_at),
+                Attempt::NotSent(_) | Attempt::Refused { not_run: true, .. }
+                    if self.may_retry(&tried, give_up_at) => {}
+                Attempt::NotSent(error) => break (Ending::Broken(error), None),
+                Attempt::Refused { reason, .. } => break (Ending::Refused(reason), None),
+            }
+        };
+        let seen_after = |at: Instant| (at + self.client_one_way).duration_since(planned_at);
+        Outcome {
+            request,
+            ending,
+            first_token_us: first_token_at.map(|at| seen_after(at).as_micros() as u64),
+            total_us: seen_after(Instant::now()).as_micros() as u64,
+            sent_late_us: sent_late.as_micros() as u64,
+            tries: tried.len() as u32,
+        }
+    }
+
+    fn may_retry(&self, tried: &[std::net::SocketAddr], give_up_at: Instant) -> bool {
+        tried.len() < MAX_TRIES && Instant::now() < give_up_at
+    }
+}
--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -1,8 +1,12 @@
 //! Open-loop load, policy comparison and slope measurement.
 
 pub mod cli;
+pub mod client;
 pub mod commands;
+pub mod compare;
 pub mod error;
 pub mod plan;
+pub mod policy;
+pub mod record;
 pub mod slopes;
 pub mod workload;
