--- a/crates/decisions/src/dispatch/mod.rs
+++ b/crates/decisions/src/dispatch/mod.rs
@@ -5,7 +5,9 @@
 //! exactly one result. It never sees the text of a request.
 
 mod action;
+mod asks;
 mod attempt;
+mod deadlines;
 mod dispatcher;
 mod dump;
 mod end;
