Add the stand-ins for the platform and the upstreams

Cause: no request could go through real connections, as nothing stood behind the platform's traits.

The key-value service, the instance list, the weight store, the engines and the plain service run in-process on loopback ports, each with its faults behind one handle. An engine is one task with one timer for each step of its batch. Ruled out: aborting a stream for the fault of cut streams, as the server then drops pieces not yet written; it ends without its last event instead, which is also the harder case for a client.

--- /dev/null
+++ b/crates/standin/src/engine/mod.rs
@@ -0,0 +1,76 @@
+//! Model engines: continuous batching, adapter slots, streamed answers, orders.
+
+mod api;
+mod chunk;
+mod command;
+mod core;
+mod counters;
+mod prefix_cache;
+mod sequence;
+mod settings;
+mod slots;
+mod task;
+
+pub use core::CRASH_TEXT;
+pub use counters::EngineCounters;
+pub use settings::EngineSettings;
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use tokio::sync::mpsc;
+
+use crate::fault::FaultState;
+use crate::server::Running;
+use crate::weights::WeightSource;
+use command::Command;
+use task::Task;
+
+/// A model engine.
+#[derive(Debug)]
+pub struct Engine {
+    commands: mpsc::UnboundedSender<Command>,
+}
+
+impl Engine {
+    /// Starts an engine on a port that the system chooses.
+    ///
+    /// # Errors
+    ///
+    /// Fails when no port can be bound.
+    pub async fn start(
+        settings: EngineSettings,
+        weights: Arc<dyn WeightSource>,
+    ) -> io::Result<Running<Self>> {
+        Self::start_at(settings, weights, crate::LOOPBACK).await
+    }
+
+    /// Starts an engine at `address`.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the address can't be bound.
+    pub async fn start_at(
+        settings: EngineSettings,
+        weights: Arc<dyn WeightSource>,
+        address: SocketAddr,
+    ) -> io::Result<Running<Self>> {
+        let faults = Arc::new(FaultState::new(settings.cold_start()));
+        let (commands, receiver) = mpsc::unbounded_channel();
+        let task = Task::new(
+            settings,
+            Arc::clone(&faults),
+            weights,
+            receiver,
+            commands.downgrade(),
+        );
+        tokio::spawn(task.run());
+        Running::start(Self { commands }, faults, address).await
+    }
+
+    /// What it did so far.
+    pub async fn did(&self) -> EngineCounters {
+        self.ask(Command::Counters).await.unwrap_or_default()
+    }
+}
