--- /dev/null
+++ b/crates/decisions/src/owner/action.rs
@@ -0,0 +1,49 @@
+//! What an owner wants done.
+
+use monsoonspread_model::{CopyName, Epoch, InstanceName, MeshMessage, UpstreamName};
+
+use super::OwnerEvent;
+
+/// One thing that an owner wants done.
+#[derive(Clone, Debug, PartialEq)]
+pub enum OwnerAction {
+    /// Send a message to an instance, possibly to this one.
+    Send {
+        /// The receiver.
+        to: InstanceName,
+        /// The message.
+        message: MeshMessage,
+    },
+    /// Order an upstream to load a copy; the order carries the copy's epoch.
+    Load {
+        /// The upstream.
+        upstream: UpstreamName,
+        /// The copy.
+        copy: CopyName,
+    },
+    /// Order an upstream to unload a copy.
+    Unload {
+        /// The upstream.
+        upstream: UpstreamName,
+        /// The copy, which may be of an older epoch.
+        copy: CopyName,
+        /// The fencing number that the order carries.
+        epoch: Epoch,
+    },
+    /// Give an upstream a fencing number without asking for anything else.
+    Fence {
+        /// The upstream.
+        upstream: UpstreamName,
+        /// The fencing number.
+        epoch: Epoch,
+    },
+    /// This instance no longer owns the upstream under `epoch`.
+    StepDown {
+        /// The upstream.
+        upstream: UpstreamName,
+        /// The epoch that ended.
+        epoch: Epoch,
+    },
+    /// Something worth a log line or a metric.
+    Event(OwnerEvent),
+}
--- /dev/null
+++ b/crates/decisions/src/owner/copies.rs
@@ -0,0 +1,84 @@
+//! The copies on one upstream.
+
+use std::collections::BTreeMap;
+
+use monsoonspread_model::{AdapterRef, CopyName, Epoch, UnixMs};
+
+use super::copy::{Copy, CopyState};
+
+/// Copies that are gone and may still show in late reports.
+const GONE_KEPT: usize = 64;
+
+/// Every copy that takes an adapter slot of one upstream.
+#[derive(Debug, Default)]
+pub(super) struct Copies {
+    rows: BTreeMap<CopyName, Copy>,
+    gone: Vec<(CopyName, UnixMs)>,
+}
+
+impl Copies {
+    /// Slots taken.
+    pub fn len(&self) -> usize {
+        self.rows.len()
+    }
+
+    /// Slots whose copy is in `state`.
+    pub fn count(&self, state: CopyState) -> usize {
+        self.rows
+            .values()
+            .filter(|copy| copy.state == state)
+            .count()
+    }
+
+    /// The copy called `name`.
+    pub fn get(&self, name: &CopyName) -> Option<&Copy> {
+        self.rows.get(name)
+    }
+
+    /// The copy called `name`, to be changed.
+    pub fn get_mut(&mut self, name: &CopyName) -> Option<&mut Copy> {
+        self.rows.get_mut(name)
+    }
+
+    /// Every copy.
+    pub fn iter(&self) -> impl Iterator<Item = (&CopyName, &Copy)> {
+        self.rows.iter()
+    }
+
+    /// Every copy of `adapter`, of whatever epoch.
+    pub fn of<'a>(
+        &'a self,
+        adapter: &AdapterRef,
+    ) -> impl Iterator<Item = (&'a CopyName, &'a Copy)> {
+        let first = CopyName::new(adapter.clone(), Epoch(0));
+        self.rows
+            .range(first..)
+            .take_while(move |(name, _)| name.adapter == *adapter)
+    }
+
+    /// Adds or replaces a copy.
+    pub fn insert(&mut self, name: CopyName, copy: Copy) {
+        self.rows.insert(name, copy);
+    }
+
+    /// Removes a copy that the upstream does not hold any more.
+    pub fn remove(&mut self, name: &CopyName, now: UnixMs) -> bool {
+        if self.rows.remove(name).is_none() {
+            return false;
+        }
+        self.gone.retain(|(gone, _)| gone != name);
+        if self.gone.len() == GONE_KEPT {
+            self.gone.remove(0);
+        }
+        self.gone.push((name.clone(), now));
+        true
+    }
+
+    /// When the copy called `name` was removed, if that was lately.
+    pub fn gone_at(&self, name: &CopyName) -> Option<UnixMs> {
+        self.gone
+            .iter()
+            .find(|(gone, _)| gone == name)
+            .map(|(_, at)| *at)
+    }
+}
--- /dev/null
+++ b/crates/decisions/src/owner/copy.rs
@@ -0,0 +1,70 @@
+//! One copy of an adapter on an upstream.
+
+use monsoonspread_model::UnixMs;
+
+/// How far a copy's loading or unloading is.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum CopyState {
+    /// The load was ordered and not answered.
+    Loading,
+    /// The upstream holds it.
+    Loaded,
+    /// The unload was ordered and not answered.
+    Unloading,
+    /// The load's answer was lost; the upstream may or may not hold it.
+    LoadLost,
+    /// The unload's answer was lost; the upstream may or may not hold it.
+    UnloadLost,
+}
+
+impl CopyState {
+    /// The state's name in dumps.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Loading => "loading",
+            Self::Loaded => "loaded",
+            Self::Unloading => "unloading",
+            Self::LoadLost => "load_lost",
+            Self::UnloadLost => "unload_lost",
+        }
+    }
+}
+
+/// A copy that takes an adapter slot, as far as the owner knows.
+#[derive(Clone, Debug)]
+pub(super) struct Copy {
+    /// How far it is.
+    pub state: CopyState,
+    /// When the state began.
+    pub since: UnixMs,
+    /// When it was last granted.
+    pub used_at: UnixMs,
+    /// When a report last showed that no request uses it.
+    pub unused_at: Option<UnixMs>,
+    /// Until when no unload is tried, after one failed.
+    pub keep_until: UnixMs,
+}
+
+impl Copy {
+    /// A copy that enters `state` now.
+    pub fn new(state: CopyState, now: UnixMs) -> Self {
+        Self {
+            state,
+            since: now,
+            used_at: now,
+            unused_at: None,
+            keep_until: now,
+        }
+    }
+
+    /// Enters `state`.
+    pub fn enter(&mut self, state: CopyState, now: UnixMs) {
+        self.state = state;
+        self.since = now;
+    }
+
+    /// Whether the upstream holds it for sure.
+    pub fn is_loaded(&self) -> bool {
+        self.state == CopyState::Loaded
+    }
+}
--- /dev/null
+++ b/crates/decisions/src/owner/dump.rs
@@ -0,0 +1,109 @@
+//! The state of an owner, for operators.
+
+use monsoonspread_model::{CopyName, Epoch, RequestClass, UnixMs, UpstreamName};
+use serde::Serialize;
+
+use super::owned::Owned;
+use super::{OwnerSet, Speed};
+
+/// The state of an [`OwnerSet`].
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct OwnerDump {
+    /// This instance's share of the weight store.
+    pub load_rate_per_s: f64,
+    /// Loads in transit.
+    pub loads_in_transit: usize,
+    /// Owned upstreams.
+    pub upstreams: Vec<OwnedDump>,
+}
+
+/// The state of one owned upstream.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct OwnedDump {
+    /// Its name.
+    pub upstream: UpstreamName,
+    /// The fencing number.
+    pub epoch: Epoch,
+    /// Whether every former owner's grants are accounted for.
+    pub reconciled: bool,
+    /// Whether new grants are given.
+    pub takes_work: bool,
+    /// Whether it is being handed over.
+    pub draining: bool,
+    /// Copies that take a slot.
+    pub copies: Vec<CopyDump>,
+    /// Batch places in use.
+    pub places_used: u32,
+    /// Batch places used at most.
+    pub batch_cap: u32,
+    /// Grants that have not been returned, with those that expired.
+    pub grants: usize,
+    /// Requests waiting, by class: short, ordinary, long.
+    pub waiting: [usize; RequestClass::ALL.len()],
+    /// Ended requests remembered.
+    pub endings: usize,
+    /// Adapters whose popularity is tracked.
+    pub popularity_rows: usize,
+    /// Usual time of a load.
+    pub load_ms: u64,
+    /// How fast it answers.
+    pub speed: Speed,
+}
+
+/// One copy that takes a slot.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct CopyDump {
+    /// Its name.
+    pub copy: CopyName,
+    /// How far its loading or unloading is.
+    pub state: &'static str,
+    /// Requests that use it.
+    pub pins: usize,
+}
+
+impl OwnerDump {
+    /// Describes an owner.
+    pub(super) fn new(set: &OwnerSet, now: UnixMs) -> Self {
+        Self {
+            load_rate_per_s: set.budget.rate_per_s(),
+            loads_in_transit: set.in_transit(),
+            upstreams: set
+                .owned
+                .iter()
+                .map(|(name, owned)| OwnedDump {
+                    draining: set.draining.contains_key(name),
+                    ..OwnedDump::new(owned, now)
+                })
+                .collect(),
+        }
+    }
+}
+
+impl OwnedDump {
+    fn new(owned: &Owned, now: UnixMs) -> Self {
+        Self {
+            upstream: owned.name().clone(),
+            epoch: owned.epoch,
+            reconciled: owned.reconciliation.is_complete(),
+            takes_work: owned.takes_work(now),
+            draining: false,
+            copies: owned
+                .copies
+                .iter()
+                .map(|(name, copy)| CopyDump {
+                    copy: name.clone(),
+                    state: copy.state.as_str(),
+                    pins: owned.grants.pins(name),
+                })
+                .collect(),
+            places_used: owned.grants.places_used(),
+            batch_cap: owned.batch_cap,
+            grants: owned.grants.len(),
+            waiting: RequestClass::ALL.map(|class| owned.queue.count(class)),
+            endings: owned.endings.len(),
+            popularity_rows: owned.popularity.len(),
+            load_ms: owned.load_ms as u64,
+            speed: owned.speed,
+        }
+    }
+}
--- /dev/null
+++ b/crates/decisions/src/owner/outstanding.rs
@@ -0,0 +1,63 @@
+//! One grant that has not been returned.
+
+use monsoonspread_model::message::{GrantId, HeldGrant};
+use monsoonspread_model::{CallerName, CopyName, InstanceName, RequestClass, UnixMs};
+
+use super::request_key::RequestKey;
+
+/// A grant that has not been returned.
+#[derive(Clone, Debug)]
+pub(super) struct Outstanding {
+    /// The request it is for, with the instance that holds it.
+    pub key: RequestKey,
+    /// The copy it pins.
+    pub copy: CopyName,
+    /// The request's class.
+    pub class: RequestClass,
+    /// Who sent the request.
+    pub caller: CallerName,
+    /// Tokens the request is expected to generate.
+    pub tokens: u32,
+    /// When it was granted or announced.
+    pub granted_at: UnixMs,
+    /// When it ends for the accounting of batch places.
+    pub expires_at: UnixMs,
+    /// Whether it counts as a batch place.
+    pub holds_place: bool,
+    /// Since when its end is only a matter of proof: it expired, or its holder is gone.
+    pub lapsed_at: Option<UnixMs>,
+    /// Whether its holder is gone.
+    pub holder_gone: bool,
+}
+
+impl Outstanding {
+    /// Takes over a grant that `holder` announced or a former owner handed over.
+    pub fn from_held(holder: &InstanceName, held: &HeldGrant, now: UnixMs) -> Self {
+        Self {
+            key: RequestKey::new(holder, held.request),
+            copy: CopyName::new(held.adapter.clone(), held.copy_epoch),
+            class: held.class,
+            caller: held.caller.clone(),
+            tokens: held.tokens,
+            granted_at: now,
+            expires_at: held.expires_at_unix_ms,
+            holds_place: true,
+            lapsed_at: None,
+            holder_gone: false,
+        }
+    }
+
+    /// The grant as it is told to a new owner.
+    pub fn to_held(&self, grant: GrantId) -> HeldGrant {
+        HeldGrant {
+            grant,
+            request: self.key.request,
+            adapter: self.copy.adapter.clone(),
+            copy_epoch: self.copy.epoch,
+            class: self.class,
+            caller: self.caller.clone(),
+            tokens: self.tokens,
+            expires_at_unix_ms: self.expires_at,
+        }
+    }
+}
--- /dev/null
+++ b/crates/decisions/src/owner/owned.rs
@@ -0,0 +1,263 @@
+//! One owned upstream.
+
+use std::sync::Arc;
+
+use monsoonspread_model::message::{GrantAnswer, GrantId, GrantReply, HeldGrant, MeshMessage};
+use monsoonspread_model::{
+    AdapterRef, CopyName, Epoch, InstanceName, Refusal, RefusalReason, RequestClass, UnixMs,
+    UpstreamName,
+};
+
+use super::copies::Copies;
+use super::copy::CopyState;
+use super::endings::{Ending, Endings};
+use super::grants::Grants;
+use super::load_failures::LoadFailures;
+use super::outstanding::Outstanding;
+use super::place_shares::PlaceShares;
+use super::popularity::Popularity;
+use super::reconciliation::Reconciliation;
+use super::request_key::RequestKey;
+use super::wait_queue::WaitQueue;
+use super::waiting::Waiting;
+use super::{OwnerAction, OwnerEvent, OwnerSettings, Speed, UpstreamShape};
+
+/// Usual time that a grant is held before one was seen, by class.
+const HOLD_MS: [f64; RequestClass::ALL.len()] = [500.0, 3_000.0, 20_000.0];
+
+/// Everything an owner knows of one upstream.
+#[derive(Debug)]
+pub(super) struct Owned {
+    /// Capacity.
+    pub shape: UpstreamShape,
+    /// The fencing number.
+    pub epoch: Epoch,
+    /// Settings of the set.
+    pub settings: Arc<OwnerSettings>,
+    /// Copies, each in its slot.
+    pub copies: Copies,
+    /// Grants that have not been returned.
+    pub grants: Grants,
+    /// Requests that wait.
+    pub queue: WaitQueue,
+    /// Requests that ended.
+    pub endings: Endings,
+    /// How often adapters are asked for.
+    pub popularity: Popularity,
+    /// How fast the upstream answers.
+    pub speed: Speed,
+    /// Adapters whose load failed.
+    pub failures: LoadFailures,
+    /// What is still unknown of former owners' grants.
+    pub reconciliation: Reconciliation,
+    /// Whether the former owner said that it gives no order any more.
+    pub handed_over: bool,
+    /// When the upstream accepted the fencing number.
+    pub fenced_at: Option<UnixMs>,
+    /// When the next fencing order is due, for upstreams that check.
+    pub next_fence_at: UnixMs,
+    /// Whether every slot's use is known.
+    pub slots_known: bool,
+    /// When it became owned.
+    pub owned_at: UnixMs,
+    /// Whether it is listed as leaving.
+    pub leaving: bool,
+    /// Whether it reports that it drains.
+    pub draining: bool,
+    /// Until when it is taken as unreachable.
+    pub down_until: UnixMs,
+    /// When its process started, as reported.
+    pub started_at: Option<UnixMs>,
+    /// When the newest report was taken.
+    pub reported_at: UnixMs,
+    /// Batch places used at most.
+    pub batch_cap: u32,
+    /// Usual time of a load.
+    pub load_ms: f64,
+    /// Usual time that a grant is held, by class.
+    pub hold_ms: [f64; RequestClass::ALL.len()],
+    /// Serial of the next grant.
+    pub next_serial: u64,
+}
+
+impl Owned {
+    /// Owns an upstream with nothing on it.
+    pub fn new(
+        now: UnixMs,
+        shape: UpstreamShape,
+        epoch: Epoch,
+        settings: Arc<OwnerSettings>,
+    ) -> Self {
+        Self {
+            batch_cap: shape.batch_places,
+            shape,
+            epoch,
+            copies: Copies::default(),
+            grants: Grants::default(),
+            queue: WaitQueue::default(),
+            endings: Endings::new(settings.endings_kept),
+            popularity: Popularity::new(settings.popularity_rows, settings.popularity_half_life_ms),
+            speed: Speed::default(),
+            failures: LoadFailures::default(),
+            reconciliation: Reconciliation::complete(now),
+            handed_over: false,
+            fenced_at: None,
+            next_fence_at: now,
+            slots_known: true,
+            owned_at: now,
+            leaving: false,
+            draining: false,
+            down_until: UnixMs(0),
+            started_at: None,
+            reported_at: UnixMs(0),
+            load_ms: settings.load_ms as f64,
+            hold_ms: HOLD_MS,
+            next_serial: 0,
+            settings,
+        }
+    }
+
+    /// The upstream's name.
+    pub fn name(&self) -> &UpstreamName {
+        &self.shape.name
+    }
+
+    /// Whether new work may be given at all.
+    pub fn takes_work(&self, now: UnixMs) -> bool {
+        !self.leaving && !self.draining && now >= self.down_until
+    }
+
+    /// How the batch is divided now.
+    pub fn shares(&self) -> PlaceShares {
+        PlaceShares::new(self.batch_cap, &self.settings)
+    }
+
+    /// Whether copies of older epochs may be granted.
+    pub fn foreign_usable(&self) -> bool {
+        if self.handed_over {
+            return true;
+        }
+        if self.shape.checks_fencing {
+            return self.fenced_at.is_some();
+        }
+        // Without fencing a former owner that is only silent could still unload its copies.
+        self.reconciliation.is_complete() && !self.reconciliation.lost_a_holder
+    }
+
+    /// The loaded copy that a request for `adapter` may be granted on.
+    pub fn usable_copy(&self, adapter: &AdapterRef) -> Option<&CopyName> {
+        let foreign_usable = self.foreign_usable();
+        self.copies
+            .of(adapter)
+            .filter(|(name, copy)| copy.is_loaded() && (name.epoch == self.epoch || foreign_usable))
+            .map(|(name, _)| name)
+            .last()
+    }
+
+    /// Whether a copy of `adapter` is on its way or can't be replaced yet.
+    pub fn has_copy_underway(&self, adapter: &AdapterRef) -> bool {
+        self.copies
+            .get(&CopyName::new(adapter.clone(), self.epoch))
+            .is_some_and(|copy| copy.state != CopyState::Loaded)
+    }
+
+    /// Sends an answer to a request.
+    pub fn reply(&self, key: &RequestKey, answer: GrantAnswer, out: &mut Vec<OwnerAction>) {
+        let reply = GrantReply {
+            request: key.request,
+            upstream: self.name().clone(),
+            epoch: self.epoch,
+            answer,
+        };
+        out.push(OwnerAction::Send {
+            to: key.instance.clone(),
+            message: MeshMessage::GrantReply(reply),
+        });
+    }
+
+    /// Gives a request up, which did not run.
+    pub fn refuse(
+        &mut self,
+        now: UnixMs,
+        waiting: &Waiting,
+        reason: RefusalReason,
+        message: String,
+        retry_at: UnixMs,
+        out: &mut Vec<OwnerAction>,
+    ) {
+        let refusal = Refusal::not_run(reason, message).with_retry_at(retry_at);
+        let kept_until = retry_at.min(now + self.settings.ending_kept_ms);
+        self.endings.insert(
+            waiting.key.clone(),
+            Ending::Refused(refusal.clone()),
+            kept_until,
+        );
+        self.reply(&waiting.key, GrantAnswer::NotRun(refusal), out);
+        out.push(OwnerAction::Event(OwnerEvent::Refused {
+            upstream: self.name().clone(),
+            adapter: waiting.request.adapter.clone(),
+            reason,
+        }));
+    }
+
+    /// Ends ownership: waiting requests are to ask the next owner.
+    pub fn release(&mut self, out: &mut Vec<OwnerAction>) {
+        self.stop_serving(out);
+        out.push(OwnerAction::Event(OwnerEvent::Disowned {
+            upstream: self.name().clone(),
+            epoch: self.epoch,
+        }));
+    }
+
+    /// Takes in a grant of a former owner.
+    pub fn import_grant(&mut self, now: UnixMs, holder: &InstanceName, held: &HeldGrant) {
+        if self.endings.is_returned(held.grant) {
+            return;
+        }
+        let grant = Outstanding::from_held(holder, held, now);
+        self.grants.insert(held.grant, grant);
+    }
+
+    /// The next grant's identity.
+    pub fn next_grant_id(&mut self) -> GrantId {
+        let serial = self.next_serial;
+        self.next_serial += 1;
+        GrantId {
+            epoch: self.epoch,
+            serial,
+        }
+    }
+
+    /// Keeps what this instance knew when it owned the upstream under an older number.
+    pub fn keep_from(&mut self, former: Owned) {
+        self.popularity = former.popularity;
+        self.speed = former.speed;
+        self.load_ms = former.load_ms;
+        self.hold_ms = former.hold_ms;
+        self.endings = former.endings;
+        self.leaving = former.leaving;
+        self.started_at = former.started_at;
+        for (id, grant) in former.grants.into_rows() {
+            self.grants.insert(id, grant);
+        }
+    }
+
+    /// Answers waiting requests that another instance is the owner now.
+    pub fn stop_serving(&mut self, out: &mut Vec<OwnerAction>) {
+        for waiting in self.queue.take_all() {
+            self.reply(&waiting.key, GrantAnswer::NotOwner, out);
+        }
+    }
+
+    /// Batch places to use, given the gap that upstreams usually show.
+    pub fn judged_cap(&self, now: UnixMs, others_gap_us: Option<f64>) -> u32 {
+        let own_gap_us = self.speed.usual_gap_us;
+        let usual_gap_us = others_gap_us.map_or(own_gap_us, |gap_us| gap_us.min(own_gap_us));
+        let slowdown = self.speed.slowdown(now, usual_gap_us) / self.settings.slow_factor;
+        if slowdown <= 1.0 {
+            return self.shape.batch_places;
+        }
+        let share = (1.0 / slowdown).max(self.settings.slow_min_share);
+        ((f64::from(self.shape.batch_places) * share) as u32).max(1)
+    }
+}
--- /dev/null
+++ b/crates/decisions/src/owner/owned_estimates.rs
@@ -0,0 +1,219 @@
+//! When waiting requests can start, and refusals of those that can't in time.
+
+use monsoonspread_model::{AdapterRef, CopyName, RefusalReason, RequestClass, UnixMs};
+
+use super::OwnerAction;
+use super::copy::CopyState;
+use super::owned::Owned;
+use super::waiting::Waiting;
+
+/// Earliest time after which a refused request may come back.
+const RETRY_MIN_MS: u64 = 100;
+/// Latest time after which a refused request may come back.
+const RETRY_MAX_MS: u64 = 5_000;
+/// Multiplier that spreads requests which come back (2^64 divided by the golden ratio).
+const SPREAD: u64 = 0x9E37_79B9_7F4A_7C15;
+
+impl Owned {
+    /// Expected time from sending a request to its first token.
+    pub fn first_token_ms(&self, now: UnixMs) -> u64 {
+        self.speed.first_token_ms_at(now) as u64
+    }
+
+    /// How long until a batch place is free for a waiting request.
+    pub fn place_wait_ms(&self, waiting: &Waiting) -> u64 {
+        let class = waiting.request.class;
+        let ahead = self
+            .queue
+            .iter()
+            .filter(|row| row.key != waiting.key && is_ahead(row, waiting))
+            .filter(|row| self.usable_copy(&row.request.adapter).is_some())
+            .count();
+        let shares = self.shares();
+        if ahead == 0 && shares.admits(class, self.grants.places(), true) {
+            return 0;
+        }
+        let hold_ms = self.hold_ms[class as usize];
+        (hold_ms * (ahead + 1) as f64 / f64::from(shares.of(class))) as u64
+    }
+
+    /// How long until a load that was ordered for `adapter` ends, when one was.
+    pub fn loading_ms(&self, adapter: &AdapterRef, now: UnixMs) -> Option<u64> {
+        let copy = self
+            .copies
+            .get(&CopyName::new(adapter.clone(), self.epoch))
+            .filter(|copy| copy.state == CopyState::Loading)?;
+        Some((self.load_ms as u64).saturating_sub(now.ms_since(copy.since)))
+    }
+
+    /// The least time until a request for `adapter` can start.
+    fn least_wait_ms(&self, adapter: &AdapterRef, now: UnixMs) -> u64 {
+        if self.usable_copy(adapter).is_some() {
+            return 0;
+        }
+        // Half of the usual time, since a load may go faster than usual.
+        self.loading_ms(adapter, now).unwrap_or(self.load_ms as u64) / 2
+    }
+
+    /// Whether a request can't start in time even if everything goes well.
+    pub fn is_late(&self, now: UnixMs, waiting: &Waiting) -> bool {
+        let start = now + self.least_wait_ms(&waiting.request.adapter, now);
+        !waiting.in_time(start, self.first_token_ms(now))
+    }
+
+    /// Gives up every waiting request that can't start in time any more.
+    pub fn refuse_late(&mut self, now: UnixMs, out: &mut Vec<OwnerAction>) {
+        if self.queue.len() == 0 {
+            return;
+        }
+        let late: Vec<_> = self
+            .queue
+            .iter()
+            .filter(|row| self.is_late(now, row))
+            .map(|row| row.key.clone())
+            .collect();
+        for key in late {
+            if let Some(waiting) = self.queue.remove(&key) {
+                self.refuse_deadline(now, &waiting, out);
+            }
+        }
+    }
+
+    /// Gives up every waiting request for an adapter that failed to load.
+    pub fn refuse_waiters(
+        &mut self,
+        now: UnixMs,
+        adapter: &AdapterRef,
+        retry_at: UnixMs,
+        out: &mut Vec<OwnerAction>,
+    ) {
+        let waiters = self
+            .queue
+            .remove_where(|row| row.request.adapter == *adapter);
+        for waiting in waiters {
+            self.refuse_load_failed(now, &waiting, retry_at, out);
+        }
+    }
+
+    /// Gives up every waiting request, because the upstream takes no work.
+    pub fn refuse_all(&mut self, now: UnixMs, out: &mut Vec<OwnerAction>) {
+        for waiting in self.queue.take_all() {
+            self.refuse_unavailable(now, &waiting, out);
+        }
+    }
+
+    /// Refuses a request that can't be served in time.
+    pub fn refuse_deadline(&mut self, now: UnixMs, waiting: &Waiting, out: &mut Vec<OwnerAction>) {
+        let message = format!(
+            "adapter \"{}\" can't answer on upstream \"{}\" by the deadline",
+            waiting.request.adapter,
+            self.name()
+        );
+        let retry_at = self.retry_at(now, waiting);
+        let reason = match waiting.request.deadline_unix_ms <= now {
+            true => RefusalReason::DeadlineExceeded,
+            false => RefusalReason::Overloaded,
+        };
+        self.refuse(now, waiting, reason, message, retry_at, out);
+    }
+
+    /// Refuses a request because too many wait.
+    pub fn refuse_overloaded(
+        &mut self,
+        now: UnixMs,
+        waiting: &Waiting,
+        out: &mut Vec<OwnerAction>,
+    ) {
+        let message = format!("the queue of upstream \"{}\" is full", self.name());
+        let retry_at = self.retry_at(now, waiting);
+        self.refuse(
+            now,
+            waiting,
+            RefusalReason::Overloaded,
+            message,
+            retry_at,
+            out,
+        );
+    }
+
+    /// Refuses a request because its adapter failed to load.
+    pub fn refuse_load_failed(
+        &mut self,
+        now: UnixMs,
+        waiting: &Waiting,
+        retry_at: UnixMs,
+        out: &mut Vec<OwnerAction>,
+    ) {
+        let message = format!(
+            "adapter \"{}\" failed to load on upstream \"{}\"",
+            waiting.request.adapter,
+            self.name()
+        );
+        self.refuse(
+            now,
+            waiting,
+            RefusalReason::LoadFailed,
+            message,
+            retry_at,
+            out,
+        );
+    }
+
+    /// Refuses a request because the upstream takes no work.
+    pub fn refuse_unavailable(
+        &mut self,
+        now: UnixMs,
+        waiting: &Waiting,
+        out: &mut Vec<OwnerAction>,
+    ) {
+        let message = format!("upstream \"{}\" takes no new work", self.name());
+        let retry_at = self.down_until.max(now + RETRY_MIN_MS);
+        self.refuse(
+            now,
+            waiting,
+            RefusalReason::Unavailable,
+            message,
+            retry_at,
+            out,
+        );
+    }
+
+    /// When work like this is likely to be served, spread so that not all come at once.
+    fn retry_at(&self, now: UnixMs, waiting: &Waiting) -> UnixMs {
+        let wait_ms = self.place_wait_ms(waiting) + self.load_ms as u64;
+        let wait_ms = wait_ms.clamp(RETRY_MIN_MS, RETRY_MAX_MS);
+        let spread_ms = waiting.key.request.0.wrapping_mul(SPREAD) % wait_ms;
+        now + wait_ms + spread_ms
+    }
+
+    /// Adapters pinned by long work alone.
+    pub fn long_pinned(&self) -> usize {
+        self.copies
+            .iter()
+            .filter(|(name, _)| self.is_pinned_by_long_only(name))
+            .count()
+    }
+
+    /// Adapters that long work alone may pin.
+    pub fn long_slots(&self) -> usize {
+        let slots = f64::from(self.shape.adapter_slots) * self.settings.long_slot_share;
+        (slots as usize).max(1)
+    }
+
+    fn is_pinned_by_long_only(&self, copy: &CopyName) -> bool {
+        let mut pins = self
+            .grants
+            .iter()
+            .filter(|(_, grant)| grant.copy == *copy)
+            .peekable();
+        pins.peek().is_some() && pins.all(|(_, grant)| grant.class == RequestClass::Long)
+    }
+}
+
+fn is_ahead(row: &Waiting, waiting: &Waiting) -> bool {
+    if row.request.class != waiting.request.class {
+        return false;
+    }
+    row.request.priority > waiting.request.priority
+        || (row.request.priority == waiting.request.priority && row.since <= waiting.since)
+}
--- /dev/null
+++ b/crates/decisions/src/owner/owned_grants.rs
@@ -0,0 +1,278 @@
+//! Requests, grants, returns and withdrawals at one upstream.
+
+use monsoonspread_model::message::{
+    GrantAnswer, GrantId, GrantOutcome, GrantRequest, GrantReturn, RequestId,
+};
+use monsoonspread_model::{
+    AdapterRef, CopyName, InstanceName, RefusalReason, RequestClass, UnixMs,
+};
+
+use super::endings::Ending;
+use super::outstanding::Outstanding;
+use super::owned::Owned;
+use super::request_key::RequestKey;
+use super::waiting::Waiting;
+use super::{OwnerAction, OwnerEvent};
+
+/// Weight of a new sample in the estimate of how long grants are held.
+const HOLD_WEIGHT: f64 = 0.1;
+/// How many times its estimated length a generation may take before its grant expires.
+const GRANT_SLACK: u64 = 4;
+
+impl Owned {
+    /// Takes in a request. Returns its key when it waits now and is still to be answered.
+    pub fn on_request(
+        &mut self,
+        now: UnixMs,
+        from: &InstanceName,
+        request: GrantRequest,
+        out: &mut Vec<OwnerAction>,
+    ) -> Option<RequestKey> {
+        let key = RequestKey::new(from, request.request);
+        if self.answer_again(now, &key, out) {
+            return None;
+        }
+        if self.queue.get(&key).is_some() {
+            return Some(key);
+        }
+        self.popularity.on_request(&request.adapter, now);
+        let waiting = Waiting {
+            key: key.clone(),
+            request,
+            since: now,
+        };
+        self.admit(now, waiting, out).then_some(key)
+    }
+
+    /// Answers a request that was answered before in the same way.
+    fn answer_again(&self, now: UnixMs, key: &RequestKey, out: &mut Vec<OwnerAction>) -> bool {
+        if let Some((id, grant)) = self.grants.of_request(key) {
+            self.reply(key, granted(id, grant), out);
+            return true;
+        }
+        match self.endings.get(key, now) {
+            None => return false,
+            // Its answer was given and used; nobody waits for another one.
+            Some(Ending::Returned) => {}
+            Some(Ending::Withdrawn) => {
+                let message = format!("request {} was withdrawn", key.request.0);
+                let refusal =
+                    monsoonspread_model::Refusal::not_run(RefusalReason::Unavailable, message);
+                let refusal = refusal.with_retry_at(now + self.settings.ending_kept_ms);
+                self.reply(key, GrantAnswer::NotRun(refusal), out);
+            }
+            Some(Ending::Refused(refusal)) => {
+                self.reply(key, GrantAnswer::NotRun(refusal.clone()), out);
+            }
+        }
+        true
+    }
+
+    /// Puts a request into the queue, or refuses it.
+    fn admit(&mut self, now: UnixMs, waiting: Waiting, out: &mut Vec<OwnerAction>) -> bool {
+        if !self.takes_work(now) {
+            self.refuse_unavailable(now, &waiting, out);
+            return false;
+        }
+        let adapter = &waiting.request.adapter;
+        if let Some(until) = self.failures.blocked_until(adapter, now)
+            && self.usable_copy(adapter).is_none()
+        {
+            self.refuse_load_failed(now, &waiting, until, out);
+            return false;
+        }
+        if self.is_late(now, &waiting) {
+            self.refuse_deadline(now, &waiting, out);
+            return false;
+        }
+        if self.queue.len() < self.queue_limit() {
+            self.queue.push(waiting);
+            return true;
+        }
+        self.shed_for(now, waiting, out)
+    }
+
+    /// Makes room for a request in a full queue, or refuses the request itself.
+    fn shed_for(&mut self, now: UnixMs, waiting: Waiting, out: &mut Vec<OwnerAction>) -> bool {
+        let least = self
+            .queue
+            .least()
+            .filter(|least| least.request.priority < waiting.request.priority)
+            .map(|least| least.key.clone());
+        let Some(least) = least.and_then(|key| self.queue.remove(&key)) else {
+            self.refuse_overloaded(now, &waiting, out);
+            return false;
+        };
+        self.refuse_overloaded(now, &least, out);
+        self.queue.push(waiting);
+        true
+    }
+
+    fn queue_limit(&self) -> usize {
+        (self.shape.batch_places * self.settings.waiting_per_place) as usize
+    }
+
+    /// Grants every request that can start now.
+    pub fn grant_ready(&mut self, now: UnixMs, out: &mut Vec<OwnerAction>) {
+        if !self.takes_work(now) {
+            return;
+        }
+        while let Some((key, copy)) = self.next_grantable(now) {
+            let Some(waiting) = self.queue.remove(&key) else {
+                return;
+            };
+            self.grant(now, waiting, copy, out);
+        }
+    }
+
+    fn next_grantable(&self, now: UnixMs) -> Option<(RequestKey, CopyName)> {
+        self.class_order()
+            .into_iter()
+            .find_map(|class| self.next_of_class(now, class))
+    }
+
+    /// Short work goes first; long work is kept from starving by one place of its own.
+    fn class_order(&self) -> [RequestClass; RequestClass::ALL.len()] {
+        let [_, _, long] = self.grants.places();
+        match long {
+            0 => [
+                RequestClass::Short,
+                RequestClass::Long,
+                RequestClass::Ordinary,
+            ],
+            _ => RequestClass::ALL,
+        }
+    }
+
+    fn next_of_class(&self, now: UnixMs, class: RequestClass) -> Option<(RequestKey, CopyName)> {
+        let others_wait = self.queue.count(RequestClass::Long) < self.queue.len();
+        if !self
+            .shares()
+            .admits(class, self.grants.places(), others_wait)
+        {
+            return None;
+        }
+        let first_token_ms = self.first_token_ms(now);
+        let first = self.queue.first_where(|row| {
+            row.request.class == class
+                && row.in_time(now, first_token_ms)
+                && self.grantable_copy(&row.request.adapter, class).is_some()
+        })?;
+        let copy = self.grantable_copy(&first.request.adapter, class)?;
+        Some((first.key.clone(), copy.clone()))
+    }
+
+    /// The copy a request may be granted on; long work alone may pin only some slots.
+    fn grantable_copy(&self, adapter: &AdapterRef, class: RequestClass) -> Option<&CopyName> {
+        let copy = self.usable_copy(adapter)?;
+        let allowed = class != RequestClass::Long || self.long_may_pin(copy);
+        allowed.then_some(copy)
+    }
+
+    /// Whether long work may pin `copy` within its share of the slots.
+    fn long_may_pin(&self, copy: &CopyName) -> bool {
+        self.grants.pins(copy) > 0 || self.long_pinned() < self.long_slots()
+    }
+
+    fn grant(&mut self, now: UnixMs, waiting: Waiting, copy: CopyName, out: &mut Vec<OwnerAction>) {
+        let id = self.next_grant_id();
+        let Waiting { key, request, .. } = waiting;
+        let life_ms = self.speed.generation_ms(request.tokens) * GRANT_SLACK;
+        let life_ms = life_ms.clamp(self.settings.grant_min_ms, self.settings.grant_max_ms);
+        self.queue.on_granted(&request.caller, request.tokens);
+        if let Some(copy) = self.copies.get_mut(&copy) {
+            copy.used_at = now;
+        }
+        let grant = Outstanding {
+            key: key.clone(),
+            copy,
+            class: request.class,
+            caller: request.caller,
+            tokens: request.tokens,
+            granted_at: now,
+            expires_at: now + life_ms,
+            holds_place: true,
+            lapsed_at: None,
+            holder_gone: false,
+        };
+        self.reply(&key, granted(id, &grant), out);
+        self.grants.insert(id, grant);
+    }
+
+    /// Takes a grant back.
+    pub fn on_return(
+        &mut self,
+        now: UnixMs,
+        from: &InstanceName,
+        returned: &GrantReturn,
+        out: &mut Vec<OwnerAction>,
+    ) {
+        self.endings.insert_returned(returned.grant);
+        let held_by_sender = self
+            .grants
+            .get(returned.grant)
+            .is_some_and(|grant| grant.key.instance == *from);
+        if !held_by_sender {
+            return;
+        }
+        let Some(grant) = self.grants.remove(returned.grant) else {
+            return;
+        };
+        self.speed.on_return(now, returned);
+        if returned.outcome == GrantOutcome::Done {
+            let held_ms = now.ms_since(grant.granted_at) as f64;
+            let usual_ms = &mut self.hold_ms[grant.class as usize];
+            *usual_ms += HOLD_WEIGHT * (held_ms - *usual_ms);
+        }
+        match returned.outcome {
+            GrantOutcome::Done | GrantOutcome::Cancelled => {
+                let until = now + self.settings.ending_kept_ms;
+                self.endings.insert(grant.key, Ending::Returned, until);
+            }
+            GrantOutcome::CopyMissing => self.on_copy_missing(now, &grant),
+            GrantOutcome::Unreachable => self.on_unreachable(now, out),
+            GrantOutcome::Refused | GrantOutcome::Broken => {}
+        }
+    }
+
+    /// A copy that the upstream does not know was lost, unless it was loaded after the grant.
+    fn on_copy_missing(&mut self, now: UnixMs, grant: &Outstanding) {
+        let lost = self
+            .copies
+            .get(&grant.copy)
+            .is_some_and(|copy| copy.is_loaded() && copy.since <= grant.granted_at);
+        if lost {
+            self.copies.remove(&grant.copy, now);
+        }
+    }
+
+    /// Takes a request back, granted or not, or not even seen yet.
+    pub fn on_withdraw(&mut self, now: UnixMs, from: &InstanceName, request: RequestId) {
+        let key = RequestKey::new(from, request);
+        self.queue.remove(&key);
+        if let Some((id, _)) = self.grants.of_request(&key) {
+            self.grants.remove(id);
+            self.endings.insert_returned(id);
+        }
+        let until = now + self.settings.ending_kept_ms;
+        self.endings.insert(key, Ending::Withdrawn, until);
+    }
+
+    /// Frees the places of expired grants.
+    pub fn expire_grants(&mut self, now: UnixMs, out: &mut Vec<OwnerAction>) {
+        for holder in self.grants.expire(now) {
+            out.push(OwnerAction::Event(OwnerEvent::GrantExpired {
+                upstream: self.name().clone(),
+                holder,
+            }));
+        }
+    }
+}
+
+fn granted(id: GrantId, grant: &Outstanding) -> GrantAnswer {
+    GrantAnswer::Granted {
+        grant: id,
+        copy_epoch: grant.copy.epoch,
+        expires_at_unix_ms: grant.expires_at,
+    }
+}
--- /dev/null
+++ b/crates/decisions/src/owner/owned_orders.rs
@@ -0,0 +1,206 @@
+//! Answers to orders at one upstream.
+
+use monsoonspread_model::{CopyName, Epoch, UnixMs};
+
+use super::copy::{Copy, CopyState};
+use super::owned::Owned;
+use super::{OrderFailure, OwnerAction, OwnerEvent};
+
+/// Weight of a new sample in the estimate of the load time.
+const LOAD_WEIGHT: f64 = 0.2;
+
+impl Owned {
+    /// Takes in how a load ended.
+    pub fn on_load_result(
+        &mut self,
+        now: UnixMs,
+        name: &CopyName,
+        result: Result<(), OrderFailure>,
+        out: &mut Vec<OwnerAction>,
+    ) {
+        let loading = self
+            .copies
+            .get(name)
+            .filter(|copy| copy.state == CopyState::Loading);
+        let Some(since) = loading.map(|copy| copy.since) else {
+            return;
+        };
+        match result {
+            Ok(()) => self.on_loaded(now, name, since, out),
+            Err(failure) => self.on_load_failed(now, name, failure, out),
+        }
+    }
+
+    fn on_loaded(
+        &mut self,
+        now: UnixMs,
+        name: &CopyName,
+        since: UnixMs,
+        out: &mut Vec<OwnerAction>,
+    ) {
+        let took_ms = now.ms_since(since);
+        self.load_ms += LOAD_WEIGHT * (took_ms as f64 - self.load_ms);
+        self.copies
+            .insert(name.clone(), Copy::new(CopyState::Loaded, now));
+        self.failures.on_loaded(&name.adapter);
+        self.on_order_accepted(now);
+        out.push(OwnerAction::Event(OwnerEvent::Loaded {
+            upstream: self.name().clone(),
+            copy: name.clone(),
+            took_ms,
+        }));
+    }
+
+    fn on_load_failed(
+        &mut self,
+        now: UnixMs,
+        name: &CopyName,
+        failure: OrderFailure,
+        out: &mut Vec<OwnerAction>,
+    ) {
+        match failure {
+            OrderFailure::AnswerLost => {
+                self.copies
+                    .insert(name.clone(), Copy::new(CopyState::LoadLost, now));
+            }
+            OrderFailure::Unreachable | OrderFailure::Failed | OrderFailure::Fenced => {
+                self.copies.remove(name, now);
+            }
+        }
+        let retry_at = self.back_off(now, name);
+        self.refuse_waiters(now, &name.adapter, retry_at, out);
+        if failure == OrderFailure::Unreachable {
+            self.on_unreachable(now, out);
+        }
+        out.push(OwnerAction::Event(OwnerEvent::LoadFailed {
+            upstream: self.name().clone(),
+            copy: name.clone(),
+            failure,
+        }));
+    }
+
+    /// Takes in how an unload ended.
+    pub fn on_unload_result(
+        &mut self,
+        now: UnixMs,
+        name: &CopyName,
+        result: Result<(), OrderFailure>,
+        out: &mut Vec<OwnerAction>,
+    ) {
+        let keep_until = now + self.settings.load_backoff_ms;
+        let Some(copy) = self
+            .copies
+            .get_mut(name)
+            .filter(|copy| copy.state == CopyState::Unloading)
+        else {
+            return;
+        };
+        match result {
+            Ok(()) => {
+                self.copies.remove(name, now);
+                self.on_order_accepted(now);
+            }
+            // The order is sent again; until it is answered the copy can't be trusted.
+            Err(OrderFailure::AnswerLost) => copy.enter(CopyState::UnloadLost, now),
+            Err(_) => {
+                copy.enter(CopyState::Loaded, now);
+                copy.keep_until = keep_until;
+            }
+        }
+        match result {
+            // A late unload must not hit a copy of the same name.
+            Err(OrderFailure::AnswerLost) => {
+                let until = now + self.settings.load_backoff_max_ms;
+                self.failures.block(&name.adapter, until);
+            }
+            Err(OrderFailure::Unreachable) => self.on_unreachable(now, out),
+            _ => {}
+        }
+    }
+
+    /// Takes in how a fencing order ended.
+    pub fn on_fence_result(
+        &mut self,
+        now: UnixMs,
+        epoch: Epoch,
+        result: Result<(), OrderFailure>,
+        out: &mut Vec<OwnerAction>,
+    ) {
+        if epoch != self.epoch {
+            return;
+        }
+        match result {
+            Ok(()) => {
+                self.on_order_accepted(now);
+                self.next_fence_at = now + self.settings.fence_interval_ms;
+            }
+            Err(failure) => {
+                self.next_fence_at = now + self.settings.fence_retry_ms;
+                if failure == OrderFailure::Unreachable {
+                    self.on_unreachable(now, out);
+                }
+            }
+        }
+    }
+
+    /// Sends orders whose answer was lost again, and the fencing number when it is due.
+    pub fn repeat_orders(&mut self, now: UnixMs, out: &mut Vec<OwnerAction>) {
+        let retry_ms = self.settings.order_retry_ms;
+        let stale: Vec<CopyName> = self
+            .copies
+            .iter()
+            .filter(|(_, copy)| copy.state == CopyState::UnloadLost)
+            .filter(|(_, copy)| now.ms_since(copy.since) >= retry_ms)
+            .map(|(name, _)| name.clone())
+            .collect();
+        for name in stale {
+            self.start_unload(now, &name, out);
+        }
+        if self.shape.checks_fencing && now >= self.next_fence_at {
+            self.next_fence_at = now + self.settings.fence_interval_ms;
+            out.push(OwnerAction::Fence {
+                upstream: self.name().clone(),
+                epoch: self.epoch,
+            });
+        }
+    }
+
+    /// Whether an unload was ordered and not answered.
+    pub fn is_unloading(&self, name: &CopyName) -> bool {
+        self.copies
+            .get(name)
+            .is_some_and(|copy| copy.state == CopyState::Unloading)
+    }
+
+    /// Whether no order is to be answered, or none can be waited for any longer.
+    pub fn is_settled(&self, now: UnixMs) -> bool {
+        let overdue_ms = self.settings.order_retry_ms;
+        self.copies.iter().all(|(_, copy)| match copy.state {
+            CopyState::Loading | CopyState::Unloading => now.ms_since(copy.since) > overdue_ms,
+            CopyState::Loaded | CopyState::LoadLost | CopyState::UnloadLost => true,
+        })
+    }
+
+    fn on_order_accepted(&mut self, now: UnixMs) {
+        self.down_until = UnixMs(0);
+        self.fenced_at.get_or_insert(now);
+    }
+
+    /// Gives no new grant for a while.
+    pub fn on_unreachable(&mut self, now: UnixMs, out: &mut Vec<OwnerAction>) {
+        self.down_until = now + self.settings.unreachable_ms;
+        self.refuse_all(now, out);
+        out.push(OwnerAction::Event(OwnerEvent::UpstreamDown {
+            upstream: self.name().clone(),
+        }));
+    }
+
+    fn back_off(&mut self, now: UnixMs, name: &CopyName) -> UnixMs {
+        self.failures.on_failure(
+            &name.adapter,
+            now,
+            self.settings.load_backoff_ms,
+            self.settings.load_backoff_max_ms,
+        )
+    }
+}
--- /dev/null
+++ b/crates/decisions/src/owner/owned_reports.rs
@@ -0,0 +1,138 @@
+//! What load reports of one upstream show.
+
+use std::collections::BTreeMap;
+
+use monsoonspread_model::{CopyName, LoadReport, UnixMs};
+
+use super::copy::{Copy, CopyState};
+use super::owned::Owned;
+use super::{OwnerAction, OwnerEvent};
+
+impl Owned {
+    /// Takes in a load report, which may be late.
+    pub fn on_report(&mut self, now: UnixMs, report: &LoadReport, out: &mut Vec<OwnerAction>) {
+        if report.taken_at_unix_ms < self.reported_at {
+            return;
+        }
+        self.reported_at = report.taken_at_unix_ms;
+        let listed = listed_copies(report);
+        self.drop_missing(now, report, &listed, out);
+        self.take_in_listed(now, report, &listed);
+        self.note_unused(report, &listed);
+        self.check_slots_known(report);
+        self.started_at = Some(report.started_at_unix_ms);
+        self.draining = report.draining;
+        if self.draining {
+            self.refuse_all(now, out);
+        }
+    }
+
+    /// Drops copies that the report should show and does not.
+    fn drop_missing(
+        &mut self,
+        now: UnixMs,
+        report: &LoadReport,
+        listed: &BTreeMap<CopyName, u32>,
+        out: &mut Vec<OwnerAction>,
+    ) {
+        let restarted = self
+            .started_at
+            .is_some_and(|at| at != report.started_at_unix_ms);
+        let missing: Vec<CopyName> = self
+            .copies
+            .iter()
+            .filter(|(name, _)| !listed.contains_key(name))
+            .filter(|(_, copy)| self.should_show(copy, report, restarted))
+            .map(|(name, _)| name.clone())
+            .collect();
+        for copy in missing {
+            self.copies.remove(&copy, now);
+            out.push(OwnerAction::Event(OwnerEvent::CopyLost {
+                upstream: self.name().clone(),
+                copy,
+            }));
+        }
+    }
+
+    fn should_show(&self, copy: &Copy, report: &LoadReport, restarted: bool) -> bool {
+        let margin_ms = self.settings.clock_margin_ms;
+        let taken_at = report.taken_at_unix_ms;
+        match copy.state {
+            CopyState::Loaded if restarted && copy.since < report.started_at_unix_ms => true,
+            CopyState::Loaded | CopyState::UnloadLost => copy.since + margin_ms < taken_at,
+            // A load whose answer was lost may still be in transit.
+            CopyState::LoadLost => {
+                copy.since + margin_ms + self.settings.load_backoff_max_ms < taken_at
+            }
+            CopyState::Loading | CopyState::Unloading => false,
+        }
+    }
+
+    /// Adds copies that are listed and not known, and settles uncertain ones.
+    fn take_in_listed(
+        &mut self,
+        now: UnixMs,
+        report: &LoadReport,
+        listed: &BTreeMap<CopyName, u32>,
+    ) {
+        let margin_ms = self.settings.clock_margin_ms;
+        for name in listed.keys() {
+            match self.copies.get(name).map(|copy| copy.state) {
+                Some(CopyState::LoadLost) => {
+                    self.copies
+                        .insert(name.clone(), Copy::new(CopyState::Loaded, now));
+                    self.failures.on_loaded(&name.adapter);
+                }
+                Some(_) => {}
+                None if self.is_late_sight(name, report, margin_ms) => {}
+                None => {
+                    let since = report.taken_at_unix_ms;
+                    self.copies
+                        .insert(name.clone(), Copy::new(CopyState::Loaded, since));
+                }
+            }
+        }
+    }
+
+    /// Whether a report shows a copy that was unloaded after the report was taken.
+    fn is_late_sight(&self, name: &CopyName, report: &LoadReport, margin_ms: u64) -> bool {
+        self.copies
+            .gone_at(name)
+            .is_some_and(|gone_at| report.taken_at_unix_ms <= gone_at + margin_ms)
+    }
+
+    /// Notes unused copies, which proves that lapsed grants on them have ended.
+    fn note_unused(&mut self, report: &LoadReport, listed: &BTreeMap<CopyName, u32>) {
+        let taken_at = report.taken_at_unix_ms;
+        for (name, in_use) in listed {
+            if *in_use > 0 {
+                continue;
+            }
+            self.grants
+                .on_unused(name, taken_at, self.settings.clock_margin_ms);
+            if let Some(copy) = self.copies.get_mut(name) {
+                copy.unused_at = Some(taken_at);
+            }
+        }
+    }
+
+    /// After a takeover, a report taken under the new ownership shows which slots are in use.
+    fn check_slots_known(&mut self, report: &LoadReport) {
+        let since = match self.shape.checks_fencing {
+            true => self.fenced_at,
+            false => Some(self.owned_at),
+        };
+        if since.is_some_and(|since| since < report.taken_at_unix_ms) {
+            self.slots_known = true;
+        }
+    }
+}
+
+/// Copies in a report with the requests that use each; other names are not copies.
+fn listed_copies(report: &LoadReport) -> BTreeMap<CopyName, u32> {
+    report
+        .adapters
+        .iter()
+        .filter_map(|loaded| Some((loaded.name.parse().ok()?, loaded.in_use)))
+        .collect()
+}
--- /dev/null
+++ b/crates/decisions/src/owner/owned_succession.rs
@@ -0,0 +1,121 @@
+//! Taking over, reconciling and handing over one upstream.
+
+use monsoonspread_model::message::{Announce, AnnounceRequest, Handover, MeshMessage};
+use monsoonspread_model::{CopyName, InstanceName, UnixMs};
+
+use super::copy::{Copy, CopyState};
+use super::owned::Owned;
+use super::reconciliation::Reconciliation;
+use super::{OwnerAction, OwnerEvent};
+
+impl Owned {
+    /// Begins without knowing what former owners loaded and granted.
+    pub fn take_over(&mut self, now: UnixMs, holders: &[InstanceName]) {
+        let grants_end_at = now + self.settings.grant_max_ms;
+        self.reconciliation = Reconciliation::new(now, holders, grants_end_at);
+        self.slots_known = false;
+    }
+
+    /// Begins with what the former owner told.
+    pub fn accept_handover(&mut self, now: UnixMs, handover: &Handover) {
+        self.handed_over = true;
+        for name in &handover.copies {
+            self.copies
+                .insert(name.clone(), Copy::new(CopyState::Loaded, now));
+        }
+        for (holder, held) in &handover.grants {
+            self.import_grant(now, holder, held);
+        }
+    }
+
+    /// What the next owner has to know.
+    pub fn handover(&self) -> Handover {
+        Handover {
+            upstream: self.name().clone(),
+            from_epoch: self.epoch,
+            copies: self.loaded_copies(),
+            grants: self
+                .grants
+                .iter()
+                .map(|(id, grant)| (grant.key.instance.clone(), grant.to_held(*id)))
+                .collect(),
+        }
+    }
+
+    fn loaded_copies(&self) -> Vec<CopyName> {
+        self.copies
+            .iter()
+            .filter(|(_, copy)| copy.is_loaded())
+            .map(|(name, _)| name.clone())
+            .collect()
+    }
+
+    /// Asks instances that have not reported their grants.
+    pub fn ask_holders(&mut self, now: UnixMs, out: &mut Vec<OwnerAction>) {
+        for to in self
+            .reconciliation
+            .ask(now, self.settings.announce_retry_ms)
+        {
+            let request = AnnounceRequest {
+                upstream: self.name().clone(),
+                epoch: self.epoch,
+            };
+            out.push(OwnerAction::Send {
+                to,
+                message: MeshMessage::AnnounceRequest(request),
+            });
+        }
+    }
+
+    /// Takes in the grants that an instance holds.
+    pub fn on_announce(
+        &mut self,
+        now: UnixMs,
+        from: &InstanceName,
+        announce: &Announce,
+        out: &mut Vec<OwnerAction>,
+    ) {
+        if announce.epoch != self.epoch {
+            return;
+        }
+        for held in &announce.grants {
+            self.import_grant(now, from, held);
+        }
+        if self.reconciliation.on_announced(now, from) {
+            self.on_reconciled(out);
+        }
+    }
+
+    /// Takes in that an instance is gone.
+    pub fn on_instance_gone(
+        &mut self,
+        now: UnixMs,
+        instance: &InstanceName,
+        out: &mut Vec<OwnerAction>,
+    ) {
+        self.queue.remove_instance(instance);
+        self.grants.on_holder_gone(instance, now);
+        if self.reconciliation.on_gone(now, instance) {
+            self.on_reconciled(out);
+        }
+    }
+
+    /// Whether an older epoch's copy that has no known pin may be unloaded.
+    pub fn may_evict_foreign(&self, copy: &Copy, now: UnixMs) -> bool {
+        let reconciliation = &self.reconciliation;
+        let needs_proof_after = match reconciliation.complete_at {
+            Some(_) if self.handed_over || !reconciliation.lost_a_holder => return true,
+            Some(complete_at) => complete_at,
+            None => reconciliation.grants_end_at,
+        };
+        let proof_at = needs_proof_after + self.settings.clock_margin_ms;
+        now > needs_proof_after && copy.unused_at.is_some_and(|at| at > proof_at)
+    }
+
+    fn on_reconciled(&self, out: &mut Vec<OwnerAction>) {
+        out.push(OwnerAction::Event(OwnerEvent::Reconciled {
+            upstream: self.name().clone(),
+            epoch: self.epoch,
+        }));
+    }
+}
--- /dev/null
+++ b/crates/decisions/src/owner/set.rs
@@ -0,0 +1,320 @@
+//! Every upstream that one instance owns.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+
+use monsoonspread_model::message::{
+    Announce, GrantAnswer, GrantReply, GrantRequest, GrantReturn, MeshMessage, RequestId,
+};
+use monsoonspread_model::{Epoch, InstanceName, LoadReport, UnixMs, UpstreamName};
+use rand_chacha::ChaCha8Rng;
+use rand_chacha::rand_core::SeedableRng;
+
+use super::load_budget::LoadBudget;
+use super::owned::Owned;
+use super::request_key::RequestKey;
+use super::{OwnerAction, OwnerDump, OwnerSettings, Speed};
+
+/// Every upstream that one entry instance owns, and the instance's share of the weight store.
+///
+/// ```
+/// use monsoonspread_decisions::owner::{OwnOrigin, OwnerSet, OwnerSettings, UpstreamShape};
+/// use monsoonspread_model::{Epoch, UnixMs};
+///
+/// let mut owner = OwnerSet::new("entry-1".into(), OwnerSettings::default(), 7);
+/// let shape = UpstreamShape::new("engine-1", 8, 16, true);
+/// owner.on_own(UnixMs(1_000), shape, Epoch(1), OwnOrigin::Fresh, &[]);
+/// assert_eq!(owner.epoch_of(&"engine-1".into()), Some(Epoch(1)));
+/// ```
+#[derive(Debug)]
+pub struct OwnerSet {
+    pub(super) instance: InstanceName,
+    pub(super) settings: Arc<OwnerSettings>,
+    pub(super) owned: BTreeMap<UpstreamName, Owned>,
+    pub(super) draining: BTreeMap<UpstreamName, InstanceName>,
+    pub(super) budget: LoadBudget,
+    pub(super) peers: BTreeSet<InstanceName>,
+    pub(super) next_budget_ask_at: UnixMs,
+    pub(super) rng: ChaCha8Rng,
+}
+
+impl OwnerSet {
+    /// Owns nothing yet.
+    ///
+    /// ```
+    /// # use monsoonspread_decisions::owner::{OwnerSet, OwnerSettings};
+    /// let owner = OwnerSet::new("entry-1".into(), OwnerSettings::default(), 7);
+    /// assert!(owner.is_empty());
+    /// ```
+    pub fn new(instance: InstanceName, settings: OwnerSettings, seed: u64) -> Self {
+        Self {
+            instance,
+            budget: LoadBudget::new(settings.load_rate_per_s, settings.load_burst),
+            settings: Arc::new(settings),
+            owned: BTreeMap::new(),
+            draining: BTreeMap::new(),
+            peers: BTreeSet::new(),
+            next_budget_ask_at: UnixMs(0),
+            rng: ChaCha8Rng::seed_from_u64(seed),
+        }
+    }
+
+    /// Whether no upstream is owned.
+    ///
+    /// ```
+    /// # use monsoonspread_decisions::owner::{OwnerSet, OwnerSettings};
+    /// assert!(OwnerSet::new("entry-1".into(), OwnerSettings::default(), 7).is_empty());
+    /// ```
+    pub fn is_empty(&self) -> bool {
+        self.owned.is_empty()
+    }
+
+    /// The fencing number under which an upstream is owned.
+    ///
+    /// ```
+    /// # use monsoonspread_decisions::owner::{OwnerSet, OwnerSettings};
+    /// let owner = OwnerSet::new("entry-1".into(), OwnerSettings::default(), 7);
+    /// assert_eq!(owner.epoch_of(&"engine-1".into()), None);
+    /// ```
+    pub fn epoch_of(&self, upstream: &UpstreamName) -> Option<Epoch> {
+        self.owned.get(upstream).map(|owned| owned.epoch)
+    }
+
+    /// How fast an owned upstream answers.
+    ///
+    /// ```
+    /// # use monsoonspread_decisions::owner::{OwnerSet, OwnerSettings};
+    /// let owner = OwnerSet::new("entry-1".into(), OwnerSettings::default(), 7);
+    /// assert!(owner.speed(&"engine-1".into()).is_none());
+    /// ```
+    pub fn speed(&self, upstream: &UpstreamName) -> Option<Speed> {
+        self.owned.get(upstream).map(|owned| owned.speed)
+    }
+
+    /// The state, for operators.
+    ///
+    /// ```
+    /// # use monsoonspread_decisions::owner::{OwnerSet, OwnerSettings};
+    /// # use monsoonspread_model::UnixMs;
+    /// let owner = OwnerSet::new("entry-1".into(), OwnerSettings::default(), 7);
+    /// assert!(owner.dump(UnixMs(0)).upstreams.is_empty());
+    /// ```
+    pub fn dump(&self, now: UnixMs) -> OwnerDump {
+        OwnerDump::new(self, now)
+    }
+
+    /// Takes in a request for a grant.
+    pub fn on_request(
+        &mut self,
+        now: UnixMs,
+        from: &InstanceName,
+        request: GrantRequest,
+    ) -> Vec<OwnerAction> {
+        let mut out = Vec::new();
+        self.meet(from);
+        let upstream = request.upstream.clone();
+        let Some(owned) = self.serving(&upstream) else {
+            out.push(self.not_owner(from, &request));
+            return out;
+        };
+        let Some(key) = owned.on_request(now, from, request, &mut out) else {
+            return out;
+        };
+        self.settle(now, &upstream, &mut out);
+        self.answer_waiting(now, &upstream, &key, &mut out);
+        out
+    }
+
+    /// Takes a grant back.
+    pub fn on_return(
+        &mut self,
+        now: UnixMs,
+        from: &InstanceName,
+        returned: GrantReturn,
+    ) -> Vec<OwnerAction> {
+        let mut out = Vec::new();
+        if let Some(owned) = self.owned.get_mut(&returned.upstream) {
+            owned.on_return(now, from, &returned, &mut out);
+            self.settle(now, &returned.upstream, &mut out);
+        }
+        out
+    }
+
+    /// Takes a request back, granted or not.
+    pub fn on_withdraw(
+        &mut self,
+        now: UnixMs,
+        from: &InstanceName,
+        upstream: &UpstreamName,
+        request: RequestId,
+    ) -> Vec<OwnerAction> {
+        let mut out = Vec::new();
+        if let Some(owned) = self.owned.get_mut(upstream) {
+            owned.on_withdraw(now, from, request);
+            self.settle(now, upstream, &mut out);
+        }
+        out
+    }
+
+    /// Takes in the grants that an instance holds.
+    pub fn on_announce(
+        &mut self,
+        now: UnixMs,
+        from: &InstanceName,
+        announce: Announce,
+    ) -> Vec<OwnerAction> {
+        let mut out = Vec::new();
+        self.meet(from);
+        if let Some(owned) = self.owned.get_mut(&announce.upstream) {
+            owned.on_announce(now, from, &announce, &mut out);
+            self.settle(now, &announce.upstream, &mut out);
+        }
+        out
+    }
+
+    /// Takes in that an instance is gone.
+    pub fn on_instance_gone(&mut self, now: UnixMs, instance: &InstanceName) -> Vec<OwnerAction> {
+        let mut out = Vec::new();
+        self.peers.remove(instance);
+        for owned in self.owned.values_mut() {
+            owned.on_instance_gone(now, instance, &mut out);
+        }
+        self.settle_all(now, &mut out);
+        out
+    }
+
+    /// Takes in a load report.
+    pub fn on_report(
+        &mut self,
+        now: UnixMs,
+        upstream: &UpstreamName,
+        report: LoadReport,
+    ) -> Vec<OwnerAction> {
+        let mut out = Vec::new();
+        if let Some(owned) = self.owned.get_mut(upstream) {
+            owned.on_report(now, &report, &mut out);
+            self.settle(now, upstream, &mut out);
+        }
+        out
+    }
+
+    /// Does what is due; called about every 20 ms.
+    pub fn on_tick(&mut self, now: UnixMs) -> Vec<OwnerAction> {
+        let mut out = Vec::new();
+        self.judge_speeds(now, &mut out);
+        for owned in self.owned.values_mut() {
+            owned.endings.sweep(now);
+            owned.expire_grants(now, &mut out);
+            owned.refuse_late(now, &mut out);
+            owned.ask_holders(now, &mut out);
+            owned.repeat_orders(now, &mut out);
+        }
+        self.hand_over_ready(now, &mut out);
+        self.settle_all(now, &mut out);
+        self.ask_for_budget(now, &mut out);
+        out
+    }
+
+    /// Grants what can start at one upstream, then starts the loads that are due.
+    pub(super) fn settle(
+        &mut self,
+        now: UnixMs,
+        upstream: &UpstreamName,
+        out: &mut Vec<OwnerAction>,
+    ) {
+        if let Some(owned) = self.serving(upstream) {
+            owned.grant_ready(now, out);
+        }
+        self.start_loads(now, out);
+    }
+
+    fn settle_all(&mut self, now: UnixMs, out: &mut Vec<OwnerAction>) {
+        for (name, owned) in &mut self.owned {
+            if !self.draining.contains_key(name) {
+                owned.grant_ready(now, out);
+            }
+        }
+        self.start_loads(now, out);
+    }
+
+    /// Tells a request that still waits when it is expected to start, or refuses it.
+    fn answer_waiting(
+        &mut self,
+        now: UnixMs,
+        upstream: &UpstreamName,
+        key: &RequestKey,
+        out: &mut Vec<OwnerAction>,
+    ) {
+        let Some(expected_at) = self.expected_at(now, upstream, key) else {
+            return;
+        };
+        let Some(owned) = self.owned.get_mut(upstream) else {
+            return;
+        };
+        let first_token_ms = owned.first_token_ms(now);
+        let in_time = owned
+            .queue
+            .get(key)
+            .is_some_and(|waiting| waiting.in_time(expected_at, first_token_ms));
+        if in_time {
+            let answer = GrantAnswer::Queued {
+                expected_at_unix_ms: expected_at,
+            };
+            owned.reply(key, answer, out);
+        } else if let Some(waiting) = owned.queue.remove(key) {
+            owned.refuse_deadline(now, &waiting, out);
+        }
+    }
+
+    /// When a waiting request is expected to start.
+    fn expected_at(
+        &mut self,
+        now: UnixMs,
+        upstream: &UpstreamName,
+        key: &RequestKey,
+    ) -> Option<UnixMs> {
+        let owned = self.owned.get(upstream)?;
+        let waiting = owned.queue.get(key)?;
+        let adapter = &waiting.request.adapter;
+        let place_wait_ms = owned.place_wait_ms(waiting);
+        let load_wait_ms = match owned.usable_copy(adapter) {
+            Some(_) => 0,
+            None => match owned.loading_ms(adapter, now) {
+                Some(left_ms) => left_ms,
+                None => self.load_wait_ms(now, upstream, &adapter.clone()),
+            },
+        };
+        Some(now + place_wait_ms.max(load_wait_ms))
+    }
+
+    /// The upstream, when it is owned and not being handed over.
+    fn serving(&mut self, upstream: &UpstreamName) -> Option<&mut Owned> {
+        if self.draining.contains_key(upstream) {
+            return None;
+        }
+        self.owned.get_mut(upstream)
+    }
+
+    fn not_owner(&self, from: &InstanceName, request: &GrantRequest) -> OwnerAction {
+        let reply = GrantReply {
+            request: request.request,
+            upstream: request.upstream.clone(),
+            epoch: self.epoch_of(&request.upstream).unwrap_or_default(),
+            answer: GrantAnswer::NotOwner,
+        };
+        OwnerAction::Send {
+            to: from.clone(),
+            message: MeshMessage::GrantReply(reply),
+        }
+    }
+
+    /// Remembers an instance as one to borrow budget from.
+    pub(super) fn meet(&mut self, peer: &InstanceName) {
+        if *peer != self.instance && !self.peers.contains(peer) && self.peers.len() < PEERS_KEPT {
+            self.peers.insert(peer.clone());
+        }
+    }
+}
+
+/// Peers remembered as lenders of budget.
+const PEERS_KEPT: usize = 64;
--- /dev/null
+++ b/crates/decisions/src/owner/set_orders.rs
@@ -0,0 +1,88 @@
+//! Answers to orders.
+
+use monsoonspread_model::{CopyName, Epoch, UnixMs, UpstreamName};
+
+use super::{OrderFailure, OwnerAction, OwnerSet};
+
+impl OwnerSet {
+    /// Takes in how a load ended.
+    pub fn on_load_result(
+        &mut self,
+        now: UnixMs,
+        upstream: &UpstreamName,
+        copy: &CopyName,
+        result: Result<(), OrderFailure>,
+    ) -> Vec<OwnerAction> {
+        let mut out = Vec::new();
+        let Some(owned) = self.owned.get_mut(upstream) else {
+            return out;
+        };
+        if result == Err(OrderFailure::Fenced) && copy.epoch == owned.epoch {
+            self.step_down(upstream, &mut out);
+            return out;
+        }
+        owned.on_load_result(now, copy, result, &mut out);
+        self.after_order(now, upstream, &mut out);
+        out
+    }
+
+    /// Takes in how an unload ended.
+    pub fn on_unload_result(
+        &mut self,
+        now: UnixMs,
+        upstream: &UpstreamName,
+        copy: &CopyName,
+        result: Result<(), OrderFailure>,
+    ) -> Vec<OwnerAction> {
+        let mut out = Vec::new();
+        let Some(owned) = self.owned.get_mut(upstream) else {
+            return out;
+        };
+        if result == Err(OrderFailure::Fenced) && owned.is_unloading(copy) {
+            self.step_down(upstream, &mut out);
+            return out;
+        }
+        owned.on_unload_result(now, copy, result, &mut out);
+        self.after_order(now, upstream, &mut out);
+        out
+    }
+
+    /// Takes in how a fencing order ended.
+    pub fn on_fence_result(
+        &mut self,
+        now: UnixMs,
+        upstream: &UpstreamName,
+        epoch: Epoch,
+        result: Result<(), OrderFailure>,
+    ) -> Vec<OwnerAction> {
+        let mut out = Vec::new();
+        let Some(owned) = self.owned.get_mut(upstream) else {
+            return out;
+        };
+        if result == Err(OrderFailure::Fenced) && epoch == owned.epoch {
+            self.step_down(upstream, &mut out);
+            return out;
+        }
+        owned.on_fence_result(now, epoch, result, &mut out);
+        self.settle(now, upstream, &mut out);
+        out
+    }
+
+    /// Stops owning an upstream that has seen a higher fencing number.
+    pub(super) fn step_down(&mut self, upstream: &UpstreamName, out: &mut Vec<OwnerAction>) {
+        self.draining.remove(upstream);
+        let Some(mut owned) = self.owned.remove(upstream) else {
+            return;
+        };
+        out.push(OwnerAction::StepDown {
+            upstream: upstream.clone(),
+            epoch: owned.epoch,
+        });
+        owned.release(out);
+    }
+
+    fn after_order(&mut self, now: UnixMs, upstream: &UpstreamName, out: &mut Vec<OwnerAction>) {
+        self.hand_over_ready(now, out);
+        self.settle(now, upstream, out);
+    }
+}
--- /dev/null
+++ b/crates/decisions/src/owner/tests/fixture.rs
@@ -0,0 +1,139 @@
+//! One owner of one upstream, driven by hand.
+
+use monsoonspread_model::message::{
+    GrantAnswer, GrantId, GrantOutcome, GrantRequest, GrantReturn, MeshMessage, RequestId,
+};
+use monsoonspread_model::{
+    AdapterRef, CopyName, Epoch, InstanceName, RequestClass, UnixMs, UpstreamName,
+};
+
+use crate::owner::{OwnOrigin, OwnerAction, OwnerSet, OwnerSettings, UpstreamShape};
+
+/// When the tests begin.
+pub const START: UnixMs = UnixMs(1_000_000);
+
+/// The upstream of the tests.
+pub fn engine() -> UpstreamName {
+    "engine-1".into()
+}
+
+/// The instance that sends requests.
+pub fn entry() -> InstanceName {
+    "entry-2".into()
+}
+
+/// Version 1 of an adapter.
+pub fn adapter(name: &str) -> AdapterRef {
+    AdapterRef::new(name, 1)
+}
+
+/// A copy loaded under the first epoch.
+pub fn copy(name: &str) -> CopyName {
+    CopyName::new(adapter(name), Epoch(1))
+}
+
+/// An ordinary request that can wait a minute.
+pub fn request(id: u64, name: &str) -> GrantRequest {
+    GrantRequest {
+        request: RequestId(id),
+        upstream: engine(),
+        adapter: adapter(name),
+        class: RequestClass::Ordinary,
+        priority: 0,
+        caller: "caller-1".into(),
+        tokens: 100,
+        arrived_at_unix_ms: START,
+        deadline_unix_ms: START + 60_000,
+        bundle_version: Default::default(),
+    }
+}
+
+/// Settings with a budget that never runs out.
+pub fn settings() -> OwnerSettings {
+    OwnerSettings {
+        load_rate_per_s: 1_000.0,
+        load_burst: 1_000.0,
+        loads_in_transit: 100,
+        loads_in_transit_per_upstream: 100,
+        ..OwnerSettings::default()
+    }
+}
+
+/// A new owner of the upstream with this many slots and places.
+pub fn fresh(slots: u32, places: u32, settings: OwnerSettings) -> OwnerSet {
+    let mut owner = OwnerSet::new("entry-1".into(), settings, 1);
+    let shape = UpstreamShape::new("engine-1", slots, places, false);
+    owner.on_own(START, shape, Epoch(1), OwnOrigin::Fresh, &[]);
+    owner
+}
+
+/// Loads a copy by one request, which is granted and returned.
+pub fn load(owner: &mut OwnerSet, now: UnixMs, id: u64, name: &str) {
+    owner.on_request(now, &entry(), request(id, name));
+    let actions = owner.on_load_result(now, &engine(), &copy(name), Ok(()));
+    let grant = granted(&actions, id).expect("the load is followed by a grant");
+    owner.on_return(now, &entry(), returned(grant));
+}
+
+/// The last answer to a request in `actions`.
+pub fn answer(actions: &[OwnerAction], id: u64) -> Option<GrantAnswer> {
+    actions.iter().rev().find_map(|action| match action {
+        OwnerAction::Send {
+            message: MeshMessage::GrantReply(reply),
+            ..
+        } if reply.request == RequestId(id) => Some(reply.answer.clone()),
+        _ => None,
+    })
+}
+
+/// The grant given to a request in `actions`.
+pub fn granted(actions: &[OwnerAction], id: u64) -> Option<GrantId> {
+    match answer(actions, id)? {
+        GrantAnswer::Granted { grant, .. } => Some(grant),
+        _ => None,
+    }
+}
+
+/// Whether `actions` refuse a request as not run.
+pub fn refused(actions: &[OwnerAction], id: u64) -> bool {
+    matches!(answer(actions, id), Some(GrantAnswer::NotRun(refusal)) if refusal.not_run)
+}
+
+/// The copies that `actions` order to be loaded.
+pub fn loads(actions: &[OwnerAction]) -> Vec<CopyName> {
+    actions
+        .iter()
+        .filter_map(|action| match action {
+            OwnerAction::Load { copy, .. } => Some(copy.clone()),
+            _ => None,
+        })
+        .collect()
+}
+
+/// The copies that `actions` order to be unloaded.
+pub fn unloads(actions: &[OwnerAction]) -> Vec<CopyName> {
+    actions
+        .iter()
+        .filter_map(|action| match action {
+            OwnerAction::Unload { copy, .. } => Some(copy.clone()),
+            _ => None,
+        })
+        .collect()
+}
+
+/// A return after a whole answer.
+pub fn returned(grant: GrantId) -> GrantReturn {
+    ended(grant, GrantOutcome::Done)
+}
+
+/// A return with an outcome.
+pub fn ended(grant: GrantId, outcome: GrantOutcome) -> GrantReturn {
+    GrantReturn {
+        upstream: engine(),
+        grant,
+        outcome,
+        first_token_ms: Some(50),
+        token_gap_us: Some(25_000),
+        tokens: 100,
+    }
+}
--- /dev/null
+++ b/crates/decisions/src/owner/tests/mod.rs
@@ -0,0 +1,4 @@
+//! Tests of the owner.
+
+mod fixture;
+mod grants;
--- /dev/null
+++ b/crates/decisions/src/owner/wait_queue.rs
@@ -0,0 +1,129 @@
+//! The requests that wait at one upstream.
+
+use std::collections::BTreeMap;
+
+use monsoonspread_model::{AdapterRef, CallerName, InstanceName, RequestClass};
+
+use super::request_key::RequestKey;
+use super::waiting::Waiting;
+
+/// Callers whose share is tracked; the one served least is forgotten first.
+const CALLERS_TRACKED: usize = 512;
+
+/// A bounded queue that is fair between callers within a class and priority.
+///
+/// Fairness is by virtual time: each grant moves its caller's time on by the tokens it is
+/// expected to take, and the caller with the smallest time goes first.
+#[derive(Debug, Default)]
+pub(super) struct WaitQueue {
+    rows: Vec<Waiting>,
+    served_tokens: BTreeMap<CallerName, u64>,
+    virtual_time: u64,
+}
+
+impl WaitQueue {
+    /// Requests waiting.
+    pub fn len(&self) -> usize {
+        self.rows.len()
+    }
+
+    /// Requests of `class` waiting.
+    pub fn count(&self, class: RequestClass) -> usize {
+        self.rows
+            .iter()
+            .filter(|row| row.request.class == class)
+            .count()
+    }
+
+    /// Every waiting request, oldest first.
+    pub fn iter(&self) -> impl Iterator<Item = &Waiting> {
+        self.rows.iter()
+    }
+
+    /// The waiting request `key`.
+    pub fn get(&self, key: &RequestKey) -> Option<&Waiting> {
+        self.rows.iter().find(|row| row.key == *key)
+    }
+
+    /// Whether a request waits for `adapter`.
+    pub fn wants(&self, adapter: &AdapterRef) -> bool {
+        self.rows.iter().any(|row| row.request.adapter == *adapter)
+    }
+
+    /// Adds a request.
+    pub fn push(&mut self, waiting: Waiting) {
+        self.rows.push(waiting);
+    }
+
+    /// Takes out the request `key`.
+    pub fn remove(&mut self, key: &RequestKey) -> Option<Waiting> {
+        let index = self.rows.iter().position(|row| row.key == *key)?;
+        Some(self.rows.remove(index))
+    }
+
+    /// Takes out every request for which `condition` holds.
+    pub fn remove_where(&mut self, condition: impl Fn(&Waiting) -> bool) -> Vec<Waiting> {
+        self.rows.extract_if(.., |row| condition(row)).collect()
+    }
+
+    /// Takes out every request.
+    pub fn take_all(&mut self) -> Vec<Waiting> {
+        std::mem::take(&mut self.rows)
+    }
+
+    /// Takes out every request of an instance.
+    pub fn remove_instance(&mut self, instance: &InstanceName) {
+        self.rows.retain(|row| row.key.instance != *instance);
+    }
+
+    /// The request to shed first: lowest priority, longest class, newest.
+    pub fn least(&self) -> Option<&Waiting> {
+        self.rows
+            .iter()
+            .max_by_key(|row| (u8::MAX - row.request.priority, row.request.class, row.since))
+    }
+
+    /// The request that goes first among those for which `condition` holds: highest priority,
+    /// then the caller served least, then the earliest deadline.
+    pub fn first_where(&self, condition: impl Fn(&Waiting) -> bool) -> Option<&Waiting> {
+        self.rows
+            .iter()
+            .filter(|row| condition(row))
+            .min_by_key(|row| {
+                (
+                    u8::MAX - row.request.priority,
+                    self.caller_time(&row.request.caller),
+                    row.request.deadline_unix_ms,
+                )
+            })
+    }
+
+    /// Counts a grant towards its caller's share.
+    pub fn on_granted(&mut self, caller: &CallerName, tokens: u32) {
+        let start = self.caller_time(caller);
+        self.virtual_time = start;
+        self.served_tokens
+            .insert(caller.clone(), start + u64::from(tokens.max(1)));
+        if self.served_tokens.len() > CALLERS_TRACKED {
+            self.forget_least();
+        }
+    }
+
+    /// A caller that was away does not save up: its time starts at the queue's.
+    fn caller_time(&self, caller: &CallerName) -> u64 {
+        self.served_tokens
+            .get(caller)
+            .map_or(self.virtual_time, |time| (*time).max(self.virtual_time))
+    }
+
+    fn forget_least(&mut self) {
+        let least = self
+            .served_tokens
+            .iter()
+            .min_by_key(|(_, time)| **time)
+            .map(|(caller, _)| caller.clone());
+        if let Some(caller) = least {
+            self.served_tokens.remove(&caller);
+        }
+    }
+}
