--- /dev/null
+++ b/crates/decisions/src/membership/incarnation.rs
@@ -0,0 +1,36 @@
+//! Incarnation numbers.
+
+use monsoonspread_model::UnixMs;
+
+/// Bits that count refutations within one process.
+const REFUTATION_BITS: u32 = 16;
+
+/// Orders what is said of a member: when its process started, then how often it refuted.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub struct Incarnation(pub u64);
+
+impl Incarnation {
+    /// The first incarnation of a process.
+    ///
+    /// ```
+    /// # use monsoonspread_decisions::membership::Incarnation;
+    /// # use monsoonspread_model::UnixMs;
+    /// let first = Incarnation::started_at(UnixMs(7));
+    /// assert!(first.next() > first);
+    /// assert!(first.next().is_same_process(first));
+    /// assert!(Incarnation::started_at(UnixMs(8)) > first.next());
+    /// ```
+    pub fn started_at(started_at: UnixMs) -> Self {
+        Self(started_at.0 << REFUTATION_BITS)
+    }
+
+    /// The incarnation that refutes this one.
+    pub fn next(self) -> Self {
+        Self(self.0 + 1)
+    }
+
+    /// Whether both are of one process.
+    pub fn is_same_process(self, other: Self) -> bool {
+        self.0 >> REFUTATION_BITS == other.0 >> REFUTATION_BITS
+    }
+}
