--- a/crates/load/src/workload/adapter_mix.rs
+++ b/crates/load/src/workload/adapter_mix.rs
@@ -1,6 +1,6 @@
 //! Which adapters are asked for.
 
-use super::Section;
+use monsoonspread_model::toml_check::TableReader;
 
 /// A moment at which popular and cold adapters change places.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -12,13 +12,14 @@
 }
 
 impl Shift {
-    fn read(section: Section<'_>) -> Self {
+    fn read(table: &TableReader<'_>) -> Option<Self> {
+        let at_share = table.float("at_share", 0.0..=1.0);
+        let adapters = table.integer("adapters", 1..=100_000);
         let shift = Self {
-            at_share: section.number("at_share", 0.0..=1.0),
-            adapters: section.whole("adapters", 1..=100_000),
+            at_share: at_share?,
+            adapters: adapters?,
         };
-        section.finish();
-        shift
+        Some(shift)
     }
 }
 
@@ -34,24 +35,26 @@
 }
 
 impl AdapterMix {
-    pub(super) fn read(section: Section<'_>) -> Self {
+    pub(super) fn read(table: &TableReader<'_>) -> Option<Self> {
+        let count = table.integer("count", 1..=100_000);
+        let zipf_exponent = table.float("zipf_exponent", 0.0..=4.0);
+        let shifts = table
+            .tables("shift")
+            .iter()
+            .map(Shift::read)
+            .collect::<Option<Vec<Shift>>>();
         let mix = Self {
-            count: section.whole("count", 1..=100_000),
-            zipf_exponent: section.number("zipf_exponent", 0.0..=4.0),
-            shifts: section
-                .sections("shift")
-                .into_iter()
-                .map(Shift::read)
-                .collect(),
+            count: count?,
+            zipf_exponent: zipf_exponent?,
+            shifts: shifts?,
         };
         if mix
             .shifts
             .iter()
             .any(|shift| shift.adapters * 2 > mix.count)
         {
-            section.fault("shift", "moves more than half of the adapters");
+            table.finding("shift", "moves more than half of the adapters");
         }
-        section.finish();
-        mix
+        Some(mix)
     }
 }
--- a/crates/load/src/workload/arrivals.rs
+++ b/crates/load/src/workload/arrivals.rs
@@ -1,6 +1,6 @@
 //! How requests arrive.
 
-use super::Section;
+use monsoonspread_model::toml_check::TableReader;
 
 /// A sharp rise of the arrivals for a while.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -16,15 +16,18 @@
 }
 
 impl Crest {
-    fn read(section: Section<'_>) -> Self {
+    fn read(table: &TableReader<'_>) -> Option<Self> {
+        let at_share = table.float("at_share", 0.0..=1.0);
+        let hold_s = table.float("hold_s", 0.1..=600.0);
+        let ramp_s = table.float("ramp_s", 0.0..=60.0);
+        let factor = table.float("factor", 1.0..=100.0);
         let crest = Self {
-            at_share: section.number("at_share", 0.0..=1.0),
-            hold_s: section.number("hold_s", 0.1..=600.0),
-            ramp_s: section.number("ramp_s", 0.0..=60.0),
-            factor: section.number("factor", 1.0..=100.0),
+            at_share: at_share?,
+            hold_s: hold_s?,
+            ramp_s: ramp_s?,
+            factor: factor?,
         };
-        section.finish();
-        crest
+        Some(crest)
     }
 
     /// Factor on the base rate `at_s` seconds into a swing phase of `swing_s` seconds.
@@ -46,17 +49,18 @@
 }
 
 impl Arrivals {
-    pub(super) fn read(section: Section<'_>) -> Self {
+    pub(super) fn read(table: &TableReader<'_>) -> Option<Self> {
+        let base_per_s = table.float("base_per_s", 0.1..=10_000.0);
+        let crests = table
+            .tables("crest")
+            .iter()
+            .map(Crest::read)
+            .collect::<Option<Vec<Crest>>>();
         let arrivals = Self {
-            base_per_s: section.number("base_per_s", 0.1..=10_000.0),
-            crests: section
-                .sections("crest")
-                .into_iter()
-                .map(Crest::read)
-                .collect(),
+            base_per_s: base_per_s?,
+            crests: crests?,
         };
-        section.finish();
-        arrivals
+        Some(arrivals)
     }
 
     /// Factor on the base rate `at_s` seconds into the swing phase.
--- a/crates/load/src/workload/class_mix.rs
+++ b/crates/load/src/workload/class_mix.rs
@@ -2,7 +2,7 @@
 
 use monsoonspread_model::RequestClass;
 
-use super::Section;
+use monsoonspread_model::toml_check::TableReader;
 
 /// The requests of one class.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -22,23 +22,27 @@
 }
 
 impl ClassMix {
-    pub(super) fn read(class: RequestClass, section: Section<'_>) -> Self {
+    pub(super) fn read(class: RequestClass, table: &TableReader<'_>) -> Option<Self> {
+        let share = table.float("share", 0.0..=1.0);
+        let min_tokens = table.integer("min_tokens", 1..=100_000);
+        let max_tokens = table.integer("max_tokens", 1..=100_000);
+        let prompt_tokens = table.integer("prompt_tokens", 1..=100_000);
+        let deadline_ms = table.integer("deadline_ms", 1..=600_000);
         let mix = Self {
             class,
-            share: section.number("share", 0.0..=1.0),
-            min_tokens: section.whole("min_tokens", 1..=100_000),
-            max_tokens: section.whole("max_tokens", 1..=100_000),
-            prompt_tokens: section.whole("prompt_tokens", 1..=100_000),
-            deadline_ms: section.whole("deadline_ms", 1..=600_000),
+            share: share?,
+            min_tokens: min_tokens?,
+            max_tokens: max_tokens?,
+            prompt_tokens: prompt_tokens?,
+            deadline_ms: deadline_ms?,
         };
         if mix.min_tokens > mix.max_tokens {
-            section.fault("min_tokens", "must not be above max_tokens");
+            table.finding("min_tokens", "must not be above max_tokens");
         }
         let of_class = |tokens: u64| RequestClass::of_tokens(tokens as u32) == class;
         if !of_class(mix.min_tokens) || !of_class(mix.max_tokens) {
-            section.fault("max_tokens", "does not belong to this class");
+            table.finding("max_tokens", "does not belong to this class");
         }
-        section.finish();
-        mix
+        Some(mix)
     }
 }
--- a/crates/load/src/workload/engine_mix.rs
+++ b/crates/load/src/workload/engine_mix.rs
@@ -1,6 +1,6 @@
 //! The model engines.
 
-use super::Section;
+use monsoonspread_model::toml_check::TableReader;
 
 /// The model engines, spread evenly over the zones.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -28,23 +28,32 @@
 }
 
 impl EngineMix {
-    pub(super) fn read(section: Section<'_>) -> Self {
+    pub(super) fn read(table: &TableReader<'_>) -> Option<Self> {
+        let count = table.integer("count", 1..=1_000);
+        let adapter_slots = table.integer("adapter_slots", 1..=1_000);
+        let batch_places = table.integer("batch_places", 1..=1_000);
+        let step_base_us = table.integer("step_base_us", 1..=1_000_000);
+        let step_per_request_us = table.integer("step_per_request_us", 0..=1_000_000);
+        let prefill_per_token_us = table.integer("prefill_per_token_us", 0..=1_000_000);
+        let report_lag_ms = table.integer("report_lag_ms", 0..=60_000);
+        let checking_share = table.float("checking_share", 0.0..=1.0);
+        let slowed = table.integer("slowed", 0..=1_000);
+        let slowed_factor = table.float("slowed_factor", 1.0..=1_000.0);
         let engines = Self {
-            count: section.whole("count", 1..=1_000),
-            adapter_slots: section.whole("adapter_slots", 1..=1_000),
-            batch_places: section.whole("batch_places", 1..=1_000),
-            step_base_us: section.whole("step_base_us", 1..=1_000_000),
-            step_per_request_us: section.whole("step_per_request_us", 0..=1_000_000),
-            prefill_per_token_us: section.whole("prefill_per_token_us", 0..=1_000_000),
-            report_lag_ms: section.whole("report_lag_ms", 0..=60_000),
-            checking_share: section.number("checking_share", 0.0..=1.0),
-            slowed: section.whole("slowed", 0..=1_000),
-            slowed_factor: section.number("slowed_factor", 1.0..=1_000.0),
+            count: count?,
+            adapter_slots: adapter_slots?,
+            batch_places: batch_places?,
+            step_base_us: step_base_us?,
+            step_per_request_us: step_per_request_us?,
+            prefill_per_token_us: prefill_per_token_us?,
+            report_lag_ms: report_lag_ms?,
+            checking_share: checking_share?,
+            slowed: slowed?,
+            slowed_factor: slowed_factor?,
         };
         if engines.slowed > engines.count {
-            section.fault("slowed", "must not be above count");
+            table.finding("slowed", "must not be above count");
         }
-        section.finish();
-        engines
+        Some(engines)
     }
 }
--- a/crates/load/src/workload/network.rs
+++ b/crates/load/src/workload/network.rs
@@ -1,6 +1,6 @@
 //! Distances.
 
-use super::Section;
+use monsoonspread_model::toml_check::TableReader;
 
 /// One-way delays.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -12,12 +12,13 @@
 }
 
 impl Network {
-    pub(super) fn read(section: Section<'_>) -> Self {
+    pub(super) fn read(table: &TableReader<'_>) -> Option<Self> {
+        let zone_one_way_ms = table.float("zone_one_way_ms", 0.0..=1_000.0);
+        let client_one_way_ms = table.float("client_one_way_ms", 0.0..=1_000.0);
         let network = Self {
-            zone_one_way_ms: section.number("zone_one_way_ms", 0.0..=1_000.0),
-            client_one_way_ms: section.number("client_one_way_ms", 0.0..=1_000.0),
+            zone_one_way_ms: zone_one_way_ms?,
+            client_one_way_ms: client_one_way_ms?,
         };
-        section.finish();
-        network
+        Some(network)
     }
 }
--- a/crates/load/src/workload/phases.rs
+++ b/crates/load/src/workload/phases.rs
@@ -1,6 +1,6 @@
 //! The parts of a run.
 
-use super::Section;
+use monsoonspread_model::toml_check::TableReader;
 
 /// Lengths of a run's phases, which follow each other on the same engines.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -14,14 +14,16 @@
 }
 
 impl Phases {
-    pub(super) fn read(section: Section<'_>) -> Self {
+    pub(super) fn read(table: &TableReader<'_>) -> Option<Self> {
+        let warm_up_s = table.float("warm_up_s", 0.0..=600.0);
+        let steady_s = table.float("steady_s", 1.0..=3_600.0);
+        let swing_s = table.float("swing_s", 1.0..=3_600.0);
         let phases = Self {
-            warm_up_s: section.number("warm_up_s", 0.0..=600.0),
-            steady_s: section.number("steady_s", 1.0..=3_600.0),
-            swing_s: section.number("swing_s", 1.0..=3_600.0),
+            warm_up_s: warm_up_s?,
+            steady_s: steady_s?,
+            swing_s: swing_s?,
         };
-        section.finish();
-        phases
+        Some(phases)
     }
 
     /// Length of the whole run.
--- a/crates/load/src/workload/tests.rs
+++ b/crates/load/src/workload/tests.rs
@@ -6,7 +6,7 @@
 #[test]
 fn shipped_workloads_are_valid() {
     for (file, text) in [("nalverk.toml", NALVERK), ("atcere.toml", ATCERE)] {
-        let workload = Workload::parse(file, text).unwrap_or_else(|list| panic!("{list:?}"));
+        let workload = Workload::parse(file, text).unwrap_or_else(|list| panic!("{list}"));
         assert_eq!(workload.adapters.count, 3_000);
         assert_eq!(workload.engines.count, 18);
     }
@@ -19,20 +19,20 @@
         .replace("load_ms", "load_s")
         .replace("name = \"nalverk\"", "name = 3");
     let findings = Workload::parse("n.toml", &text).unwrap_err();
-    let messages: Vec<String> = findings.iter().map(ToString::to_string).collect();
-    let has = |part: &str| messages.iter().any(|message| message.contains(part));
-    assert!(has("n.toml:2: name must be a text"), "{messages:?}");
+    let messages = findings.to_string();
+    let has = |part: &str| messages.contains(part);
+    assert!(has("n.toml:2: name: must be a string"), "{messages}");
     assert!(
-        has("arrivals.base_per_s must be 0.1 to 10000"),
-        "{messages:?}"
+        has("arrivals.base_per_s: must be from 0.1 to 10000"),
+        "{messages}"
     );
-    assert!(has("weights.load_s is not a known key"), "{messages:?}");
-    assert!(has("weights.load_ms is missing"), "{messages:?}");
+    assert!(has("weights.load_s: is not a known key"), "{messages}");
+    assert!(has("weights.load_ms: is missing"), "{messages}");
 }
 
 #[test]
 fn shares_must_add_up() {
     let text = NALVERK.replacen("share = 0.7", "share = 0.6", 1);
     let findings = Workload::parse("n.toml", &text).unwrap_err();
-    assert!(findings[0].message.contains("not 1"), "{findings:?}");
+    assert!(findings.to_string().contains("not 1"), "{findings}");
 }
--- a/crates/load/src/workload/weights.rs
+++ b/crates/load/src/workload/weights.rs
@@ -1,6 +1,6 @@
 //! The weight store.
 
-use super::Section;
+use monsoonspread_model::toml_check::TableReader;
 
 /// The rate-limited weight store.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -16,14 +16,17 @@
 }
 
 impl Weights {
-    pub(super) fn read(section: Section<'_>) -> Self {
+    pub(super) fn read(table: &TableReader<'_>) -> Option<Self> {
+        let loads_per_s = table.float("loads_per_s", 0.1..=10_000.0);
+        let full_speed_loads = table.integer("full_speed_loads", 1..=10_000);
+        let load_ms = table.integer("load_ms", 1..=60_000);
+        let transit_limit = table.integer("transit_limit", 1..=10_000);
         let weights = Self {
-            loads_per_s: section.number("loads_per_s", 0.1..=10_000.0),
-            full_speed_loads: section.whole("full_speed_loads", 1..=10_000),
-            load_ms: section.whole("load_ms", 1..=60_000),
-            transit_limit: section.whole("transit_limit", 1..=10_000),
+            loads_per_s: loads_per_s?,
+            full_speed_loads: full_speed_loads?,
+            load_ms: load_ms?,
+            transit_limit: transit_limit?,
         };
-        section.finish();
-        weights
+        Some(weights)
     }
 }
