--- a/crates/decisions/src/owner/tests/fixture.rs
+++ b/crates/decisions/src/owner/tests/fixture.rs
@@ -45,6 +45,7 @@
         arrived_at_unix_ms: START,
         deadline_unix_ms: START + 60_000,
         bundle_version: Default::default(),
+        may_load: true,
     }
 }
 
