Add the stand-ins' binary, control listener and fleets

Cause: the stand-ins ran in-process only, and a whole platform took many calls to start.

A fleet starts everything of a plan and joins the upstreams to the instance list. Faults are switched on a control listener of their own, since a crashed stand-in refuses connections on its port.

--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -3,11 +3,15 @@
 //! Each stand-in starts in-process on a loopback port and is driven through its [`Running`]
 //! handle, or from outside through the control listener of the binary.
 
+pub mod cli;
+pub mod control;
 pub mod engine;
 pub mod fault;
+pub mod fleet;
 pub mod instances;
 pub mod marker;
 pub mod pace;
+pub mod run;
 pub mod server;
 pub mod service;
 pub mod store;
@@ -17,6 +21,7 @@
 
 pub use engine::{Engine, EngineSettings};
 pub use fault::{Fault, FaultState};
+pub use fleet::{Fleet, Plan};
 pub use instances::{Instances, InstancesSettings};
 pub use server::{Running, StandIn};
 pub use service::{Service, ServiceSettings};
