Run owners through random interleavings against a small fake engine

Cause: rules that hold one at a time can fail together. Seven properties of 300 seeds and 400 steps each run owners, holders and an engine with messages late, crossed, twice or lost, orders whose answer is lost, late reports, a paused old owner, a death, a drain and a leaving engine. Ends are kept until the request's deadline, and nothing is said of duplicates beyond that. Ruled out: releasing the pins of a gone holder at once; it may only be paused and go on with its stream, so its places are freed and its pins wait for expiry and a report.

--- a/crates/decisions/src/owner/copies.rs
+++ b/crates/decisions/src/owner/copies.rs
@@ -74,6 +74,11 @@
         true
     }
 
+    /// Every copy, owned.
+    pub fn into_rows(self) -> BTreeMap<CopyName, Copy> {
+        self.rows
+    }
+
     /// When the copy called `name` was removed, if that was lately.
     pub fn gone_at(&self, name: &CopyName) -> Option<UnixMs> {
         self.gone
--- a/crates/decisions/src/owner/copy.rs
+++ b/crates/decisions/src/owner/copy.rs
@@ -41,6 +41,8 @@
     pub used_at: UnixMs,
     /// When a report last showed that no request uses it.
     pub unused_at: Option<UnixMs>,
+    /// Whether a former owner handed it over.
+    pub handed_over: bool,
     /// Until when no unload is tried, after one failed.
     pub keep_until: UnixMs,
 }
@@ -53,6 +55,7 @@
             since: now,
             used_at: now,
             unused_at: None,
+            handed_over: false,
             keep_until: now,
         }
     }
--- a/crates/decisions/src/owner/dump.rs
+++ b/crates/decisions/src/owner/dump.rs
@@ -28,8 +28,8 @@
     pub reconciled: bool,
     /// Whether new grants are given.
     pub takes_work: bool,
-    /// Whether it is being handed over.
-    pub draining: bool,
+    /// Whether its ownership is ending.
+    pub ending: bool,
     /// Copies that take a slot.
     pub copies: Vec<CopyDump>,
     /// Batch places in use.
@@ -71,7 +71,7 @@
                 .owned
                 .iter()
                 .map(|(name, owned)| OwnedDump {
-                    draining: set.draining.contains_key(name),
+                    ending: set.exits.contains_key(name),
                     ..OwnedDump::new(owned, now)
                 })
                 .collect(),
@@ -86,7 +86,7 @@
             epoch: owned.epoch,
             reconciled: owned.reconciliation.is_complete(),
             takes_work: owned.takes_work(now),
-            draining: false,
+            ending: false,
             copies: owned
                 .copies
                 .iter()
--- a/crates/decisions/src/owner/grants.rs
+++ b/crates/decisions/src/owner/grants.rs
@@ -88,31 +88,34 @@
                 continue;
             }
             free_place(&mut self.places, grant);
-            grant.lapsed_at = Some(now);
             holders.push(grant.key.instance.clone());
         }
-        self.drop_dead(now);
         holders
     }
 
-    /// Frees the places of grants whose holder is gone; their pins stay until proved unused.
-    pub fn on_holder_gone(&mut self, holder: &InstanceName, now: UnixMs) {
-        for grant in self.rows.values_mut() {
-            if grant.key.instance != *holder || grant.holder_gone {
-                continue;
-            }
+    /// Drops grants that expired this long ago and whose holder is gone.
+    pub fn remove_gone(&mut self, now: UnixMs, after_ms: u64) -> Vec<(GrantId, Outstanding)> {
+        self.remove_where(|grant| grant.holder_gone && grant.expires_at + after_ms <= now)
+    }
+
+    /// Frees the places of grants whose holder is gone. Their pins stay, since a holder that
+    /// was only paused may go on using them.
+    pub fn on_holder_gone(&mut self, holder: &InstanceName) {
+        let held = self.rows.values_mut();
+        for grant in held.filter(|grant| grant.key.instance == *holder) {
             free_place(&mut self.places, grant);
             grant.holder_gone = true;
-            grant.lapsed_at = Some(now);
         }
-        self.drop_dead(now);
     }
 
-    /// Drops lapsed grants on `copy`, which a report taken at `taken_at` shows unused.
-    pub fn on_unused(&mut self, copy: &CopyName, taken_at: UnixMs, margin_ms: u64) {
-        self.remove_where(|grant| {
-            grant.copy == *copy && grant.lapsed_at.is_some_and(|at| at + margin_ms < taken_at)
-        });
+    /// Drops grants that expired before a report was taken which shows their copy unused.
+    pub fn on_report(
+        &mut self,
+        taken_at: UnixMs,
+        margin_ms: u64,
+        is_unused: impl Fn(&CopyName) -> bool,
+    ) -> Vec<(GrantId, Outstanding)> {
+        self.remove_where(|grant| grant.expires_at + margin_ms < taken_at && is_unused(&grant.copy))
     }
 
     /// Every grant, owned.
@@ -120,21 +123,19 @@
         self.rows
     }
 
-    /// Drops grants that have both expired and lost their holder.
-    fn drop_dead(&mut self, now: UnixMs) {
-        self.remove_where(|grant| grant.holder_gone && grant.expires_at <= now);
-    }
-
-    fn remove_where(&mut self, condition: impl Fn(&Outstanding) -> bool) {
+    fn remove_where(
+        &mut self,
+        condition: impl Fn(&Outstanding) -> bool,
+    ) -> Vec<(GrantId, Outstanding)> {
         let ids: Vec<GrantId> = self
             .rows
             .iter()
             .filter(|(_, grant)| condition(grant))
             .map(|(id, _)| *id)
             .collect();
-        for id in ids {
-            self.remove(id);
-        }
+        ids.into_iter()
+            .filter_map(|id| Some((id, self.remove(id)?)))
+            .collect()
     }
 }
 
--- a/crates/decisions/src/owner/mod.rs
+++ b/crates/decisions/src/owner/mod.rs
@@ -10,6 +10,7 @@
 mod dump;
 mod endings;
 mod event;
+mod exit;
 mod grants;
 mod load_budget;
 mod load_failures;
--- a/crates/decisions/src/owner/outstanding.rs
+++ b/crates/decisions/src/owner/outstanding.rs
@@ -22,10 +22,10 @@
     pub granted_at: UnixMs,
     /// When it ends for the accounting of batch places.
     pub expires_at: UnixMs,
+    /// Until when its request may still be sent again.
+    pub repeats_until: UnixMs,
     /// Whether it counts as a batch place.
     pub holds_place: bool,
-    /// Since when its end is only a matter of proof: it expired, or its holder is gone.
-    pub lapsed_at: Option<UnixMs>,
     /// Whether its holder is gone.
     pub holder_gone: bool,
 }
@@ -41,8 +41,8 @@
             tokens: held.tokens,
             granted_at: now,
             expires_at: held.expires_at_unix_ms,
+            repeats_until: held.expires_at_unix_ms,
             holds_place: true,
-            lapsed_at: None,
             holder_gone: false,
         }
     }
--- a/crates/decisions/src/owner/owned.rs
+++ b/crates/decisions/src/owner/owned.rs
@@ -9,7 +9,7 @@
 };
 
 use super::copies::Copies;
-use super::copy::CopyState;
+use super::copy::{Copy, CopyState};
 use super::endings::{Ending, Endings};
 use super::grants::Grants;
 use super::load_failures::LoadFailures;
@@ -50,8 +50,6 @@
     pub failures: LoadFailures,
     /// What is still unknown of former owners' grants.
     pub reconciliation: Reconciliation,
-    /// Whether the former owner said that it gives no order any more.
-    pub handed_over: bool,
     /// When the upstream accepted the fencing number.
     pub fenced_at: Option<UnixMs>,
     /// When the next fencing order is due, for upstreams that check.
@@ -100,7 +98,6 @@
             speed: Speed::default(),
             failures: LoadFailures::default(),
             reconciliation: Reconciliation::complete(now),
-            handed_over: false,
             fenced_at: None,
             next_fence_at: now,
             slots_known: true,
@@ -132,24 +129,35 @@
         PlaceShares::new(self.batch_cap, &self.settings)
     }
 
-    /// Whether copies of older epochs may be granted.
-    pub fn foreign_usable(&self) -> bool {
-        if self.handed_over {
-            return true;
-        }
+    /// Whether a copy may be granted: an older epoch's only when no former owner can unload it.
+    fn is_usable(&self, name: &CopyName, copy: &Copy) -> bool {
+        let is_older = name.epoch < self.epoch;
+        copy.is_loaded() && (name.epoch == self.epoch || (is_older && self.may_use_older(copy)))
+    }
+
+    fn may_use_older(&self, copy: &Copy) -> bool {
+        copy.handed_over || self.is_sole_owner()
+    }
+
+    /// Whether a newer owner has loaded a copy.
+    pub fn is_superseded(&self) -> bool {
+        self.copies.iter().any(|(name, _)| name.epoch > self.epoch)
+    }
+
+    /// Whether no former owner's order can be carried out any more.
+    fn is_sole_owner(&self) -> bool {
         if self.shape.checks_fencing {
             return self.fenced_at.is_some();
         }
         // Without fencing a former owner that is only silent could still unload its copies.
-        self.reconciliation.is_complete() && !self.reconciliation.lost_a_holder
+        self.reconciliation.is_answered_by_all()
     }
 
     /// The loaded copy that a request for `adapter` may be granted on.
     pub fn usable_copy(&self, adapter: &AdapterRef) -> Option<&CopyName> {
-        let foreign_usable = self.foreign_usable();
         self.copies
             .of(adapter)
-            .filter(|(name, copy)| copy.is_loaded() && (name.epoch == self.epoch || foreign_usable))
+            .filter(|(name, copy)| self.is_usable(name, copy))
             .map(|(name, _)| name)
             .last()
     }
@@ -237,6 +245,9 @@
         self.endings = former.endings;
         self.leaving = former.leaving;
         self.started_at = former.started_at;
+        for (name, copy) in former.copies.into_rows() {
+            self.copies.insert(name, copy);
+        }
         for (id, grant) in former.grants.into_rows() {
             self.grants.insert(id, grant);
         }
--- a/crates/decisions/src/owner/owned_grants.rs
+++ b/crates/decisions/src/owner/owned_grants.rs
@@ -32,6 +32,10 @@
         if self.answer_again(now, &key, out) {
             return None;
         }
+        // Whether so late a duplicate ran may be forgotten, so nothing is said of it.
+        if request.deadline_unix_ms + self.settings.clock_margin_ms < now {
+            return None;
+        }
         if self.queue.get(&key).is_some() {
             return Some(key);
         }
@@ -191,8 +195,8 @@
             tokens: request.tokens,
             granted_at: now,
             expires_at: now + life_ms,
+            repeats_until: request.deadline_unix_ms + self.settings.clock_margin_ms,
             holds_place: true,
-            lapsed_at: None,
             holder_gone: false,
         };
         self.reply(&key, granted(id, &grant), out);
@@ -226,8 +230,7 @@
         }
         match returned.outcome {
             GrantOutcome::Done | GrantOutcome::Cancelled => {
-                let until = now + self.settings.ending_kept_ms;
-                self.endings.insert(grant.key, Ending::Returned, until);
+                self.remember_return(now, returned.grant, grant);
             }
             GrantOutcome::CopyMissing => self.on_copy_missing(now, &grant),
             GrantOutcome::Unreachable => self.on_unreachable(now, out),
@@ -235,6 +238,14 @@
         }
     }
 
+    /// Remembers a request that may have run, as long as it may be sent again.
+    pub fn remember_return(&mut self, now: UnixMs, id: GrantId, grant: Outstanding) {
+        let until = grant.repeats_until.max(grant.expires_at);
+        let until = until.max(now + self.settings.ending_kept_ms);
+        self.endings.insert_returned(id);
+        self.endings.insert(grant.key, Ending::Returned, until);
+    }
+
     /// A copy that the upstream does not know was lost, unless it was loaded after the grant.
     fn on_copy_missing(&mut self, now: UnixMs, grant: &Outstanding) {
         let lost = self
@@ -266,6 +277,9 @@
                 holder,
             }));
         }
+        for (id, grant) in self.grants.remove_gone(now, self.settings.grant_min_ms) {
+            self.remember_return(now, id, grant);
+        }
     }
 }
 
--- a/crates/decisions/src/owner/owned_loads.rs
+++ b/crates/decisions/src/owner/owned_loads.rs
@@ -1,5 +1,6 @@
 //! Which adapter one upstream wants loaded next, and what makes room for it.
 
+use std::cmp::Ordering;
 use std::collections::BTreeMap;
 
 use monsoonspread_model::{AdapterRef, CopyName, RequestClass, UnixMs};
@@ -99,10 +100,19 @@
         copy.is_loaded()
             && now >= copy.keep_until
             && self.grants.pins(name) == 0
-            && (name.epoch == self.epoch || self.may_evict_foreign(copy, now))
+            && self.is_accounted_for(name, copy, now)
             && !(self.queue.wants(&name.adapter) && self.usable_copy(&name.adapter) == Some(name))
     }
 
+    /// Whether no unknown grant can be on a copy. Never so for a newer owner's.
+    fn is_accounted_for(&self, name: &CopyName, copy: &Copy, now: UnixMs) -> bool {
+        match name.epoch.cmp(&self.epoch) {
+            Ordering::Less => self.may_evict_foreign(copy, now),
+            Ordering::Equal => true,
+            Ordering::Greater => false,
+        }
+    }
+
     /// What a copy's loss costs, in requests that would need it back.
     fn retention(&self, name: &CopyName, now: UnixMs) -> f64 {
         match self.usable_copy(&name.adapter) == Some(name) {
--- a/crates/decisions/src/owner/owned_orders.rs
+++ b/crates/decisions/src/owner/owned_orders.rs
@@ -172,12 +172,23 @@
             .is_some_and(|copy| copy.state == CopyState::Unloading)
     }
 
-    /// Whether no order is to be answered, or none can be waited for any longer.
-    pub fn is_settled(&self, now: UnixMs) -> bool {
-        let overdue_ms = self.settings.order_retry_ms;
+    /// Whether every order was answered.
+    pub fn is_settled(&self) -> bool {
+        self.copies.iter().all(|(_, copy)| copy.is_loaded())
+    }
+
+    /// Whether no unload may still be carried out.
+    pub fn has_no_unload(&self) -> bool {
         self.copies.iter().all(|(_, copy)| match copy.state {
-            CopyState::Loading | CopyState::Unloading => now.ms_since(copy.since) > overdue_ms,
-            CopyState::Loaded | CopyState::LoadLost | CopyState::UnloadLost => true,
+            CopyState::Unloading | CopyState::UnloadLost => false,
+            CopyState::Loading | CopyState::Loaded | CopyState::LoadLost => true,
+        })
+    }
+
+    /// Whether every order that was not answered is overdue.
+    pub fn is_overdue(&self, now: UnixMs) -> bool {
+        self.copies.iter().all(|(_, copy)| {
+            copy.is_loaded() || now.ms_since(copy.since) > self.settings.order_retry_ms
         })
     }
 
--- a/crates/decisions/src/owner/owned_reports.rs
+++ b/crates/decisions/src/owner/owned_reports.rs
@@ -18,7 +18,7 @@
         let listed = listed_copies(report);
         self.drop_missing(now, report, &listed, out);
         self.take_in_listed(now, report, &listed);
-        self.note_unused(report, &listed);
+        self.note_unused(now, report, &listed);
         self.check_slots_known(report);
         self.started_at = Some(report.started_at_unix_ms);
         self.draining = report.draining;
@@ -101,15 +101,15 @@
             .is_some_and(|gone_at| report.taken_at_unix_ms <= gone_at + margin_ms)
     }
 
-    /// Notes unused copies, which proves that lapsed grants on them have ended.
-    fn note_unused(&mut self, report: &LoadReport, listed: &BTreeMap<CopyName, u32>) {
+    /// Notes unused copies, which proves that expired grants on them have ended.
+    fn note_unused(&mut self, now: UnixMs, report: &LoadReport, listed: &BTreeMap<CopyName, u32>) {
         let taken_at = report.taken_at_unix_ms;
-        for (name, in_use) in listed {
-            if *in_use > 0 {
-                continue;
-            }
-            self.grants
-                .on_unused(name, taken_at, self.settings.clock_margin_ms);
+        let margin_ms = self.settings.clock_margin_ms;
+        let is_unused = |name: &CopyName| listed.get(name).is_none_or(|in_use| *in_use == 0);
+        for (id, grant) in self.grants.on_report(taken_at, margin_ms, is_unused) {
+            self.remember_return(now, id, grant);
+        }
+        for name in listed.keys().filter(|name| is_unused(name)) {
             if let Some(copy) = self.copies.get_mut(name) {
                 copy.unused_at = Some(taken_at);
             }
--- a/crates/decisions/src/owner/owned_succession.rs
+++ b/crates/decisions/src/owner/owned_succession.rs
@@ -18,10 +18,10 @@
 
     /// Begins with what the former owner told.
     pub fn accept_handover(&mut self, now: UnixMs, handover: &Handover) {
-        self.handed_over = true;
         for name in &handover.copies {
-            self.copies
-                .insert(name.clone(), Copy::new(CopyState::Loaded, now));
+            let mut copy = Copy::new(CopyState::Loaded, now);
+            copy.handed_over = true;
+            self.copies.insert(name.clone(), copy);
         }
         for (holder, held) in &handover.grants {
             self.import_grant(now, holder, held);
@@ -94,7 +94,7 @@
         out: &mut Vec<OwnerAction>,
     ) {
         self.queue.remove_instance(instance);
-        self.grants.on_holder_gone(instance, now);
+        self.grants.on_holder_gone(instance);
         if self.reconciliation.on_gone(now, instance) {
             self.on_reconciled(out);
         }
@@ -104,7 +104,7 @@
     pub fn may_evict_foreign(&self, copy: &Copy, now: UnixMs) -> bool {
         let reconciliation = &self.reconciliation;
         let needs_proof_after = match reconciliation.complete_at {
-            Some(_) if self.handed_over || !reconciliation.lost_a_holder => return true,
+            Some(_) if !reconciliation.lost_a_holder => return true,
             Some(complete_at) => complete_at,
             None => reconciliation.grants_end_at,
         };
--- a/crates/decisions/src/owner/reconciliation.rs
+++ b/crates/decisions/src/owner/reconciliation.rs
@@ -8,6 +8,7 @@
 #[derive(Debug)]
 pub(super) struct Reconciliation {
     silent: BTreeSet<InstanceName>,
+    asked_any: bool,
     next_ask_at: UnixMs,
     /// When every grant of a former owner has ended.
     pub grants_end_at: UnixMs,
@@ -22,6 +23,7 @@
     pub fn complete(now: UnixMs) -> Self {
         Self {
             silent: BTreeSet::new(),
+            asked_any: false,
             next_ask_at: now,
             grants_end_at: now,
             lost_a_holder: false,
@@ -34,6 +36,7 @@
         let silent: BTreeSet<InstanceName> = holders.iter().cloned().collect();
         Self {
             complete_at: silent.is_empty().then_some(now),
+            asked_any: !silent.is_empty(),
             silent,
             next_ask_at: now,
             grants_end_at,
@@ -46,6 +49,11 @@
         self.complete_at.is_some()
     }
 
+    /// Whether every instance has reported, so that former owners have stepped down.
+    pub fn is_answered_by_all(&self) -> bool {
+        self.asked_any && self.is_complete() && !self.lost_a_holder
+    }
+
     /// Takes in that an instance reported. Returns whether this was the last one.
     pub fn on_announced(&mut self, now: UnixMs, instance: &InstanceName) -> bool {
         self.silent.remove(instance) && self.check_complete(now)
--- a/crates/decisions/src/owner/set.rs
+++ b/crates/decisions/src/owner/set.rs
@@ -10,6 +10,7 @@
 use rand_chacha::ChaCha8Rng;
 use rand_chacha::rand_core::SeedableRng;
 
+use super::exit::Exit;
 use super::load_budget::LoadBudget;
 use super::owned::Owned;
 use super::request_key::RequestKey;
@@ -31,7 +32,7 @@
     pub(super) instance: InstanceName,
     pub(super) settings: Arc<OwnerSettings>,
     pub(super) owned: BTreeMap<UpstreamName, Owned>,
-    pub(super) draining: BTreeMap<UpstreamName, InstanceName>,
+    pub(super) exits: BTreeMap<UpstreamName, Exit>,
     pub(super) budget: LoadBudget,
     pub(super) peers: BTreeSet<InstanceName>,
     pub(super) next_budget_ask_at: UnixMs,
@@ -52,7 +53,7 @@
             budget: LoadBudget::new(settings.load_rate_per_s, settings.load_burst),
             settings: Arc::new(settings),
             owned: BTreeMap::new(),
-            draining: BTreeMap::new(),
+            exits: BTreeMap::new(),
             peers: BTreeSet::new(),
             next_budget_ask_at: UnixMs(0),
             rng: ChaCha8Rng::seed_from_u64(seed),
@@ -193,6 +194,10 @@
         let mut out = Vec::new();
         if let Some(owned) = self.owned.get_mut(upstream) {
             owned.on_report(now, &report, &mut out);
+            if owned.is_superseded() {
+                self.begin_exit(upstream, Exit::StepDown, &mut out);
+                self.exit_ready(now, &mut out);
+            }
             self.settle(now, upstream, &mut out);
         }
         out
@@ -209,7 +214,7 @@
             owned.ask_holders(now, &mut out);
             owned.repeat_orders(now, &mut out);
         }
-        self.hand_over_ready(now, &mut out);
+        self.exit_ready(now, &mut out);
         self.settle_all(now, &mut out);
         self.ask_for_budget(now, &mut out);
         out
@@ -230,7 +235,7 @@
 
     fn settle_all(&mut self, now: UnixMs, out: &mut Vec<OwnerAction>) {
         for (name, owned) in &mut self.owned {
-            if !self.draining.contains_key(name) {
+            if !self.exits.contains_key(name) {
                 owned.grant_ready(now, out);
             }
         }
@@ -287,9 +292,9 @@
         Some(now + place_wait_ms.max(load_wait_ms))
     }
 
-    /// The upstream, when it is owned and not being handed over.
+    /// The upstream, when it is owned and the ownership is not ending.
     fn serving(&mut self, upstream: &UpstreamName) -> Option<&mut Owned> {
-        if self.draining.contains_key(upstream) {
+        if self.exits.contains_key(upstream) {
             return None;
         }
         self.owned.get_mut(upstream)
--- a/crates/decisions/src/owner/set_budget.rs
+++ b/crates/decisions/src/owner/set_budget.rs
@@ -97,7 +97,7 @@
     fn heaviest_load(&self, now: UnixMs) -> Option<(UpstreamName, LoadPlan)> {
         self.owned
             .iter()
-            .filter(|(name, _)| !self.draining.contains_key(*name))
+            .filter(|(name, _)| !self.exits.contains_key(*name))
             .filter_map(|(name, owned)| Some((name, owned.next_load(now)?)))
             .max_by(|(_, left), (_, right)| left.weight.total_cmp(&right.weight))
             .map(|(name, plan)| (name.clone(), plan))
--- a/crates/decisions/src/owner/set_orders.rs
+++ b/crates/decisions/src/owner/set_orders.rs
@@ -70,7 +70,7 @@
 
     /// Stops owning an upstream that has seen a higher fencing number.
     pub(super) fn step_down(&mut self, upstream: &UpstreamName, out: &mut Vec<OwnerAction>) {
-        self.draining.remove(upstream);
+        self.exits.remove(upstream);
         let Some(mut owned) = self.owned.remove(upstream) else {
             return;
         };
@@ -82,7 +82,7 @@
     }
 
     fn after_order(&mut self, now: UnixMs, upstream: &UpstreamName, out: &mut Vec<OwnerAction>) {
-        self.hand_over_ready(now, out);
+        self.exit_ready(now, out);
         self.settle(now, upstream, out);
     }
 }
--- a/crates/decisions/src/owner/set_succession.rs
+++ b/crates/decisions/src/owner/set_succession.rs
@@ -5,6 +5,7 @@
 use monsoonspread_model::message::{AnnounceRequest, MeshMessage};
 use monsoonspread_model::{Epoch, InstanceName, UnixMs, UpstreamName};
 
+use super::exit::Exit;
 use super::owned::Owned;
 use super::{OwnOrigin, OwnerAction, OwnerEvent, OwnerSet, UpstreamShape};
 
@@ -28,7 +29,7 @@
         holders.iter().for_each(|holder| self.meet(holder));
         let name = upstream.name.clone();
         let former = self.owned.remove(&name);
-        self.draining.remove(&name);
+        self.exits.remove(&name);
         let mut owned = Owned::new(now, upstream, epoch, Arc::clone(&self.settings));
         match &origin {
             OwnOrigin::Fresh => {}
@@ -52,7 +53,7 @@
     /// Ends the ownership of an upstream that the table gave to another instance.
     pub fn on_disown(&mut self, _now: UnixMs, upstream: &UpstreamName) -> Vec<OwnerAction> {
         let mut out = Vec::new();
-        self.draining.remove(upstream);
+        self.exits.remove(upstream);
         if let Some(mut owned) = self.owned.remove(upstream) {
             owned.release(&mut out);
         }
@@ -69,23 +70,37 @@
         out
     }
 
-    /// Steps down when an instance with a higher fencing number asks for grants.
+    /// Stops deciding when an instance with a higher fencing number asks for grants.
     ///
-    /// Called before this instance's own grants are announced, so that the announcement
-    /// tells the new owner that this one gives no order any more.
+    /// This instance then steps down as soon as its last unload was answered. It announces
+    /// its own grants only after that, on a later request, when
+    /// [`may_announce`](Self::may_announce): the announcement tells the new owner that no
+    /// unload of this instance is on its way any more.
     pub fn on_announce_request(
         &mut self,
-        _now: UnixMs,
+        now: UnixMs,
         request: &AnnounceRequest,
     ) -> Vec<OwnerAction> {
         let mut out = Vec::new();
-        let own = self.epoch_of(&request.upstream);
-        if own.is_some_and(|own| own < request.epoch) {
-            self.step_down(&request.upstream, &mut out);
+        if !self.may_announce(&request.upstream, request.epoch) {
+            self.begin_exit(&request.upstream, Exit::StepDown, &mut out);
+            self.exit_ready(now, &mut out);
         }
         out
     }
 
+    /// Whether this instance's grants may be announced to the owner with `epoch`.
+    ///
+    /// ```
+    /// # use monsoonspread_decisions::owner::{OwnerSet, OwnerSettings};
+    /// # use monsoonspread_model::Epoch;
+    /// let owner = OwnerSet::new("entry-1".into(), OwnerSettings::default(), 7);
+    /// assert!(owner.may_announce(&"engine-1".into(), Epoch(2)));
+    /// ```
+    pub fn may_announce(&self, upstream: &UpstreamName, epoch: Epoch) -> bool {
+        self.epoch_of(upstream).is_none_or(|own| own >= epoch)
+    }
+
     /// Hands upstreams over before a planned stop, each when its last order was answered.
     ///
     /// Requests are answered "not owner" from now on. Ticks and answers to orders are to be
@@ -97,36 +112,60 @@
     ) -> Vec<OwnerAction> {
         let mut out = Vec::new();
         for (upstream, successor) in successors {
-            if let Some(owned) = self.owned.get_mut(upstream) {
-                owned.stop_serving(&mut out);
-                self.draining.insert(upstream.clone(), successor.clone());
-            }
+            let exit = Exit::HandOver(successor.clone());
+            self.begin_exit(upstream, exit, &mut out);
         }
-        self.hand_over_ready(now, &mut out);
+        self.exit_ready(now, &mut out);
         out
     }
 
-    /// Hands over the upstreams whose last order was answered or is overdue.
-    pub(super) fn hand_over_ready(&mut self, now: UnixMs, out: &mut Vec<OwnerAction>) {
+    /// Stops serving an upstream whose ownership is to end.
+    pub(super) fn begin_exit(
+        &mut self,
+        upstream: &UpstreamName,
+        exit: Exit,
+        out: &mut Vec<OwnerAction>,
+    ) {
+        if let Some(owned) = self.owned.get_mut(upstream) {
+            owned.stop_serving(out);
+            self.exits.insert(upstream.clone(), exit);
+        }
+    }
+
+    /// Ends the ownerships that are to end and whose last order was answered.
+    pub(super) fn exit_ready(&mut self, now: UnixMs, out: &mut Vec<OwnerAction>) {
         let ready: Vec<UpstreamName> = self
-            .draining
-            .keys()
-            .filter(|name| {
-                self.owned
-                    .get(*name)
-                    .is_none_or(|owned| owned.is_settled(now))
-            })
-            .cloned()
+            .exits
+            .iter()
+            .filter(|(name, exit)| self.may_exit(name, exit, now))
+            .map(|(name, _)| name.clone())
             .collect();
         for upstream in ready {
-            self.hand_over(&upstream, out);
+            match self.exits.remove(&upstream) {
+                Some(Exit::HandOver(successor)) => self.hand_over(&upstream, successor, out),
+                Some(Exit::StepDown) => self.step_down(&upstream, out),
+                None => {}
+            }
         }
     }
 
-    fn hand_over(&mut self, upstream: &UpstreamName, out: &mut Vec<OwnerAction>) {
-        let Some(successor) = self.draining.remove(upstream) else {
-            return;
+    fn may_exit(&self, upstream: &UpstreamName, exit: &Exit, now: UnixMs) -> bool {
+        let Some(owned) = self.owned.get(upstream) else {
+            return true;
         };
+        match exit {
+            // A planned stop does not wait for ever; what is in transit is not handed over.
+            Exit::HandOver(_) => owned.is_settled() || owned.is_overdue(now),
+            Exit::StepDown => owned.has_no_unload(),
+        }
+    }
+
+    fn hand_over(
+        &mut self,
+        upstream: &UpstreamName,
+        successor: InstanceName,
+        out: &mut Vec<OwnerAction>,
+    ) {
         let Some(mut owned) = self.owned.remove(upstream) else {
             return;
         };
--- /dev/null
+++ b/crates/decisions/src/owner/tests/interleavings.rs
@@ -0,0 +1,141 @@
+//! Random interleavings of everything that can happen to an owner.
+
+use quickcheck::{Arbitrary, Gen};
+
+use super::fixture::{engine, settings};
+use super::world::World;
+use crate::owner::{OwnOrigin, OwnerSettings};
+use monsoonspread_model::RequestClass;
+
+/// Runs of each property, each with its own seed.
+const RUNS: u64 = 300;
+/// Steps of one run.
+const STEPS: usize = 400;
+
+fn codes(seed: u64) -> Vec<u32> {
+    let mut generator = Gen::from_size_and_seed(STEPS, seed);
+    (0..STEPS).map(|_| u32::arbitrary(&mut generator)).collect()
+}
+
+fn short_lived() -> OwnerSettings {
+    OwnerSettings {
+        grant_min_ms: 5_000,
+        grant_max_ms: 10_000,
+        ..settings()
+    }
+}
+
+/// Runs random steps with `change` in the middle, and checks after each.
+fn run(seed: u64, fenced: bool, lossy: bool, change: impl Fn(&mut World)) -> World {
+    let mut world = World::new(3, fenced, short_lived());
+    world.lossy = lossy;
+    for (index, code) in codes(seed).into_iter().enumerate() {
+        if index == STEPS / 2 {
+            change(&mut world);
+        }
+        world.step(code);
+        check(&world, seed);
+    }
+    world
+}
+
+fn check(world: &World, seed: u64) {
+    let cut = &world.engine.cut;
+    assert!(
+        cut.is_empty(),
+        "seed {seed}: unloaded while in use: {cut:?}"
+    );
+    for owner in &world.owners {
+        let Some(owned) = owner.owned.get(&engine()) else {
+            continue;
+        };
+        let used = owned.grants.places();
+        let starved = owned.queue.iter().find(|row| {
+            row.request.class == RequestClass::Short
+                && owned.takes_work(world.now)
+                && !owner.exits.contains_key(&engine())
+                && row.in_time(world.now, owned.first_token_ms(world.now))
+                && owned.usable_copy(&row.request.adapter).is_some()
+                && owned.shares().admits(RequestClass::Short, used, true)
+        });
+        assert!(
+            starved.is_none(),
+            "seed {seed}: short work waits: {starved:?}"
+        );
+    }
+}
+
+/// Nothing waits, is granted or is on its way in the end.
+fn check_calm(mut world: World, seed: u64) {
+    world.calm_down();
+    check(&world, seed);
+    let Some(owned) = world.owners[world.owner].owned.get(&engine()) else {
+        return;
+    };
+    assert_eq!(owned.queue.len(), 0, "seed {seed}: requests wait for ever");
+    assert_eq!(owned.grants.len(), 0, "seed {seed}: grants are lost");
+    let known = owned.copies.iter().all(|(_, copy)| copy.is_loaded());
+    assert!(known, "seed {seed}: {:?}", owned.copies);
+}
+
+#[test]
+fn one_owner() {
+    for seed in 0..RUNS {
+        let world = run(seed, seed % 2 == 0, false, |_| {});
+        assert_eq!(world.engine.refused_full, 0, "seed {seed}: over capacity");
+        check_calm(world, seed);
+    }
+}
+
+#[test]
+fn one_owner_with_losses() {
+    for seed in 0..RUNS {
+        let world = run(seed, seed % 2 == 0, true, |_| {});
+        check_calm(world, seed);
+    }
+}
+
+#[test]
+fn a_leaving_upstream() {
+    for seed in 0..RUNS {
+        let world = run(seed, true, true, World::leave);
+        check_calm(world, seed);
+    }
+}
+
+#[test]
+fn a_takeover_with_the_old_owner_running_on_a_fencing_engine() {
+    for seed in 0..RUNS {
+        let world = run(seed, true, true, |world| world.own(1, OwnOrigin::Takeover));
+        check_calm(world, seed);
+    }
+}
+
+#[test]
+fn a_takeover_with_the_old_owner_running_on_an_engine_without_fencing() {
+    for seed in 0..RUNS {
+        let world = run(seed, false, true, |world| world.own(1, OwnOrigin::Takeover));
+        check_calm(world, seed);
+    }
+}
+
+#[test]
+fn a_takeover_after_the_old_owner_died() {
+    for seed in 0..RUNS {
+        let world = run(seed, seed % 2 == 0, true, |world| {
+            world.die(0);
+            world.own(1, OwnOrigin::Takeover);
+            let gone = world.owners[1].on_instance_gone(world.now, &super::world::name(0));
+            world.carry(1, gone);
+        });
+        check_calm(world, seed);
+    }
+}
+
+#[test]
+fn a_planned_handover() {
+    for seed in 0..RUNS {
+        let world = run(seed, seed % 2 == 0, true, |world| world.drain(2));
+        check_calm(world, seed);
+    }
+}
--- a/crates/decisions/src/owner/tests/mod.rs
+++ b/crates/decisions/src/owner/tests/mod.rs
@@ -1,4 +1,8 @@
 //! Tests of the owner.
 
+mod fake_engine;
 mod fixture;
 mod grants;
+mod holder;
+mod interleavings;
+mod world;
--- /dev/null
+++ b/crates/decisions/src/owner/tests/world.rs
@@ -0,0 +1,377 @@
+//! Owners, holders and an engine with messages and orders that arrive late, twice or never.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use monsoonspread_model::message::{
+    GrantAnswer, GrantId, GrantOutcome, GrantReturn, HeldGrant, MeshMessage, RequestId,
+};
+use monsoonspread_model::{Epoch, InstanceName, LoadReport, RequestClass, UnixMs};
+
+use super::fake_engine::{FakeEngine, Order};
+use super::fixture::{START, ended, engine, request};
+use super::holder::{Holder, Reaction, copy_of};
+use crate::owner::{OrderFailure, OwnOrigin, OwnerAction, OwnerSet, OwnerSettings, UpstreamShape};
+
+/// Instances; each may own the engine and hold grants.
+pub const INSTANCES: usize = 3;
+/// Adapters that requests name.
+const ADAPTERS: [&str; 5] = ["a", "b", "c", "d", "e"];
+/// Places in the engine's batch.
+pub const PLACES: u32 = 4;
+
+/// A message on its way.
+struct Envelope {
+    from: usize,
+    to: usize,
+    message: MeshMessage,
+}
+
+/// Everything, with what was seen of it.
+pub struct World {
+    pub now: UnixMs,
+    pub engine: FakeEngine,
+    pub owners: Vec<OwnerSet>,
+    pub holders: Vec<Holder>,
+    pub owner: usize,
+    pub epoch: Epoch,
+    pub leaving: bool,
+    envelopes: Vec<Envelope>,
+    orders: Vec<(usize, Order)>,
+    results: Vec<(usize, Order, Result<(), OrderFailure>)>,
+    reports: Vec<LoadReport>,
+    granted: BTreeMap<(Epoch, usize, RequestId), GrantId>,
+    ran: BTreeSet<(usize, RequestId)>,
+    stepped_down: Vec<Epoch>,
+    next_request: u64,
+    pub lossy: bool,
+}
+
+pub fn name(instance: usize) -> InstanceName {
+    InstanceName::from(format!("entry-{instance}"))
+}
+
+fn index(instance: &InstanceName) -> usize {
+    instance.as_str()["entry-".len()..].parse().unwrap()
+}
+
+impl World {
+    pub fn new(slots: usize, checks_fencing: bool, settings: OwnerSettings) -> Self {
+        let owner = |instance| OwnerSet::new(name(instance), settings.clone(), 1);
+        let mut world = Self {
+            now: START,
+            engine: FakeEngine::new(slots, checks_fencing),
+            owners: (0..INSTANCES).map(owner).collect(),
+            holders: (0..INSTANCES).map(|_| Holder::default()).collect(),
+            owner: 0,
+            epoch: Epoch(0),
+            leaving: false,
+            envelopes: Vec::new(),
+            orders: Vec::new(),
+            results: Vec::new(),
+            reports: Vec::new(),
+            granted: BTreeMap::new(),
+            ran: BTreeSet::new(),
+            stepped_down: Vec::new(),
+            next_request: 0,
+            lossy: true,
+        };
+        world.own(0, OwnOrigin::Fresh);
+        world
+    }
+
+    /// Makes an instance the owner; the former one is not told.
+    pub fn own(&mut self, instance: usize, origin: OwnOrigin) {
+        self.owner = instance;
+        self.epoch = Epoch(self.epoch.0 + 1);
+        let slots = self.engine.slots as u32;
+        let shape = UpstreamShape::new("engine-1", slots, PLACES, self.engine.checks_fencing);
+        let holders: Vec<_> = (0..INSTANCES).map(name).collect();
+        let actions = self.owners[instance].on_own(self.now, shape, self.epoch, origin, &holders);
+        self.carry(instance, actions);
+    }
+
+    /// Does the step that `code` stands for.
+    pub fn step(&mut self, code: u32) {
+        let pick = (code >> 8) as usize;
+        match code % 32 {
+            0..=6 => self.ask(pick),
+            7..=14 => self.deliver(pick, code >> 28),
+            15..=19 => self.carry_out_order(pick, code >> 28),
+            20..=23 => self.deliver_result(pick),
+            24..=26 => self.finish_run(pick),
+            27 => self.withdraw(pick),
+            28 => self.reports.push(self.engine.report(self.now)),
+            29 => self.deliver_report(pick),
+            _ => self.tick([20, 20, 200, 700][pick % 4]),
+        }
+    }
+
+    fn ask(&mut self, pick: usize) {
+        let holder = pick % INSTANCES;
+        let id = RequestId(self.next_request);
+        let class = RequestClass::ALL[pick / 3 % 3];
+        let mut ask = request(id.0, ADAPTERS[pick / 9 % 5]);
+        ask.class = class;
+        ask.priority = (pick / 45 % 2) as u8;
+        ask.deadline_unix_ms = self.now + [300, 2_000, 20_000][pick / 90 % 3];
+        if self.holders[holder].gone {
+            return;
+        }
+        self.next_request += 1;
+        self.holders[holder].waiting.insert(id, ask.clone());
+        self.send(holder, self.owner, MeshMessage::GrantRequest(ask));
+    }
+
+    fn withdraw(&mut self, pick: usize) {
+        let holder = pick % INSTANCES;
+        let Some((request, _)) = self.holders[holder].waiting.pop_first() else {
+            return;
+        };
+        let upstream = engine();
+        let message = MeshMessage::GrantWithdraw { upstream, request };
+        self.send(holder, self.owner, message);
+    }
+
+    fn finish_run(&mut self, pick: usize) {
+        let holder = pick % INSTANCES;
+        if self.holders[holder].running.is_empty() {
+            return;
+        }
+        let index = pick / INSTANCES % self.holders[holder].running.len();
+        let held = self.holders[holder].running.remove(index);
+        self.engine.finish(&copy_of(&held));
+        self.give_back(holder, &held, GrantOutcome::Done);
+    }
+
+    fn give_back(&mut self, holder: usize, held: &HeldGrant, outcome: GrantOutcome) {
+        let returned: GrantReturn = ended(held.grant, outcome);
+        self.send(holder, self.owner, MeshMessage::GrantReturn(returned));
+    }
+
+    fn send(&mut self, from: usize, to: usize, message: MeshMessage) {
+        self.envelopes.push(Envelope { from, to, message });
+    }
+
+    /// Delivers a message out of order, sometimes twice, sometimes never.
+    fn deliver(&mut self, pick: usize, fate: u32) {
+        if self.envelopes.is_empty() {
+            return;
+        }
+        let envelope = self.envelopes.swap_remove(pick % self.envelopes.len());
+        if self.lossy && fate == 0 {
+            return;
+        }
+        if self.lossy && fate == 1 {
+            let copy = envelope.message.clone();
+            self.send(envelope.from, envelope.to, copy);
+        }
+        self.receive(envelope);
+    }
+
+    fn receive(&mut self, envelope: Envelope) {
+        let Envelope { from, to, message } = envelope;
+        if self.holders[to].gone {
+            return;
+        }
+        let (now, sender) = (self.now, name(from));
+        let owner = &mut self.owners[to];
+        let actions = match message {
+            MeshMessage::GrantRequest(ask) => owner.on_request(now, &sender, ask),
+            MeshMessage::GrantReturn(returned) => {
+                self.granted.retain(|_, grant| *grant != returned.grant);
+                owner.on_return(now, &sender, returned)
+            }
+            MeshMessage::GrantWithdraw { upstream, request } => {
+                let withdrawn = (from, request);
+                self.granted.retain(|key, _| (key.1, key.2) != withdrawn);
+                owner.on_withdraw(now, &sender, &upstream, request)
+            }
+            MeshMessage::Announce(announce) => owner.on_announce(now, &sender, announce),
+            MeshMessage::AnnounceRequest(ask) => {
+                let actions = owner.on_announce_request(now, &ask);
+                if owner.may_announce(&ask.upstream, ask.epoch)
+                    && let Some(announce) = self.holders[to].announce(ask.epoch)
+                {
+                    self.send(to, from, MeshMessage::Announce(announce));
+                }
+                actions
+            }
+            MeshMessage::GrantReply(reply) => {
+                let reaction = self.holders[to].on_reply(now, &reply);
+                self.react(to, reaction);
+                Vec::new()
+            }
+            MeshMessage::Handover(handover) => {
+                self.own(to, OwnOrigin::Handover(handover));
+                Vec::new()
+            }
+            _ => Vec::new(),
+        };
+        self.carry(to, actions);
+    }
+
+    fn react(&mut self, holder: usize, reaction: Reaction) {
+        match reaction {
+            Reaction::Run(held) if self.engine.start(&copy_of(&held)) => {
+                self.ran.insert((holder, held.request));
+                self.holders[holder].running.push(held);
+            }
+            Reaction::Run(held) => self.give_back(holder, &held, GrantOutcome::CopyMissing),
+            Reaction::GiveBack(held) => self.give_back(holder, &held, GrantOutcome::Cancelled),
+            Reaction::Ignore => {}
+        }
+    }
+
+    fn carry_out_order(&mut self, pick: usize, fate: u32) {
+        if self.orders.is_empty() {
+            return;
+        }
+        let (by, order) = self.orders.swap_remove(pick % self.orders.len());
+        let result = match fate {
+            0 if self.lossy => Err(OrderFailure::Unreachable),
+            1 if self.lossy => Err(OrderFailure::Failed),
+            2 if self.lossy => {
+                let _ = self.engine.carry_out(&order);
+                Err(OrderFailure::AnswerLost)
+            }
+            _ => self.engine.carry_out(&order),
+        };
+        self.results.push((by, order, result));
+    }
+
+    fn deliver_result(&mut self, pick: usize) {
+        if self.results.is_empty() {
+            return;
+        }
+        let (to, order, result) = self.results.swap_remove(pick % self.results.len());
+        let (now, upstream, owner) = (self.now, engine(), &mut self.owners[to]);
+        let actions = match &order {
+            Order::Load(copy) => owner.on_load_result(now, &upstream, copy, result),
+            Order::Unload(copy, _) => owner.on_unload_result(now, &upstream, copy, result),
+            Order::Fence(epoch) => owner.on_fence_result(now, &upstream, *epoch, result),
+        };
+        self.carry(to, actions);
+    }
+
+    fn deliver_report(&mut self, pick: usize) {
+        if self.reports.is_empty() {
+            return;
+        }
+        let report = self.reports.swap_remove(pick % self.reports.len());
+        for instance in 0..INSTANCES {
+            let now = self.now;
+            let actions = self.owners[instance].on_report(now, &engine(), report.clone());
+            self.carry(instance, actions);
+        }
+    }
+
+    pub fn tick(&mut self, ms: u64) {
+        self.now = self.now + ms;
+        for instance in 0..INSTANCES {
+            if !self.holders[instance].gone {
+                let actions = self.owners[instance].on_tick(self.now);
+                self.carry(instance, actions);
+            }
+        }
+    }
+
+    pub fn leave(&mut self) {
+        for instance in 0..INSTANCES {
+            let actions = self.owners[instance].on_leaving(self.now, &engine());
+            self.carry(instance, actions);
+        }
+        self.leaving = true;
+    }
+
+    /// An instance dies; what it ran is cancelled.
+    pub fn die(&mut self, instance: usize) {
+        for held in std::mem::take(&mut self.holders[instance].running) {
+            self.engine.finish(&copy_of(&held));
+        }
+        self.holders[instance].gone = true;
+        for other in 0..INSTANCES {
+            let actions = self.owners[other].on_instance_gone(self.now, &name(instance));
+            self.carry(other, actions);
+        }
+    }
+
+    pub fn drain(&mut self, successor: usize) {
+        let to = [(engine(), name(successor))];
+        let actions = self.owners[self.owner].on_drain(self.now, &to);
+        self.carry(self.owner, actions);
+    }
+
+    /// Puts actions on their way and checks each.
+    pub fn carry(&mut self, by: usize, actions: Vec<OwnerAction>) {
+        for action in actions {
+            match action {
+                OwnerAction::Send { to, message } => {
+                    self.check_answer(by, &to, &message);
+                    self.send(by, index(&to), message);
+                }
+                OwnerAction::Load { copy, .. } => self.order(by, Order::Load(copy)),
+                OwnerAction::Unload { copy, epoch, .. } => {
+                    self.order(by, Order::Unload(copy, epoch));
+                }
+                OwnerAction::Fence { epoch, .. } => self.order(by, Order::Fence(epoch)),
+                OwnerAction::StepDown { epoch, .. } => self.stepped_down.push(epoch),
+                OwnerAction::Event(_) => {}
+            }
+        }
+    }
+
+    fn order(&mut self, by: usize, order: Order) {
+        assert!(
+            !self.stepped_down.contains(&order.epoch()),
+            "ordered after stepping down: {order:?}"
+        );
+        self.orders.push((by, order));
+    }
+
+    fn check_answer(&mut self, by: usize, to: &InstanceName, message: &MeshMessage) {
+        let MeshMessage::GrantReply(reply) = message else {
+            return;
+        };
+        let key = (reply.epoch, index(to), reply.request);
+        match reply.answer {
+            GrantAnswer::Granted { grant, .. } => {
+                let former = self.granted.insert(key, grant);
+                let again = former == Some(grant);
+                assert!(former.is_none() || again, "two grants for {key:?}");
+                assert!(again || !self.leaving, "granted on a leaving upstream");
+                let places: u32 = self.places_used(by);
+                assert!(again || places <= PLACES, "{places} places used");
+            }
+            GrantAnswer::NotRun(ref refusal) => {
+                let ran = self.ran.contains(&(key.1, key.2));
+                assert!(
+                    refusal.not_run && !ran,
+                    "not run said of {key:?}, which ran"
+                );
+            }
+            GrantAnswer::Queued { .. } | GrantAnswer::NotOwner => {}
+        }
+    }
+
+    fn places_used(&self, by: usize) -> u32 {
+        let owned = self.owners[by].owned.get(&engine());
+        owned.map_or(0, |owned| owned.grants.places_used())
+    }
+
+    /// Delivers everything until nothing is left to do.
+    pub fn calm_down(&mut self) {
+        self.lossy = false;
+        for round in 0..3_000 {
+            self.deliver(round, 9);
+            self.carry_out_order(round, 9);
+            self.deliver_result(round);
+            self.finish_run(round);
+            if round % 10 == 0 {
+                self.reports.clear();
+                self.reports.push(self.engine.report(self.now));
+                self.deliver_report(0);
+                self.tick(500);
+            }
+        }
+    }
+}
