--- /dev/null
+++ b/crates/decisions/src/dispatch/dispatcher.rs
@@ -0,0 +1,374 @@
+//! The dispatcher of one entry instance.
+
+use std::collections::{BTreeMap, HashMap};
+
+use monsoonspread_model::message::{
+    Announce, AnnounceRequest, CrashNotice, GrantAnswer, GrantId, GrantOutcome, GrantReply,
+    GrantReturn, HeldGrant, RequestId,
+};
+use monsoonspread_model::{
+    Epoch, InstanceName, Refusal, RefusalReason, UnixMs, UpstreamName, ZoneName,
+};
+
+use super::action::{DispatchAction, DispatchEvent};
+use super::attempt::{Attempt, AttemptId};
+use super::dump::DispatchDump;
+use super::request::NewRequest;
+use super::settings::DispatchSettings;
+use super::state::RequestState;
+use crate::placement::{CandidateUpstream, Placement};
+use crate::quarantine::Quarantine;
+use crate::retry_budget::RetryBudget;
+use crate::straggler::StragglerBoard;
+
+/// Every model request in flight on one entry instance.
+#[derive(Debug)]
+pub struct Dispatcher {
+    pub(super) settings: DispatchSettings,
+    pub(super) placement: Placement,
+    pub(super) board: StragglerBoard,
+    pub(super) retries: RetryBudget,
+    pub(super) hedges: RetryBudget,
+    pub(super) quarantine: Quarantine,
+    pub(super) requests: BTreeMap<RequestId, RequestState>,
+    /// The highest fencing number seen of each upstream.
+    pub(super) epochs: HashMap<UpstreamName, Epoch>,
+}
+
+impl Dispatcher {
+    /// A dispatcher without requests, as seen from `zone`.
+    ///
+    /// ```
+    /// # use monsoonspread_decisions::dispatch::{Dispatcher, DispatchSettings};
+    /// let dispatcher = Dispatcher::new("vestland-1".into(), DispatchSettings::default());
+    /// assert_eq!(dispatcher.in_flight(), 0);
+    /// ```
+    pub fn new(zone: ZoneName, settings: DispatchSettings) -> Self {
+        Self {
+            placement: Placement::new(zone, settings.placement.clone()),
+            board: StragglerBoard::new(),
+            retries: RetryBudget::new(settings.retry_ratio, settings.budget_burst),
+            hedges: RetryBudget::new(settings.hedge_ratio, settings.budget_burst),
+            quarantine: Quarantine::new(),
+            requests: BTreeMap::new(),
+            epochs: HashMap::new(),
+            settings,
+        }
+    }
+
+    /// Requests without a result yet.
+    pub fn in_flight(&self) -> usize {
+        self.requests.len()
+    }
+
+    /// Replaces the upstreams that may be asked for: live ones whose zone can be reached.
+    pub fn on_upstreams(&mut self, upstreams: Vec<CandidateUpstream>) {
+        self.placement.on_upstreams(upstreams);
+        let placement = &self.placement;
+        self.board.retain(|upstream| placement.contains(upstream));
+    }
+
+    /// Sets how many instances of the region share the demand, this one included.
+    pub fn on_sharing_instances(&mut self, instances: usize) {
+        self.placement.on_sharing_instances(instances);
+    }
+
+    /// Takes a new request.
+    pub fn on_request(&mut self, now: UnixMs, request: NewRequest) -> Vec<DispatchAction> {
+        let id = request.request;
+        if let Some(refusal) = self.refused_at_once(now, &request) {
+            let result = Err(refusal);
+            return vec![DispatchAction::Finish {
+                request: id,
+                result,
+            }];
+        }
+        self.retries.earn();
+        self.hedges.earn();
+        let adapter = &request.adapter.adapter;
+        self.placement.on_arrival(now, adapter);
+        let candidates = self.placement.candidates(now, adapter);
+        let candidates = self.slow_last(now, &request, candidates);
+        let state = RequestState::new(now, request, candidates);
+        self.requests.insert(id, state);
+        let mut actions = Vec::new();
+        self.ask_next(now, id, true, &mut actions);
+        self.finish_if_stuck(now, id, &mut actions);
+        actions
+    }
+
+    /// Takes an owner's answer.
+    pub fn on_reply(&mut self, now: UnixMs, reply: &GrantReply) -> Vec<DispatchAction> {
+        let mut actions = Vec::new();
+        let stale = self.see_epoch(&reply.upstream, reply.epoch);
+        match &reply.answer {
+            GrantAnswer::Granted { grant, .. } if stale => {
+                self.give_back(&reply.upstream, *grant, &mut actions);
+                self.ask_again(now, reply.request, &reply.upstream);
+            }
+            GrantAnswer::Granted { .. } => self.on_granted(now, reply, &mut actions),
+            GrantAnswer::Queued {
+                expected_at_unix_ms,
+            } => {
+                self.on_queued(now, reply, *expected_at_unix_ms, &mut actions);
+            }
+            GrantAnswer::NotRun(refusal) => self.on_refused(now, reply, refusal, &mut actions),
+            GrantAnswer::NotOwner => self.ask_again(now, reply.request, &reply.upstream),
+        }
+        self.finish_if_stuck(now, reply.request, &mut actions);
+        actions
+    }
+
+    /// The owner of `upstream` could not be reached, or nobody owns it.
+    pub fn on_ask_failed(
+        &mut self,
+        now: UnixMs,
+        request: RequestId,
+        upstream: &UpstreamName,
+    ) -> Vec<DispatchAction> {
+        let mut actions = Vec::new();
+        if let Some(state) = self.requests.get_mut(&request)
+            && state.take_ask(upstream).is_some()
+        {
+            self.retry(now, request, &mut actions);
+            self.finish_if_stuck(now, request, &mut actions);
+        }
+        actions
+    }
+
+    /// The first token of a generation arrived.
+    pub fn on_first_token(
+        &mut self,
+        now: UnixMs,
+        request: RequestId,
+        attempt: AttemptId,
+    ) -> Vec<DispatchAction> {
+        let mut actions = Vec::new();
+        let Some(state) = self.requests.get_mut(&request) else {
+            return actions;
+        };
+        let Some(started) = state.attempt(attempt) else {
+            return actions;
+        };
+        if started.first_token_at.is_none() {
+            started.first_token_at = Some(now);
+            let waited_ms = now.ms_since(started.started_at);
+            self.board.on_first_token(now, &started.upstream, waited_ms);
+        }
+        if state.chosen.is_none() {
+            state.chosen = Some(attempt);
+            actions.push(DispatchAction::Choose { request, attempt });
+            self.drop_others(request, attempt, &mut actions);
+        }
+        actions
+    }
+
+    /// The caller went away: nothing is wanted any more.
+    pub fn on_caller_gone(&mut self, request: RequestId) -> Vec<DispatchAction> {
+        let mut actions = Vec::new();
+        if let Some(state) = self.requests.remove(&request) {
+            release(state, &mut actions);
+        }
+        actions
+    }
+
+    /// A new owner asks for outstanding grants; grants of older epochs are dropped from now on.
+    pub fn on_announce_request(
+        &mut self,
+        from: &InstanceName,
+        ask: &AnnounceRequest,
+    ) -> Vec<DispatchAction> {
+        self.see_epoch(&ask.upstream, ask.epoch);
+        let announce = Announce {
+            upstream: ask.upstream.clone(),
+            epoch: ask.epoch,
+            grants: self.held(&ask.upstream),
+        };
+        let to = from.clone();
+        vec![DispatchAction::Announce { to, announce }]
+    }
+
+    /// A peer saw a request crash an upstream.
+    pub fn on_crash_notice(&mut self, now: UnixMs, notice: &CrashNotice) -> Vec<DispatchAction> {
+        if self.quarantine.on_crash(now, notice) {
+            return self.quarantine_event(now, notice.fingerprint);
+        }
+        Vec::new()
+    }
+
+    /// Time passed; to be called every 20 ms or so.
+    pub fn on_tick(&mut self, now: UnixMs) -> Vec<DispatchAction> {
+        let mut actions = Vec::new();
+        self.board.on_tick();
+        self.watch_waiting(now);
+        let ids: Vec<RequestId> = self.requests.keys().copied().collect();
+        for id in ids {
+            self.expire_grants(now, id, &mut actions);
+            self.expire_request(now, id, &mut actions);
+            self.expire_asks(now, id, &mut actions);
+            self.hedge_if_slow(now, id, &mut actions);
+            self.finish_if_stuck(now, id, &mut actions);
+        }
+        actions
+    }
+
+    /// Every outstanding grant on `upstream`.
+    pub fn held(&self, upstream: &UpstreamName) -> Vec<HeldGrant> {
+        self.requests
+            .values()
+            .flat_map(|state| &state.attempts)
+            .filter(|attempt| attempt.upstream == *upstream)
+            .map(|attempt| attempt.held.clone())
+            .collect()
+    }
+
+    /// Describes the dispatcher without any caller's text.
+    pub fn dump(&self, now: UnixMs) -> DispatchDump {
+        let states = self.requests.values();
+        DispatchDump {
+            requests: self.requests.len(),
+            waiting_for_grant: states.clone().filter(|s| s.attempts.is_empty()).count(),
+            generations: states.map(|state| state.attempts.len()).sum(),
+            retry_tokens: self.retries.tokens(),
+            hedge_tokens: self.hedges.tokens(),
+            speeds: self.board.dump(now),
+            quarantine: self.quarantine.dump(now),
+        }
+    }
+
+    fn refused_at_once(&self, now: UnixMs, request: &NewRequest) -> Option<Refusal> {
+        if let Some(until) = self.quarantine.refused_until(now, request.fingerprint) {
+            let message = "this request crashed two upstreams and is refused until it is changed";
+            let refusal = Refusal::not_run(RefusalReason::Quarantined, message);
+            return Some(refusal.with_retry_at(until));
+        }
+        if request.deadline_unix_ms <= now {
+            return Some(Refusal::not_run(
+                RefusalReason::DeadlineExceeded,
+                "the deadline had passed when the request arrived",
+            ));
+        }
+        None
+    }
+
+    /// Stops every other generation and ask of a request.
+    fn drop_others(
+        &mut self,
+        request: RequestId,
+        chosen: AttemptId,
+        actions: &mut Vec<DispatchAction>,
+    ) {
+        let Some(state) = self.requests.get_mut(&request) else {
+            return;
+        };
+        let (kept, dropped): (Vec<_>, Vec<_>) = std::mem::take(&mut state.attempts)
+            .into_iter()
+            .partition(|attempt| attempt.id == chosen);
+        state.attempts = kept;
+        for attempt in dropped {
+            cancel(request, &attempt, actions);
+        }
+        withdraw_asks(state, actions);
+    }
+
+    /// Ends a request that has nothing left to wait for.
+    pub(super) fn finish_if_stuck(
+        &mut self,
+        now: UnixMs,
+        id: RequestId,
+        actions: &mut Vec<DispatchAction>,
+    ) {
+        let Some(state) = self.requests.get(&id) else {
+            return;
+        };
+        if !state.is_waiting() {
+            return;
+        }
+        let refusal = self.stuck_refusal(now, state);
+        self.finish(id, Err(refusal), actions);
+    }
+
+    fn stuck_refusal(&self, now: UnixMs, state: &RequestState) -> Refusal {
+        let retry_at = now + self.settings.retry_after_ms;
+        if state.may_have_run {
+            let message = "the upstream failed while it ran the request";
+            return Refusal::may_have_run(RefusalReason::UpstreamFailed, message)
+                .with_retry_at(retry_at);
+        }
+        let unavailable = || {
+            let message = format!(
+                "no upstream could be reached for adapter \"{}\"",
+                state.request.adapter
+            );
+            Refusal::not_run(RefusalReason::Unavailable, message).with_retry_at(retry_at)
+        };
+        state.refusal.clone().unwrap_or_else(unavailable)
+    }
+
+    pub(super) fn finish(
+        &mut self,
+        request: RequestId,
+        result: Result<(), Refusal>,
+        actions: &mut Vec<DispatchAction>,
+    ) {
+        let Some(state) = self.requests.remove(&request) else {
+            return;
+        };
+        actions.push(DispatchAction::Finish { request, result });
+        release(state, actions);
+    }
+
+    pub(super) fn quarantine_event(&self, now: UnixMs, fingerprint: u64) -> Vec<DispatchAction> {
+        if self.quarantine.refused_until(now, fingerprint).is_none() {
+            return Vec::new();
+        }
+        let event = DispatchEvent::Quarantined { fingerprint };
+        vec![DispatchAction::Event(event)]
+    }
+}
+
+/// Gives back everything that a request still holds.
+fn release(mut state: RequestState, actions: &mut Vec<DispatchAction>) {
+    let request = state.request.request;
+    for attempt in std::mem::take(&mut state.attempts) {
+        cancel(request, &attempt, actions);
+    }
+    withdraw_asks(&mut state, actions);
+}
+
+fn cancel(request: RequestId, attempt: &Attempt, actions: &mut Vec<DispatchAction>) {
+    actions.push(DispatchAction::Cancel {
+        request,
+        attempt: attempt.id,
+    });
+    let back = unused(&attempt.upstream, attempt.held.grant);
+    actions.push(DispatchAction::Return(back));
+}
+
+pub(super) fn withdraw_asks(state: &mut RequestState, actions: &mut Vec<DispatchAction>) {
+    for ask in std::mem::take(&mut state.asks) {
+        withdraw(&ask.upstream, state.request.request, actions);
+    }
+}
+
+pub(super) fn withdraw(
+    upstream: &UpstreamName,
+    request: RequestId,
+    actions: &mut Vec<DispatchAction>,
+) {
+    actions.push(DispatchAction::Withdraw {
+        upstream: upstream.clone(),
+        request,
+    });
+}
+
+pub(super) fn unused(upstream: &UpstreamName, grant: GrantId) -> GrantReturn {
+    GrantReturn {
+        upstream: upstream.clone(),
+        grant,
+        outcome: GrantOutcome::Cancelled,
+        first_token_ms: None,
+        token_gap_us: None,
+        tokens: 0,
+    }
+}
