Compare baselines side by side against the stand-ins

Cause: figures of a policy mean something only beside others on the same plan. Each policy plays warm-up, the steady phase without long work, with it and with slowed engines, then the swing phase, against fresh stand-ins. The engines' records are audited against the plan: wrong adapters, false 'not run', requests run again. Processor use and the worst send lag are printed, so that a run bound by the machine is recognised.

--- a/crates/load/src/cli.rs
+++ b/crates/load/src/cli.rs
@@ -4,6 +4,8 @@
 
 use clap::{Args, Parser, Subcommand};
 
+use crate::policy::PolicyName;
+
 /// Compares policies under open-loop load and measures how costs grow.
 #[derive(Debug, Parser)]
 #[command(name = "monsoonspread-load", version)]
@@ -16,10 +18,37 @@
 /// What to do.
 #[derive(Debug, Subcommand)]
 pub enum Command {
+    /// Plays a workload under several policies and prints one table.
+    Compare(CompareArgs),
     /// Measures bytes and time at several sizes and fits a line to each.
     Slopes(SlopesArgs),
 }
 
+/// Arguments of `compare`.
+#[derive(Args, Debug)]
+pub struct CompareArgs {
+    /// The workload.
+    #[arg(long, value_name = "FILE")]
+    pub workload: PathBuf,
+    /// Scales the phases so that each policy's run takes this long.
+    #[arg(long, value_name = "SECONDS", value_parser = clap::value_parser!(u64).range(5..=86_400))]
+    pub seconds: Option<u64>,
+    /// Policies to compare.
+    #[arg(
+        long,
+        value_enum,
+        value_delimiter = ',',
+        default_value = "random,least-loaded,hash"
+    )]
+    pub policies: Vec<PolicyName>,
+    /// Writes every figure as JSON.
+    #[arg(long, value_name = "FILE")]
+    pub json: Option<PathBuf>,
+    /// Writes plots into this directory, which is created when it is missing.
+    #[arg(long, value_name = "DIR")]
+    pub svg_dir: Option<PathBuf>,
+}
+
 /// Arguments of `slopes`.
 #[derive(Args, Debug)]
 pub struct SlopesArgs {
--- a/crates/load/src/client/mod.rs
+++ b/crates/load/src/client/mod.rs
@@ -123,7 +123,7 @@
     });
     let mut builder = Request::post(format!("http://{}/v1/completions", target.address))
         .header(header::CONTENT_TYPE, "application/json")
-        .header(REQUEST_ID_HEADER, format!("load-{}", request.id))
+        .header(REQUEST_ID_HEADER, marker(request))
         .header(DEADLINE_HEADER, left_ms);
     if let Some(key) = &target.api_key {
         builder = builder.header(header::AUTHORIZATION, format!("Bearer {key}"));
@@ -133,11 +133,16 @@
         .expect("addresses and keys form a valid request")
 }
 
+/// The word by which the stand-ins' records follow `request`.
+pub fn marker(request: &PlannedRequest) -> String {
+    format!("load-{}", request.id)
+}
+
 /// A prompt whose beginning is the adapter's own and whose end is the request's own.
 fn prompt(request: &PlannedRequest) -> String {
     let mut words = vec![format!("notes-{}", request.adapter)];
     words.extend((2..request.prompt_tokens).map(|word| format!("w{}", word % 100)));
-    words.push(format!("request-{}", request.id));
+    words.push(format!("marker:{}", marker(request)));
     words.join(" ")
 }
 
--- a/crates/load/src/commands.rs
+++ b/crates/load/src/commands.rs
@@ -4,9 +4,12 @@
 
 use serde::Serialize;
 
-use crate::cli::{Cli, Command, SlopesArgs};
+use crate::cli::{Cli, Command, CompareArgs, SlopesArgs};
+use crate::compare;
 use crate::error::LoadError;
+use crate::report;
 use crate::slopes::{self, Probe, Slope};
+use crate::workload::Workload;
 
 /// Runs the command that was asked for.
 ///
@@ -15,10 +18,33 @@
 /// Fails when a file can't be read or written, or what it holds is faulty.
 pub fn run(cli: &Cli) -> Result<(), LoadError> {
     match &cli.command {
+        Command::Compare(args) => run_compare(args),
         Command::Slopes(args) => run_slopes(args),
     }
 }
 
+fn run_compare(args: &CompareArgs) -> Result<(), LoadError> {
+    let mut workload = read_workload(&args.workload)?;
+    if let Some(seconds) = args.seconds {
+        workload.phases = workload.phases.scaled_to(seconds as f64);
+    }
+    let runtime = tokio::runtime::Runtime::new().map_err(LoadError::Runtime)?;
+    let comparison = runtime.block_on(compare::compare(&workload, &args.policies))?;
+    print!("{}", report::table(&comparison));
+    if let Some(directory) = &args.svg_dir {
+        report::write_plots(directory, &comparison)?;
+    }
+    write_json(args.json.as_deref(), &comparison)
+}
+
+fn read_workload(file: &Path) -> Result<Workload, LoadError> {
+    let text = std::fs::read_to_string(file).map_err(|source| LoadError::Read {
+        file: file.to_owned(),
+        source,
+    })?;
+    Workload::parse(&file.to_string_lossy(), &text).map_err(LoadError::Workload)
+}
+
 fn run_slopes(args: &SlopesArgs) -> Result<(), LoadError> {
     let slopes: Vec<Slope> = slopes::probes().iter().map(Probe::run).collect();
     print!("{}", slopes::table(&slopes));
--- a/crates/load/src/compare/player.rs
+++ b/crates/load/src/compare/player.rs
@@ -1,5 +1,6 @@
 //! Playing the requests of a phase in open loop.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -47,38 +48,55 @@
 
     async fn serve(&self, request: PlannedRequest, planned_at: Instant) -> Outcome {
         let sent_late = planned_at.elapsed();
-        let give_up_at =
-            planned_at + Duration::from_millis(request.deadline_ms) - self.client_one_way;
         tokio::time::sleep_until((planned_at + self.client_one_way).into()).await;
         let mut tried = Vec::new();
-        let (ending, first_token_at) = loop {
-            let Some(target) = self.policy.target(&request, &tried) else {
-                break (Ending::Broken("no target is left".to_owned()), None);
-            };
-            tried.push(target.address);
-            match self.client.send(&target, &request, give_up_at).await {
-                Attempt::Ended {
-                    ending,
-                    first_token_at,
-                } => break (ending, first_token_at),
-                Attempt::NotSent(_) | Attempt::Refused { not_run: true, .. }
-                    if self.may_retry(&tried, give_up_at) => {}
-                Attempt::NotSent(error) => break (Ending::Broken(error), None),
-                Attempt::Refused { reason, .. } => break (Ending::Refused(reason), None),
-            }
-        };
+        let attempt = self.attempt(&request, planned_at, &mut tried).await;
         let seen_after = |at: Instant| (at + self.client_one_way).duration_since(planned_at);
+        let (ending, said_not_run, first_token_at) = match attempt {
+            Attempt::NotSent(error) => (Ending::Broken(error), false, None),
+            Attempt::Refused {
+                reason, not_run, ..
+            } => (Ending::Refused(reason), not_run, None),
+            Attempt::Ended {
+                ending,
+                first_token_at,
+            } => (ending, false, first_token_at),
+        };
         Outcome {
             request,
             ending,
             first_token_us: first_token_at.map(|at| seen_after(at).as_micros() as u64),
             total_us: seen_after(Instant::now()).as_micros() as u64,
             sent_late_us: sent_late.as_micros() as u64,
+            said_not_run,
             tries: tried.len() as u32,
         }
     }
 
-    fn may_retry(&self, tried: &[std::net::SocketAddr], give_up_at: Instant) -> bool {
-        tried.len() < MAX_TRIES && Instant::now() < give_up_at
+    /// Sends the request, again to another target while it certainly did not run.
+    async fn attempt(
+        &self,
+        request: &PlannedRequest,
+        planned_at: Instant,
+        tried: &mut Vec<SocketAddr>,
+    ) -> Attempt {
+        let deadline = Duration::from_millis(request.deadline_ms);
+        let give_up_at = planned_at + deadline - self.client_one_way;
+        loop {
+            let Some(target) = self.policy.target(request, tried) else {
+                return Attempt::NotSent("no target is left".to_owned());
+            };
+            tried.push(target.address);
+            let attempt = self.client.send(&target, request, give_up_at).await;
+            let may_retry = tried.len() < MAX_TRIES && Instant::now() < give_up_at;
+            let did_not_run = match &attempt {
+                Attempt::NotSent(_) => true,
+                Attempt::Refused { not_run, .. } => *not_run && self.policy.retries_refusals(),
+                Attempt::Ended { .. } => false,
+            };
+            if !may_retry || !did_not_run {
+                return attempt;
+            }
+        }
     }
 }
--- /dev/null
+++ b/crates/load/src/compare/report.rs
@@ -0,0 +1,121 @@
+//! Results of a comparison.
+
+use std::collections::BTreeMap;
+
+use monsoonspread_model::RequestClass;
+use serde::Serialize;
+
+use super::Audit;
+use crate::fleet::FleetTotals;
+use crate::plan::Phase;
+use crate::record::{Outcome, Summary};
+
+/// What one policy did in one phase.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct PhaseReport {
+    /// The phase.
+    pub phase: Phase,
+    /// From its first planned request to the last answer.
+    pub length_s: f64,
+    /// Every request.
+    pub all: Summary,
+    /// The requests of each class.
+    pub classes: BTreeMap<&'static str, Summary>,
+    /// Requests sent at a crest.
+    pub crest: Summary,
+    /// What the engines counted.
+    pub fleet: FleetTotals,
+    /// Time that requests waited for loads.
+    pub load_wait_ms: u64,
+}
+
+impl PhaseReport {
+    /// Sums up the outcomes of a phase.
+    pub fn new(
+        phase: Phase,
+        length_s: f64,
+        outcomes: &[Outcome],
+        fleet: FleetTotals,
+        load_wait_ms: u64,
+    ) -> Self {
+        let of_class = |class: &RequestClass| {
+            let class = *class;
+            let matching = outcomes
+                .iter()
+                .filter(|outcome| outcome.request.class == class);
+            (class.as_str(), Summary::of(matching))
+        };
+        let at_crest = outcomes.iter().filter(|outcome| outcome.request.at_crest);
+        Self {
+            phase,
+            length_s,
+            all: Summary::of(outcomes.iter()),
+            classes: RequestClass::ALL.iter().map(of_class).collect(),
+            crest: Summary::of(at_crest),
+            fleet,
+            load_wait_ms,
+        }
+    }
+
+    /// The requests of one class.
+    pub fn class(&self, class: RequestClass) -> &Summary {
+        &self.classes[class.as_str()]
+    }
+
+    /// Loads in a second.
+    pub fn loads_per_s(&self) -> f64 {
+        self.fleet.loads as f64 / self.length_s.max(0.001)
+    }
+
+    /// Whole answers for each load.
+    pub fn answers_per_load(&self) -> f64 {
+        self.all.answered as f64 / self.fleet.loads.max(1) as f64
+    }
+}
+
+/// Requests in time among those sent in one second of the swing phase.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize)]
+pub struct SecondReport {
+    /// Requests sent.
+    pub sent: u64,
+    /// Those in time.
+    pub in_time: u64,
+}
+
+/// What one policy did.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct PolicyReport {
+    /// Its name.
+    pub policy: &'static str,
+    /// The phases in their order.
+    pub phases: Vec<PhaseReport>,
+    /// The swing phase by seconds.
+    pub swing_seconds: Vec<SecondReport>,
+    /// What the engines ran against what was asked for.
+    pub audit: Audit,
+    /// Longest time from a planned sending to the real one.
+    pub worst_send_lag_ms: f64,
+    /// Cores that clients, stand-ins and entry instances kept busy on average.
+    pub busy_cores: f64,
+}
+
+impl PolicyReport {
+    /// The report of one phase.
+    pub fn phase(&self, phase: Phase) -> &PhaseReport {
+        let found = self.phases.iter().find(|report| report.phase == phase);
+        found.expect("every phase of a run is reported")
+    }
+}
+
+/// A whole comparison.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct Comparison {
+    /// Name of the workload.
+    pub workload: String,
+    /// Its seed.
+    pub seed: u64,
+    /// Planned seconds for each policy.
+    pub seconds: f64,
+    /// The policies in the order they ran.
+    pub policies: Vec<PolicyReport>,
+}
--- a/crates/load/src/record/outcome.rs
+++ b/crates/load/src/record/outcome.rs
@@ -34,6 +34,8 @@
     pub total_us: u64,
     /// From the planned to the real time of sending.
     pub sent_late_us: u64,
+    /// Whether it was refused with the promise that nothing ran.
+    pub said_not_run: bool,
     /// Upstreams or entry instances it was sent to.
     pub tries: u32,
 }
--- a/crates/load/src/record/tests.rs
+++ b/crates/load/src/record/tests.rs
@@ -23,6 +23,7 @@
         first_token_us: first_token_ms.map(|ms| ms * 1_000),
         total_us: total_ms * 1_000,
         sent_late_us: 0,
+        said_not_run: false,
         tries: 1,
     }
 }
--- a/crates/load/src/slopes/samples.rs
+++ b/crates/load/src/slopes/samples.rs
@@ -147,7 +147,6 @@
         tokens: 32,
         arrived_at_unix_ms: UnixMs(1_800_000_000_000),
         deadline_unix_ms: UnixMs(1_800_000_001_500),
-        may_load: true,
         bundle_version: BundleVersion(7_000_000),
         may_load: true,
     }
--- a/crates/load/src/workload/engine_mix.rs
+++ b/crates/load/src/workload/engine_mix.rs
@@ -15,6 +15,8 @@
     pub step_base_us: u64,
     /// Added to a step for each request in the batch.
     pub step_per_request_us: u64,
+    /// Added to a step for each adapter in the batch.
+    pub step_per_adapter_us: u64,
     /// Added to a step for each token of a prompt that is read in it.
     pub prefill_per_token_us: u64,
     /// Age of the figures in a load report.
@@ -34,6 +36,7 @@
         let batch_places = table.integer("batch_places", 1..=1_000);
         let step_base_us = table.integer("step_base_us", 1..=1_000_000);
         let step_per_request_us = table.integer("step_per_request_us", 0..=1_000_000);
+        let step_per_adapter_us = table.integer("step_per_adapter_us", 0..=1_000_000);
         let prefill_per_token_us = table.integer("prefill_per_token_us", 0..=1_000_000);
         let report_lag_ms = table.integer("report_lag_ms", 0..=60_000);
         let checking_share = table.float("checking_share", 0.0..=1.0);
@@ -45,6 +48,7 @@
             batch_places: batch_places?,
             step_base_us: step_base_us?,
             step_per_request_us: step_per_request_us?,
+            step_per_adapter_us: step_per_adapter_us?,
             prefill_per_token_us: prefill_per_token_us?,
             report_lag_ms: report_lag_ms?,
             checking_share: checking_share?,
