Pass requests through a chain of filters to the dispatch task

Cause: the request path from the caller's bytes to a generation under a grant. Each filter does one check; the dispatch task owns the dispatcher's state machine, sends its asks over the mesh and runs one task for each generation. A chunk that names another copy than the granted one ends the answer in an error before any of it is passed on; a broken stream ends in an error event and never in [DONE].

--- /dev/null
+++ b/crates/entry/src/controller/dispatch/generation.rs
@@ -0,0 +1,215 @@
+//! The task of one generation.
+
+use std::sync::Arc;
+use std::time::Instant;
+
+use monsoonspread_decisions::dispatch::{AttemptEnd, AttemptId, EndKind};
+use monsoonspread_model::message::RequestId;
+use monsoonspread_model::{CopyName, UpstreamName};
+use monsoonspread_platform::{Engine, EngineError, GenerateRequest, GenerationEvent};
+use serde_json::{Value, json};
+use tokio::sync::{mpsc, oneshot};
+
+use super::command::DispatchCommand;
+use super::{AnswerEvent, DispatchHandle};
+use crate::event::Event;
+
+/// Everything that one generation needs.
+pub(super) struct GenerationJob {
+    pub(super) request: RequestId,
+    pub(super) attempt: AttemptId,
+    pub(super) upstream: UpstreamName,
+    pub(super) copy: CopyName,
+    pub(super) engine: Arc<dyn Engine>,
+    pub(super) generate: GenerateRequest,
+    /// Tokens that the caller has from an earlier generation.
+    pub(super) tokens_before: u32,
+    pub(super) chosen: oneshot::Receiver<()>,
+    pub(super) pieces: mpsc::Sender<AnswerEvent>,
+    pub(super) dispatch: DispatchHandle,
+}
+
+/// A generation that runs.
+pub(super) struct Generation {
+    job: GenerationJob,
+    expected_model: String,
+    shown_model: String,
+    /// Chunks from before the first token.
+    held_back: Vec<Value>,
+    is_chosen: bool,
+    text: String,
+    tokens: u32,
+    first_token_at: Option<Instant>,
+    last_token_at: Option<Instant>,
+}
+
+/// The caller went away or another generation was chosen.
+struct Unwanted;
+
+impl Generation {
+    pub(super) fn new(job: GenerationJob) -> Self {
+        Self {
+            expected_model: job.copy.to_string(),
+            shown_model: job.copy.adapter.to_string(),
+            job,
+            held_back: Vec::new(),
+            is_chosen: false,
+            text: String::new(),
+            tokens: 0,
+            first_token_at: None,
+            last_token_at: None,
+        }
+    }
+
+    /// Runs to the end and reports it; an unwanted generation reports nothing.
+    pub(super) async fn run(mut self) {
+        let Ok(kind) = self.generate().await else {
+            return;
+        };
+        let end = AttemptEnd {
+            kind,
+            tokens: self.tokens,
+            token_gap_us: self.token_gap_us(),
+        };
+        self.job.dispatch.tell(DispatchCommand::Ended {
+            request: self.job.request,
+            attempt: self.job.attempt,
+            end,
+            text: self.text,
+        });
+    }
+
+    async fn generate(&mut self) -> Result<EndKind, Unwanted> {
+        let started = self.job.engine.generate(self.job.generate.clone()).await;
+        let mut generation = match started {
+            Ok(generation) => generation,
+            Err(error) => return Ok(self.not_started(&error)),
+        };
+        loop {
+            match generation.events.recv().await {
+                Some(GenerationEvent::Chunk(chunk)) => {
+                    if let Some(kind) = self.on_chunk(chunk).await? {
+                        return Ok(kind);
+                    }
+                }
+                Some(GenerationEvent::Done) => {
+                    self.be_chosen().await?;
+                    return Ok(EndKind::Done);
+                }
+                Some(GenerationEvent::Broken(error)) => return Ok(self.broken(&error)),
+                None => return Ok(self.broken("the stream ended early")),
+            }
+        }
+    }
+
+    fn not_started(&self, error: &EngineError) -> EndKind {
+        match error {
+            EngineError::Unreachable(_) => EndKind::Unreachable,
+            EngineError::CopyMissing(_) => EndKind::CopyMissing,
+            EngineError::Refused(_) => EndKind::Refused,
+            EngineError::Broken(error) => self.broken(error),
+        }
+    }
+
+    fn broken(&self, error: &str) -> EndKind {
+        let upstream = &self.job.upstream;
+        Event::StreamBroken { upstream, error }.log();
+        EndKind::Broken
+    }
+
+    async fn on_chunk(&mut self, mut chunk: Value) -> Result<Option<EndKind>, Unwanted> {
+        if !chunk["error"].is_null() {
+            return Ok(Some(self.broken("the engine sent an error")));
+        }
+        if chunk["model"] != self.expected_model.as_str() {
+            Event::WrongAdapter {
+                upstream: &self.job.upstream,
+                expected: &self.expected_model,
+            }
+            .log();
+            return Ok(Some(EndKind::WrongAdapter));
+        }
+        chunk["model"] = self.shown_model.as_str().into();
+        chunk["id"] = self.job.generate.request_id.as_str().into();
+        self.count_earlier_tokens(&mut chunk);
+        let has_text = self.count(&chunk);
+        let finished = chunk["choices"]
+            .as_array()
+            .into_iter()
+            .flatten()
+            .any(|choice| !choice["finish_reason"].is_null());
+        if !self.is_chosen && !has_text && !finished {
+            self.held_back.push(chunk);
+            return Ok(None);
+        }
+        self.be_chosen().await?;
+        self.send(AnswerEvent::Chunk(chunk)).await?;
+        Ok(None)
+    }
+
+    /// Waits until the caller's answer is to come from this generation.
+    async fn be_chosen(&mut self) -> Result<(), Unwanted> {
+        if self.is_chosen {
+            return Ok(());
+        }
+        self.job.dispatch.tell(DispatchCommand::FirstToken {
+            request: self.job.request,
+            attempt: self.job.attempt,
+        });
+        (&mut self.job.chosen).await.map_err(|_| Unwanted)?;
+        self.is_chosen = true;
+        self.send(AnswerEvent::Started(self.job.upstream.clone()))
+            .await?;
+        for chunk in std::mem::take(&mut self.held_back) {
+            self.send(AnswerEvent::Chunk(chunk)).await?;
+        }
+        Ok(())
+    }
+
+    async fn send(&self, piece: AnswerEvent) -> Result<(), Unwanted> {
+        self.job.pieces.send(piece).await.map_err(|_| Unwanted)
+    }
+
+    /// Counts the chunk's tokens; true when it carries text.
+    fn count(&mut self, chunk: &Value) -> bool {
+        let length_before = self.text.len();
+        let mut has_text = false;
+        for choice in chunk["choices"].as_array().into_iter().flatten() {
+            let text = [&choice["delta"]["content"], &choice["text"]]
+                .into_iter()
+                .find_map(Value::as_str)
+                .unwrap_or_default();
+            let has_other = !choice["delta"]["tool_calls"].is_null();
+            has_text |= has_other || !text.is_empty();
+            self.text.push_str(text);
+        }
+        debug_assert!(self.text.len() >= length_before);
+        if has_text {
+            let now = Instant::now();
+            self.tokens += 1;
+            self.first_token_at.get_or_insert(now);
+            self.last_token_at = Some(now);
+        }
+        has_text
+    }
+
+    /// A resumed generation took the earlier tokens as part of its prompt.
+    fn count_earlier_tokens(&self, chunk: &mut Value) {
+        let before = u64::from(self.job.tokens_before);
+        let Some(usage) = chunk.get_mut("usage").filter(|usage| usage.is_object()) else {
+            return;
+        };
+        let prompt = usage["prompt_tokens"].as_u64().unwrap_or(0);
+        let completion = usage["completion_tokens"].as_u64().unwrap_or(0);
+        usage["prompt_tokens"] = json!(prompt.saturating_sub(before));
+        usage["completion_tokens"] = json!(completion + before);
+    }
+
+    fn token_gap_us(&self) -> Option<u32> {
+        let first = self.first_token_at?;
+        let last = self.last_token_at?;
+        let gaps = self.tokens.checked_sub(1).filter(|gaps| *gaps > 0)?;
+        let mean_us = last.duration_since(first).as_micros() / u128::from(gaps);
+        u32::try_from(mean_us).ok()
+    }
+}
--- /dev/null
+++ b/crates/entry/src/controller/dispatch/handle.rs
@@ -0,0 +1,74 @@
+//! Speaking with the dispatch task.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+
+use monsoonspread_decisions::dispatch::{DispatchDump, NewRequest};
+use monsoonspread_model::UnixMs;
+use monsoonspread_model::message::RequestId;
+use tokio::sync::{mpsc, oneshot};
+
+use super::Answer;
+use super::command::{DispatchCommand, Submission};
+use crate::filter::GenerateCall;
+
+/// Pieces of an answer that may wait for a slow caller.
+const ANSWER_QUEUE: usize = 64;
+/// Request numbers that one start of the process may use before it meets those of a later one.
+const NUMBERS_PER_MS: u64 = 1 << 20;
+
+/// Sends messages to the dispatch task.
+#[derive(Clone)]
+pub struct DispatchHandle {
+    commands: mpsc::UnboundedSender<DispatchCommand>,
+    next_request: Arc<AtomicU64>,
+}
+
+impl DispatchHandle {
+    /// A handle with the end that the task reads.
+    pub fn new(started_at: UnixMs) -> (Self, mpsc::UnboundedReceiver<DispatchCommand>) {
+        let (commands, receiver) = mpsc::unbounded_channel();
+        let first = started_at.0.wrapping_mul(NUMBERS_PER_MS);
+        let handle = Self {
+            commands,
+            next_request: Arc::new(AtomicU64::new(first)),
+        };
+        (handle, receiver)
+    }
+
+    /// A number that no other request of this instance has.
+    pub fn next_request(&self) -> RequestId {
+        RequestId(self.next_request.fetch_add(1, Ordering::Relaxed))
+    }
+
+    /// Hands over a request and returns its answer's receiving end.
+    pub fn submit(&self, request: NewRequest, call: GenerateCall) -> Answer {
+        let (pieces, receiver) = mpsc::channel(ANSWER_QUEUE);
+        let (result, result_receiver) = oneshot::channel();
+        let id = request.request;
+        self.tell(DispatchCommand::Submit(Box::new(Submission {
+            request,
+            call,
+            pieces,
+            result,
+        })));
+        Answer {
+            request: id,
+            pieces: receiver,
+            result: result_receiver,
+            dispatch: self.clone(),
+        }
+    }
+
+    /// Sends a message; it is lost only when the task has ended.
+    pub fn tell(&self, command: DispatchCommand) {
+        let _ = self.commands.send(command);
+    }
+
+    /// Describes the dispatcher.
+    pub async fn dump(&self) -> Option<DispatchDump> {
+        let (reply, answer) = oneshot::channel();
+        self.tell(DispatchCommand::Dump(reply));
+        answer.await.ok()
+    }
+}
--- /dev/null
+++ b/crates/entry/src/controller/dispatch/mod.rs
@@ -0,0 +1,15 @@
+//! Model requests in flight: the task around the dispatcher's state machine.
+
+mod answer;
+mod command;
+mod controller;
+mod generation;
+mod handle;
+mod owner_map;
+mod record;
+
+pub use answer::{Answer, AnswerEvent};
+pub use command::{DispatchCommand, Submission};
+pub use controller::DispatchController;
+pub use handle::DispatchHandle;
+pub use owner_map::OwnerMap;
--- /dev/null
+++ b/crates/entry/src/controller/dispatch/record.rs
@@ -0,0 +1,32 @@
+//! What the dispatch task keeps of each request beside the state machine.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use monsoonspread_decisions::dispatch::AttemptId;
+use monsoonspread_model::{Refusal, RequestClass, UnixMs};
+use tokio::sync::{mpsc, oneshot};
+use tokio::task::AbortHandle;
+
+use super::AnswerEvent;
+use crate::filter::GenerateCall;
+
+/// A running generation.
+pub(super) struct RunningGeneration {
+    pub(super) task: AbortHandle,
+    pub(super) chosen: Option<oneshot::Sender<()>>,
+}
+
+/// One request in flight.
+pub(super) struct Record {
+    pub(super) call: Arc<GenerateCall>,
+    pub(super) class: RequestClass,
+    pub(super) arrived_at: UnixMs,
+    pub(super) pieces: mpsc::Sender<AnswerEvent>,
+    pub(super) result: oneshot::Sender<Result<(), Refusal>>,
+    pub(super) generations: HashMap<AttemptId, RunningGeneration>,
+    /// Text that the caller has from generations that ended.
+    pub(super) text: String,
+    /// Tokens of that text.
+    pub(super) tokens: u32,
+}
--- a/crates/entry/src/event/catalogue.rs
+++ b/crates/entry/src/event/catalogue.rs
@@ -109,6 +109,13 @@
         "An engine's stream ended before the answer was whole; the caller got an error event.",
         "If one engine stands out, look into it.",
     ),
+    entry(
+        1304,
+        Level::Debug,
+        "dispatch notice",
+        "A request was retried, hedged or resumed, or is refused as it crashes upstreams.",
+        NOTHING,
+    ),
     entry(
         1401,
         Level::Warn,
--- a/crates/entry/src/event/mod.rs
+++ b/crates/entry/src/event/mod.rs
@@ -86,6 +86,11 @@
         /// What was seen.
         error: &'a str,
     },
+    /// The dispatcher's state machine reports something.
+    DispatchNotice {
+        /// What it reports.
+        notice: &'a dyn fmt::Debug,
+    },
     /// The instance list could not be read.
     ListUnavailable {
         /// What was seen.
@@ -195,6 +200,7 @@
             Self::BadRequest { .. } => 1301,
             Self::WrongAdapter { .. } => 1302,
             Self::StreamBroken { .. } => 1303,
+            Self::DispatchNotice { .. } => 1304,
             Self::ListUnavailable { .. } => 1401,
             Self::ListAvailable => 1402,
             Self::OwnershipTaken { .. } => 1501,
@@ -276,6 +282,7 @@
                 Value::new("error", error),
             ],
             Self::OwnerNotice { notice }
+            | Self::DispatchNotice { notice }
             | Self::OwnershipNotice { notice }
             | Self::MembershipNotice { notice }
             | Self::BundleNotice { notice } => vec![Value::debug("notice", notice)],
--- /dev/null
+++ b/crates/entry/src/filter/chain.rs
@@ -0,0 +1,104 @@
+//! Filters in their order.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use async_trait::async_trait;
+use hyper::body::Incoming;
+use hyper::header::{ALLOW, CONNECTION, HeaderName, HeaderValue};
+use hyper::{Request, Response};
+use monsoonspread_model::{InstanceName, Refusal, RefusalReason, UnixMs};
+use tokio::sync::watch;
+
+use super::{Exchange, Filter, Step};
+use crate::bundle_view::BundleView;
+use crate::event::Event;
+use crate::http::{self, AnswerBody};
+use crate::metrics::Metrics;
+
+/// Names the instance in each answer.
+const INSTANCE_HEADER: HeaderName = HeaderName::from_static("x-monsoonspread-instance");
+/// Names the bundle version in each answer.
+const BUNDLE_HEADER: HeaderName = HeaderName::from_static("x-monsoonspread-bundle");
+
+/// The filters that every request passes, in order.
+pub struct Chain {
+    instance: InstanceName,
+    bundle: watch::Receiver<Arc<BundleView>>,
+    metrics: Metrics,
+    filters: Vec<Box<dyn Filter>>,
+}
+
+impl Chain {
+    /// A chain without filters.
+    pub fn new(
+        instance: InstanceName,
+        bundle: watch::Receiver<Arc<BundleView>>,
+        metrics: Metrics,
+    ) -> Self {
+        Self {
+            instance,
+            bundle,
+            metrics,
+            filters: Vec::new(),
+        }
+    }
+
+    /// Adds a filter at the end.
+    #[must_use]
+    pub fn with_filter(mut self, filter: impl Filter + 'static) -> Self {
+        self.filters.push(Box::new(filter));
+        self
+    }
+
+    async fn pass(&self, exchange: &mut Exchange) -> Result<Response<AnswerBody>, Refusal> {
+        for filter in &self.filters {
+            if let Step::Answer(response) = filter.apply(exchange).await? {
+                return Ok(response);
+            }
+        }
+        let path = exchange.head.uri.path();
+        let message = format!("nothing answers path \"{path}\"");
+        Err(Refusal::not_run(RefusalReason::NotFound, message))
+    }
+
+    fn refuse(&self, exchange: &Exchange, refusal: &Refusal) -> Response<AnswerBody> {
+        self.metrics.on_refusal(refusal);
+        if refusal.reason.status() < 500 {
+            Event::BadRequest {
+                address: exchange.peer,
+                reason: refusal.reason,
+                message: &refusal.message,
+            }
+            .log();
+        }
+        let mut response = http::refusal(UnixMs::now(), refusal);
+        let headers = response.headers_mut();
+        if refusal.reason == RefusalReason::MethodNotAllowed {
+            let method = HeaderValue::from_static(exchange.route.method());
+            headers.insert(ALLOW, method);
+        }
+        if exchange.incoming.is_some() || refusal.reason == RefusalReason::RequestTimeout {
+            // The rest of the body is not read, so the connection can't be used again.
+            headers.insert(CONNECTION, HeaderValue::from_static("close"));
+        }
+        response
+    }
+}
+
+#[async_trait]
+impl http::Service for Chain {
+    async fn answer(&self, request: Request<Incoming>, peer: SocketAddr) -> Response<AnswerBody> {
+        let bundle = Arc::clone(&self.bundle.borrow());
+        let version = bundle.bundle().version;
+        let mut exchange = Exchange::new(request, peer, bundle);
+        let passed = self.pass(&mut exchange).await;
+        let mut response = passed.unwrap_or_else(|refusal| self.refuse(&exchange, &refusal));
+        let headers = response.headers_mut();
+        if let Ok(instance) = HeaderValue::from_str(self.instance.as_str()) {
+            headers.insert(INSTANCE_HEADER, instance);
+        }
+        headers.insert(BUNDLE_HEADER, HeaderValue::from(version.0));
+        response
+    }
+}
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -1,13 +1,18 @@
 //! The entry process: filter chain for requests and controllers for state.
 
 pub mod answer;
+pub mod bundle_view;
 pub mod cli;
+pub mod controller;
 pub mod directory;
 pub mod event;
+pub mod filter;
 pub mod http;
 pub mod mesh;
+pub mod metrics;
 pub mod options;
 pub mod platform;
+pub mod run_state;
 pub mod settings;
 
 pub use platform::{EngineFactory, Platform, ServiceFactory};
