--- a/crates/load/src/slopes/samples.rs
+++ b/crates/load/src/slopes/samples.rs
@@ -109,6 +109,7 @@
         body: SwimBody::Ping { sequence: 123_456 },
         updates: (0..updates).map(update).collect(),
         bundle_version: BundleVersion(7_000_000),
+        may_load: true,
         table_revision: 70_000,
     }
 }
@@ -148,6 +149,7 @@
         arrived_at_unix_ms: UnixMs(1_800_000_000_000),
         deadline_unix_ms: UnixMs(1_800_000_001_500),
         bundle_version: BundleVersion(7_000_000),
+        may_load: true,
     }
 }
 
