--- a/crates/load/src/slopes/samples.rs
+++ b/crates/load/src/slopes/samples.rs
@@ -109,7 +109,6 @@
         body: SwimBody::Ping { sequence: 123_456 },
         updates: (0..updates).map(update).collect(),
         bundle_version: BundleVersion(7_000_000),
-        may_load: true,
         table_revision: 70_000,
     }
 }
