Offer a sample bundle to try the system with

Cause: the demo, the operators' command and the load tool each need the same offer. Ruled out: a generated TOML file of 3,000 adapters in the repository. Conclusion: the sample passes the checks that operators' bundles pass.

--- a/crates/model/src/bundle/mod.rs
+++ b/crates/model/src/bundle/mod.rs
@@ -7,6 +7,7 @@
 mod delta;
 mod encoding;
 mod manifest;
+mod sample;
 mod service_entry;
 mod source;
 #[cfg(test)]
@@ -20,6 +21,7 @@
 pub use delta::BundleDelta;
 pub use encoding::{EncodingError, MAX_PART_BYTES, decode, digest, encode, join, split};
 pub use manifest::Manifest;
+pub use sample::{SAMPLE_BENCH, SAMPLE_CARDS, SampleCaller};
 pub use service_entry::{CallEntry, ServiceEntry};
 pub use source::{MAX_PRIORITY, read_source, write_source};
 pub use verifier::{BadVerifyKey, Verifier};
--- /dev/null
+++ b/crates/model/src/bundle/sample.rs
@@ -0,0 +1,124 @@
+//! A sample bundle to try the system with.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use super::{AdapterEntry, Bundle, BundleVersion, CallEntry, CallerEntry, ServiceEntry, digest};
+use crate::{AdapterName, CallerName, ServiceName};
+
+/// Base model of the sample's adapters.
+const BASE_MODEL: &str = "base-8b";
+/// How long a call of the sample's services may take, in milliseconds.
+const CALL_TIMEOUT_MS: u64 = 2_000;
+/// Requests that each sample caller may have in flight on one instance.
+const MAX_IN_FLIGHT: u32 = 4_096;
+
+/// A caller of the sample with the key it sends.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct SampleCaller {
+    /// The caller's name.
+    pub name: &'static str,
+    /// Its API key, in clear.
+    pub key: &'static str,
+    /// Its one group, which is also the prefix of the adapters it may use.
+    pub group: &'static str,
+    priority: u8,
+}
+
+/// Reads service notes and commits needle offsets.
+pub const SAMPLE_BENCH: SampleCaller = SampleCaller {
+    name: "bench",
+    key: "sample-bench-key",
+    group: "needle",
+    priority: 2,
+};
+
+/// Drafts verses and dispatches cards.
+pub const SAMPLE_CARDS: SampleCaller = SampleCaller {
+    name: "cards",
+    key: "sample-cards-key",
+    group: "verse",
+    priority: 0,
+};
+
+impl Bundle {
+    /// A bundle of `adapters` adapters for two callers, half each, and a plain service for each.
+    ///
+    /// Adapters are `needle-0000`, `verse-0001`, `needle-0002` and so on, in versions 1 and 2.
+    ///
+    /// ```
+    /// # use monsoonspread_model::{Bundle, BundleVersion};
+    /// let bundle = Bundle::sample(BundleVersion(1), 3_000);
+    /// assert_eq!(bundle.adapters.len(), 3_000);
+    /// ```
+    pub fn sample(version: BundleVersion, adapters: usize) -> Self {
+        Self {
+            version,
+            base_models: vec![BASE_MODEL.into()],
+            adapters: (0..adapters).map(sample_adapter).collect(),
+            callers: [SAMPLE_BENCH, SAMPLE_CARDS].map(sample_caller).into(),
+            services: BTreeMap::from([
+                sample_service("records", SAMPLE_BENCH, ["read-offset", "commit-offset"]),
+                sample_service("calendar", SAMPLE_CARDS, ["read-date", "dispatch-card"]),
+            ]),
+        }
+    }
+
+    /// Name of adapter `number` of the sample.
+    ///
+    /// ```
+    /// # use monsoonspread_model::Bundle;
+    /// assert_eq!(Bundle::sample_adapter_name(1).as_str(), "verse-0001");
+    /// ```
+    pub fn sample_adapter_name(number: usize) -> AdapterName {
+        format!("{}-{number:04}", sample_owner(number).group).into()
+    }
+}
+
+fn sample_owner(number: usize) -> SampleCaller {
+    if number.is_multiple_of(2) {
+        return SAMPLE_BENCH;
+    }
+    SAMPLE_CARDS
+}
+
+fn sample_adapter(number: usize) -> (AdapterName, AdapterEntry) {
+    let entry = AdapterEntry {
+        base_model: BASE_MODEL.into(),
+        versions: vec![1, 2],
+        default_version: 2,
+        group: Arc::from(sample_owner(number).group),
+        priority: 3,
+    };
+    (Bundle::sample_adapter_name(number), entry)
+}
+
+fn sample_caller(caller: SampleCaller) -> (CallerName, CallerEntry) {
+    let entry = CallerEntry {
+        key_sha256: digest(caller.key.as_bytes()),
+        groups: vec![Arc::from(caller.group)],
+        priority: caller.priority,
+        max_in_flight: MAX_IN_FLIGHT,
+    };
+    (caller.name.into(), entry)
+}
+
+/// A service with a repeatable call and one that is not.
+fn sample_service(
+    name: &str,
+    caller: SampleCaller,
+    [read, commit]: [&str; 2],
+) -> (ServiceName, ServiceEntry) {
+    let call = |repeatable| CallEntry {
+        repeatable,
+        timeout_ms: CALL_TIMEOUT_MS,
+    };
+    let entry = ServiceEntry {
+        group: Arc::from(caller.group),
+        calls: BTreeMap::from([
+            (Arc::from(read), call(true)),
+            (Arc::from(commit), call(false)),
+        ]),
+    };
+    (name.into(), entry)
+}
--- a/crates/model/src/bundle/tests.rs
+++ b/crates/model/src/bundle/tests.rs
@@ -154,3 +154,13 @@
     }
     bundle
 }
+
+#[test]
+fn the_sample_passes_the_checks_and_fits_few_parts() {
+    let sample = Bundle::sample(BundleVersion(1), 3_000);
+    assert_eq!(
+        read_source("sample.toml", &write_source(&sample)),
+        Ok(sample.clone())
+    );
+    assert!(split(&encode(&sample)).len() <= 2);
+}
