--- a/crates/platform/src/http/http_client.rs
+++ b/crates/platform/src/http/http_client.rs
@@ -60,6 +60,21 @@
         self
     }
 
+    /// Reads `path` at `address`.
+    ///
+    /// # Errors
+    ///
+    /// Fails when there is no answer; every status is an answer.
+    pub async fn get(
+        &self,
+        address: SocketAddr,
+        path: &str,
+        timeout_ms: u64,
+    ) -> Result<Reply, SendError> {
+        let request = self.request("GET", address, path);
+        self.send(request, "", timeout_ms).await
+    }
+
     /// Starts a request to `path` at `address`, with the headers common to all.
     pub(crate) fn request(
         &self,
