--- a/crates/standin/src/fleet/mod.rs
+++ b/crates/standin/src/fleet/mod.rs
@@ -31,7 +31,7 @@
     pub weights: Running<Weights>,
     /// The engines, zone by zone.
     pub engines: Vec<FleetEngine>,
-    /// The servers of the plain service, zone by zone.
+    /// The servers of plain services, zone by zone.
     pub services: Vec<FleetService>,
     /// The control listener.
     pub control: Running<Control>,
@@ -135,14 +135,14 @@
 async fn start_services(plan: &Plan) -> io::Result<Vec<FleetService>> {
     let mut services = Vec::new();
     for zone in &plan.zones {
-        for number in 0..zone.services {
+        for (number, service) in zone.services.iter().enumerate() {
             let settings = plan.service_of(zone, number);
             let name = settings.name.clone();
             let running = Service::start(settings).await?;
             services.push(FleetService {
                 name,
                 zone: zone.name.clone(),
-                service: plan.service_name.clone(),
+                service: service.clone(),
                 running,
             });
         }
--- a/crates/standin/src/fleet/plan.rs
+++ b/crates/standin/src/fleet/plan.rs
@@ -32,10 +32,8 @@
     pub weights: WeightsSettings,
     /// Every engine, but for its name and fencing.
     pub engine: EngineSettings,
-    /// Every server of the plain service, but for its name.
+    /// Every server of a plain service, but for its name.
     pub service: ServiceSettings,
-    /// Name of the plain service.
-    pub service_name: String,
     /// The zones.
     pub zones: Vec<ZonePlan>,
 }
@@ -52,9 +50,9 @@
     /// Engines, the last ones, that ignore fencing numbers.
     #[serde(default)]
     pub unfenced_engines: u32,
-    /// Servers of the plain service in it.
+    /// Plain services with a server in it; a service named twice has two.
     #[serde(default)]
-    pub services: u32,
+    pub services: Vec<String>,
 }
 
 impl Default for Plan {
@@ -69,27 +67,26 @@
             weights: WeightsSettings::default(),
             engine: EngineSettings::default(),
             service: ServiceSettings::default(),
-            service_name: "records".to_owned(),
             zones: Vec::new(),
         }
     }
 }
 
 impl Plan {
-    /// Adds a zone with engines that check fencing numbers and servers of the plain service.
+    /// Adds a zone with engines that check fencing numbers and a server of each service named.
     ///
     /// ```
     /// # use monsoonspread_standin::Plan;
-    /// let plan = Plan::default().with_zone("vestland-1", 6, 1);
+    /// let plan = Plan::default().with_zone("vestland-1", 6, &["records"]);
     /// assert_eq!(plan.zones[0].engines, 6);
     /// ```
     #[must_use]
-    pub fn with_zone(mut self, name: &str, engines: u32, services: u32) -> Self {
+    pub fn with_zone(mut self, name: &str, engines: u32, services: &[&str]) -> Self {
         self.zones.push(ZonePlan {
             name: name.into(),
             engines,
             unfenced_engines: 0,
-            services,
+            services: services.iter().map(ToString::to_string).collect(),
         });
         self
     }
@@ -123,9 +120,9 @@
         }
     }
 
-    pub(super) fn service_of(&self, zone: &ZonePlan, number: u32) -> ServiceSettings {
+    pub(super) fn service_of(&self, zone: &ZonePlan, number: usize) -> ServiceSettings {
         ServiceSettings {
-            name: format!("{}-{}-{}", self.service_name, zone.name, number + 1),
+            name: format!("{}-{}-{}", zone.services[number], zone.name, number + 1),
             time_scale: self.service.time_scale * self.time_scale,
             ..self.service.clone()
         }
--- a/crates/standin/src/fleet/upstream.rs
+++ b/crates/standin/src/fleet/upstream.rs
@@ -36,7 +36,7 @@
     }
 }
 
-/// A server of a fleet's plain service.
+/// A server of a plain service in a fleet.
 #[derive(Debug)]
 pub struct FleetService {
     /// Its name.
