Drive the clients' parsers with cut, divided and arbitrary bytes

Cause: the streams of engines and of watches were tested with whole lines only.

Nothing had to be mended.

--- a/crates/platform/src/engine/mod.rs
+++ b/crates/platform/src/engine/mod.rs
@@ -1,6 +1,8 @@
 //! Model engines.
 
 mod sse_reader;
+#[cfg(test)]
+mod tests;
 mod vllm_engine;
 
 pub use vllm_engine::{FENCING_HEADER, REQUEST_ID_HEADER, VllmEngine};
--- a/crates/platform/src/store/mod.rs
+++ b/crates/platform/src/store/mod.rs
@@ -2,6 +2,8 @@
 
 mod etcd_gateway;
 mod etcd_wire;
+#[cfg(test)]
+mod tests;
 mod watch_reader;
 
 pub use etcd_gateway::EtcdGateway;
--- a/crates/platform/src/store/watch_reader.rs
+++ b/crates/platform/src/store/watch_reader.rs
@@ -20,7 +20,8 @@
     }
 }
 
-async fn forward<E>(
+/// Forwards the writes of a stream of bytes.
+pub(super) async fn forward<E>(
     mut chunks: impl Stream<Item = Result<Bytes, E>> + Unpin,
     sender: &mpsc::Sender<Stored>,
 ) {
