Test the stand-ins' own semantics without sockets

Cause: the etcd comparisons, leases, the weight store's limits and the engine's batch were seen through the clients only.

Found: a range whose end lies before its start ended the process of the key-value service with a panic; it is empty now.

--- a/crates/standin/src/engine/mod.rs
+++ b/crates/standin/src/engine/mod.rs
@@ -10,6 +10,8 @@
 mod settings;
 mod slots;
 mod task;
+#[cfg(test)]
+mod tests;
 
 pub use core::CRASH_TEXT;
 pub use counters::EngineCounters;
--- a/crates/standin/src/store/data.rs
+++ b/crates/standin/src/store/data.rs
@@ -53,14 +53,11 @@
         if range_end.is_empty() {
             return self.keys.get(key).into_iter().collect();
         }
-        let end = if range_end == [0] {
-            Bound::Unbounded
-        } else {
-            Bound::Excluded(range_end)
+        let end = match range_end {
+            [0] => Bound::Unbounded,
+            _ if range_end <= key => return Vec::new(),
+            _ => Bound::Excluded(range_end),
         };
-        if end == Bound::Excluded(key) {
-            return Vec::new();
-        }
         self.keys
             .range::<[u8], _>((Bound::Included(key), end))
             .map(|(_, kv)| kv)
--- a/crates/standin/src/store/mod.rs
+++ b/crates/standin/src/store/mod.rs
@@ -3,6 +3,8 @@
 mod data;
 mod service_calls;
 mod settings;
+#[cfg(test)]
+mod tests;
 mod watching;
 mod wire;
 
--- a/crates/standin/src/weights/mod.rs
+++ b/crates/standin/src/weights/mod.rs
@@ -1,6 +1,8 @@
 //! The rate-limited weight store.
 
 mod http_weights;
+#[cfg(test)]
+mod tests;
 mod weight_source;
 
 pub use http_weights::HttpWeights;
--- a/crates/standin/tests/engine.rs
+++ b/crates/standin/tests/engine.rs
@@ -4,6 +4,7 @@
 
 use common::{copy, engine, load, request, text_of};
 use monsoonspread_model::Epoch;
+use monsoonspread_platform::engine::VllmEngine;
 use monsoonspread_platform::{Engine as _, EngineError, GenerationEvent, OrderError};
 use monsoonspread_standin::{EngineSettings, Fault};
 
@@ -174,12 +175,12 @@
     let (engine, client) = engine(EngineSettings::default()).await;
     let cut_client = client.clone().with_peer_name("entry-1");
     load(&client, &copy(3)).await;
-    let start = async |client: &monsoonspread_platform::engine::VllmEngine| {
-        let request = request(&copy(3), 300, "");
+    let start = async |client: &VllmEngine, max_tokens| {
+        let request = request(&copy(3), max_tokens, "");
         client.generate(request).await.expect("it starts")
     };
-    let cut = start(&cut_client).await;
-    let kept = start(&client).await;
+    let cut = start(&cut_client, u32::MAX).await;
+    let kept = start(&client, 300).await;
     let peers = vec!["entry-1".to_owned()];
     engine.apply(Fault::Cut { peers });
     assert!(matches!(text_of(cut).await.1, GenerationEvent::Broken(_)));
