Split the engine stand-in's batch and fencing from its core

Behaviour is the same; the tests stayed as they were but for the admission, which is now a return value.

--- a/crates/standin/src/engine/api.rs
+++ b/crates/standin/src/engine/api.rs
@@ -114,7 +114,6 @@
         };
         let request_id = header(headers, REQUEST_ID_HEADER).unwrap_or_default();
         let (sender, pieces) = mpsc::unbounded_channel();
-        let (taken, admission) = oneshot::channel();
         let request = NewRequest {
             model: model.to_owned(),
             request_id: request_id.to_owned(),
@@ -122,12 +121,8 @@
             max_tokens: max_tokens_of(&body),
             priority: body["priority"].as_i64().unwrap_or(0),
             pieces: sender,
-            taken,
         };
-        let _ = self.commands.send(Command::Generate(request));
-        let admission = admission
-            .await
-            .map_err(|_| drop_connection("the engine died"))?;
+        let admission = self.ask(|taken| Command::Generate(request, taken)).await?;
         match admission {
             Admission::CopyMissing => return Ok(missing(model)),
             Admission::Refused(why) => return Ok(not_run(why)),
--- a/crates/standin/src/engine/command.rs
+++ b/crates/standin/src/engine/command.rs
@@ -4,13 +4,13 @@
 use tokio::sync::oneshot;
 
 use super::EngineCounters;
-use super::sequence::NewRequest;
+use super::sequence::{Admission, NewRequest};
 
 /// A message to an engine's task.
 #[derive(Debug)]
 pub(super) enum Command {
-    /// Runs a request.
-    Generate(NewRequest),
+    /// Runs a request; the sender hears whether it was taken in.
+    Generate(NewRequest, oneshot::Sender<Admission>),
     /// Loads a copy.
     Load(Order),
     /// Unloads a copy.
--- a/crates/standin/src/engine/core.rs
+++ b/crates/standin/src/engine/core.rs
@@ -1,13 +1,14 @@
 //! The state of an engine: batch, waiting queue, slots.
 
-use std::collections::BTreeMap;
 use std::time::Duration;
 
 use monsoonspread_model::load_report::LoadedAdapter;
 use monsoonspread_model::{LoadReport, UnixMs};
 use tokio::time::Instant;
 
+use super::batch::Batch;
 use super::command::{Order, OrderOutcome};
+use super::fencing::Fencing;
 use super::prefix_cache::PrefixCache;
 use super::sequence::{Admission, NewRequest, Sequence, adapter_of};
 use super::slots::Slots;
@@ -18,9 +19,6 @@
 /// A prompt with this text crashes each engine that runs it.
 pub const CRASH_TEXT: &str = "crash-this-engine";
 
-/// Place in the waiting queue: priority, then order of arrival.
-type Turn = (i64, u64);
-
 /// What an engine keeps in its life, and its counters.
 #[derive(Debug)]
 pub(super) struct Core {
@@ -28,11 +26,9 @@
     pub(super) counters: EngineCounters,
     pub(super) life: u64,
     started_at_unix_ms: UnixMs,
-    highest_fencing_number: u64,
+    fencing: Fencing,
     slots: Slots,
-    waiting: BTreeMap<Turn, Sequence>,
-    running: Vec<Sequence>,
-    arrivals: u64,
+    batch: Batch,
     prefixes: PrefixCache,
     wanted_loads: Vec<String>,
 }
@@ -50,15 +46,13 @@
     pub(super) fn new(settings: EngineSettings) -> Self {
         let prefixes = PrefixCache::new(settings.prefix_cache_blocks);
         Self {
-            settings,
             counters: EngineCounters::default(),
             life: 0,
             started_at_unix_ms: UnixMs::now(),
-            highest_fencing_number: 0,
+            fencing: Fencing::new(settings.checks_fencing),
+            settings,
             slots: Slots::default(),
-            waiting: BTreeMap::new(),
-            running: Vec::new(),
-            arrivals: 0,
+            batch: Batch::default(),
             prefixes,
             wanted_loads: Vec::new(),
         }
@@ -66,55 +60,56 @@
 
     /// Forgets everything but the counters; dropped requests end their streams.
     pub(super) fn crash(&mut self) {
-        let cut = std::mem::take(&mut self.waiting).into_values();
-        cut.chain(std::mem::take(&mut self.running))
-            .for_each(|sequence| sequence.cut("the engine died"));
+        for sequence in self.batch.take_all() {
+            sequence.cut("the engine died");
+        }
         self.life += 1;
         self.started_at_unix_ms = UnixMs::now();
-        self.highest_fencing_number = 0;
+        self.fencing = Fencing::new(self.settings.checks_fencing);
         self.slots.clear();
         self.prefixes = PrefixCache::new(self.settings.prefix_cache_blocks);
         self.wanted_loads.clear();
     }
 
     /// Takes a request in, or says why not.
-    pub(super) fn generate(&mut self, request: NewRequest, faults: &FaultState, now: Instant) {
-        let (request, admission) = self.admit(request, faults, now);
-        if admission != Admission::Taken {
-            self.counters.refused += 1;
-        }
-        let _ = request.send(admission);
-    }
-
-    fn admit(
+    pub(super) fn generate(
         &mut self,
-        mut request: NewRequest,
+        request: NewRequest,
         faults: &FaultState,
         now: Instant,
-    ) -> (tokio::sync::oneshot::Sender<Admission>, Admission) {
-        let (unused, _) = tokio::sync::oneshot::channel();
-        let taken = std::mem::replace(&mut request.taken, unused);
+    ) -> Admission {
+        let admission = self.admission_of(&request.model, faults);
+        match admission {
+            Admission::Taken => self.take_in(request, faults, now),
+            _ => self.counters.refused += 1,
+        }
+        admission
+    }
+
+    fn admission_of(&self, model: &str, faults: &FaultState) -> Admission {
         if faults.is_draining() {
-            return (taken, Admission::Refused("the engine is stopping"));
+            return Admission::Refused("the engine is stopping");
+        }
+        if self.batch.waiting().len() >= self.settings.max_waiting {
+            return Admission::Refused("too many requests wait");
         }
-        if self.waiting.len() >= self.settings.max_waiting {
-            return (taken, Admission::Refused("too many requests wait"));
+        if self.settings.auto_load || self.slots.is_ready(model) {
+            return Admission::Taken;
         }
+        Admission::CopyMissing
+    }
+
+    fn take_in(&mut self, request: NewRequest, faults: &FaultState, now: Instant) {
         if !self.slots.is_ready(&request.model) {
-            if !self.settings.auto_load {
-                return (taken, Admission::CopyMissing);
-            }
             self.want(&request.model);
         }
         self.slots.pin(&request.model);
-        self.arrivals += 1;
-        let turn = (request.priority, self.arrivals);
+        let priority = request.priority;
         let mut sequence = Sequence::new(request, now);
         if faults.take_cut_stream() {
             sequence.cut_after = Some(sequence.max_tokens / 2);
         }
-        self.waiting.insert(turn, sequence);
-        (taken, Admission::Taken)
+        self.batch.push(priority, sequence);
     }
 
     fn want(&mut self, model: &str) {
@@ -131,11 +126,7 @@
         while !self.wanted_loads.is_empty() && self.make_room() {
             let name = self.wanted_loads.remove(0);
             self.begin_load(&name);
-            let waiting = self
-                .waiting
-                .values()
-                .filter(|one| one.model == name)
-                .count();
+            let waiting = self.batch.waiting().filter(|one| one.model == name).count();
             (0..waiting).for_each(|_| self.slots.pin(&name));
             begun.push(name);
         }
@@ -161,7 +152,7 @@
 
     /// Takes a load order; true when a fetch must begin.
     pub(super) fn load(&mut self, order: Order) -> bool {
-        if self.is_fenced(order.fencing_number) {
+        if !self.accepts(order.fencing_number) {
             let _ = order.outcome.send(OrderOutcome::Fenced);
             return false;
         }
@@ -210,8 +201,8 @@
 
     fn count_load_wait(&mut self, copy: &str, now: Instant) {
         let waited = self
-            .waiting
-            .values()
+            .batch
+            .waiting()
             .filter(|sequence| sequence.model == copy)
             .map(|sequence| now.duration_since(sequence.arrived_at).as_millis() as u64)
             .sum::<u64>();
@@ -226,7 +217,7 @@
     }
 
     fn unload_copy(&mut self, copy: &str, fencing_number: Option<u64>) -> OrderOutcome {
-        if self.is_fenced(fencing_number) {
+        if !self.accepts(fencing_number) {
             return OrderOutcome::Fenced;
         }
         let Some(slot) = self.slots.remove(copy) else {
@@ -244,14 +235,7 @@
 
     /// Cuts every request for a copy; false when there was none in use.
     fn cut_all(&mut self, copy: &str, why: &'static str) -> bool {
-        let waiting = self
-            .waiting
-            .extract_if(.., |_, sequence| sequence.model == copy);
-        let waiting = waiting.map(|(_, sequence)| sequence).collect::<Vec<_>>();
-        let running = self
-            .running
-            .extract_if(.., |sequence| sequence.model == copy);
-        let cut = waiting.into_iter().chain(running).collect::<Vec<_>>();
+        let cut = self.batch.take_copy(copy);
         let in_use = cut.iter().any(|sequence| !sequence.is_cancelled());
         cut.into_iter().for_each(|sequence| sequence.cut(why));
         in_use
@@ -259,86 +243,54 @@
 
     /// Notes a fencing number by an order with no other effect.
     pub(super) fn fence(&mut self, order: Order) {
-        let outcome = match self.is_fenced(order.fencing_number) {
-            true => OrderOutcome::Fenced,
-            false => OrderOutcome::Done,
+        let outcome = match self.accepts(order.fencing_number) {
+            true => OrderOutcome::Done,
+            false => OrderOutcome::Fenced,
         };
         let _ = order.outcome.send(outcome);
     }
 
-    fn is_fenced(&mut self, fencing_number: Option<u64>) -> bool {
-        let Some(number) = fencing_number.filter(|_| self.settings.checks_fencing) else {
-            return false;
-        };
-        let is_old = number < self.highest_fencing_number;
-        self.highest_fencing_number = self.highest_fencing_number.max(number);
-        self.counters.fenced_orders += u64::from(is_old);
-        is_old
+    fn accepts(&mut self, fencing_number: Option<u64>) -> bool {
+        let accepted = self.fencing.accepts(fencing_number);
+        self.counters.fenced_orders += u64::from(!accepted);
+        accepted
     }
 
     /// Fills the batch and works out the next step; `None` when there is nothing to run.
     pub(super) fn begin_step(&mut self) -> Option<Step> {
         self.drop_cancelled();
         let fresh_tokens = self.fill_batch();
-        if self.running.is_empty() {
+        let running = self.batch.running();
+        if running.is_empty() {
             return None;
         }
-        if self
-            .running
+        if running
             .iter()
             .any(|sequence| sequence.prompt.contains(CRASH_TEXT))
         {
             return Some(Step::Crashes);
         }
-        let adapters = self
-            .running
-            .iter()
-            .map(|sequence| sequence.model.as_str())
-            .collect::<std::collections::HashSet<_>>()
-            .len();
         let settings = &self.settings;
         let time_ms = settings.step_base_ms
-            + settings.step_per_request_ms * self.running.len() as f64
-            + settings.step_per_adapter_ms * adapters as f64
+            + settings.step_per_request_ms * running.len() as f64
+            + settings.step_per_adapter_ms * self.batch.adapters() as f64
             + settings.prefill_per_token_ms * fresh_tokens as f64;
         Some(Step::Takes(settings.scaled(time_ms)))
     }
 
     fn drop_cancelled(&mut self) {
-        let waiting = self
-            .waiting
-            .extract_if(.., |_, sequence| sequence.is_cancelled());
-        let waiting = waiting.map(|(_, sequence)| sequence).collect::<Vec<_>>();
-        let running = self
-            .running
-            .extract_if(.., |sequence| sequence.is_cancelled());
-        let cancelled = waiting.into_iter().chain(running).collect::<Vec<_>>();
-        self.counters.cancelled += cancelled.len() as u64;
-        for sequence in cancelled {
+        for sequence in self.batch.take_cancelled() {
+            self.counters.cancelled += 1;
             self.slots.unpin(&sequence.model);
         }
     }
 
     /// Moves waiting requests into free places; returns the prompt tokens to read.
     fn fill_batch(&mut self) -> u64 {
-        let places = self
-            .settings
-            .batch_places
-            .saturating_sub(self.running.len());
-        let turns = self
-            .waiting
-            .iter()
-            .filter(|(_, sequence)| self.slots.is_ready(&sequence.model))
-            .map(|(turn, _)| *turn)
-            .take(places)
-            .collect::<Vec<_>>();
-        let mut fresh_tokens = 0;
-        for turn in turns {
-            if let Some(sequence) = self.waiting.remove(&turn) {
-                fresh_tokens += self.enter(sequence);
-            }
-        }
-        fresh_tokens
+        let slots = &self.slots;
+        let places = self.settings.batch_places;
+        let ready = self.batch.take_ready(places, |model| slots.is_ready(model));
+        ready.into_iter().map(|sequence| self.enter(sequence)).sum()
     }
 
     fn enter(&mut self, sequence: Sequence) -> u64 {
@@ -358,25 +310,19 @@
             let runs = counters.by_marker.entry(marker.to_owned()).or_default();
             runs.push(adapter.to_owned());
         }
-        self.running.push(sequence);
+        self.batch.enter(sequence);
         cost.fresh_tokens
     }
 
     /// Generates one token for each request in the batch.
     pub(super) fn finish_step(&mut self) {
         self.counters.steps += 1;
-        self.counters.batch_sum += self.running.len() as u64;
-        self.counters.tokens += self.running.len() as u64;
-        for sequence in &mut self.running {
-            sequence.generate(self.settings.tokens_per_chunk);
-        }
-        let ends = |sequence: &mut Sequence| {
-            sequence.is_done() || sequence.cut_after == Some(sequence.done_tokens)
-        };
-        let ended = self.running.extract_if(.., ends).collect::<Vec<_>>();
-        for sequence in ended {
+        let running = self.batch.running().len() as u64;
+        self.counters.batch_sum += running;
+        self.counters.tokens += running;
+        // A cut stream ends by dropping it without its last event.
+        for sequence in self.batch.generate(self.settings.tokens_per_chunk) {
             self.slots.unpin(&sequence.model);
-            // A cut stream ends by dropping it without its last event.
             self.counters.finished += u64::from(sequence.is_done());
         }
     }
@@ -394,8 +340,8 @@
             .collect();
         LoadReport {
             taken_at_unix_ms: UnixMs::now(),
-            running: self.running.len() as u32,
-            waiting: self.waiting.len() as u32,
+            running: self.batch.running().len() as u32,
+            waiting: self.batch.waiting().len() as u32,
             adapters,
             draining,
             started_at_unix_ms: self.started_at_unix_ms,
--- a/crates/standin/src/engine/mod.rs
+++ b/crates/standin/src/engine/mod.rs
@@ -1,10 +1,12 @@
 //! Model engines: continuous batching, adapter slots, streamed answers, orders.
 
 mod api;
+mod batch;
 mod chunk;
 mod command;
 mod core;
 mod counters;
+mod fencing;
 mod prefix_cache;
 mod sequence;
 mod settings;
--- a/crates/standin/src/engine/sequence.rs
+++ b/crates/standin/src/engine/sequence.rs
@@ -1,6 +1,6 @@
 //! Requests on an engine.
 
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::mpsc;
 use tokio::time::Instant;
 
 /// What goes to the caller of a request.
@@ -32,8 +32,6 @@
     pub(super) priority: i64,
     /// Where the pieces go.
     pub(super) pieces: mpsc::UnboundedSender<Piece>,
-    /// Hears whether it was taken in.
-    pub(super) taken: oneshot::Sender<Admission>,
 }
 
 /// Whether a request was taken in.
@@ -86,6 +84,11 @@
         self.done_tokens >= self.max_tokens
     }
 
+    /// Whether the last generated token ends the stream, whole or cut.
+    pub(super) fn ends(&self) -> bool {
+        self.is_done() || self.cut_after == Some(self.done_tokens)
+    }
+
     /// Generates one token; the first names the adapter version.
     pub(super) fn generate(&mut self, tokens_per_chunk: u32) {
         let number = self.done_tokens;
--- a/crates/standin/src/engine/task.rs
+++ b/crates/standin/src/engine/task.rs
@@ -117,7 +117,9 @@
     fn obey(&mut self, command: Command) {
         let now = Instant::now();
         match command {
-            Command::Generate(request) => self.core.generate(request, &self.faults, now),
+            Command::Generate(request, taken) => {
+                let _ = taken.send(self.core.generate(request, &self.faults, now));
+            }
             Command::Load(order) => self.load(order),
             Command::Unload(order) => self.core.unload(order),
             Command::Fence(order) => self.core.fence(order),
--- a/crates/standin/src/engine/tests.rs
+++ b/crates/standin/src/engine/tests.rs
@@ -42,7 +42,6 @@
     max_tokens: u32,
 ) -> Caller {
     let (sender, pieces) = mpsc::unbounded_channel();
-    let (taken, mut admission) = oneshot::channel();
     let request = NewRequest {
         model: model.to_owned(),
         request_id: model.to_owned(),
@@ -50,13 +49,9 @@
         max_tokens,
         priority,
         pieces: sender,
-        taken,
     };
-    core.generate(request, faults, Instant::now());
-    Caller {
-        pieces,
-        admission: admission.try_recv().expect("an admission"),
-    }
+    let admission = core.generate(request, faults, Instant::now());
+    Caller { pieces, admission }
 }
 
 fn load(core: &mut Core, copy: &str, fencing_number: u64) -> Option<OrderOutcome> {
--- a/crates/standin/tests/common/mod.rs
+++ b/crates/standin/tests/common/mod.rs
@@ -1,5 +1,4 @@
 //! What the tests of clients against stand-ins share.
-#![allow(dead_code)]
 
 use std::sync::Arc;
 
