Honour may_load, and keep fewer loads in transit

Cause: a request that tries a second upstream must find a copy or be refused at once; and seven owners with three loads in transit each queue 2 s of loads at the store, ordered sooner than needed. Popularity is remembered a little longer, so that adapters asked for every few seconds are told from those asked for once.

--- a/crates/decisions/src/owner/owned.rs
+++ b/crates/decisions/src/owner/owned.rs
@@ -162,6 +162,13 @@
             .last()
     }
 
+    /// Whether a copy of `adapter` can be granted now or after a load that was ordered.
+    pub fn has_copy_or_load(&self, adapter: &AdapterRef) -> bool {
+        let own = CopyName::new(adapter.clone(), self.epoch);
+        let loading = self.copies.get(&own).map(|copy| copy.state) == Some(CopyState::Loading);
+        loading || self.usable_copy(adapter).is_some()
+    }
+
     /// Whether a copy of `adapter` is on its way or can't be replaced yet.
     pub fn has_copy_underway(&self, adapter: &AdapterRef) -> bool {
         self.copies
--- a/crates/decisions/src/owner/owned_estimates.rs
+++ b/crates/decisions/src/owner/owned_estimates.rs
@@ -136,6 +136,29 @@
         );
     }
 
+    /// Refuses a request that may not cost a load and finds no copy.
+    pub fn refuse_not_loaded(
+        &mut self,
+        now: UnixMs,
+        waiting: &Waiting,
+        out: &mut Vec<OwnerAction>,
+    ) {
+        let message = format!(
+            "adapter \"{}\" is not loaded on upstream \"{}\"",
+            waiting.request.adapter,
+            self.name()
+        );
+        let retry_at = now + RETRY_MIN_MS;
+        self.refuse(
+            now,
+            waiting,
+            RefusalReason::Overloaded,
+            message,
+            retry_at,
+            out,
+        );
+    }
+
     /// Refuses a request because its adapter failed to load.
     pub fn refuse_load_failed(
         &mut self,
--- a/crates/decisions/src/owner/owned_grants.rs
+++ b/crates/decisions/src/owner/owned_grants.rs
@@ -89,6 +89,10 @@
             self.refuse_deadline(now, &waiting, out);
             return false;
         }
+        if !waiting.request.may_load && !self.has_copy_or_load(&waiting.request.adapter) {
+            self.refuse_not_loaded(now, &waiting, out);
+            return false;
+        }
         if self.queue.len() < self.queue_limit() {
             self.queue.push(waiting);
             return true;
--- a/crates/decisions/src/owner/owned_loads.rs
+++ b/crates/decisions/src/owner/owned_loads.rs
@@ -16,6 +16,7 @@
     weight: f64,
     waiting: u32,
     only_long: bool,
+    may_load: bool,
 }
 
 impl Owned {
@@ -138,10 +139,11 @@
             demand.weight += row.weight(now);
             demand.waiting += 1;
             demand.only_long &= row.request.class == RequestClass::Long;
+            demand.may_load |= row.request.may_load;
         }
         let long_full = self.long_pinned() >= self.long_slots();
         demands.retain(|adapter, demand| {
-            self.is_loadable(adapter, now) && !(demand.only_long && long_full)
+            demand.may_load && self.is_loadable(adapter, now) && !(demand.only_long && long_full)
         });
         demands
     }
--- a/crates/decisions/src/owner/settings.rs
+++ b/crates/decisions/src/owner/settings.rs
@@ -67,8 +67,8 @@
     fn default() -> Self {
         Self {
             load_rate_per_s: 1.0,
-            load_burst: 3.0,
-            loads_in_transit: 3,
+            load_burst: 2.0,
+            loads_in_transit: 2,
             loads_in_transit_per_upstream: 2,
             load_ms: 300,
             waiting_per_place: 8,
@@ -76,9 +76,9 @@
             long_share: 0.25,
             long_idle_share: 0.5,
             long_slot_share: 0.5,
-            popularity_half_life_ms: 10_000,
+            popularity_half_life_ms: 15_000,
             popularity_rows: 256,
-            reuse_horizon_ms: 5_000,
+            reuse_horizon_ms: 10_000,
             grant_min_ms: 30_000,
             grant_max_ms: 300_000,
             load_backoff_ms: 500,
