--- a/crates/decisions/src/owner/grants.rs
+++ b/crates/decisions/src/owner/grants.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, HashMap};
 
 use monsoonspread_model::message::GrantId;
-use monsoonspread_model::{CopyName, InstanceName, RequestClass, UnixMs};
+use monsoonspread_model::{AdapterRef, CopyName, InstanceName, RequestClass, UnixMs};
 
 use super::outstanding::Outstanding;
 use super::request_key::RequestKey;
@@ -80,6 +80,13 @@
             .count()
     }
 
+    /// Whether the batch runs `adapter`.
+    pub fn runs(&self, adapter: &AdapterRef) -> bool {
+        self.rows
+            .values()
+            .any(|grant| grant.holds_place && grant.copy.adapter == *adapter)
+    }
+
     /// Frees the places of grants that expired; their pins stay. Returns their holders.
     pub fn expire(&mut self, now: UnixMs) -> Vec<InstanceName> {
         let mut holders = Vec::new();
--- a/crates/decisions/src/owner/owned_grants.rs
+++ b/crates/decisions/src/owner/owned_grants.rs
@@ -1,5 +1,7 @@
 //! Requests, grants, returns and withdrawals at one upstream.
 
+use std::cmp::Ordering;
+
 use monsoonspread_model::message::{
     GrantAnswer, GrantId, GrantOutcome, GrantRequest, GrantReturn, RequestId,
 };
@@ -105,7 +107,7 @@
         let least = self
             .queue
             .least()
-            .filter(|least| least.request.priority < waiting.request.priority)
+            .filter(|least| self.goes_before(&waiting, least))
             .map(|least| least.key.clone());
         let Some(least) = least.and_then(|key| self.queue.remove(&key)) else {
             self.refuse_overloaded(now, &waiting, out);
@@ -116,6 +118,19 @@
         true
     }
 
+    /// Whether a full queue drops `least` for `waiting`: by priority, then so that no caller
+    /// takes the queue from the others.
+    fn goes_before(&self, waiting: &Waiting, least: &Waiting) -> bool {
+        let (new, old) = (&waiting.request, &least.request);
+        match new.priority.cmp(&old.priority) {
+            Ordering::Greater => true,
+            Ordering::Equal => {
+                self.queue.of_caller(&new.caller) + 1 < self.queue.of_caller(&old.caller)
+            }
+            Ordering::Less => false,
+        }
+    }
+
     fn queue_limit(&self) -> usize {
         (self.shape.batch_places * self.settings.waiting_per_place) as usize
     }
@@ -161,11 +176,13 @@
             return None;
         }
         let first_token_ms = self.first_token_ms(now);
-        let first = self.queue.first_where(|row| {
+        let may_start = |row: &Waiting| {
             row.request.class == class
                 && row.in_time(now, first_token_ms)
                 && self.grantable_copy(&row.request.adapter, class).is_some()
-        })?;
+        };
+        let in_batch = |adapter: &AdapterRef| self.grants.runs(adapter);
+        let first = self.queue.first_where(may_start, in_batch)?;
         let copy = self.grantable_copy(&first.request.adapter, class)?;
         Some((first.key.clone(), copy.clone()))
     }
--- a/crates/decisions/src/owner/wait_queue.rs
+++ b/crates/decisions/src/owner/wait_queue.rs
@@ -9,6 +9,8 @@
 
 /// Callers whose share is tracked; the one served least is forgotten first.
 const CALLERS_TRACKED: usize = 512;
+/// Difference in tokens served from which callers go one before the other.
+const FAIR_TOKENS: u64 = 256;
 
 /// A bounded queue that is fair between callers within a class and priority.
 ///
@@ -76,23 +78,42 @@
         self.rows.retain(|row| row.key.instance != *instance);
     }
 
-    /// The request to shed first: lowest priority, longest class, newest.
+    /// The request to shed first: lowest priority, caller with most waiting, newest.
     pub fn least(&self) -> Option<&Waiting> {
+        let mut waiting: BTreeMap<&CallerName, usize> = BTreeMap::new();
+        for row in &self.rows {
+            *waiting.entry(&row.request.caller).or_default() += 1;
+        }
+        self.rows.iter().max_by_key(|row| {
+            let of_caller = waiting.get(&row.request.caller);
+            (u8::MAX - row.request.priority, of_caller, row.since)
+        })
+    }
+
+    /// Requests of `caller` waiting.
+    pub fn of_caller(&self, caller: &CallerName) -> usize {
         self.rows
             .iter()
-            .max_by_key(|row| (u8::MAX - row.request.priority, row.request.class, row.since))
+            .filter(|row| row.request.caller == *caller)
+            .count()
     }
 
     /// The request that goes first among those for which `condition` holds: highest priority,
-    /// then the caller served least, then the earliest deadline.
-    pub fn first_where(&self, condition: impl Fn(&Waiting) -> bool) -> Option<&Waiting> {
+    /// then the caller served least, then an adapter that the batch runs already, then the
+    /// earliest deadline.
+    pub fn first_where(
+        &self,
+        condition: impl Fn(&Waiting) -> bool,
+        in_batch: impl Fn(&AdapterRef) -> bool,
+    ) -> Option<&Waiting> {
         self.rows
             .iter()
             .filter(|row| condition(row))
             .min_by_key(|row| {
                 (
                     u8::MAX - row.request.priority,
-                    self.caller_time(&row.request.caller),
+                    self.caller_time(&row.request.caller) / FAIR_TOKENS,
+                    !in_batch(&row.request.adapter),
                     row.request.deadline_unix_ms,
                 )
             })
