--- a/crates/decisions/src/ownership/machine.rs
+++ b/crates/decisions/src/ownership/machine.rs
@@ -9,8 +9,8 @@
 };
 
 use super::owned::Owned;
-use super::store_link::{StoreCall, StoreLink};
 use super::view::View;
+use super::writer::Writer;
 use super::{
     OwnKind, OwnershipAction, OwnershipDump, OwnershipEvent, OwnershipSettings, Planner,
     TableSource, WriteResult,
@@ -24,19 +24,11 @@
     settings: OwnershipSettings,
     view: View,
     owned: Owned,
-    store: StoreLink,
+    writer: Writer,
     upstreams: BTreeSet<UpstreamName>,
-    wanted: Option<Wanted>,
-    /// Lowest number that no table seen so far has issued.
-    first_epoch: Epoch,
     leaving: bool,
-}
-
-/// A change of the table that is not written yet.
-#[derive(Clone, Debug)]
-struct Wanted {
-    table: OwnershipTable,
-    since_unix_ms: UnixMs,
+    /// Whether anything changed since owners and table were worked out last.
+    changed: bool,
 }
 
 impl Ownership {
@@ -57,11 +49,10 @@
             own,
             zone,
             settings,
-            store: StoreLink::new(),
+            writer: Writer::new(),
             upstreams: BTreeSet::new(),
-            wanted: None,
-            first_epoch: Epoch(1),
             leaving: false,
+            changed: true,
         }
     }
 
@@ -88,6 +79,7 @@
     ) -> Vec<OwnershipAction> {
         self.view
             .set_members(now, members, self.settings.unheard_ms);
+        self.changed = true;
         self.follow(now)
     }
 
@@ -102,7 +94,8 @@
         self.owned.holders = entries
             .map(|row| InstanceName::from(row.name.as_str()))
             .collect();
-        self.write_if_due(now)
+        self.changed = true;
+        self.follow(now)
     }
 
     /// Takes a table that the key-value service has confirmed, here or at a peer.
@@ -113,7 +106,7 @@
         source: TableSource,
     ) -> Vec<OwnershipAction> {
         if let TableSource::Store { mod_revision } = source {
-            self.end_read();
+            self.writer.end_read();
             self.note_store(mod_revision, table.next_epoch);
         }
         self.adopt(now, table, source)
@@ -121,15 +114,15 @@
 
     /// The key-value service holds no table of this zone.
     pub fn on_table_absent(&mut self, now: UnixMs) -> Vec<OwnershipAction> {
-        self.end_read();
+        self.writer.end_read();
         self.note_store(0, Epoch(1));
         self.follow(now)
     }
 
     /// The table could not be read.
     pub fn on_read_failed(&mut self, now: UnixMs) -> Vec<OwnershipAction> {
-        self.end_read();
-        self.store.retry_at = now + self.settings.store_retry_ms;
+        self.writer.end_read();
+        self.pause_writer(now);
         let revision = self.view.table.revision;
         vec![OwnershipAction::Event(OwnershipEvent::StoreUnreachable {
             revision,
@@ -138,7 +131,7 @@
 
     /// Takes the result of the last write.
     pub fn on_write_result(&mut self, now: UnixMs, result: WriteResult) -> Vec<OwnershipAction> {
-        let Some(written) = self.store.finish() else {
+        let Some(written) = self.writer.end_write() else {
             return Vec::new();
         };
         let revision = written.revision;
@@ -150,18 +143,16 @@
                 actions
             }
             WriteResult::Conflict { current } => {
-                self.store.retry_at = now + self.settings.settle_ms;
+                self.writer.pause_until(now + self.settings.settle_ms);
                 let event = OwnershipEvent::WriteConflict { revision };
                 self.on_conflict(now, current, event)
             }
             WriteResult::Unknown => {
-                self.store.mod_revision = None;
-                self.store.call = StoreCall::Reading;
                 let event = OwnershipEvent::WriteUnknown { revision };
-                vec![OwnershipAction::Event(event), OwnershipAction::ReadTable]
+                vec![OwnershipAction::Event(event), self.writer.read()]
             }
             WriteResult::Unreachable => {
-                self.store.retry_at = now + self.settings.store_retry_ms;
+                self.pause_writer(now);
                 let event = OwnershipEvent::StoreUnreachable { revision };
                 vec![OwnershipAction::Event(event)]
             }
@@ -189,6 +180,7 @@
             return Vec::new();
         }
         self.view.raise_floor(upstream, epoch);
+        self.changed = true;
         self.follow(now)
     }
 
@@ -196,6 +188,7 @@
     pub fn on_restarted(&mut self, now: UnixMs, restarted: &InstanceName) -> Vec<OwnershipAction> {
         self.view.lapsed.insert(restarted.clone());
         self.view.advance(now);
+        self.changed = true;
         self.follow(now)
     }
 
@@ -221,6 +214,7 @@
             })];
         };
         self.view.raise_floor(upstream, place.epoch);
+        self.changed = true;
         let own = self
             .owned
             .own(upstream.clone(), place.epoch, OwnKind::Handover, &self.view);
@@ -230,7 +224,7 @@
     /// This instance leaves as planned.
     pub fn on_leave(&mut self, now: UnixMs) -> Vec<OwnershipAction> {
         self.leaving = true;
-        self.wanted = None;
+        self.writer.want(now, None);
         let mut successors = Vec::new();
         let mut actions = Vec::new();
         for upstream in self.owned.clear().into_keys() {
@@ -247,11 +241,16 @@
 
     /// Lets time pass; every 100 ms.
     pub fn on_tick(&mut self, now: UnixMs) -> Vec<OwnershipAction> {
-        if !self.owned.has_first_epoch() && self.store.is_ready(now) {
-            self.store.call = StoreCall::Reading;
-            return vec![OwnershipAction::ReadTable];
+        if !self.owned.has_first_epoch() {
+            let read = self.writer.read_if_ready(now);
+            if read.is_some() {
+                return read.into_iter().collect();
+            }
+        }
+        if self.view.gives_up_unheard(now) {
+            self.view.advance(now);
+            self.changed = true;
         }
-        self.view.advance(now);
         self.follow(now)
     }
 
@@ -283,16 +282,19 @@
         actions
     }
 
-    fn end_read(&mut self) {
-        if self.store.call == StoreCall::Reading {
-            self.store.call = StoreCall::Idle;
+    fn note_store(&mut self, mod_revision: u64, next_epoch: Epoch) {
+        self.writer.note_store(mod_revision, next_epoch);
+        if !self.owned.has_first_epoch() {
+            self.owned.set_first_epoch(self.writer.first_epoch());
+            self.changed = true;
         }
     }
 
-    fn note_store(&mut self, mod_revision: u64, next_epoch: Epoch) {
-        self.store.mod_revision = Some(mod_revision);
-        self.first_epoch = self.first_epoch.max(next_epoch);
-        self.owned.set_first_epoch(self.first_epoch);
+    /// Keeps off the key-value service; the whole zone together calls it a few times a second.
+    fn pause_writer(&mut self, now: UnixMs) {
+        let turns = self.rank(now) as u64 + 1;
+        let retry_at = now + self.settings.store_retry_ms * turns;
+        self.writer.pause_until(retry_at);
     }
 
     fn adopt(
@@ -301,71 +303,50 @@
         table: OwnershipTable,
         source: TableSource,
     ) -> Vec<OwnershipAction> {
-        self.first_epoch = self.first_epoch.max(table.next_epoch);
-        if table.zone != self.zone || table.revision <= self.view.table.revision {
+        if table.zone != self.zone {
+            return Vec::new();
+        }
+        self.writer.note_epoch(table.next_epoch);
+        if table.revision <= self.view.table.revision {
             return self.follow(now);
         }
         if source == TableSource::Peer {
-            self.store.mod_revision = None;
+            self.writer.forget_revision();
         }
         let revision = table.revision;
         self.view.set_table(now, table);
+        self.changed = true;
         let event = OwnershipEvent::TableAdopted { revision };
         let mut actions = vec![OwnershipAction::Event(event)];
         actions.extend(self.follow(now));
         actions
     }
 
+    /// Brings ownership, and then the table, in step with what is known.
     fn follow(&mut self, now: UnixMs) -> Vec<OwnershipAction> {
         if self.leaving || !self.view.knows_members() {
             return Vec::new();
         }
-        let mut actions = self.owned.follow(now, &self.view);
-        actions.extend(self.write_if_due(now));
-        actions
-    }
-
-    fn write_if_due(&mut self, now: UnixMs) -> Vec<OwnershipAction> {
-        self.want(now);
-        let Some(wanted) = &self.wanted else {
-            return Vec::new();
-        };
-        let due = wanted.since_unix_ms + self.delay_ms(now);
-        if now < due || !self.store.is_ready(now) {
-            return Vec::new();
+        let mut actions = Vec::new();
+        if self.changed || self.owned.awaits_handover() {
+            actions.extend(self.owned.follow(now, &self.view));
         }
-        let Some(expected_mod_revision) = self.store.mod_revision else {
-            self.store.call = StoreCall::Reading;
-            return vec![OwnershipAction::ReadTable];
-        };
-        let table = wanted.table.clone();
-        self.store.call = StoreCall::Writing(table.clone());
-        vec![OwnershipAction::WriteTable {
-            table,
-            expected_mod_revision,
-        }]
-    }
-
-    /// Works out the table that fits what is known now.
-    fn want(&mut self, now: UnixMs) {
-        if self.leaving || !self.view.knows_members() || !self.owned.has_first_epoch() {
-            return;
+        if !self.owned.has_first_epoch() {
+            return actions;
         }
-        let Some(table) = self.plan(now) else {
-            self.wanted = None;
-            return;
-        };
-        let since_unix_ms = self
-            .wanted
-            .take()
-            .filter(|wanted| wanted.table == table)
-            .map_or(now, |wanted| wanted.since_unix_ms);
-        self.wanted = Some(Wanted {
-            table,
-            since_unix_ms,
-        });
+        if std::mem::replace(&mut self.changed, false) {
+            let table = self.plan(now);
+            self.writer.want(now, table);
+        }
+        if !self.writer.wants() {
+            return actions;
+        }
+        let delay_ms = self.delay_ms(now);
+        actions.extend(self.writer.write_if_due(now, delay_ms));
+        actions
     }
 
+    /// The table that fits what is known now, unless the one in force does.
     fn plan(&self, now: UnixMs) -> Option<OwnershipTable> {
         let in_table;
         let upstreams = if self.upstreams.is_empty() {
@@ -387,7 +368,7 @@
         )
         .with_floors(&self.view.floors)
         .with_lapsed(&lapsed)
-        .with_first_epoch(self.first_epoch)
+        .with_first_epoch(self.writer.first_epoch())
         .plan()
     }
 
@@ -413,9 +394,13 @@
         if self.acts_out_of_order() || self.has_void_place(now) {
             return self.settings.settle_ms;
         }
-        let rank = live.iter().position(|member| *member == self.own);
-        let rank = rank.unwrap_or_default().min(self.settings.writers);
-        self.settings.settle_ms + rank as u64 * self.settings.rank_delay_ms
+        self.settings.settle_ms + self.rank(now) as u64 * self.settings.rank_delay_ms
+    }
+
+    /// How many live instances come before this one; the first writes tables, others are late.
+    fn rank(&self, now: UnixMs) -> usize {
+        let live = self.view.live(now);
+        live.iter().take_while(|name| **name < self.own).count()
     }
 
     /// Whether this instance owns an upstream that the table gives to another first.
--- a/crates/decisions/src/ownership/mod.rs
+++ b/crates/decisions/src/ownership/mod.rs
@@ -14,10 +14,10 @@
 mod planner;
 mod results;
 mod settings;
-mod store_link;
 #[cfg(test)]
 mod tests;
 mod view;
+mod writer;
 
 pub use action::{OwnKind, OwnershipAction};
 pub use directory::TableDirectory;
--- a/crates/decisions/src/ownership/owned.rs
+++ b/crates/decisions/src/ownership/owned.rs
@@ -17,6 +17,7 @@
     /// Instances of any zone that could hold grants.
     pub(super) holders: BTreeSet<InstanceName>,
     handover_wait_ms: u64,
+    awaits_handover: bool,
 }
 
 impl Owned {
@@ -27,6 +28,7 @@
             first_epoch: None,
             holders: BTreeSet::new(),
             handover_wait_ms,
+            awaits_handover: false,
         }
     }
 
@@ -43,6 +45,11 @@
         self.first_epoch.is_some_and(|first| epoch >= first)
     }
 
+    /// Whether an upstream is this instance's, but for the handover that is still to come.
+    pub(super) fn awaits_handover(&self) -> bool {
+        self.awaits_handover
+    }
+
     pub(super) fn epochs(&self) -> &BTreeMap<UpstreamName, Epoch> {
         &self.epochs
     }
@@ -54,13 +61,17 @@
     /// Disowns what the view gives to others and owns what it gives to this instance.
     pub(super) fn follow(&mut self, now: UnixMs, view: &View) -> Vec<OwnershipAction> {
         let mut actions = self.drop_lost(now, view);
-        let gained: Vec<_> = view
+        let turns: Vec<_> = view
             .table
             .upstreams
             .keys()
             .filter(|upstream| !self.epochs.contains_key(*upstream))
-            .filter_map(|upstream| Some((upstream.clone(), self.gain(now, view, upstream)?)))
+            .filter_map(|upstream| Some((upstream.clone(), self.turn(now, view, upstream)?)))
             .collect();
+        let (awaited, gained): (Vec<_>, Vec<_>) = turns
+            .into_iter()
+            .partition(|(upstream, _)| self.waits(now, view, upstream));
+        self.awaits_handover = !awaited.is_empty();
         for (upstream, epoch) in gained {
             let kind = kind_of(view, &upstream, epoch);
             if kind == OwnKind::Takeover {
@@ -114,14 +125,16 @@
     }
 
     /// The number to own `upstream` with, when it is this instance's turn.
-    fn gain(&self, now: UnixMs, view: &View, upstream: &UpstreamName) -> Option<Epoch> {
-        let place = view
-            .owner_of(now, upstream)
-            .filter(|place| place.instance == self.own && self.may_use(place.epoch))?;
-        let awaits_handover = view
-            .former_leaving_since(upstream)
-            .is_some_and(|since| now < since + self.handover_wait_ms);
-        (!awaits_handover).then_some(place.epoch)
+    fn turn(&self, now: UnixMs, view: &View, upstream: &UpstreamName) -> Option<Epoch> {
+        view.owner_of(now, upstream)
+            .filter(|place| place.instance == self.own && self.may_use(place.epoch))
+            .map(|place| place.epoch)
+    }
+
+    /// Whether the owner before leaves as planned, so that its handover may still come.
+    fn waits(&self, now: UnixMs, view: &View, upstream: &UpstreamName) -> bool {
+        view.former_leaving_since(upstream)
+            .is_some_and(|since| now < since + self.handover_wait_ms)
     }
 }
 
--- a/crates/decisions/src/ownership/planner.rs
+++ b/crates/decisions/src/ownership/planner.rs
@@ -117,10 +117,48 @@
             *counts.entry(owner).or_default() += 1;
             owners.insert(upstream, owner);
         }
-        level(&mut owners, &mut counts);
+        self.level(&mut owners, &mut counts);
         owners
     }
 
+    /// Moves upstreams from the instance with most to the one with fewest until they differ by
+    /// one; those that the instance took over from another go first.
+    fn level(
+        &self,
+        owners: &mut BTreeMap<&'a UpstreamName, &'a InstanceName>,
+        counts: &mut BTreeMap<&'a InstanceName, usize>,
+    ) {
+        loop {
+            let most = counts.iter().max_by_key(|(_, count)| **count);
+            let fewest = counts.iter().min_by_key(|(_, count)| **count);
+            let (Some((&most, &high)), Some((&fewest, &low))) = (most, fewest) else {
+                return;
+            };
+            if high - low < 2 {
+                return;
+            }
+            let moved = owners
+                .iter()
+                .filter(|(_, owner)| **owner == most)
+                .max_by_key(|(upstream, _)| {
+                    (!self.is_first(upstream, most), weight(upstream, fewest))
+                })
+                .map(|(upstream, _)| *upstream);
+            let Some(upstream) = moved else { return };
+            owners.insert(upstream, fewest);
+            *counts.entry(most).or_default() -= 1;
+            *counts.entry(fewest).or_default() += 1;
+        }
+    }
+
+    /// Whether the current table names `instance` first for `upstream`.
+    fn is_first(&self, upstream: &UpstreamName, instance: &InstanceName) -> bool {
+        let order = self.current.order_of(upstream);
+        order
+            .first()
+            .is_some_and(|place| place.instance == *instance)
+    }
+
     fn present_owner(&self, upstream: &UpstreamName) -> Option<&'a InstanceName> {
         self.current
             .order_of(upstream)
@@ -175,16 +213,15 @@
             .iter()
             .filter(|place| self.holds_place(upstream, place))
             .filter_map(|place| self.live.get(&place.instance));
-        let mut others: Vec<_> = self.live.iter().collect();
-        others.sort_by_key(|instance| u64::MAX - weight(upstream, instance));
-        for instance in present.chain(others) {
-            if chosen.len() >= self.order_length {
-                break;
-            }
-            if !chosen.contains(&instance) {
+        for instance in present {
+            if chosen.len() < self.order_length && !chosen.contains(&instance) {
                 chosen.push(instance);
             }
         }
+        while chosen.len() < self.order_length.min(self.live.len()) {
+            let others = self.live.iter().filter(|other| !chosen.contains(other));
+            chosen.extend(others.max_by_key(|other| weight(upstream, other)));
+        }
         chosen
     }
 }
@@ -200,33 +237,6 @@
         .expect("a plan is made for one live instance at least")
 }
 
-/// Moves upstreams from the instance with most to the one with fewest until they differ by one.
-fn level<'a>(
-    owners: &mut BTreeMap<&'a UpstreamName, &'a InstanceName>,
-    counts: &mut BTreeMap<&'a InstanceName, usize>,
-) {
-    loop {
-        let most = counts.iter().max_by_key(|(_, count)| **count);
-        let fewest = counts.iter().min_by_key(|(_, count)| **count);
-        let (Some((most, high)), Some((fewest, low))) = (most, fewest) else {
-            return;
-        };
-        if high - low < 2 {
-            return;
-        }
-        let (most, fewest) = (*most, *fewest);
-        let moved = owners
-            .iter()
-            .filter(|(_, owner)| **owner == most)
-            .max_by_key(|(upstream, _)| weight(upstream, fewest))
-            .map(|(upstream, _)| *upstream);
-        let Some(upstream) = moved else { return };
-        owners.insert(upstream, fewest);
-        *counts.entry(most).or_default() -= 1;
-        *counts.entry(fewest).or_default() += 1;
-    }
-}
-
 fn issue(next_epoch: &mut Epoch) -> Epoch {
     let issued = *next_epoch;
     next_epoch.0 += 1;
--- a/crates/decisions/src/ownership/settings.rs
+++ b/crates/decisions/src/ownership/settings.rs
@@ -9,11 +9,9 @@
     pub settle_ms: u64,
     /// Added to `settle_ms` for each live instance that ranks before this one.
     pub rank_delay_ms: u64,
-    /// Instances that write tables, counted from the lowest rank.
-    pub writers: usize,
     /// Used in place of `settle_ms` while fewer than half of the table's members are live.
     pub minority_settle_ms: u64,
-    /// Pause after the key-value service could not be reached.
+    /// Pause after the key-value service could not be reached, times one more than the rank.
     pub store_retry_ms: u64,
     /// How long a successor waits for the handover of an owner that leaves as planned.
     pub handover_wait_ms: u64,
@@ -27,7 +25,6 @@
             order_length: 4,
             settle_ms: 300,
             rank_delay_ms: 1_000,
-            writers: 3,
             minority_settle_ms: 5_000,
             store_retry_ms: 1_000,
             handover_wait_ms: 500,
--- /dev/null
+++ b/crates/decisions/src/ownership/tests/rules.rs
@@ -0,0 +1,171 @@
+//! Single rules of ownership, each brought about on its own.
+
+use monsoonspread_model::message::Health::{self, Alive, Dead, Leaving};
+use monsoonspread_model::{Epoch, InstanceName, OwnershipTable, Succession, UnixMs, UpstreamName};
+
+use crate::ownership::OwnershipAction::{HandOver, Own, ReadTable, SpreadTable, WriteTable};
+use crate::ownership::{
+    OwnKind, Ownership, OwnershipAction, OwnershipSettings, TableSource, WriteResult,
+};
+
+const START: UnixMs = UnixMs(1_000);
+const LATER: UnixMs = UnixMs(1_600);
+
+fn engine() -> UpstreamName {
+    "engine-1".into()
+}
+
+fn table(revision: u64, order: &[(&str, u64)]) -> OwnershipTable {
+    let places = order.iter().map(|(instance, epoch)| Succession {
+        instance: (*instance).into(),
+        epoch: Epoch(*epoch),
+    });
+    OwnershipTable {
+        revision,
+        next_epoch: Epoch(order.iter().map(|(_, epoch)| epoch + 1).max().unwrap()),
+        members: order.iter().map(|(name, _)| (*name).into()).collect(),
+        upstreams: [(engine(), places.collect())].into(),
+        ..OwnershipTable::new("z")
+    }
+}
+
+fn members(healths: &[(&str, Health)]) -> Vec<(InstanceName, Health)> {
+    let healths = healths.iter();
+    healths
+        .map(|(name, health)| ((*name).into(), *health))
+        .collect()
+}
+
+/// Instance `own` of a zone of a, b and c whose first table gives the engine to a, then b, c.
+fn joined(own: &str) -> Ownership {
+    let mut machine = Ownership::new(own.into(), "z".into(), OwnershipSettings::default());
+    machine.on_tick(START);
+    machine.on_table_absent(START);
+    machine.on_members(START, &members(&[("a", Alive), ("b", Alive), ("c", Alive)]));
+    let source = TableSource::Store { mod_revision: 7 };
+    machine.on_table(START, table(1, &[("a", 1), ("b", 2), ("c", 3)]), source);
+    machine
+}
+
+fn owns(actions: &[OwnershipAction]) -> Option<(Epoch, OwnKind)> {
+    actions.iter().find_map(|action| match action {
+        Own { epoch, kind, .. } => Some((*epoch, *kind)),
+        _ => None,
+    })
+}
+
+fn written(actions: Vec<OwnershipAction>) -> Option<(OwnershipTable, u64)> {
+    actions.into_iter().find_map(|action| match action {
+        WriteTable {
+            table,
+            expected_mod_revision,
+        } => Some((table, expected_mod_revision)),
+        _ => None,
+    })
+}
+
+#[test]
+fn the_next_takes_over_with_its_own_number_without_the_store() {
+    let mut b = joined("b");
+    let actions = b.on_members(LATER, &members(&[("a", Dead), ("b", Alive), ("c", Alive)]));
+    assert_eq!(owns(&actions), Some((Epoch(2), OwnKind::Takeover)));
+    let mut c = joined("c");
+    let actions = c.on_members(LATER, &members(&[("a", Dead), ("b", Alive), ("c", Alive)]));
+    assert_eq!(owns(&actions), None);
+    assert_eq!(c.owner_of(LATER, &engine()).unwrap().epoch, Epoch(2));
+}
+
+#[test]
+fn an_owner_that_came_back_waits_for_a_new_table() {
+    let mut b = joined("b");
+    b.on_members(START, &members(&[("a", Dead), ("b", Alive), ("c", Alive)]));
+    b.on_members(START, &members(&[("a", Alive), ("b", Alive), ("c", Alive)]));
+    assert_eq!(b.owned_epoch(&engine()), Some(Epoch(2)));
+    let (next, expected) = written(b.on_tick(LATER)).expect("b writes though a ranks first");
+    assert_eq!(expected, 7);
+    let order = next.order_of(&engine());
+    let names: Vec<_> = order.iter().map(|place| place.instance.as_str()).collect();
+    assert_eq!((names[0], order[0].epoch), ("b", Epoch(2)));
+    let a = order
+        .iter()
+        .find(|place| place.instance == "a".into())
+        .unwrap();
+    assert_eq!(a.epoch, Epoch(4));
+}
+
+#[test]
+fn a_process_that_restarted_is_passed_over_without_the_store() {
+    let mut b = joined("b");
+    let actions = b.on_restarted(LATER, &"a".into());
+    assert_eq!(owns(&actions), Some((Epoch(2), OwnKind::Takeover)));
+}
+
+#[test]
+fn numbers_issued_before_a_process_started_are_not_used() {
+    let mut a = Ownership::new("a".into(), "z".into(), OwnershipSettings::default());
+    a.on_members(START, &members(&[("a", Alive), ("b", Alive)]));
+    let old = table(1, &[("a", 1), ("b", 2)]);
+    let from_peer = a.on_table(START, old.clone(), TableSource::Peer);
+    assert_eq!(owns(&from_peer), None);
+    let source = TableSource::Store { mod_revision: 7 };
+    assert_eq!(owns(&a.on_table(START, old, source)), None);
+    let (next, _) = written(a.on_tick(LATER)).expect("a asks for new numbers");
+    a.on_write_result(LATER, WriteResult::Written { mod_revision: 8 });
+    let own = next
+        .order_of(&engine())
+        .iter()
+        .find(|place| place.instance == "a".into());
+    assert!(own.unwrap().epoch >= Epoch(3));
+}
+
+#[test]
+fn a_leaving_owner_hands_over_to_the_next() {
+    let mut a = joined("a");
+    let actions = a.on_leave(LATER);
+    let successors = vec![(engine(), InstanceName::from("b"))];
+    assert_eq!(actions, [HandOver { successors }]);
+    let mut b = joined("b");
+    let now = members(&[("a", Leaving), ("b", Alive), ("c", Alive)]);
+    assert_eq!(owns(&b.on_members(LATER, &now)), None);
+    let actions = b.on_handover(LATER, &"a".into(), &engine(), Epoch(1));
+    assert_eq!(owns(&actions), Some((Epoch(2), OwnKind::Handover)));
+}
+
+#[test]
+fn a_handover_that_never_comes_is_not_waited_for_long() {
+    let mut b = joined("b");
+    b.on_members(
+        START,
+        &members(&[("a", Leaving), ("b", Alive), ("c", Alive)]),
+    );
+    assert_eq!(owns(&b.on_tick(START + 400)), None);
+    let actions = b.on_tick(START + 500);
+    assert_eq!(owns(&actions), Some((Epoch(2), OwnKind::Takeover)));
+}
+
+#[test]
+fn a_lost_answer_to_a_write_is_read_back_before_anything_is_adopted() {
+    let mut a = joined("a");
+    a.on_members(START, &members(&[("a", Alive), ("b", Alive), ("c", Dead)]));
+    let (next, _) = written(a.on_tick(LATER)).unwrap();
+    let actions = a.on_write_result(LATER, WriteResult::Unknown);
+    assert!(actions.contains(&ReadTable));
+    assert_eq!(a.table().revision, 1);
+    a.on_table(LATER, next.clone(), TableSource::Store { mod_revision: 8 });
+    assert_eq!(*a.table(), next);
+}
+
+#[test]
+fn only_the_lowest_rank_writes_at_once() {
+    let dead = members(&[("a", Alive), ("b", Alive), ("c", Dead)]);
+    let mut a = joined("a");
+    a.on_members(START, &dead);
+    let (next, _) = written(a.on_tick(LATER)).unwrap();
+    let actions = a.on_write_result(LATER, WriteResult::Written { mod_revision: 8 });
+    assert!(actions.contains(&SpreadTable(next.clone())));
+    let mut b = joined("b");
+    b.on_members(START, &dead);
+    assert_eq!(written(b.on_tick(LATER)), None);
+    b.on_table(LATER, next, TableSource::Peer);
+    assert_eq!(written(b.on_tick(LATER + 5_000)), None);
+}
--- a/crates/decisions/src/ownership/view.rs
+++ b/crates/decisions/src/ownership/view.rs
@@ -19,6 +19,7 @@
     former: BTreeMap<UpstreamName, InstanceName>,
     leaving_since: BTreeMap<InstanceName, UnixMs>,
     unheard_until: Option<UnixMs>,
+    gave_up_unheard: bool,
 }
 
 impl View {
@@ -32,6 +33,7 @@
             former: BTreeMap::new(),
             leaving_since: BTreeMap::new(),
             unheard_until: None,
+            gave_up_unheard: false,
         }
     }
 
@@ -54,6 +56,12 @@
         self.advance(now);
     }
 
+    /// True once, when members of the table that are still unheard of begin to count as gone.
+    pub(super) fn gives_up_unheard(&mut self, now: UnixMs) -> bool {
+        let due = self.unheard_until.is_some_and(|until| now >= until);
+        due && !std::mem::replace(&mut self.gave_up_unheard, true)
+    }
+
     pub(super) fn knows_members(&self) -> bool {
         self.unheard_until.is_some()
     }
