--- a/crates/decisions/src/ownership/machine.rs
+++ b/crates/decisions/src/ownership/machine.rs
@@ -292,7 +292,7 @@
 
     /// Keeps off the key-value service; the whole zone together calls it a few times a second.
     fn pause_writer(&mut self, now: UnixMs) {
-        let turns = self.rank(now) as u64 + 1;
+        let turns = self.view.rank(now) as u64 + 1;
         let retry_at = now + self.settings.store_retry_ms * turns;
         self.writer.pause_until(retry_at);
     }
@@ -357,7 +357,7 @@
         };
         let live = self.view.live(now);
         let mut lapsed = self.view.lapsed.clone();
-        if self.has_void_place(now) {
+        if self.owned.has_void_place(now, &self.view) {
             lapsed.insert(self.own.clone());
         }
         Planner::new(
@@ -372,42 +372,13 @@
         .plan()
     }
 
-    /// Whether the table gives this instance a number that an earlier process may have used.
-    fn has_void_place(&self, now: UnixMs) -> bool {
-        self.view.table.upstreams.keys().any(|upstream| {
-            self.view
-                .owner_of(now, upstream)
-                .is_some_and(|place| place.instance == self.own && !self.owned.may_use(place.epoch))
-        })
-    }
-
     fn delay_ms(&self, now: UnixMs) -> u64 {
-        let live = self.view.live(now);
-        let members = &self.view.table.members;
-        let remaining = members
-            .iter()
-            .filter(|member| live.contains(*member))
-            .count();
-        if remaining * 2 < members.len() {
+        if self.view.is_minority(now) {
             return self.settings.minority_settle_ms;
         }
-        if self.acts_out_of_order() || self.has_void_place(now) {
+        if self.owned.acts_out_of_order(&self.view) || self.owned.has_void_place(now, &self.view) {
             return self.settings.settle_ms;
         }
-        self.settings.settle_ms + self.rank(now) as u64 * self.settings.rank_delay_ms
-    }
-
-    /// How many live instances come before this one; the first writes tables, others are late.
-    fn rank(&self, now: UnixMs) -> usize {
-        let live = self.view.live(now);
-        live.iter().take_while(|name| **name < self.own).count()
-    }
-
-    /// Whether this instance owns an upstream that the table gives to another first.
-    fn acts_out_of_order(&self) -> bool {
-        self.owned.epochs().iter().any(|(upstream, epoch)| {
-            let order = self.view.table.order_of(upstream);
-            order.first().is_some_and(|head| head.epoch != *epoch)
-        })
+        self.settings.settle_ms + self.view.rank(now) as u64 * self.settings.rank_delay_ms
     }
 }
--- a/crates/decisions/src/ownership/owned.rs
+++ b/crates/decisions/src/ownership/owned.rs
@@ -50,6 +50,24 @@
         self.awaits_handover
     }
 
+    /// Whether an upstream is owned that the table gives to another first.
+    pub(super) fn acts_out_of_order(&self, view: &View) -> bool {
+        self.epochs.iter().any(|(upstream, epoch)| {
+            let order = view.table.order_of(upstream);
+            order.first().is_some_and(|head| head.epoch != *epoch)
+        })
+    }
+
+    /// Whether the table gives this instance a number that an earlier process may have used.
+    pub(super) fn has_void_place(&self, now: UnixMs, view: &View) -> bool {
+        let mut owners = view
+            .table
+            .upstreams
+            .keys()
+            .filter_map(|upstream| view.owner_of(now, upstream));
+        owners.any(|place| place.instance == self.own && !self.may_use(place.epoch))
+    }
+
     pub(super) fn epochs(&self) -> &BTreeMap<UpstreamName, Epoch> {
         &self.epochs
     }
--- a/crates/decisions/src/ownership/view.rs
+++ b/crates/decisions/src/ownership/view.rs
@@ -165,6 +165,19 @@
             .collect()
     }
 
+    /// How many live instances come before this one; the first writes tables, others are late.
+    pub(super) fn rank(&self, now: UnixMs) -> usize {
+        let live = self.live(now);
+        live.iter().take_while(|name| **name < self.own).count()
+    }
+
+    /// Whether fewer than half of the table's members are live.
+    pub(super) fn is_minority(&self, now: UnixMs) -> bool {
+        let members = self.table.members.iter();
+        let live = members.filter(|name| self.is_live(now, name)).count();
+        live * 2 < self.table.members.len()
+    }
+
     /// When the owner before the present one announced that it leaves, if it does.
     pub(super) fn former_leaving_since(&self, upstream: &UpstreamName) -> Option<UnixMs> {
         let former = self.former.get(upstream)?;
