--- a/crates/load/src/slopes/measure.rs
+++ b/crates/load/src/slopes/measure.rs
@@ -54,3 +54,17 @@
         .unwrap_or_default();
     fastest.as_secs_f64() * 1e6 / f64::from(calls)
 }
+
+/// Microseconds that `work` takes on a value made by `prepare`, in the fastest of several rounds.
+pub fn us_prepared<V, T>(mut prepare: impl FnMut() -> V, mut work: impl FnMut(&mut V) -> T) -> f64 {
+    let fastest = (0..ROUNDS)
+        .map(|_| {
+            let mut value = prepare();
+            let started = Instant::now();
+            black_box(work(&mut value));
+            started.elapsed()
+        })
+        .min()
+        .unwrap_or_default();
+    fastest.as_secs_f64() * 1e6
+}
--- a/crates/load/src/slopes/mod.rs
+++ b/crates/load/src/slopes/mod.rs
@@ -6,7 +6,10 @@
 mod bundle_probes;
 mod line;
 mod measure;
+mod member_probes;
 mod message_probes;
+mod owner_probes;
+mod ownership_probes;
 mod probe;
 mod samples;
 #[cfg(test)]
@@ -17,10 +20,17 @@
 
 /// Every probe; memory is measured before time, while little memory has been freed.
 pub fn probes() -> Vec<Probe> {
-    let all = [bundle_probes::PROBES, message_probes::PROBES].concat();
+    let all = [
+        bundle_probes::PROBES,
+        member_probes::PROBES,
+        owner_probes::PROBES,
+        ownership_probes::PROBES,
+        message_probes::PROBES,
+    ]
+    .concat();
     let (memory, other): (Vec<Probe>, Vec<Probe>) = all
         .into_iter()
-        .partition(|probe| probe.name.ends_with(".resident"));
+        .partition(|probe| probe.name.contains(".resident"));
     memory.into_iter().chain(other).collect()
 }
 
--- a/crates/load/src/slopes/samples.rs
+++ b/crates/load/src/slopes/samples.rs
@@ -1,86 +1,66 @@
 //! Sample data of a given size.
 
 use std::net::SocketAddr;
-use std::sync::Arc;
 
-use monsoonspread_model::bundle::{AdapterEntry, CallerEntry};
 use monsoonspread_model::message::{
     GrantAnswer, GrantId, GrantOutcome, GrantReply, GrantRequest, GrantReturn, Health, HeldGrant,
     MemberUpdate, RequestId, Swim, SwimBody,
 };
 use monsoonspread_model::{
-    AdapterRef, Bundle, BundleVersion, Epoch, InstanceName, OwnershipTable, RequestClass,
-    Succession, UnixMs, UpstreamName,
+    AdapterRef, Bundle, BundleVersion, Epoch, InstanceKind, InstanceName, InstanceState,
+    ListedInstance, OwnershipTable, RequestClass, Succession, UnixMs, UpstreamName,
 };
 
-/// Callers in a sample bundle.
-const CALLERS: usize = 100;
 /// Instances in an upstream's failover order.
-pub const FAILOVER_INSTANCES: usize = 3;
-
-/// A bundle with `adapters` adapters.
-pub fn bundle(adapters: usize) -> Bundle {
-    let adapters = (0..adapters)
-        .map(|number| (adapter_name(number).as_str().into(), adapter_entry(1)))
-        .collect();
-    let callers = (0..CALLERS)
-        .map(|number| {
-            (
-                format!("caller-{number:04}").as_str().into(),
-                caller_entry(),
-            )
-        })
-        .collect();
-    Bundle {
-        version: BundleVersion(1),
-        adapters,
-        callers,
-        ..Bundle::default()
-    }
-}
+const FAILOVER_INSTANCES: usize = 4;
+/// The zone of samples.
+const ZONE: &str = "vestland-1";
 
-/// The next version of `bundle`, with `changes` adapters at a new version.
+/// The next version of `bundle`, with `changes` adapters at another default version.
 pub fn changed(bundle: &Bundle, changes: usize) -> Bundle {
     let mut next = bundle.clone();
     next.version = BundleVersion(bundle.version.0 + 1);
-    let step = (bundle.adapters.len() / changes.max(1)).max(1);
-    for number in 0..changes {
-        let name = adapter_name(number * step);
-        next.adapters.insert(name.as_str().into(), adapter_entry(2));
+    let every = (bundle.adapters.len() / changes.max(1)).max(1);
+    for entry in next.adapters.values_mut().step_by(every).take(changes) {
+        entry.default_version = 3 - entry.default_version;
     }
     next
 }
 
-fn adapter_name(number: usize) -> String {
-    format!("workshop-needle-{number:05}")
-}
-
-fn adapter_entry(version: u32) -> AdapterEntry {
-    AdapterEntry {
-        base_model: "base-8b".into(),
-        versions: vec![version, version + 1],
-        default_version: version,
-        group: Arc::from("workshops"),
-        priority: 3,
-    }
-}
-
-fn caller_entry() -> CallerEntry {
-    CallerEntry {
-        key_sha256: "0".repeat(64),
-        groups: vec![Arc::from("workshops"), Arc::from("records")],
-        priority: 1,
-        max_in_flight: 64,
-    }
-}
-
-/// Canonical CBOR of a bundle or a delta.
+/// CBOR of a value.
 pub fn cbor<T: serde::Serialize>(value: &T) -> Vec<u8> {
     let mut bytes = Vec::new();
     ciborium::into_writer(value, &mut bytes).expect("writing CBOR to memory succeeds");
     bytes
 }
 
+/// The platform's list of a zone with `entries` entry instances and `engines` engines.
+pub fn listed(entries: usize, engines: usize) -> Vec<ListedInstance> {
+    let entries = (0..entries).map(|number| {
+        let name = instance(number).to_string();
+        listed_instance(name, InstanceKind::Entry, number)
+    });
+    let engines = (0..engines).map(|number| {
+        let name = upstream(number).to_string();
+        listed_instance(name, InstanceKind::Engine, number)
+    });
+    entries.chain(engines).collect()
+}
+
+fn listed_instance(name: String, kind: InstanceKind, number: usize) -> ListedInstance {
+    ListedInstance {
+        name,
+        kind,
+        zone: ZONE.into(),
+        address: address(number),
+        state: InstanceState::Live,
+        service: None,
+        checks_fencing: true,
+        adapter_slots: 8,
+        batch_places: 64,
+    }
+}
+
 /// The name of instance `number`.
 pub fn instance(number: usize) -> InstanceName {
     format!("vestland-1-entry-{number:04}").as_str().into()
@@ -131,7 +111,7 @@
         next_epoch: Epoch(2_000_000),
         members: (0..instances).map(instance).collect(),
         upstreams: (0..upstreams).map(order).collect(),
-        ..OwnershipTable::new("vestland-1")
+        ..OwnershipTable::new(ZONE)
     }
 }
 
@@ -194,7 +174,7 @@
 
 /// Adapter `number` in its first version.
 pub fn adapter(number: usize) -> AdapterRef {
-    AdapterRef::new(adapter_name(number).as_str(), 1)
+    AdapterRef::new(Bundle::sample_adapter_name(number), 1)
 }
 
 fn grant_id(serial: u64) -> GrantId {
--- a/crates/load/src/slopes/tests.rs
+++ b/crates/load/src/slopes/tests.rs
@@ -29,3 +29,14 @@
     names.dedup();
     assert_eq!(names.len(), probes().len());
 }
+
+#[test]
+fn probing_traffic_does_not_grow_with_the_zone() {
+    let traffic = probes()
+        .into_iter()
+        .find(|probe| probe.name == "membership.traffic_second")
+        .expect("the traffic of membership is measured");
+    let slope = traffic.run();
+    assert!(slope.line.slope.abs() < 0.1, "{slope:?}");
+    assert!(slope.line.intercept > 0.0, "{slope:?}");
+}
