Run an entry instance as controllers around the state machines

Cause: the state machines need tasks that own them, sockets and clocks. Calls of plain services run in tasks that outlive the caller's connection, so that a claim's outcome is always recorded.

--- /dev/null
+++ b/crates/entry/src/controller/bundle/mod.rs
@@ -0,0 +1,10 @@
+//! Bundles: the task around their spread.
+
+mod command;
+mod controller;
+mod pointer;
+mod store_calls;
+
+pub use command::BundleCommand;
+pub use controller::BundleController;
+pub use pointer::PointerWatcher;
--- /dev/null
+++ b/crates/entry/src/controller/bundle/pointer.rs
@@ -0,0 +1,123 @@
+//! Following the pointer to the bundle in force.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use monsoonspread_model::InstanceName;
+use monsoonspread_model::bundle::Manifest;
+use monsoonspread_platform::{KeyValueStore, Stored};
+use tokio::sync::watch;
+use tokio::time::sleep;
+
+use super::BundleCommand;
+use super::store_calls::POINTER_KEY;
+use crate::controller::Mailbox;
+use crate::controller::membership::MembersView;
+use crate::event::Event;
+
+/// How often instances that don't watch read the pointer.
+const POLL: Duration = Duration::from_secs(10);
+/// Pause after the key-value service failed.
+const RETRY: Duration = Duration::from_millis(500);
+
+/// Watches the pointer for the zone, or polls it slowly.
+pub struct PointerWatcher {
+    own: InstanceName,
+    store: Arc<dyn KeyValueStore>,
+    members: watch::Receiver<Arc<MembersView>>,
+    bundle: Mailbox<BundleCommand>,
+    available: bool,
+}
+
+impl PointerWatcher {
+    /// Creates the task's state.
+    pub fn new(
+        own: InstanceName,
+        store: Arc<dyn KeyValueStore>,
+        members: watch::Receiver<Arc<MembersView>>,
+        bundle: Mailbox<BundleCommand>,
+    ) -> Self {
+        Self {
+            own,
+            store,
+            members,
+            bundle,
+            available: true,
+        }
+    }
+
+    /// Follows the pointer until it is dropped.
+    pub async fn run(mut self) {
+        loop {
+            let Some(revision) = self.read().await else {
+                sleep(RETRY).await;
+                continue;
+            };
+            if self.is_watcher() {
+                self.watch(revision).await;
+                continue;
+            }
+            tokio::select! {
+                () = sleep(POLL) => {}
+                () = became_watcher(self.members.clone(), self.own.clone()) => {}
+            }
+        }
+    }
+
+    fn is_watcher(&self) -> bool {
+        self.members.borrow().is_watcher(&self.own)
+    }
+
+    /// Reads the pointer; `None` when the key-value service fails.
+    async fn read(&mut self) -> Option<u64> {
+        match self.store.get(POINTER_KEY).await {
+            Ok(stored) => {
+                self.available = true;
+                if let Some(stored) = &stored {
+                    self.on_stored(stored);
+                }
+                Some(stored.map_or(0, |stored| stored.mod_revision))
+            }
+            Err(error) => {
+                if self.available {
+                    Event::StoreUnavailable {
+                        call: "read bundle pointer",
+                        error: &error.to_string(),
+                    }
+                    .log();
+                }
+                self.available = false;
+                None
+            }
+        }
+    }
+
+    async fn watch(&self, after_revision: u64) {
+        let Ok(mut writes) = self.store.watch(POINTER_KEY, after_revision).await else {
+            return sleep(RETRY).await;
+        };
+        while let Some(stored) = writes.recv().await {
+            self.on_stored(&stored);
+            if !self.is_watcher() {
+                return;
+            }
+        }
+        sleep(RETRY).await;
+    }
+
+    fn on_stored(&self, stored: &Stored) {
+        if let Ok(manifest) = serde_json::from_slice::<Manifest>(&stored.value) {
+            self.bundle.post(BundleCommand::Pointer(manifest));
+        }
+    }
+}
+
+async fn became_watcher(mut members: watch::Receiver<Arc<MembersView>>, own: InstanceName) {
+    if members
+        .wait_for(|members| members.is_watcher(&own))
+        .await
+        .is_err()
+    {
+        std::future::pending::<()>().await;
+    }
+}
--- /dev/null
+++ b/crates/entry/src/controller/bundle/store_calls.rs
@@ -0,0 +1,57 @@
+//! Bundles in the key-value service.
+
+use std::sync::Arc;
+
+use monsoonspread_model::BundleVersion;
+use monsoonspread_model::bundle::{BundleDelta, Manifest, join};
+use monsoonspread_platform::{KeyValueStore, StoreError};
+
+use super::BundleCommand;
+use crate::controller::Mailbox;
+
+/// Key of the manifest in force.
+pub(super) const POINTER_KEY: &str = "/monsoonspread/bundle/pointer";
+
+/// Reads bundles and reports to the bundle task.
+#[derive(Clone)]
+pub(super) struct StoreCalls {
+    pub(super) store: Arc<dyn KeyValueStore>,
+    pub(super) bundle: Mailbox<BundleCommand>,
+}
+
+impl StoreCalls {
+    /// Reads the delta when it starts at `have`, else every part.
+    pub(super) async fn fetch(self, manifest: Manifest, have: BundleVersion) {
+        if let Some(delta) = self.delta(&manifest, have).await {
+            let command = BundleCommand::StoredDelta { manifest, delta };
+            return self.bundle.post(command);
+        }
+        let command = match self.parts(&manifest).await {
+            Ok(Some(content)) => BundleCommand::Parts { manifest, content },
+            _ => BundleCommand::FetchFailed,
+        };
+        self.bundle.post(command);
+    }
+
+    async fn delta(&self, manifest: &Manifest, have: BundleVersion) -> Option<BundleDelta> {
+        if have.0 == 0 || have.0 + 1 != manifest.version.0 {
+            return None;
+        }
+        let key = format!("/monsoonspread/bundle/delta/{:012}", manifest.version.0);
+        let stored = self.store.get(&key).await.ok()??;
+        let delta: BundleDelta = ciborium::from_reader(stored.value.as_slice()).ok()?;
+        (delta.from == have).then_some(delta)
+    }
+
+    async fn parts(&self, manifest: &Manifest) -> Result<Option<Vec<u8>>, StoreError> {
+        let mut parts = Vec::new();
+        for digest in &manifest.parts {
+            let key = format!("/monsoonspread/bundle/part/{digest}");
+            let Some(stored) = self.store.get(&key).await? else {
+                return Ok(None);
+            };
+            parts.push(stored.value);
+        }
+        Ok(join(&manifest.parts, &parts).ok())
+    }
+}
--- /dev/null
+++ b/crates/entry/src/controller/membership/controller.rs
@@ -0,0 +1,199 @@
+//! The task that owns the membership.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use monsoonspread_decisions::membership::{
+    Member, Membership, MembershipAction, MembershipSettings,
+};
+use monsoonspread_model::message::Hello;
+use monsoonspread_model::{InstanceKind, InstanceState, ListedInstance, UnixMs};
+use tokio::sync::{mpsc, watch};
+use tokio::time::{MissedTickBehavior, interval};
+
+use super::{MembersView, MembershipCommand};
+use crate::bundle_view::BundleView;
+use crate::controller::Handles;
+use crate::controller::bundle::BundleCommand;
+use crate::controller::owner::OwnerCommand;
+use crate::controller::ownership::OwnershipCommand;
+use crate::directory::Directory;
+use crate::event::Event;
+use crate::settings::Settings;
+
+/// How often the membership is told that time passed.
+const TICK: Duration = Duration::from_millis(100);
+
+/// Owns what is known of the zone's members.
+pub struct MembershipController {
+    membership: Membership,
+    settings: Arc<Settings>,
+    handles: Handles,
+    commands: mpsc::Receiver<MembershipCommand>,
+    directory: watch::Receiver<Arc<Directory>>,
+    bundle: watch::Receiver<Arc<BundleView>>,
+    view: watch::Sender<Arc<MembersView>>,
+    /// Members met by fallback addresses while the list is away.
+    met: Vec<ListedInstance>,
+}
+
+impl MembershipController {
+    /// Creates the task's state for an instance whose mesh listener is at `address`.
+    pub fn new(
+        settings: Arc<Settings>,
+        address: SocketAddr,
+        handles: Handles,
+        commands: mpsc::Receiver<MembershipCommand>,
+        directory: watch::Receiver<Arc<Directory>>,
+        bundle: watch::Receiver<Arc<BundleView>>,
+        view: watch::Sender<Arc<MembersView>>,
+    ) -> Self {
+        let own = Member {
+            name: settings.instance.clone(),
+            address,
+        };
+        let machine_settings = MembershipSettings::default();
+        let membership = Membership::new(UnixMs::now(), own, machine_settings, rand::random());
+        Self {
+            membership,
+            settings,
+            handles,
+            commands,
+            directory,
+            bundle,
+            view,
+            met: Vec::new(),
+        }
+    }
+
+    /// Serves messages until every sender is gone.
+    pub async fn run(mut self) {
+        let mut ticks = interval(TICK);
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        self.publish();
+        loop {
+            tokio::select! {
+                command = self.commands.recv() => match command {
+                    Some(command) => self.on_command(command),
+                    None => return,
+                },
+                _ = ticks.tick() => {
+                    let actions = self.membership.on_tick(UnixMs::now());
+                    self.carry_out(actions);
+                }
+                Ok(()) = self.directory.changed() => self.on_directory(),
+                Ok(()) = self.bundle.changed() => {
+                    let version = self.bundle.borrow_and_update().bundle().version;
+                    self.membership.on_bundle_version(version);
+                }
+            }
+            self.publish();
+        }
+    }
+
+    fn on_command(&mut self, command: MembershipCommand) {
+        let now = UnixMs::now();
+        let actions = match command {
+            MembershipCommand::Opened { hello, address } => return self.on_opened(&hello, address),
+            MembershipCommand::Swim { from, swim } => self.membership.on_swim(now, &from, swim),
+            MembershipCommand::TableRevision(revision) => {
+                self.membership.on_table_revision(revision);
+                return;
+            }
+            MembershipCommand::Leave => self.membership.on_leave(now),
+            MembershipCommand::Dump(reply) => {
+                let _ = reply.send(self.membership.dump(now));
+                return;
+            }
+        };
+        self.carry_out(actions);
+    }
+
+    fn on_opened(&mut self, hello: &Hello, address: Option<SocketAddr>) {
+        let peer = hello.instance.clone();
+        let version = hello.bundle_version;
+        self.handles
+            .bundle
+            .post(BundleCommand::PeerVersion { peer, version });
+        let Some(address) = address.filter(|_| hello.zone == self.settings.zone) else {
+            return;
+        };
+        let unlisted = self.directory.borrow().entries.is_empty();
+        if !unlisted {
+            return;
+        }
+        self.met.retain(|row| row.name != hello.instance.as_str());
+        self.met.push(ListedInstance {
+            name: hello.instance.to_string(),
+            kind: InstanceKind::Entry,
+            zone: hello.zone.clone(),
+            address,
+            state: InstanceState::Live,
+            service: None,
+            checks_fencing: false,
+            adapter_slots: 0,
+            batch_places: 0,
+        });
+        let actions = self.membership.on_listed(UnixMs::now(), &self.met);
+        self.carry_out(actions);
+    }
+
+    fn on_directory(&mut self) {
+        let directory = Arc::clone(&self.directory.borrow_and_update());
+        let rows = directory.entries_of(&self.settings.zone);
+        let actions = self.membership.on_listed(UnixMs::now(), &rows);
+        self.carry_out(actions);
+    }
+
+    fn carry_out(&mut self, actions: Vec<MembershipAction>) {
+        for action in actions {
+            match action {
+                MembershipAction::Send { to, message } => {
+                    if let Some(address) = self.membership.address_of(&to) {
+                        self.handles.mesh.know(vec![(to.clone(), address)]);
+                    }
+                    self.handles.mesh.send(&to, message);
+                }
+                MembershipAction::Changed { member, health } => {
+                    Event::MemberChanged {
+                        member: &member,
+                        health: &health,
+                    }
+                    .log();
+                }
+                MembershipAction::Restarted { member } => {
+                    let gone = OwnerCommand::InstanceGone(member.clone());
+                    self.handles.owner.post(gone);
+                    let restarted = OwnershipCommand::Restarted(member);
+                    self.handles.ownership.post(restarted);
+                }
+                MembershipAction::PeerHasBundle { peer, version } => {
+                    let newer = BundleCommand::PeerVersion { peer, version };
+                    self.handles.bundle.post(newer);
+                }
+                MembershipAction::PeerHasTable { peer, .. } => {
+                    let newer = OwnershipCommand::PeerHasTable(peer);
+                    self.handles.ownership.post(newer);
+                }
+                MembershipAction::Event(notice) => {
+                    Event::MembershipNotice { notice: &notice }.log();
+                }
+            }
+        }
+    }
+
+    fn publish(&self) {
+        let view = MembersView {
+            members: self.membership.members(),
+            live: self.membership.live(),
+        };
+        self.view.send_if_modified(|known| {
+            let changed = **known != view;
+            if changed {
+                *known = Arc::new(view);
+            }
+            changed
+        });
+    }
+}
--- /dev/null
+++ b/crates/entry/src/controller/membership/mod.rs
@@ -0,0 +1,9 @@
+//! Members of the zone: the task around failure detection.
+
+mod command;
+mod controller;
+mod view;
+
+pub use command::MembershipCommand;
+pub use controller::MembershipController;
+pub use view::MembersView;
--- /dev/null
+++ b/crates/entry/src/controller/owner/mod.rs
@@ -0,0 +1,8 @@
+//! Upstreams that this instance owns: the task around the owner's state machine.
+
+mod command;
+mod controller;
+mod orders;
+
+pub use command::OwnerCommand;
+pub use controller::OwnerController;
--- /dev/null
+++ b/crates/entry/src/controller/router.rs
@@ -0,0 +1,149 @@
+//! From the mesh to the tasks.
+
+use monsoonspread_model::InstanceName;
+use monsoonspread_model::message::MeshMessage;
+use tokio::sync::mpsc;
+
+use super::Handles;
+use super::bundle::BundleCommand;
+use super::dispatch::DispatchCommand;
+use super::membership::MembershipCommand;
+use super::owner::OwnerCommand;
+use super::ownership::OwnershipCommand;
+use crate::mesh::MeshEvent;
+
+/// Gives each message to the task that it is for.
+pub struct Router {
+    events: mpsc::Receiver<MeshEvent>,
+    handles: Handles,
+}
+
+impl Router {
+    /// Creates the task's state.
+    pub fn new(events: mpsc::Receiver<MeshEvent>, handles: Handles) -> Self {
+        Self { events, handles }
+    }
+
+    /// Routes until the mesh has ended.
+    pub async fn run(mut self) {
+        while let Some(event) = self.events.recv().await {
+            match event {
+                MeshEvent::Opened { hello, address } => {
+                    let member = hello.instance.clone();
+                    let opened = OwnershipCommand::PeerAnswers(member);
+                    self.handles.ownership.post(opened);
+                    let opened = MembershipCommand::Opened { hello, address };
+                    self.handles.membership.post(opened);
+                }
+                MeshEvent::Received { from, message } => self.on_message(from, message),
+                MeshEvent::Undelivered { to, message } => self.on_undelivered(to, message),
+                MeshEvent::Lost(peer) => {
+                    let failing = OwnershipCommand::PeerFails(peer.clone());
+                    self.handles.ownership.post(failing);
+                    self.handles.dispatch.tell(DispatchCommand::PeerLost(peer));
+                }
+            }
+        }
+    }
+
+    fn on_message(&self, from: InstanceName, message: MeshMessage) {
+        let handles = &self.handles;
+        match message {
+            MeshMessage::Hello(_) => {}
+            MeshMessage::GrantRequest(request) => {
+                handles.owner.post(OwnerCommand::Request { from, request });
+            }
+            MeshMessage::GrantReply(reply) => handles.dispatch.tell(DispatchCommand::Reply(reply)),
+            MeshMessage::GrantReturn(returned) => {
+                handles.owner.post(OwnerCommand::Return { from, returned });
+            }
+            MeshMessage::GrantWithdraw { upstream, request } => {
+                handles.owner.post(OwnerCommand::Withdraw {
+                    from,
+                    upstream,
+                    request,
+                });
+            }
+            MeshMessage::AnnounceRequest(ask) => {
+                let seen = OwnershipCommand::EpochSeen {
+                    upstream: ask.upstream.clone(),
+                    epoch: ask.epoch,
+                };
+                handles.ownership.post(seen);
+                // The owner task passes it on to the dispatch task once it has stepped down.
+                handles
+                    .owner
+                    .post(OwnerCommand::AnnounceRequest { from, ask });
+            }
+            MeshMessage::Announce(announce) => {
+                handles
+                    .owner
+                    .post(OwnerCommand::Announce { from, announce });
+            }
+            MeshMessage::Handover(handover) => {
+                handles
+                    .ownership
+                    .post(OwnershipCommand::Handover { from, handover });
+            }
+            MeshMessage::Swim(swim) => {
+                handles
+                    .membership
+                    .post(MembershipCommand::Swim { from, swim });
+            }
+            MeshMessage::Table(table) => {
+                handles
+                    .ownership
+                    .post(OwnershipCommand::Table { from, table });
+            }
+            MeshMessage::TableRequest {
+                zone,
+                known_revision,
+            } => handles.ownership.post(OwnershipCommand::TableRequest {
+                from,
+                zone,
+                known_revision,
+            }),
+            MeshMessage::BundleNotice(notice) => {
+                handles.bundle.post(BundleCommand::Notice { from, notice });
+            }
+            MeshMessage::BundleRequest(request) => {
+                handles
+                    .bundle
+                    .post(BundleCommand::Request { from, request });
+            }
+            MeshMessage::BundleContent(content) => {
+                handles
+                    .bundle
+                    .post(BundleCommand::Content { from, content });
+            }
+            MeshMessage::BudgetAsk(ask) => {
+                handles.owner.post(OwnerCommand::BudgetAsk { from, ask });
+            }
+            MeshMessage::BudgetLend(lend) => {
+                handles.owner.post(OwnerCommand::BudgetLend { from, lend });
+            }
+            MeshMessage::CrashNotice(notice) => {
+                handles.dispatch.tell(DispatchCommand::CrashNotice(notice));
+            }
+        }
+    }
+
+    fn on_undelivered(&self, to: InstanceName, message: MeshMessage) {
+        let failing = OwnershipCommand::PeerFails(to.clone());
+        self.handles.ownership.post(failing);
+        match message {
+            MeshMessage::GrantRequest(ask) => {
+                self.handles.dispatch.tell(DispatchCommand::AskFailed {
+                    request: ask.request,
+                    upstream: ask.upstream,
+                });
+            }
+            MeshMessage::GrantReply(reply) => self.handles.owner.post(OwnerCommand::Withdraw {
+                from: to,
+                upstream: reply.upstream,
+                request: reply.request,
+            }),
+            _ => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/entry/src/controller/service/mod.rs
@@ -0,0 +1,13 @@
+//! Calls of plain services: routing, claims and the task of each call.
+
+mod call;
+mod claim_batches;
+mod command;
+mod controller;
+mod keyed;
+mod unkeyed;
+
+pub use call::{CallAnswer, CallRequest, ServiceCalls};
+pub use claim_batches::{ClaimBatchCommand, ClaimBatches};
+pub use command::{RouteCommand, RoutedCall};
+pub use controller::RouteController;
--- /dev/null
+++ b/crates/entry/src/controller/service/unkeyed.rs
@@ -0,0 +1,100 @@
+//! Sending a call to one server after the other.
+
+use std::sync::Arc;
+
+use monsoonspread_decisions::service_route::{CallAction, CallResult, ServiceCall};
+use monsoonspread_model::{Refusal, RefusalReason, UnixMs, UpstreamName};
+use monsoonspread_platform::{Service, ServiceError, ServiceReply};
+
+use super::call::{CallAnswer, CallRequest, ServiceCalls};
+use super::{RouteCommand, RoutedCall};
+use crate::event::Event;
+
+impl ServiceCalls {
+    /// Sends a call until it is answered or given up.
+    pub(super) async fn make_unkeyed(&self, request: &CallRequest) -> Result<CallAnswer, Refusal> {
+        let call = ServiceCall::new(
+            request.service.clone(),
+            request.entry.repeatable,
+            request.deadline_unix_ms,
+        );
+        let mut reply = None;
+        let start = |answer| RouteCommand::Start {
+            call,
+            reply: answer,
+        };
+        let mut routed = self.routes.ask(start).await.ok_or_else(stopped)?;
+        loop {
+            match routed.action {
+                CallAction::Send { server } => {
+                    let result = self.send(request, &server, &mut reply).await;
+                    routed = self.ended(routed.call, result).await?;
+                }
+                CallAction::Reply => return reply.map(answer_of).ok_or_else(stopped),
+                CallAction::Refuse(refusal) => {
+                    if !refusal.not_run {
+                        Event::OutcomeUnknown {
+                            service: &request.service,
+                            call: &request.call,
+                        }
+                        .log();
+                    }
+                    return Err(refusal);
+                }
+            }
+        }
+    }
+
+    async fn ended(&self, call: ServiceCall, result: CallResult) -> Result<RoutedCall, Refusal> {
+        let ended = |reply| RouteCommand::Ended {
+            call,
+            result,
+            reply,
+        };
+        self.routes.ask(ended).await.ok_or_else(stopped)
+    }
+
+    async fn send(
+        &self,
+        request: &CallRequest,
+        server: &UpstreamName,
+        reply: &mut Option<ServiceReply>,
+    ) -> CallResult {
+        let Some(client) = self.client_of(request, server) else {
+            return CallResult::Unreachable;
+        };
+        let timeout_ms = request.deadline_unix_ms.ms_since(UnixMs::now()).max(1);
+        let key = request.idempotency_key.as_deref();
+        let called = client.call(&request.call, &request.body, key, timeout_ms);
+        match called.await {
+            Ok(answer) => {
+                *reply = Some(answer);
+                CallResult::Replied
+            }
+            Err(ServiceError::Unreachable(_)) => CallResult::Unreachable,
+            Err(ServiceError::NotRun(_)) => CallResult::NotRun,
+            Err(ServiceError::AnswerLost(_)) => CallResult::AnswerLost,
+        }
+    }
+
+    fn client_of(&self, request: &CallRequest, server: &UpstreamName) -> Option<Arc<dyn Service>> {
+        let directory = self.directory.borrow();
+        let rows = directory.services.get(request.service.as_str())?;
+        let row = rows.iter().find(|row| row.name == *server)?;
+        Some(Arc::clone(&row.client))
+    }
+}
+
+fn answer_of(reply: ServiceReply) -> CallAnswer {
+    CallAnswer {
+        status: reply.status,
+        content_type: reply.content_type,
+        body: reply.body,
+        replayed: false,
+    }
+}
+
+fn stopped() -> Refusal {
+    let message = "the instance stopped while it made the call";
+    Refusal::may_have_run(RefusalReason::OutcomeUnknown, message)
+}
--- /dev/null
+++ b/crates/entry/src/dump/dumper.rs
@@ -0,0 +1,86 @@
+//! Gathering of a dump.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use monsoonspread_model::UnixMs;
+use tokio::sync::{oneshot, watch};
+use tokio::time::timeout;
+
+use super::{InstanceDump, ListedCounts};
+use crate::controller::bundle::BundleCommand;
+use crate::controller::dispatch::OwnerMap;
+use crate::controller::membership::MembershipCommand;
+use crate::controller::owner::OwnerCommand;
+use crate::controller::ownership::OwnershipCommand;
+use crate::controller::service::{RouteCommand, ServiceCalls};
+use crate::controller::{Handles, Mailbox};
+use crate::directory::Directory;
+use crate::run_state::RunState;
+use crate::settings::Settings;
+
+/// Longest that one task may take to describe itself.
+const TASK_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Asks every task for its state.
+pub struct Dumper {
+    /// The instance's settings.
+    pub settings: Arc<Settings>,
+    /// The tasks.
+    pub handles: Handles,
+    /// Calls of plain services.
+    pub calls: ServiceCalls,
+    /// What the instance does with new requests.
+    pub state: watch::Receiver<RunState>,
+    /// Listed instances.
+    pub directory: watch::Receiver<Arc<Directory>>,
+    /// Owners of upstreams.
+    pub owners: watch::Receiver<Arc<OwnerMap>>,
+}
+
+impl Dumper {
+    /// Gathers a dump.
+    pub async fn dump(&self) -> InstanceDump {
+        let handles = &self.handles;
+        let dispatch = timeout(TASK_TIMEOUT, handles.dispatch.dump()).await;
+        let mesh = timeout(TASK_TIMEOUT, handles.mesh.dump()).await;
+        let services = ask(&self.calls.routes, RouteCommand::Dump).await;
+        let state = *self.state.borrow();
+        let owners = OwnerMap::clone(&self.owners.borrow());
+        InstanceDump {
+            instance: self.settings.instance.clone(),
+            zone: self.settings.zone.clone(),
+            taken_at_unix_ms: UnixMs::now(),
+            state: state.as_str(),
+            bundle: ask(&handles.bundle, BundleCommand::Dump).await,
+            membership: ask(&handles.membership, MembershipCommand::Dump).await,
+            ownership: ask(&handles.ownership, OwnershipCommand::Dump).await,
+            owners,
+            owner: ask(&handles.owner, OwnerCommand::Dump).await,
+            dispatch: dispatch.ok().flatten(),
+            services: services.unwrap_or_default(),
+            service_calls: self.calls.tasks.len(),
+            mesh: mesh.ok().flatten(),
+            listed: self.listed(),
+        }
+    }
+
+    fn listed(&self) -> ListedCounts {
+        let directory = self.directory.borrow();
+        ListedCounts {
+            entries: directory.entries.len(),
+            engines: directory.engines.len(),
+            services: directory.services.values().map(Vec::len).sum(),
+        }
+    }
+}
+
+async fn ask<T, D>(
+    mailbox: &Mailbox<T>,
+    message: impl FnOnce(oneshot::Sender<D>) -> T,
+) -> Option<D> {
+    timeout(TASK_TIMEOUT, mailbox.ask(message))
+        .await
+        .ok()
+        .flatten()
+}
--- a/crates/entry/src/mesh/event.rs
+++ b/crates/entry/src/mesh/event.rs
@@ -1,5 +1,7 @@
 //! What the mesh reports.
 
+use std::net::SocketAddr;
+
 use monsoonspread_model::InstanceName;
 use monsoonspread_model::message::{Hello, MeshMessage};
 
@@ -7,7 +9,12 @@
 #[derive(Debug)]
 pub enum MeshEvent {
     /// A connection to a peer is open.
-    Opened(Hello),
+    Opened {
+        /// The peer's greeting.
+        hello: Hello,
+        /// Where it listens, when this instance opened the connection.
+        address: Option<SocketAddr>,
+    },
     /// A message arrived.
     Received {
         /// The sender.
--- a/crates/entry/src/mesh/handle.rs
+++ b/crates/entry/src/mesh/handle.rs
@@ -53,6 +53,14 @@
         let _ = self.hub.try_send(HubCommand::Dial(address));
     }
 
+    /// Sends what waits, then ends every connection.
+    pub async fn close(&self) {
+        let (reply, done) = oneshot::channel();
+        if self.hub.send(HubCommand::Close(reply)).await.is_ok() {
+            let _ = done.await;
+        }
+    }
+
     /// Describes the open connections.
     pub async fn dump(&self) -> Option<MeshDump> {
         let (reply, answer) = oneshot::channel();
--- a/crates/entry/src/mesh/hub.rs
+++ b/crates/entry/src/mesh/hub.rs
@@ -48,6 +48,8 @@
         socket: Box<Socket>,
         /// The name that was dialled, when one was.
         dialled: Option<InstanceName>,
+        /// The address that was dialled, when one was.
+        address: Option<SocketAddr>,
     },
     /// A dial to a named peer failed.
     DialFailed(InstanceName),
@@ -62,6 +64,8 @@
         /// Whether both sides agreed to end it.
         clean: bool,
     },
+    /// Send what waits, then end every connection.
+    Close(oneshot::Sender<()>),
     /// Describe the connections.
     Dump(oneshot::Sender<MeshDump>),
 }
@@ -148,7 +152,8 @@
                 hello,
                 socket,
                 dialled,
-            } => self.on_opened(hello, *socket, dialled).await,
+                address,
+            } => self.on_opened(hello, *socket, dialled, address).await,
             HubCommand::DialFailed(peer) => self.on_dial_failed(peer).await,
             HubCommand::Closed {
                 peer,
@@ -156,6 +161,10 @@
                 unsent,
                 clean,
             } => self.on_closed(peer, id, unsent, clean).await,
+            HubCommand::Close(done) => {
+                self.close().await;
+                let _ = done.send(());
+            }
             HubCommand::Dump(reply) => {
                 let _ = reply.send(self.dump());
             }
@@ -205,6 +214,7 @@
                     hello,
                     socket: Box::new(socket),
                     dialled,
+                    address: Some(address),
                 },
                 (None, Some(name)) => HubCommand::DialFailed(name),
                 (None, None) => return,
@@ -213,7 +223,13 @@
         });
     }
 
-    async fn on_opened(&mut self, hello: Hello, socket: Socket, dialled: Option<InstanceName>) {
+    async fn on_opened(
+        &mut self,
+        hello: Hello,
+        socket: Socket,
+        dialled: Option<InstanceName>,
+        address: Option<SocketAddr>,
+    ) {
         let name = hello.instance.clone();
         if let Some(other) = dialled.filter(|dialled| *dialled != name) {
             self.on_dial_failed(other).await;
@@ -234,13 +250,15 @@
         self.connections.spawn(connection.run());
         let peer = self.peers.entry(name).or_default();
         peer.dialing = false;
+        peer.address = address.or(peer.address);
         peer.retry_at_unix_ms = UnixMs::default();
         for message in peer.waiting.drain(..) {
             // The new queue is as long as what may wait.
             let _ = sender.try_send(message);
         }
         peer.links.push(Link { id, queue: sender });
-        let _ = self.context.events.send(MeshEvent::Opened(hello)).await;
+        let opened = MeshEvent::Opened { hello, address };
+        let _ = self.context.events.send(opened).await;
     }
 
     async fn on_dial_failed(&mut self, name: InstanceName) {
@@ -280,6 +298,16 @@
         }
     }
 
+    /// Ends every connection after what waits for it was sent.
+    async fn close(&mut self) {
+        for peer in self.peers.values_mut() {
+            peer.links.clear();
+        }
+        let limit = Duration::from_millis(OPEN_TIMEOUT_MS);
+        let ended = async { while self.connections.join_next().await.is_some() {} };
+        let _ = timeout(limit, ended).await;
+    }
+
     async fn undelivered(&self, to: InstanceName, message: MeshMessage) {
         let event = MeshEvent::Undelivered { to, message };
         let _ = self.context.events.send(event).await;
--- a/crates/entry/src/mesh/listener.rs
+++ b/crates/entry/src/mesh/listener.rs
@@ -50,6 +50,7 @@
                 hello,
                 socket: Box::new(socket),
                 dialled: None,
+                address: None,
             };
             let _ = context.hub.send(command).await;
         }
--- a/crates/entry/src/platform.rs
+++ b/crates/entry/src/platform/mod.rs
@@ -1,10 +1,16 @@
 //! What the entry needs from the outside, behind traits.
 
+mod clients;
+
 use std::sync::Arc;
 
 use monsoonspread_model::ListedInstance;
 use monsoonspread_platform::{Engine, InstanceList, KeyValueStore, Service};
 
+pub use clients::HttpClients;
+
+use crate::settings::Settings;
+
 /// Makes clients of engines.
 pub trait EngineFactory: Send + Sync {
     /// A client of the listed engine.
@@ -29,3 +35,22 @@
     /// Clients of plain services.
     pub services: Arc<dyn ServiceFactory>,
 }
+
+impl Platform {
+    /// Network clients of everything that `settings` names.
+    ///
+    /// ```
+    /// # use monsoonspread_entry::{Platform, Settings};
+    /// let platform = Platform::connect(&Settings::new("entry-1", "vestland-1"));
+    /// # let _ = platform;
+    /// ```
+    pub fn connect(settings: &Settings) -> Self {
+        let clients = Arc::new(HttpClients::new(settings));
+        Self {
+            store: clients.store(),
+            list: clients.list(),
+            engines: Arc::clone(&clients) as Arc<dyn EngineFactory>,
+            services: clients,
+        }
+    }
+}
