Read the rest of a refused body within limits before answering

The rest, up to 16 MiB or 2 s, is now read and thrown away, unless the sender waits for leave to send.

--- a/crates/entry/src/filter/chain.rs
+++ b/crates/entry/src/filter/chain.rs
@@ -4,12 +4,13 @@
 use std::sync::Arc;
 
 use async_trait::async_trait;
-use hyper::body::Incoming;
-use hyper::header::{ALLOW, CONNECTION, HeaderName, HeaderValue};
+use hyper::body::{Body, Incoming};
+use hyper::header::{ALLOW, CONNECTION, EXPECT, HeaderName, HeaderValue};
 use hyper::{Request, Response};
 use monsoonspread_model::{InstanceName, Refusal, RefusalReason, UnixMs};
 use tokio::sync::watch;
 
+use super::read_body::discard;
 use super::{Exchange, Filter, Step};
 use crate::bundle_view::BundleView;
 use crate::event::Event;
@@ -62,7 +63,7 @@
         Err(Refusal::not_run(RefusalReason::NotFound, message))
     }
 
-    fn refuse(&self, exchange: &Exchange, refusal: &Refusal) -> Response<AnswerBody> {
+    async fn refuse(&self, exchange: &mut Exchange, refusal: &Refusal) -> Response<AnswerBody> {
         self.metrics.on_refusal(refusal);
         if refusal.reason.status() < 500 {
             Event::BadRequest {
@@ -72,13 +73,22 @@
             }
             .log();
         }
+        let waits_for_leave = exchange.head.headers.contains_key(EXPECT);
+        let is_slow = refusal.reason == RefusalReason::RequestTimeout;
+        if let Some(incoming) = &mut exchange.incoming
+            && !waits_for_leave
+            && !is_slow
+        {
+            discard(incoming).await;
+        }
         let mut response = http::refusal(UnixMs::now(), refusal);
         let headers = response.headers_mut();
         if refusal.reason == RefusalReason::MethodNotAllowed {
             let method = HeaderValue::from_static(exchange.route.method());
             headers.insert(ALLOW, method);
         }
-        if exchange.incoming.is_some() || refusal.reason == RefusalReason::RequestTimeout {
+        let is_whole = exchange.incoming.as_ref().is_none_or(Body::is_end_stream);
+        if !is_whole {
             // The rest of the body is not read, so the connection can't be used again.
             headers.insert(CONNECTION, HeaderValue::from_static("close"));
         }
@@ -93,7 +103,10 @@
         let version = bundle.bundle().version;
         let mut exchange = Exchange::new(request, peer, bundle);
         let passed = self.pass(&mut exchange).await;
-        let mut response = passed.unwrap_or_else(|refusal| self.refuse(&exchange, &refusal));
+        let mut response = match passed {
+            Ok(response) => response,
+            Err(refusal) => self.refuse(&mut exchange, &refusal).await,
+        };
         let headers = response.headers_mut();
         if let Ok(instance) = HeaderValue::from_str(self.instance.as_str()) {
             headers.insert(INSTANCE_HEADER, instance);
--- a/crates/entry/src/filter/read_body.rs
+++ b/crates/entry/src/filter/read_body.rs
@@ -3,14 +3,20 @@
 use std::time::Duration;
 
 use async_trait::async_trait;
-use http_body_util::{BodyExt, LengthLimitError, Limited};
-use hyper::body::Body;
+use bytes::{Bytes, BytesMut};
+use http_body_util::BodyExt;
+use hyper::body::{Body, Incoming};
 use monsoonspread_model::{Refusal, RefusalReason};
 use tokio::time::timeout;
 
 use super::{Exchange, Filter, Step};
 use crate::settings::Limits;
 
+/// Bytes of a refused body that are read and thrown away.
+const DISCARD_BYTES: usize = 16 * 1024 * 1024;
+/// Longest that a refused body is read and thrown away.
+const DISCARD_TIMEOUT: Duration = Duration::from_secs(2);
+
 /// Reads the body; large or slow ones are refused.
 pub struct ReadBodyFilter {
     limits: Limits,
@@ -22,6 +28,26 @@
         Self { limits }
     }
 
+    async fn read(&self, incoming: &mut Incoming) -> Result<Bytes, Refusal> {
+        let limit = self.limits.body_bytes;
+        if incoming.size_hint().lower() > limit as u64 {
+            return Err(self.too_large());
+        }
+        let mut body = BytesMut::new();
+        while let Some(frame) = incoming.frame().await {
+            let frame = frame.map_err(|_| {
+                let message = "the connection broke before the body was whole";
+                Refusal::not_run(RefusalReason::BadRequest, message)
+            })?;
+            let data = frame.into_data().unwrap_or_default();
+            if body.len() + data.len() > limit {
+                return Err(self.too_large());
+            }
+            body.extend_from_slice(&data);
+        }
+        Ok(body.freeze())
+    }
+
     fn too_large(&self) -> Refusal {
         let message = format!("the body is larger than {} bytes", self.limits.body_bytes);
         Refusal::not_run(RefusalReason::BodyTooLarge, message)
@@ -39,26 +65,30 @@
 #[async_trait]
 impl Filter for ReadBodyFilter {
     async fn apply(&self, exchange: &mut Exchange) -> Result<Step, Refusal> {
-        let declared = exchange.incoming.as_ref().map(Body::size_hint);
-        let limit = self.limits.body_bytes;
-        if declared.is_some_and(|size| size.lower() > limit as u64) {
-            return Err(self.too_large());
-        }
-        let Some(incoming) = exchange.incoming.take() else {
+        let Some(incoming) = &mut exchange.incoming else {
             return Ok(Step::Next);
         };
-        let reading = Limited::new(incoming, limit).collect();
-        let read = timeout(Duration::from_millis(self.limits.body_timeout_ms), reading)
+        let limit = Duration::from_millis(self.limits.body_timeout_ms);
+        let body = timeout(limit, self.read(incoming))
             .await
-            .map_err(|_| self.too_slow())?;
-        let body = read.map_err(|error| {
-            if error.is::<LengthLimitError>() {
-                return self.too_large();
-            }
-            let message = "the connection broke before the body was whole";
-            Refusal::not_run(RefusalReason::BadRequest, message)
-        })?;
-        exchange.body = body.to_bytes();
+            .map_err(|_| self.too_slow())??;
+        exchange.incoming = None;
+        exchange.body = body;
         Ok(Step::Next)
     }
 }
+
+/// Reads the rest of a refused body, within limits: a sender that is cut off while it writes
+/// may never see the answer.
+pub(super) async fn discard(incoming: &mut Incoming) {
+    let reading = async {
+        let mut read = 0;
+        while let Some(Ok(frame)) = incoming.frame().await {
+            read += frame.data_ref().map_or(0, Bytes::len);
+            if read > DISCARD_BYTES {
+                return;
+            }
+        }
+    };
+    let _ = timeout(DISCARD_TIMEOUT, reading).await;
+}
