--- /dev/null
+++ b/crates/entry/tests/platform_faults.rs
@@ -0,0 +1,83 @@
+//! Outages of the platform.
+
+mod support;
+
+use monsoonspread_demo::region::zone_name;
+use monsoonspread_demo::roll_out::roll_out;
+use monsoonspread_model::{Bundle, BundleVersion};
+use monsoonspread_standin::Fault;
+use support::*;
+
+#[tokio::test(flavor = "multi_thread")]
+async fn outage_of_the_store_stops_only_keyed_commits() {
+    let region = region(shape(2, 1)).await;
+    region.store.apply(Fault::Crash);
+    let keyed = commit(&region, "entry-1-1", Some("k-1")).await;
+    assert_eq!(keyed.error_type(), "store_unavailable");
+    assert!(keyed.status == 503 && keyed.says_not_run());
+    assert_eq!(commit(&region, "entry-1-1", None).await.status, 200);
+    let generation = generate(&region, "entry-1-1", "needle-0002").await;
+    assert_eq!(generation.status, 200, "{}", generation.text);
+    region.store.apply(Fault::Start);
+    eventually("keyed commits run again", async || {
+        commit(&region, "entry-1-1", Some("k-1")).await.status == 200
+    })
+    .await;
+    assert_eq!(runs_of(&region, "k-1"), 1);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn lost_answers_of_the_store_do_not_double_a_commit() {
+    let region = region(shape(2, 1)).await;
+    for number in 0..10 {
+        region.store.apply(Fault::LoseAnswers { count: 2 });
+        let key = format!("key-{number}");
+        for entry in ["entry-1-1", "entry-1-2"] {
+            let reply = commit(&region, entry, Some(&key)).await;
+            assert!(reply.status == 200 || reply.status >= 500, "{}", reply.text);
+            assert!(!reply.says_not_run() || runs_of(&region, &key) == 0);
+        }
+        assert!(runs_of(&region, &key) <= 1);
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn lost_answers_of_a_service_are_reported_and_not_repeated() {
+    let region = region(shape(2, 1)).await;
+    for server in region.services.values() {
+        server.apply(Fault::LoseAnswers { count: 1 });
+    }
+    let first = commit(&region, "entry-1-1", Some("k-2")).await;
+    assert_eq!((first.status, first.says_not_run()), (502, false));
+    let repeat = commit(&region, "entry-1-2", Some("k-2")).await;
+    assert_eq!(repeat.error_type(), "outcome_unknown");
+    assert_eq!(runs_of(&region, "k-2"), 1);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn newer_bundle_reaches_everybody_and_an_older_one_does_not_return() {
+    let region = region(shape(3, 1)).await;
+    let second = Bundle::sample(BundleVersion(2), 42);
+    region.roll_out(&second).await.unwrap();
+    let first = Bundle::sample(BundleVersion(1), 40);
+    let store = region.store_client();
+    roll_out(&store, &region.key, &first).await.unwrap();
+    let reply = generate(&region, "entry-1-3", "needle-0040").await;
+    assert_eq!(reply.status, 200, "{}", reply.text);
+    for entry in region.entries.values() {
+        let version = entry.bundle().borrow().bundle().version;
+        assert_eq!(version, BundleVersion(2));
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn instance_that_starts_in_an_outage_learns_from_its_peers() {
+    let mut region = region(shape(2, 1)).await;
+    region.store.apply(Fault::Crash);
+    let zone = zone_name(1);
+    region.start_entry("entry-1-9", &zone).await.unwrap();
+    region.wait_for_bundle(BundleVersion(1)).await;
+    region.wait_for_owners().await.unwrap();
+    let reply = generate(&region, "entry-1-9", "needle-0002").await;
+    assert_eq!(reply.status, 200, "{}", reply.text);
+}
--- /dev/null
+++ b/crates/entry/tests/support/mod.rs
@@ -0,0 +1,186 @@
+//! Regions and waiting for tests of whole paths.
+#![allow(dead_code)]
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use monsoonspread_demo::client::{SseEvent, events_of};
+use monsoonspread_demo::{Client, Region, RegionShape, Reply};
+use monsoonspread_model::bundle::SAMPLE_BENCH;
+use monsoonspread_model::{Bundle, BundleVersion};
+use serde_json::{Value, json};
+
+pub const CHAT: &str = "/v1/chat/completions";
+pub const COMMIT: &str = "/v1/services/records/commit-offset";
+pub const READ: &str = "/v1/services/records/read-offset";
+/// Adapters in the bundles of tests.
+const ADAPTERS: usize = 40;
+/// A condition that does not come true within this time fails its test.
+const GIVE_UP: Duration = Duration::from_secs(60);
+
+/// A region of one zone with these instances and engines.
+pub fn shape(entries_per_zone: usize, engines_per_zone: usize) -> RegionShape {
+    RegionShape {
+        zones: 1,
+        entries_per_zone,
+        engines_per_zone,
+        every_unfenced: 0,
+        list_lag_ms: 20,
+        list_poll_ms: 20,
+        ..RegionShape::default()
+    }
+}
+
+/// Starts a region with a bundle in force and an owner for every engine.
+pub async fn region(shape: RegionShape) -> Region {
+    let region = Region::start(shape).await.unwrap();
+    let bundle = Bundle::sample(BundleVersion(1), ADAPTERS);
+    region.roll_out(&bundle).await.unwrap();
+    region.wait_for_owners().await.unwrap();
+    region
+}
+
+/// Starts the platform and the upstreams, with a bundle in force.
+pub async fn region_without_entries(shape: RegionShape) -> Region {
+    let region = Region::start_platform(shape).await.unwrap();
+    let bundle = Bundle::sample(BundleVersion(1), ADAPTERS);
+    region.roll_out(&bundle).await.unwrap();
+    region
+}
+
+pub fn bench() -> Client {
+    Client::new(SAMPLE_BENCH.key)
+}
+
+pub fn chat(model: &str, max_tokens: u32, stream: bool) -> Value {
+    let message = json!({"role": "user", "content": "Read the note of bench 7."});
+    json!({"model": model, "messages": [message], "max_tokens": max_tokens, "stream": stream})
+}
+
+/// Asks `entry` for a whole answer of a few tokens.
+pub async fn generate(region: &Region, entry: &str, adapter: &str) -> Reply {
+    let body = chat(adapter, 4, false);
+    let address = region.callers_address(entry);
+    bench().post(address, CHAT, &body).await.unwrap()
+}
+
+/// Commits an offset at `entry`, with a key or without one.
+pub async fn commit(region: &Region, entry: &str, key: Option<&str>) -> Reply {
+    let headers: Vec<_> = key
+        .map(|key| ("idempotency-key", key))
+        .into_iter()
+        .collect();
+    let address = region.callers_address(entry);
+    let body = json!({"offset": 1}).to_string();
+    let sent = bench().send("POST", address, COMMIT, &headers, &body).await;
+    sent.unwrap()
+}
+
+/// How often the commit with `key` ran on all servers.
+pub fn runs_of(region: &Region, key: &str) -> u64 {
+    let servers = region.services.values();
+    servers.map(|server| server.runs_of_key(key)).sum()
+}
+
+pub async fn dump(region: &Region, entry: &str) -> Value {
+    let address = region.entries[entry].operators_address();
+    bench().get(address, "/dump").await.unwrap().json()
+}
+
+/// The instance that owns `engine`, as `entry` sees it.
+pub async fn owner_of(region: &Region, entry: &str, engine: &str) -> String {
+    let owners = dump(region, entry).await;
+    owners["owners"][engine]
+        .as_str()
+        .unwrap_or_default()
+        .to_owned()
+}
+
+/// Waits until `condition` holds.
+pub async fn eventually<F: Future<Output = bool>>(what: &str, mut condition: impl FnMut() -> F) {
+    let waiting = async {
+        while !condition().await {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    };
+    let waited = tokio::time::timeout(GIVE_UP, waiting).await;
+    assert!(waited.is_ok(), "never came true: {what}");
+}
+
+/// A streamed answer on its way.
+pub struct Stream {
+    body: Incoming,
+    text: String,
+}
+
+impl Stream {
+    /// Opens a stream, which must be granted.
+    pub async fn open(region: &Region, entry: &str, body: &Value) -> Self {
+        Self::open_at(region.callers_address(entry), body).await
+    }
+
+    /// Opens a stream at an address.
+    pub async fn open_at(address: SocketAddr, body: &Value) -> Self {
+        let body = body.to_string();
+        let response = bench().open("POST", address, CHAT, &[], &body).await;
+        let response = response.unwrap();
+        assert_eq!(response.status(), 200);
+        Self {
+            body: response.into_body(),
+            text: String::new(),
+        }
+    }
+
+    /// Reads until something arrived.
+    pub async fn first(&mut self) {
+        while self.text.is_empty() && self.read().await {}
+    }
+
+    /// Reads to the end.
+    pub async fn rest(mut self) -> Vec<SseEvent> {
+        while self.read().await {}
+        events_of(&self.text)
+    }
+
+    async fn read(&mut self) -> bool {
+        let Some(Ok(frame)) = self.body.frame().await else {
+            return false;
+        };
+        let data = frame.into_data().unwrap_or_else(|_| Bytes::new());
+        self.text.push_str(&String::from_utf8_lossy(&data));
+        true
+    }
+}
+
+/// Text of the answer in a stream's events.
+pub fn text_of(events: &[SseEvent]) -> String {
+    let chunks = events
+        .iter()
+        .filter_map(|event| serde_json::from_str::<Value>(&event.data).ok());
+    chunks
+        .map(|chunk| {
+            let text = &chunk["choices"][0]["delta"]["content"];
+            text.as_str().unwrap_or_default().to_owned()
+        })
+        .collect()
+}
+
+pub fn is_whole(events: &[SseEvent]) -> bool {
+    events.last().is_some_and(|event| event.data == "[DONE]")
+}
+
+pub fn ends_in_error(events: &[SseEvent]) -> bool {
+    let no_done = events.iter().all(|event| event.data != "[DONE]");
+    no_done && events.last().is_some_and(|event| event.name == "error")
+}
+
+pub async fn pin_violations(region: &Region) -> u64 {
+    let mut violations = 0;
+    for engine in region.engines.values() {
+        violations += engine.did().await.pin_violations;
+    }
+    violations
+}
