--- a/crates/ctl/src/fleet_status/mod.rs
+++ b/crates/ctl/src/fleet_status/mod.rs
@@ -38,6 +38,14 @@
     }
 
     /// Asks every instance once, all at a time; in the order given.
+    ///
+    /// ```
+    /// # use monsoonspread_ctl::fleet_status::FleetStatus;
+    /// # tokio::runtime::Runtime::new().unwrap().block_on(async {
+    /// let fleet = FleetStatus::new(&["127.0.0.1:1".parse().unwrap()]);
+    /// assert!(fleet.ask().await[0].error.is_some());
+    /// # });
+    /// ```
     pub async fn ask(&self) -> Vec<InstanceStatus> {
         let mut asking = JoinSet::new();
         for (place, address) in self.instances.iter().enumerate() {
@@ -55,6 +63,16 @@
     /// # Errors
     ///
     /// Returns those that do not by the deadline.
+    ///
+    /// ```
+    /// # use monsoonspread_ctl::fleet_status::{FleetStatus, NoProgress};
+    /// # use monsoonspread_model::{BundleVersion, UnixMs};
+    /// # tokio::runtime::Runtime::new().unwrap().block_on(async {
+    /// let fleet = FleetStatus::new(&["127.0.0.1:1".parse().unwrap()]);
+    /// let waited = fleet.wait_for(BundleVersion(3), UnixMs(0), &NoProgress).await;
+    /// assert_eq!(waited.unwrap_err().len(), 1);
+    /// # });
+    /// ```
     pub async fn wait_for(
         &self,
         version: BundleVersion,
--- a/crates/ctl/src/fleet_status/progress.rs
+++ b/crates/ctl/src/fleet_status/progress.rs
@@ -24,6 +24,11 @@
 
 impl ProgressLine {
     /// A line for bundle `version`.
+    ///
+    /// ```
+    /// # use monsoonspread_ctl::fleet_status::{Progress, ProgressLine};
+    /// ProgressLine::new(3).reported(2, 7);
+    /// ```
     pub fn new(version: u64) -> Self {
         let bar = ProgressBar::new(0).with_message(format!("bundle {version}"));
         let style = ProgressStyle::with_template("{msg}: {pos} of {len} instances [{elapsed}]");
--- a/crates/ctl/src/key_file.rs
+++ b/crates/ctl/src/key_file.rs
@@ -30,6 +30,11 @@
 /// # Errors
 ///
 /// Fails when the file exists or can't be written.
+///
+/// ```
+/// # use std::path::Path;
+/// assert!(monsoonspread_ctl::key_file::create(Path::new("/dev/null")).is_err());
+/// ```
 pub fn create(file: &Path) -> Result<SigningKey, KeyFileError> {
     let key = SigningKey::generate(&mut rand::rng());
     OpenOptions::new()
@@ -47,6 +52,11 @@
 /// # Errors
 ///
 /// Fails when others have access to the file, and when it holds no key.
+///
+/// ```
+/// # use std::path::Path;
+/// assert!(monsoonspread_ctl::key_file::read(Path::new("no.key")).is_err());
+/// ```
 pub fn read(file: &Path) -> Result<SigningKey, KeyFileError> {
     let unreadable = |error| KeyFileError::Unreadable(file.to_owned(), error);
     let mode = fs::metadata(file).map_err(unreadable)?.permissions().mode() & 0o777;
--- a/crates/ctl/src/roll_out/bundle_store.rs
+++ b/crates/ctl/src/roll_out/bundle_store.rs
@@ -42,6 +42,14 @@
 
 impl BundleStore {
     /// Keeps bundles in `store`.
+    ///
+    /// ```
+    /// # use std::sync::Arc;
+    /// # use monsoonspread_platform::store::EtcdGateway;
+    /// # use monsoonspread_ctl::roll_out::BundleStore;
+    /// let store = Arc::new(EtcdGateway::new(vec!["127.0.0.1:1".parse().unwrap()]));
+    /// let bundles = BundleStore::new(store);
+    /// ```
     pub fn new(store: Arc<dyn KeyValueStore>) -> Self {
         Self { store }
     }
@@ -51,6 +59,16 @@
     /// # Errors
     ///
     /// Fails when the key-value service does.
+    ///
+    /// ```
+    /// # use std::sync::Arc;
+    /// # use monsoonspread_platform::store::EtcdGateway;
+    /// # use monsoonspread_ctl::roll_out::BundleStore;
+    /// # tokio::runtime::Runtime::new().unwrap().block_on(async {
+    /// let store = Arc::new(EtcdGateway::new(vec!["127.0.0.1:1".parse().unwrap()]));
+    /// assert!(BundleStore::new(store).in_force().await.is_err());
+    /// # });
+    /// ```
     pub async fn in_force(&self) -> Result<InForce, StoreError> {
         self.store.get(POINTER_KEY).await.and_then(in_force)
     }
@@ -129,6 +147,21 @@
     /// # Errors
     ///
     /// Fails when the key-value service does.
+    ///
+    /// ```
+    /// # use std::sync::Arc;
+    /// # use monsoonspread_platform::store::EtcdGateway;
+    /// # use monsoonspread_ctl::roll_out::BundleStore;
+    /// # use ed25519_dalek::SigningKey;
+    /// # use monsoonspread_ctl::SignedBundle;
+    /// # use monsoonspread_model::{Bundle, BundleVersion};
+    /// # let key = SigningKey::from_bytes(&[7; 32]);
+    /// # tokio::runtime::Runtime::new().unwrap().block_on(async {
+    /// let store = Arc::new(EtcdGateway::new(vec!["127.0.0.1:1".parse().unwrap()]));
+    /// let signed = SignedBundle::sign(Bundle::sample(BundleVersion(1), 4), &key);
+    /// assert!(BundleStore::new(store).bundle(signed.manifest()).await.is_err());
+    /// # });
+    /// ```
     pub async fn bundle(&self, manifest: &Manifest) -> Result<Option<Bundle>, StoreError> {
         let mut parts = Vec::new();
         for digest in &manifest.parts {
@@ -146,6 +179,16 @@
     /// # Errors
     ///
     /// Fails when the key-value service does.
+    ///
+    /// ```
+    /// # use std::sync::Arc;
+    /// # use monsoonspread_platform::store::EtcdGateway;
+    /// # use monsoonspread_ctl::roll_out::BundleStore;
+    /// # tokio::runtime::Runtime::new().unwrap().block_on(async {
+    /// let store = Arc::new(EtcdGateway::new(vec!["127.0.0.1:1".parse().unwrap()]));
+    /// assert!(BundleStore::new(store).history().await.is_err());
+    /// # });
+    /// ```
     pub async fn history(&self) -> Result<Vec<Manifest>, StoreError> {
         let rows = self.store.list(HISTORY_PREFIX).await?;
         let mut history = rows.iter().map(manifest).collect::<Result<Vec<_>, _>>()?;
--- a/crates/ctl/src/roll_out/machine.rs
+++ b/crates/ctl/src/roll_out/machine.rs
@@ -22,6 +22,15 @@
 
 impl RollOut {
     /// Writes to `store` and gives up at the deadline.
+    ///
+    /// ```
+    /// # use std::sync::Arc;
+    /// # use monsoonspread_platform::store::EtcdGateway;
+    /// # use monsoonspread_ctl::RollOut;
+    /// # use monsoonspread_model::UnixMs;
+    /// let store = Arc::new(EtcdGateway::new(vec!["127.0.0.1:1".parse().unwrap()]));
+    /// let roll_out = RollOut::new(store, UnixMs::now() + 30_000);
+    /// ```
     pub fn new(store: Arc<dyn KeyValueStore>, deadline_unix_ms: UnixMs) -> Self {
         Self {
             store: BundleStore::new(store),
@@ -34,6 +43,23 @@
     /// # Errors
     ///
     /// Tells a conflict, a write that did not happen and an unknown outcome apart.
+    ///
+    /// ```
+    /// # use std::sync::Arc;
+    /// # use monsoonspread_platform::store::EtcdGateway;
+    /// # use monsoonspread_ctl::RollOut;
+    /// # use monsoonspread_model::UnixMs;
+    /// # use ed25519_dalek::SigningKey;
+    /// # use monsoonspread_ctl::SignedBundle;
+    /// # use monsoonspread_model::{Bundle, BundleVersion};
+    /// # let key = SigningKey::from_bytes(&[7; 32]);
+    /// # tokio::runtime::Runtime::new().unwrap().block_on(async {
+    /// let store = Arc::new(EtcdGateway::new(vec!["127.0.0.1:1".parse().unwrap()]));
+    /// let signed = SignedBundle::sign(Bundle::sample(BundleVersion(1), 4), &key);
+    /// let error = RollOut::new(store, UnixMs(0)).run(&signed).await.unwrap_err();
+    /// assert!(!error.is_conflict());
+    /// # });
+    /// ```
     pub async fn run(&self, signed: &SignedBundle) -> Result<RollOutOutcome, RollOutError> {
         let manifest = signed.manifest();
         let not_written = |error: StoreError| RollOutError::NotWritten {
--- a/crates/ctl/src/signed_bundle.rs
+++ b/crates/ctl/src/signed_bundle.rs
@@ -92,6 +92,17 @@
     /// # Errors
     ///
     /// Fails when no key of `verifier` did.
+    ///
+    /// ```
+    /// # use monsoonspread_model::bundle::Verifier;
+    /// # use ed25519_dalek::SigningKey;
+    /// # use monsoonspread_ctl::SignedBundle;
+    /// # use monsoonspread_model::{Bundle, BundleVersion};
+    /// # let key = SigningKey::from_bytes(&[7; 32]);
+    /// let signed = SignedBundle::sign(Bundle::sample(BundleVersion(1), 4), &key);
+    /// let verifier = Verifier::new(vec![key.verifying_key()]);
+    /// assert_eq!(signed.verify(&verifier), Ok(()));
+    /// ```
     pub fn verify(&self, verifier: &Verifier) -> Result<(), SignedBundleError> {
         if verifier.verify(&self.manifest) {
             Ok(())
@@ -101,16 +112,43 @@
     }
 
     /// The bundle.
+    ///
+    /// ```
+    /// # use ed25519_dalek::SigningKey;
+    /// # use monsoonspread_ctl::SignedBundle;
+    /// # use monsoonspread_model::{Bundle, BundleVersion};
+    /// # let key = SigningKey::from_bytes(&[7; 32]);
+    /// let signed = SignedBundle::sign(Bundle::sample(BundleVersion(1), 4), &key);
+    /// assert_eq!(signed.bundle().adapters.len(), 4);
+    /// ```
     pub fn bundle(&self) -> &Bundle {
         &self.bundle
     }
 
     /// Its manifest.
+    ///
+    /// ```
+    /// # use ed25519_dalek::SigningKey;
+    /// # use monsoonspread_ctl::SignedBundle;
+    /// # use monsoonspread_model::{Bundle, BundleVersion};
+    /// # let key = SigningKey::from_bytes(&[7; 32]);
+    /// let signed = SignedBundle::sign(Bundle::sample(BundleVersion(1), 4), &key);
+    /// assert_eq!(signed.manifest().parts.len(), 1);
+    /// ```
     pub fn manifest(&self) -> &Manifest {
         &self.manifest
     }
 
     /// The parts to store, in the manifest's order.
+    ///
+    /// ```
+    /// # use ed25519_dalek::SigningKey;
+    /// # use monsoonspread_ctl::SignedBundle;
+    /// # use monsoonspread_model::{Bundle, BundleVersion};
+    /// # let key = SigningKey::from_bytes(&[7; 32]);
+    /// let signed = SignedBundle::sign(Bundle::sample(BundleVersion(1), 4), &key);
+    /// assert_eq!(signed.parts().count(), 1);
+    /// ```
     pub fn parts(&self) -> impl Iterator<Item = (&str, &[u8])> {
         let digests = self.manifest.parts.iter().map(String::as_str);
         digests.zip(split(&self.content))
--- a/crates/platform/src/engine/vllm_engine.rs
+++ b/crates/platform/src/engine/vllm_engine.rs
@@ -47,6 +47,12 @@
     }
 
     /// Names the calling instance in every request.
+    ///
+    /// ```
+    /// # use monsoonspread_platform::engine::VllmEngine;
+    /// let client = VllmEngine::new("127.0.0.1:9200".parse().unwrap());
+    /// let client = client.with_peer_name("entry-1");
+    /// ```
     #[must_use]
     pub fn with_peer_name(mut self, name: &str) -> Self {
         self.client = self.client.with_peer_name(name);
@@ -54,6 +60,12 @@
     }
 
     /// Sets after how long the answer to a load order counts as lost.
+    ///
+    /// ```
+    /// # use monsoonspread_platform::engine::VllmEngine;
+    /// let engine = VllmEngine::new("127.0.0.1:9200".parse().unwrap());
+    /// let engine = engine.with_load_timeout_ms(5_000);
+    /// ```
     #[must_use]
     pub fn with_load_timeout_ms(mut self, timeout_ms: u64) -> Self {
         self.load_timeout_ms = timeout_ms;
--- a/crates/platform/src/http/http_client.rs
+++ b/crates/platform/src/http/http_client.rs
@@ -65,6 +65,14 @@
     /// # Errors
     ///
     /// Fails when there is no answer; every status is an answer.
+    ///
+    /// ```
+    /// # use monsoonspread_platform::http::HttpClient;
+    /// # tokio::runtime::Runtime::new().unwrap().block_on(async {
+    /// let nobody = "127.0.0.1:1".parse().unwrap();
+    /// assert!(HttpClient::new().get(nobody, "/dump", 1_000).await.is_err());
+    /// # });
+    /// ```
     pub async fn get(
         &self,
         address: SocketAddr,
--- a/crates/platform/src/instance_list/http_list.rs
+++ b/crates/platform/src/instance_list/http_list.rs
@@ -32,6 +32,12 @@
     }
 
     /// Names the calling instance in every request.
+    ///
+    /// ```
+    /// # use monsoonspread_platform::instance_list::HttpInstanceList;
+    /// let client = HttpInstanceList::new(vec!["127.0.0.1:9000".parse().unwrap()]);
+    /// let client = client.with_peer_name("entry-1");
+    /// ```
     #[must_use]
     pub fn with_peer_name(mut self, name: &str) -> Self {
         self.client = self.client.with_peer_name(name);
--- a/crates/platform/src/service/http_service.rs
+++ b/crates/platform/src/service/http_service.rs
@@ -35,6 +35,12 @@
     }
 
     /// Names the calling instance in every request.
+    ///
+    /// ```
+    /// # use monsoonspread_platform::service::HttpService;
+    /// let client = HttpService::new("127.0.0.1:9100".parse().unwrap());
+    /// let client = client.with_peer_name("entry-1");
+    /// ```
     #[must_use]
     pub fn with_peer_name(mut self, name: &str) -> Self {
         self.client = self.client.with_peer_name(name);
--- a/crates/platform/src/store/etcd_gateway.rs
+++ b/crates/platform/src/store/etcd_gateway.rs
@@ -44,6 +44,12 @@
     }
 
     /// Names the calling instance in every request.
+    ///
+    /// ```
+    /// # use monsoonspread_platform::store::EtcdGateway;
+    /// let client = EtcdGateway::new(vec!["127.0.0.1:2379".parse().unwrap()]);
+    /// let client = client.with_peer_name("entry-1");
+    /// ```
     #[must_use]
     pub fn with_peer_name(mut self, name: &str) -> Self {
         self.client = self.client.with_peer_name(name);
@@ -51,6 +57,11 @@
     }
 
     /// Sets after how long an answer counts as lost.
+    ///
+    /// ```
+    /// # use monsoonspread_platform::store::EtcdGateway;
+    /// let store = EtcdGateway::new(Vec::new()).with_timeout_ms(500);
+    /// ```
     #[must_use]
     pub fn with_timeout_ms(mut self, timeout_ms: u64) -> Self {
         self.timeout_ms = timeout_ms;
--- a/crates/standin/src/control/controlled.rs
+++ b/crates/standin/src/control/controlled.rs
@@ -19,6 +19,16 @@
 
 impl Controlled {
     /// Puts a running stand-in under control by `name`.
+    ///
+    /// ```
+    /// # use monsoonspread_standin::control::{Control, Controlled};
+    /// # tokio::runtime::Runtime::new().unwrap().block_on(async {
+    /// # use monsoonspread_standin::{LOOPBACK, Store, StoreSettings};
+    /// # let store = Store::start(StoreSettings::default()).await.unwrap();
+    /// let control = Control::new(vec![Controlled::new("store", &store)], None);
+    /// assert!(control.start_at(LOOPBACK).await.is_ok());
+    /// # });
+    /// ```
     pub fn new<T: StandIn>(name: &str, running: &Running<T>) -> Self {
         Self {
             name: name.to_owned(),
@@ -29,22 +39,22 @@
     }
 
     /// Its name.
-    pub fn name(&self) -> &str {
+    pub(super) fn name(&self) -> &str {
         &self.name
     }
 
     /// Where it listens.
-    pub fn address(&self) -> SocketAddr {
+    pub(super) fn address(&self) -> SocketAddr {
         self.address
     }
 
     /// Switches one fault.
-    pub fn apply(&self, fault: Fault) {
+    pub(super) fn apply(&self, fault: Fault) {
         self.faults.apply(fault);
     }
 
     /// Its counters.
-    pub async fn counters(&self) -> Value {
+    pub(super) async fn counters(&self) -> Value {
         self.target.counters().await
     }
 }
--- a/crates/standin/src/control/list_change.rs
+++ b/crates/standin/src/control/list_change.rs
@@ -19,6 +19,15 @@
 
 impl ListChange {
     /// Changes `instances`, which shows it after its lag.
+    ///
+    /// ```
+    /// # use monsoonspread_standin::control::ListChange;
+    /// # tokio::runtime::Runtime::new().unwrap().block_on(async {
+    /// # use monsoonspread_standin::{Instances, InstancesSettings};
+    /// # let list = Instances::start(InstancesSettings::default()).await.unwrap();
+    /// ListChange::Leave("engine-1".to_owned()).apply(&list);
+    /// # });
+    /// ```
     pub fn apply(self, instances: &Instances) {
         match self {
             Self::Put(row) => instances.put(row),
--- a/crates/standin/src/control/mod.rs
+++ b/crates/standin/src/control/mod.rs
@@ -37,6 +37,11 @@
 
 impl Control {
     /// Controls `targets` and, when it runs here, the instance list.
+    ///
+    /// ```
+    /// # use monsoonspread_standin::control::Control;
+    /// let control = Control::new(Vec::new(), None);
+    /// ```
     pub fn new(targets: Vec<Controlled>, instances: Option<Arc<Instances>>) -> Self {
         Self { targets, instances }
     }
@@ -46,6 +51,15 @@
     /// # Errors
     ///
     /// Fails when the address can't be bound.
+    ///
+    /// ```
+    /// # use monsoonspread_standin::LOOPBACK;
+    /// # tokio::runtime::Runtime::new().unwrap().block_on(async {
+    /// # use monsoonspread_standin::control::Control;
+    /// let control = Control::new(Vec::new(), None).start_at(LOOPBACK).await.unwrap();
+    /// assert!(control.address().ip().is_loopback());
+    /// # });
+    /// ```
     pub async fn start_at(self, address: SocketAddr) -> io::Result<Running<Self>> {
         let faults = Arc::new(FaultState::new(Duration::ZERO));
         Running::start(self, faults, address).await
--- a/crates/standin/src/engine/counters.rs
+++ b/crates/standin/src/engine/counters.rs
@@ -47,6 +47,12 @@
 
 impl EngineCounters {
     /// Mean requests in the batch over all steps.
+    ///
+    /// ```
+    /// # use monsoonspread_standin::engine::EngineCounters;
+    /// let counters = EngineCounters { batch_sum: 6, steps: 4, ..EngineCounters::default() };
+    /// assert_eq!(counters.mean_batch(), 1.5);
+    /// ```
     pub fn mean_batch(&self) -> f64 {
         self.batch_sum as f64 / self.steps.max(1) as f64
     }
--- a/crates/standin/src/engine/mod.rs
+++ b/crates/standin/src/engine/mod.rs
@@ -43,6 +43,17 @@
     /// # Errors
     ///
     /// Fails when no port can be bound.
+    ///
+    /// ```
+    /// # use std::sync::Arc;
+    /// # tokio::runtime::Runtime::new().unwrap().block_on(async {
+    /// # use monsoonspread_standin::{Engine, EngineSettings, Weights, WeightsSettings};
+    /// let weights = Weights::start(WeightsSettings::default()).await.unwrap();
+    /// let source = Arc::clone(weights.target()) as _;
+    /// let engine = Engine::start(EngineSettings::default(), source).await.unwrap();
+    /// assert_eq!(engine.did().await.runs, 0);
+    /// # });
+    /// ```
     pub async fn start(
         settings: EngineSettings,
         weights: Arc<dyn WeightSource>,
@@ -55,6 +66,17 @@
     /// # Errors
     ///
     /// Fails when the address can't be bound.
+    ///
+    /// ```
+    /// # use std::sync::Arc;
+    /// # tokio::runtime::Runtime::new().unwrap().block_on(async {
+    /// # use monsoonspread_standin::weights::HttpWeights;
+    /// # use monsoonspread_standin::{Engine, EngineSettings, LOOPBACK};
+    /// let weights = Arc::new(HttpWeights::new("127.0.0.1:9300".parse().unwrap()));
+    /// let settings = EngineSettings::default();
+    /// assert!(Engine::start_at(settings, weights, LOOPBACK).await.is_ok());
+    /// # });
+    /// ```
     pub async fn start_at(
         settings: EngineSettings,
         weights: Arc<dyn WeightSource>,
@@ -74,6 +96,14 @@
     }
 
     /// What it did so far.
+    ///
+    /// ```
+    /// # use monsoonspread_standin::{Fleet, Plan};
+    /// # tokio::runtime::Runtime::new().unwrap().block_on(async {
+    /// let fleet = Fleet::start(&Plan::default().with_zone("zone-1", 1, &[])).await.unwrap();
+    /// assert_eq!(fleet.engines[0].running.did().await.pin_violations, 0);
+    /// # });
+    /// ```
     pub async fn did(&self) -> EngineCounters {
         self.ask(Command::Counters).await.unwrap_or_default()
     }
--- a/crates/standin/src/fault/fault_state.rs
+++ b/crates/standin/src/fault/fault_state.rs
@@ -49,6 +49,12 @@
 
 impl FaultState {
     /// No fault; a restart takes `cold_start`.
+    ///
+    /// ```
+    /// # use std::time::Duration;
+    /// # use monsoonspread_standin::FaultState;
+    /// let faults = FaultState::new(Duration::from_secs(3));
+    /// ```
     pub fn new(cold_start: Duration) -> Self {
         Self {
             switches: watch::Sender::new(Switches::default()),
@@ -57,6 +63,12 @@
     }
 
     /// Switches one fault.
+    ///
+    /// ```
+    /// # use std::time::Duration;
+    /// # use monsoonspread_standin::{Fault, FaultState};
+    /// FaultState::new(Duration::ZERO).apply(Fault::Drain { on: true });
+    /// ```
     pub fn apply(&self, fault: Fault) {
         if fault == Fault::Restart {
             return self.restart();
@@ -89,42 +101,42 @@
     }
 
     /// How many times as long everything takes.
-    pub fn slow_factor(&self) -> f64 {
+    pub(crate) fn slow_factor(&self) -> f64 {
         self.switches.borrow().slow_factor
     }
 
     /// Whether it takes no new work.
-    pub fn is_draining(&self) -> bool {
+    pub(crate) fn is_draining(&self) -> bool {
         self.switches.borrow().draining
     }
 
     /// Whether it refuses every request.
-    pub fn is_refusing(&self) -> bool {
+    pub(crate) fn is_refusing(&self) -> bool {
         self.switches.borrow().refusing
     }
 
     /// Whether the named peer is cut off.
-    pub fn cuts(&self, peer: &str) -> bool {
+    pub(crate) fn cuts(&self, peer: &str) -> bool {
         self.switches.borrow().cut_peers.contains(peer)
     }
 
     /// How much later answers go out.
-    pub fn answer_delay(&self) -> Duration {
+    pub(crate) fn answer_delay(&self) -> Duration {
         Duration::from_millis(self.switches.borrow().delay_ms)
     }
 
     /// Whether the load that ends now fails.
-    pub fn take_failed_load(&self) -> bool {
+    pub(crate) fn take_failed_load(&self) -> bool {
         self.take(|switches| &mut switches.fail_loads)
     }
 
     /// Whether the answer that goes out now is lost.
-    pub fn take_lost_answer(&self) -> bool {
+    pub(crate) fn take_lost_answer(&self) -> bool {
         self.take(|switches| &mut switches.lose_answers)
     }
 
     /// Whether the stream that begins now is cut in the middle.
-    pub fn take_cut_stream(&self) -> bool {
+    pub(crate) fn take_cut_stream(&self) -> bool {
         self.take(|switches| &mut switches.cut_streams)
     }
 
@@ -138,22 +150,22 @@
     }
 
     /// Waits while paused.
-    pub async fn running(&self) {
+    pub(crate) async fn running(&self) {
         self.wait_for(|switches| !switches.paused).await;
     }
 
     /// Waits for a crash.
-    pub async fn crashed(&self) {
+    pub(crate) async fn crashed(&self) {
         self.wait_for(|switches| switches.down).await;
     }
 
     /// Waits until it is up.
-    pub async fn started(&self) {
+    pub(crate) async fn started(&self) {
         self.wait_for(|switches| !switches.down).await;
     }
 
     /// Waits until the peer, once known, is cut off.
-    pub async fn cut_off(&self, peer: &std::sync::OnceLock<String>) {
+    pub(crate) async fn cut_off(&self, peer: &std::sync::OnceLock<String>) {
         let is_cut = |switches: &Switches| {
             peer.get()
                 .is_some_and(|peer| switches.cut_peers.contains(peer))
--- a/crates/standin/src/fleet/mod.rs
+++ b/crates/standin/src/fleet/mod.rs
@@ -81,11 +81,27 @@
     }
 
     /// The engine named so.
+    ///
+    /// ```
+    /// # use monsoonspread_standin::{Fleet, Plan};
+    /// # tokio::runtime::Runtime::new().unwrap().block_on(async {
+    /// let fleet = Fleet::start(&Plan::default().with_zone("zone-1", 1, &[])).await.unwrap();
+    /// assert!(fleet.engine("engine-zone-1-1").is_some());
+    /// # });
+    /// ```
     pub fn engine(&self, name: &str) -> Option<&FleetEngine> {
         self.engines.iter().find(|engine| engine.name == name)
     }
 
     /// Where everything listens.
+    ///
+    /// ```
+    /// # use monsoonspread_standin::{Fleet, Plan};
+    /// # tokio::runtime::Runtime::new().unwrap().block_on(async {
+    /// let fleet = Fleet::start(&Plan::default()).await.unwrap();
+    /// assert!(fleet.addresses()["store"].is_string());
+    /// # });
+    /// ```
     pub fn addresses(&self) -> Value {
         let engines = self.engines.iter().map(FleetEngine::row);
         let services = self.services.iter().map(FleetService::row);
@@ -100,6 +116,13 @@
     }
 
     /// Stops everything.
+    ///
+    /// ```
+    /// # use monsoonspread_standin::{Fleet, Plan};
+    /// # tokio::runtime::Runtime::new().unwrap().block_on(async {
+    /// Fleet::start(&Plan::default()).await.unwrap().stop().await;
+    /// # });
+    /// ```
     pub async fn stop(self) {
         self.control.stop().await;
         for engine in self.engines {
--- a/crates/standin/src/fleet/upstream.rs
+++ b/crates/standin/src/fleet/upstream.rs
@@ -21,6 +21,15 @@
 
 impl FleetEngine {
     /// Its row in the instance list.
+    ///
+    /// ```
+    /// # use monsoonspread_standin::{Fleet, Plan};
+    /// # tokio::runtime::Runtime::new().unwrap().block_on(async {
+    /// let plan = Plan::default().with_zone("zone-1", 1, &["records"]);
+    /// let fleet = Fleet::start(&plan).await.unwrap();
+    /// assert!(fleet.engines[0].row().checks_fencing);
+    /// # });
+    /// ```
     pub fn row(&self) -> ListedInstance {
         ListedInstance {
             name: self.name.clone(),
@@ -51,6 +60,15 @@
 
 impl FleetService {
     /// Its row in the instance list.
+    ///
+    /// ```
+    /// # use monsoonspread_standin::{Fleet, Plan};
+    /// # tokio::runtime::Runtime::new().unwrap().block_on(async {
+    /// let plan = Plan::default().with_zone("zone-1", 1, &["records"]);
+    /// let fleet = Fleet::start(&plan).await.unwrap();
+    /// assert_eq!(fleet.services[0].row().service.as_deref(), Some("records"));
+    /// # });
+    /// ```
     pub fn row(&self) -> ListedInstance {
         ListedInstance {
             name: self.name.clone(),
--- a/crates/standin/src/instances/mod.rs
+++ b/crates/standin/src/instances/mod.rs
@@ -59,6 +59,14 @@
     /// # Errors
     ///
     /// Fails when no port can be bound.
+    ///
+    /// ```
+    /// # use monsoonspread_standin::{Instances, InstancesSettings};
+    /// # tokio::runtime::Runtime::new().unwrap().block_on(async {
+    /// let list = Instances::start(InstancesSettings::default()).await.unwrap();
+    /// assert!(list.shown().is_empty());
+    /// # });
+    /// ```
     pub async fn start(settings: InstancesSettings) -> io::Result<Running<Self>> {
         Self::start_at(settings, crate::LOOPBACK).await
     }
@@ -68,6 +76,13 @@
     /// # Errors
     ///
     /// Fails when the address can't be bound.
+    ///
+    /// ```
+    /// # use monsoonspread_standin::{Instances, InstancesSettings, LOOPBACK};
+    /// # tokio::runtime::Runtime::new().unwrap().block_on(async {
+    /// assert!(Instances::start_at(InstancesSettings::default(), LOOPBACK).await.is_ok());
+    /// # });
+    /// ```
     pub async fn start_at(
         settings: InstancesSettings,
         address: SocketAddr,
@@ -92,6 +107,16 @@
     }
 
     /// Adds or replaces a row.
+    ///
+    /// ```
+    /// # use monsoonspread_standin::{Fleet, Plan};
+    /// # tokio::runtime::Runtime::new().unwrap().block_on(async {
+    /// let fleet = Fleet::start(&Plan::default().with_zone("zone-1", 1, &[])).await.unwrap();
+    /// let mut row = fleet.engines[0].row();
+    /// row.name = "engine-2".to_owned();
+    /// fleet.instances.put(row);
+    /// # });
+    /// ```
     pub fn put(&self, row: ListedInstance) {
         self.change(|rows| {
             rows.insert(row.name.clone(), row);
@@ -99,6 +124,14 @@
     }
 
     /// Marks a row as leaving.
+    ///
+    /// ```
+    /// # use monsoonspread_standin::{Instances, InstancesSettings};
+    /// # tokio::runtime::Runtime::new().unwrap().block_on(async {
+    /// # let list = Instances::start(InstancesSettings::default()).await.unwrap();
+    /// list.set_leaving("engine-1");
+    /// # });
+    /// ```
     pub fn set_leaving(&self, name: &str) {
         self.change(|rows| {
             if let Some(row) = rows.get_mut(name) {
@@ -108,6 +141,14 @@
     }
 
     /// Removes a row.
+    ///
+    /// ```
+    /// # use monsoonspread_standin::{Instances, InstancesSettings};
+    /// # tokio::runtime::Runtime::new().unwrap().block_on(async {
+    /// # let list = Instances::start(InstancesSettings::default()).await.unwrap();
+    /// list.remove("engine-1");
+    /// # });
+    /// ```
     pub fn remove(&self, name: &str) {
         self.change(|rows| {
             rows.remove(name);
@@ -115,6 +156,14 @@
     }
 
     /// The rows as they are shown now.
+    ///
+    /// ```
+    /// # use monsoonspread_standin::{Instances, InstancesSettings};
+    /// # tokio::runtime::Runtime::new().unwrap().block_on(async {
+    /// # let list = Instances::start(InstancesSettings::default()).await.unwrap();
+    /// assert!(list.shown().is_empty());
+    /// # });
+    /// ```
     pub fn shown(&self) -> Vec<ListedInstance> {
         let mut state = self.lock();
         let now = Instant::now();
--- a/crates/standin/src/run.rs
+++ b/crates/standin/src/run.rs
@@ -44,6 +44,12 @@
 
 impl RunError {
     /// The exit code for it.
+    ///
+    /// ```
+    /// # use monsoonspread_standin::run::RunError;
+    /// let error = RunError::NotStarted(std::io::ErrorKind::AddrInUse.into());
+    /// assert_eq!(error.exit_code(), 1);
+    /// ```
     pub fn exit_code(&self) -> u8 {
         match self {
             Self::NotStarted(_) => 1,
--- a/crates/standin/src/server/answer.rs
+++ b/crates/standin/src/server/answer.rs
@@ -22,26 +22,32 @@
 
 /// Marks an answer to a request that changed something, which the fault of lost answers hits.
 #[derive(Clone, Copy, Debug)]
-pub struct TookEffect;
+pub(crate) struct TookEffect;
 
 /// Closes the connection unanswered.
-pub fn drop_connection(why: &str) -> io::Error {
+pub(crate) fn drop_connection(why: &str) -> io::Error {
     io::Error::new(io::ErrorKind::ConnectionAborted, why)
 }
 
 /// An answer in JSON.
+///
+/// ```
+/// # use hyper::StatusCode;
+/// # use monsoonspread_standin::server::json;
+/// assert_eq!(json(StatusCode::OK, &[1, 2]).status(), 200);
+/// ```
 pub fn json(status: StatusCode, value: &impl Serialize) -> Response<AnswerBody> {
     let text = serde_json::to_string(value).unwrap_or_default();
     with_body(status, "application/json", full(text))
 }
 
 /// An answer without a body.
-pub fn empty(status: StatusCode) -> Response<AnswerBody> {
+pub(crate) fn empty(status: StatusCode) -> Response<AnswerBody> {
     with_body(status, "text/plain", full(String::new()))
 }
 
 /// A refusal that the request did not run.
-pub fn not_run(message: &str) -> Response<AnswerBody> {
+pub(crate) fn not_run(message: &str) -> Response<AnswerBody> {
     let body = json_value!({ "error": { "message": message } });
     let mut response = json(StatusCode::SERVICE_UNAVAILABLE, &body);
     response.headers_mut().insert(
@@ -52,7 +58,7 @@
 }
 
 /// An answer that goes out in pieces.
-pub fn streamed(
+pub(crate) fn streamed(
     content_type: &str,
     pieces: impl Stream<Item = io::Result<Bytes>> + Send + 'static,
 ) -> Response<AnswerBody> {
--- a/crates/standin/src/server/mod.rs
+++ b/crates/standin/src/server/mod.rs
@@ -4,7 +4,8 @@
 mod connection;
 mod running;
 
-pub use answer::{Answer, AnswerBody, TookEffect, drop_connection, empty, json, not_run, streamed};
+pub use answer::{Answer, AnswerBody, json};
+pub(crate) use answer::{TookEffect, drop_connection, empty, not_run, streamed};
 pub use running::Running;
 
 use std::sync::Arc;
--- a/crates/standin/src/server/running.rs
+++ b/crates/standin/src/server/running.rs
@@ -55,26 +55,65 @@
     }
 
     /// Where it listens.
+    ///
+    /// ```
+    /// # use monsoonspread_standin::{Store, StoreSettings};
+    /// # tokio::runtime::Runtime::new().unwrap().block_on(async {
+    /// # let store = Store::start(StoreSettings::default()).await.unwrap();
+    /// assert_ne!(store.address().port(), 0);
+    /// # });
+    /// ```
     pub fn address(&self) -> SocketAddr {
         self.address
     }
 
     /// Its faults.
+    ///
+    /// ```
+    /// # use monsoonspread_standin::{Fault, Store, StoreSettings};
+    /// # tokio::runtime::Runtime::new().unwrap().block_on(async {
+    /// # let store = Store::start(StoreSettings::default()).await.unwrap();
+    /// store.faults().apply(Fault::Pause);
+    /// # });
+    /// ```
     pub fn faults(&self) -> &Arc<FaultState> {
         &self.faults
     }
 
     /// Switches one fault.
+    ///
+    /// ```
+    /// # use monsoonspread_standin::{Fault, Store, StoreSettings};
+    /// # tokio::runtime::Runtime::new().unwrap().block_on(async {
+    /// # let store = Store::start(StoreSettings::default()).await.unwrap();
+    /// store.apply(Fault::Slow { factor: 3.0 });
+    /// # });
+    /// ```
     pub fn apply(&self, fault: Fault) {
         self.faults.apply(fault);
     }
 
     /// The stand-in behind the port.
+    ///
+    /// ```
+    /// # use monsoonspread_standin::{Store, StoreSettings};
+    /// # tokio::runtime::Runtime::new().unwrap().block_on(async {
+    /// # let store = Store::start(StoreSettings::default()).await.unwrap();
+    /// assert_eq!(store.target().asked().reads, 0);
+    /// # });
+    /// ```
     pub fn target(&self) -> &Arc<T> {
         &self.target
     }
 
     /// Stops serving and drops every connection.
+    ///
+    /// ```
+    /// # use monsoonspread_standin::{Store, StoreSettings};
+    /// # tokio::runtime::Runtime::new().unwrap().block_on(async {
+    /// Store::start(StoreSettings::default()).await.unwrap().stop().await;
+    /// # });
+    /// ```
     pub async fn stop(self) {
         self.stop.cancel();
         let _ = self.task.await;
--- a/crates/standin/src/service/mod.rs
+++ b/crates/standin/src/service/mod.rs
@@ -73,6 +73,15 @@
     /// # Errors
     ///
     /// Fails when no port can be bound.
+    ///
+    /// ```
+    /// # use monsoonspread_standin::{Service, ServiceSettings};
+    /// # tokio::runtime::Runtime::new().unwrap().block_on(async {
+    /// let service = Service::start(ServiceSettings::default()).await.unwrap();
+    /// assert_eq!(service.ran().runs, 0);
+    /// service.stop().await;
+    /// # });
+    /// ```
     pub async fn start(settings: ServiceSettings) -> io::Result<Running<Self>> {
         Self::start_at(settings, crate::LOOPBACK).await
     }
@@ -82,6 +91,14 @@
     /// # Errors
     ///
     /// Fails when the address can't be bound.
+    ///
+    /// ```
+    /// # use monsoonspread_standin::{LOOPBACK, Service, ServiceSettings};
+    /// # tokio::runtime::Runtime::new().unwrap().block_on(async {
+    /// let settings = ServiceSettings::default();
+    /// assert!(Service::start_at(settings, LOOPBACK).await.is_ok());
+    /// # });
+    /// ```
     pub async fn start_at(
         settings: ServiceSettings,
         address: SocketAddr,
@@ -97,16 +114,40 @@
     }
 
     /// What it ran so far.
+    ///
+    /// ```
+    /// # use monsoonspread_standin::{Service, ServiceSettings};
+    /// # tokio::runtime::Runtime::new().unwrap().block_on(async {
+    /// # let service = Service::start(ServiceSettings::default()).await.unwrap();
+    /// assert!(service.ran().by_call.is_empty());
+    /// # });
+    /// ```
     pub fn ran(&self) -> ServiceCounters {
         self.lock().clone()
     }
 
     /// Runs of the call with this idempotency key.
+    ///
+    /// ```
+    /// # use monsoonspread_standin::{Service, ServiceSettings};
+    /// # tokio::runtime::Runtime::new().unwrap().block_on(async {
+    /// # let service = Service::start(ServiceSettings::default()).await.unwrap();
+    /// assert_eq!(service.runs_of_key("key-1"), 0);
+    /// # });
+    /// ```
     pub fn runs_of_key(&self, key: &str) -> u64 {
         self.lock().by_key.get(key).copied().unwrap_or(0)
     }
 
     /// Runs of calls with this marker in the body.
+    ///
+    /// ```
+    /// # use monsoonspread_standin::{Service, ServiceSettings};
+    /// # tokio::runtime::Runtime::new().unwrap().block_on(async {
+    /// # let service = Service::start(ServiceSettings::default()).await.unwrap();
+    /// assert_eq!(service.runs_of_marker("c-1"), 0);
+    /// # });
+    /// ```
     pub fn runs_of_marker(&self, marker: &str) -> u64 {
         self.lock().by_marker.get(marker).copied().unwrap_or(0)
     }
--- a/crates/standin/src/store/mod.rs
+++ b/crates/standin/src/store/mod.rs
@@ -81,6 +81,13 @@
     /// # Errors
     ///
     /// Fails when the address can't be bound.
+    ///
+    /// ```
+    /// # use monsoonspread_standin::{LOOPBACK, Store, StoreSettings};
+    /// # tokio::runtime::Runtime::new().unwrap().block_on(async {
+    /// assert!(Store::start_at(StoreSettings::default(), LOOPBACK).await.is_ok());
+    /// # });
+    /// ```
     pub async fn start_at(
         settings: StoreSettings,
         address: SocketAddr,
@@ -103,6 +110,14 @@
     }
 
     /// What the service was asked so far.
+    ///
+    /// ```
+    /// # use monsoonspread_standin::{Store, StoreSettings};
+    /// # tokio::runtime::Runtime::new().unwrap().block_on(async {
+    /// # let store = Store::start(StoreSettings::default()).await.unwrap();
+    /// assert_eq!(store.asked().writes, 0);
+    /// # });
+    /// ```
     pub fn asked(&self) -> StoreCounters {
         self.lock().counters
     }
--- a/crates/standin/src/weights/http_weights.rs
+++ b/crates/standin/src/weights/http_weights.rs
@@ -21,6 +21,11 @@
 
 impl HttpWeights {
     /// A client of the weight store at `address`.
+    ///
+    /// ```
+    /// # use monsoonspread_standin::weights::HttpWeights;
+    /// let weights = HttpWeights::new("127.0.0.1:9300".parse().unwrap());
+    /// ```
     pub fn new(address: SocketAddr) -> Self {
         Self {
             client: Client::builder(TokioExecutor::new()).build_http(),
--- a/crates/standin/src/weights/mod.rs
+++ b/crates/standin/src/weights/mod.rs
@@ -87,6 +87,16 @@
     /// # Errors
     ///
     /// Fails when no port can be bound.
+    ///
+    /// ```
+    /// # use monsoonspread_standin::weights::WeightSource;
+    /// # tokio::runtime::Runtime::new().unwrap().block_on(async {
+    /// # use monsoonspread_standin::{Weights, WeightsSettings};
+    /// let settings = WeightsSettings { time_scale: 0.01, ..WeightsSettings::default() };
+    /// let weights = Weights::start(settings).await.unwrap();
+    /// weights.fetch("needle-7@2").await.unwrap();
+    /// # });
+    /// ```
     pub async fn start(settings: WeightsSettings) -> io::Result<Running<Self>> {
         Self::start_at(settings, crate::LOOPBACK).await
     }
@@ -96,6 +106,13 @@
     /// # Errors
     ///
     /// Fails when the address can't be bound.
+    ///
+    /// ```
+    /// # use monsoonspread_standin::{LOOPBACK, Weights, WeightsSettings};
+    /// # tokio::runtime::Runtime::new().unwrap().block_on(async {
+    /// assert!(Weights::start_at(WeightsSettings::default(), LOOPBACK).await.is_ok());
+    /// # });
+    /// ```
     pub async fn start_at(
         settings: WeightsSettings,
         address: SocketAddr,
@@ -115,6 +132,14 @@
     }
 
     /// What was served so far.
+    ///
+    /// ```
+    /// # use monsoonspread_standin::{Weights, WeightsSettings};
+    /// # tokio::runtime::Runtime::new().unwrap().block_on(async {
+    /// # let weights = Weights::start(WeightsSettings::default()).await.unwrap();
+    /// assert_eq!(weights.served().asked, 0);
+    /// # });
+    /// ```
     pub fn served(&self) -> WeightsCounters {
         self.lock().counters
     }
