Show who lags in the status, and don't wait for instances that stop

Cause: the status listed versions and left the comparison to the reader, and a roll-out during a planned stop waited its whole time for an instance that takes no new work.

--- a/crates/ctl/src/command/bundle.rs
+++ b/crates/ctl/src/command/bundle.rs
@@ -4,6 +4,7 @@
 
 use monsoonspread_model::bundle::{Manifest, Verifier, write_source};
 use monsoonspread_model::{Bundle, BundleVersion, UnixMs};
+use monsoonspread_platform::StoreError;
 use serde_json::json;
 
 use super::output::Output;
@@ -13,7 +14,7 @@
 use crate::error::{CtlError, Lagging};
 use crate::fleet_status::{FleetStatus, NoProgress, Progress, ProgressLine};
 use crate::key_file;
-use crate::roll_out::{BundleStore, RollOut};
+use crate::roll_out::{BundleStore, InForce, RollOut};
 use crate::signed_bundle::{SignedBundle, SignedBundleError};
 
 /// Carries out one command on bundles.
@@ -172,26 +173,39 @@
 async fn status(args: &FleetArgs, output: Output) -> Result<(), CtlError> {
     let store = BundleStore::new(store(&args.store.store));
     let in_force = store.in_force().await;
-    let instances = FleetStatus::new(&args.instance).ask().await;
-    let mut lines = vec![match &in_force {
-        Ok(in_force) => match &in_force.manifest {
-            None => "no bundle is in force".to_owned(),
-            Some(manifest) => format!(
-                "bundle {} is in force, digest {}",
-                manifest.version, manifest.digest
-            ),
-        },
-        Err(error) => error.to_string(),
-    }];
-    lines.extend(instances.iter().map(ToString::to_string));
+    let mut instances = FleetStatus::new(&args.instance).ask().await;
+    instances.sort_by(|a, b| (&a.zone, &a.instance).cmp(&(&b.zone, &b.instance)));
+    let version = in_force.as_ref().map_or(BundleVersion(0), InForce::version);
+    let lagging = instances.iter().filter(|status| status.lags(version));
+    let lagging = lagging.map(|status| status.address).collect::<Vec<_>>();
+    let mut lines = vec![headline(&in_force)];
+    lines.extend(instances.iter().map(|status| {
+        let note = if status.lags(version) { "  LAGS" } else { "" };
+        format!("{status}{note}")
+    }));
     let value = json!({
         "in_force": in_force.as_ref().ok().and_then(|in_force| in_force.manifest.as_ref()),
         "instances": instances,
+        "lagging": lagging,
     });
     output.result(&value, &lines);
     in_force.map(|_| ()).map_err(CtlError::from)
 }
 
+fn headline(in_force: &Result<InForce, StoreError>) -> String {
+    match in_force {
+        Err(error) => error.to_string(),
+        Ok(InForce { manifest: None, .. }) => "no bundle is in force".to_owned(),
+        Ok(InForce {
+            manifest: Some(manifest),
+            ..
+        }) => format!(
+            "bundle {} is in force, digest {}",
+            manifest.version, manifest.digest
+        ),
+    }
+}
+
 async fn history(args: &StoreArgs, output: Output) -> Result<(), CtlError> {
     let history = BundleStore::new(store(&args.store)).history().await?;
     let lines = history
--- a/crates/ctl/src/fleet_status/instance_status.rs
+++ b/crates/ctl/src/fleet_status/instance_status.rs
@@ -6,6 +6,9 @@
 use monsoonspread_model::BundleVersion;
 use serde::{Deserialize, Serialize};
 
+/// The state of an instance that is stopping.
+const DRAINING: &str = "draining";
+
 /// What one instance says of itself.
 #[derive(Clone, Debug, Eq, PartialEq, Serialize)]
 pub struct InstanceStatus {
@@ -66,6 +69,24 @@
     }
 }
 
+impl InstanceStatus {
+    /// Whether it serves or may serve without having `version` in force.
+    ///
+    /// An instance that is stopping takes no new work and needs no new bundle.
+    ///
+    /// ```
+    /// # use monsoonspread_ctl::fleet_status::FleetStatus;
+    /// # use monsoonspread_model::BundleVersion;
+    /// # tokio::runtime::Runtime::new().unwrap().block_on(async {
+    /// let fleet = FleetStatus::new(&["127.0.0.1:1".parse().unwrap()]);
+    /// assert!(fleet.ask().await[0].lags(BundleVersion(1)));
+    /// # });
+    /// ```
+    pub fn lags(&self, version: BundleVersion) -> bool {
+        self.state.as_deref() != Some(DRAINING) && self.version < Some(version)
+    }
+}
+
 impl fmt::Display for InstanceStatus {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let absent = || "-".to_owned();
--- a/crates/ctl/src/fleet_status/mod.rs
+++ b/crates/ctl/src/fleet_status/mod.rs
@@ -81,7 +81,7 @@
     ) -> Result<(), Vec<InstanceStatus>> {
         loop {
             let mut lagging = self.ask().await;
-            lagging.retain(|status| status.version < Some(version));
+            lagging.retain(|status| status.lags(version));
             progress.reported(self.instances.len() - lagging.len(), self.instances.len());
             if lagging.is_empty() {
                 return Ok(());
