Break each rule of the owner once and see a test fail

Cause: a test that never failed proves little. 30 rules were broken one by one in a scratch copy: pins, epochs, fencing, reconciliation, reserves, caps, tombstones, backoffs, budget. Seen: 24 broke a test at once; for five a test was missing or could not tell, and is added (waiting work protects its copy, one eviction at a time, no reload while an unload may be late, a return that overtakes its announcement, announcements to another epoch, slots unknown after a takeover), each seen failing with its rule broken. One survives on purpose: an owner that sees a newer copy steps down before the second guard in the choice of victims is reached.

--- a/crates/decisions/src/owner/tests/loads.rs
+++ b/crates/decisions/src/owner/tests/loads.rs
@@ -1,5 +1,6 @@
 //! Which adapter is loaded, what is evicted, and the budget.
 
+use monsoonspread_model::RequestClass;
 use monsoonspread_model::message::{BudgetAsk, BudgetLend, GrantRequest, MeshMessage, RequestId};
 
 use super::fixture::*;
@@ -58,15 +59,46 @@
 
 #[test]
 fn a_copy_with_waiting_work_is_not_evicted() {
-    let mut owner = fresh(1, 1, settings());
+    let mut owner = fresh(2, 4, settings());
     load(&mut owner, START, 1, "a");
-    let short = |id, name| request_of(START, id, name, monsoonspread_model::RequestClass::Long);
-    let grant = take(&mut owner, START, 2, "a");
-    owner.on_request(START, &entry(), short(3, "a"));
-    let actions = owner.on_request(START, &entry(), request(4, "b"));
+    load(&mut owner, START, 2, "c");
+    let long = |id, name| request_of(START, id, name, RequestClass::Long);
+    for id in 3..5 {
+        assert!(granted(&owner.on_request(START, &entry(), long(id, "c")), id).is_some());
+    }
+    owner.on_request(START, &entry(), long(5, "a"));
+    let actions = owner.on_request(START, &entry(), request(6, "b"));
+    assert!(
+        unloads(&actions).is_empty(),
+        "the long request waits for its share"
+    );
+    let actions = owner.on_withdraw(START, &entry(), &engine(), RequestId(5));
+    assert_eq!(unloads(&actions), [copy("a")]);
+}
+
+#[test]
+fn one_copy_is_evicted_at_a_time() {
+    let mut owner = fresh(2, 4, settings());
+    load(&mut owner, START, 1, "a");
+    load(&mut owner, START, 2, "b");
+    let now = START + 50_000;
+    let actions = owner.on_request(now, &entry(), request_at(now, 3, "c"));
+    assert_eq!(unloads(&actions).len(), 1);
+    let actions = owner.on_request(now, &entry(), request_at(now, 4, "c"));
     assert!(unloads(&actions).is_empty());
-    let actions = owner.on_return(START, &entry(), returned(grant));
-    assert!(unloads(&actions).is_empty() && granted(&actions, 3).is_some());
+}
+
+#[test]
+fn a_copy_is_not_loaded_again_while_its_unload_may_be_late() {
+    let mut owner = fresh(1, 8, settings());
+    load(&mut owner, START, 1, "a");
+    let now = START + 50_000;
+    owner.on_request(now, &entry(), request_at(now, 2, "b"));
+    owner.on_unload_result(now, &engine(), &copy("a"), Err(OrderFailure::AnswerLost));
+    owner.on_tick(now + 1_000);
+    owner.on_unload_result(now + 1_001, &engine(), &copy("a"), Ok(()));
+    let actions = owner.on_request(now + 1_002, &entry(), request_at(now, 3, "a"));
+    assert!(refused(&actions, 3) && loads(&actions).is_empty());
 }
 
 #[test]
--- a/crates/decisions/src/owner/tests/succession.rs
+++ b/crates/decisions/src/owner/tests/succession.rs
@@ -1,7 +1,7 @@
 //! Takeovers, reconciliation, stepping down and handovers.
 
 use monsoonspread_model::message::{
-    Announce, AnnounceRequest, Handover, HeldGrant, MeshMessage, RequestId,
+    Announce, AnnounceRequest, GrantAnswer, GrantId, Handover, HeldGrant, MeshMessage, RequestId,
 };
 use monsoonspread_model::{Epoch, InstanceName};
 
@@ -86,11 +86,10 @@
     assert_eq!(unloads(&actions), [copy_of("a", 1)]);
 }
 
-#[test]
-fn an_announced_grant_pins_its_copy() {
-    let mut owner = taken_over(1, true, true);
-    let held = HeldGrant {
-        grant: monsoonspread_model::message::GrantId {
+/// A grant of epoch 1 on copy "a".
+fn held() -> HeldGrant {
+    HeldGrant {
+        grant: GrantId {
             epoch: Epoch(1),
             serial: 7,
         },
@@ -101,15 +100,61 @@
         caller: "caller-1".into(),
         tokens: 10,
         expires_at_unix_ms: START + 30_000,
-    };
-    announce(&mut owner, &entry(), vec![held.clone()]);
+    }
+}
+
+fn places_used(owner: &OwnerSet) -> u32 {
+    owner.dump(START).upstreams[0].places_used
+}
+
+#[test]
+fn an_announced_grant_pins_its_copy() {
+    let mut owner = taken_over(1, true, true);
+    announce(&mut owner, &entry(), vec![held()]);
     announce(&mut owner, &former(), Vec::new());
     owner.on_request(START + 3, &entry(), request(1, "b"));
     assert!(unloads(&owner.on_tick(START + 20)).is_empty());
-    let actions = owner.on_return(START + 30, &entry(), returned(held.grant));
+    let actions = owner.on_return(START + 30, &entry(), returned(held().grant));
     assert_eq!(unloads(&actions), [copy_of("a", 1)]);
 }
 
+#[test]
+fn a_return_that_overtakes_its_announcement_counts() {
+    let mut owner = taken_over(1, true, true);
+    owner.on_return(START + 1, &entry(), returned(held().grant));
+    announce(&mut owner, &entry(), vec![held()]);
+    assert_eq!(places_used(&owner), 0);
+}
+
+#[test]
+fn an_announcement_to_another_epoch_is_ignored() {
+    let mut owner = taken_over(1, true, true);
+    let other = Announce {
+        upstream: engine(),
+        epoch: Epoch(1),
+        grants: vec![held()],
+    };
+    owner.on_announce(START + 2, &entry(), other);
+    assert_eq!(places_used(&owner), 0);
+}
+
+#[test]
+fn nothing_is_loaded_before_a_report_shows_the_slots() {
+    let mut owner = OwnerSet::new("entry-1".into(), settings(), 1);
+    let shape = UpstreamShape::new("engine-1", 2, 8, true);
+    owner.on_own(START, shape, Epoch(2), OwnOrigin::Takeover, &[entry()]);
+    let actions = owner.on_request(START, &entry(), request(1, "b"));
+    assert!(loads(&actions).is_empty());
+    owner.on_report(START + 1, &engine(), report(START + 1, &[]));
+    assert!(
+        loads(&owner.on_tick(START + 20)).is_empty(),
+        "the old owner may still load"
+    );
+    owner.on_fence_result(START + 30, &engine(), Epoch(2), Ok(()));
+    let actions = owner.on_report(START + 40, &engine(), report(START + 40, &[]));
+    assert_eq!(loads(&actions), [copy_of("b", 2)]);
+}
+
 #[test]
 fn a_lost_holder_needs_a_later_report_before_an_eviction() {
     let mut owner = taken_over(1, true, true);
@@ -167,10 +212,7 @@
     let actions = owner.on_load_result(START, &engine(), &copy("a"), fenced);
     assert!(steps_down(&actions) && owner.is_empty());
     let answer = answer(&actions, 1);
-    assert_eq!(
-        answer,
-        Some(monsoonspread_model::message::GrantAnswer::NotOwner)
-    );
+    assert_eq!(answer, Some(GrantAnswer::NotOwner));
     assert!(owner.on_tick(START + 5_000).is_empty(), "no order follows");
 }
 
@@ -207,10 +249,7 @@
     owner.on_request(START, &entry(), request(3, "b"));
     let actions = owner.on_drain(START, &[(engine(), former())]);
     let waits = answer(&actions, 3);
-    assert_eq!(
-        waits,
-        Some(monsoonspread_model::message::GrantAnswer::NotOwner)
-    );
+    assert_eq!(waits, Some(GrantAnswer::NotOwner));
     assert!(!owner.is_empty(), "a load is in transit");
     let actions = owner.on_load_result(START + 200, &engine(), &copy("b"), Ok(()));
     assert!(owner.is_empty());
@@ -225,7 +264,7 @@
 }
 
 /// The next owner grants on the copies at once and counts the grants.
-fn check_accepted(handover: Handover, grant: monsoonspread_model::message::GrantId) {
+fn check_accepted(handover: Handover, grant: GrantId) {
     assert_eq!(handover.copies, [copy("a"), copy("b")]);
     assert_eq!(handover.grants[0].1.grant, grant);
     let mut next = OwnerSet::new(former(), settings(), 1);
