--- a/crates/decisions/src/membership/dump.rs
+++ b/crates/decisions/src/membership/dump.rs
@@ -30,7 +30,7 @@
     pub incarnation: u64,
     /// What is said of it.
     pub health: Health,
-    /// 0 for not suspected, 1 for suspected by this instance or by others, 2 for both.
+    /// 0 for not suspected, 1 for a suspect, 2 when an own probe confirmed it.
     pub suspicion_grade: u32,
     /// When that changed.
     pub changed_at_unix_ms: UnixMs,
--- a/crates/decisions/src/membership/machine.rs
+++ b/crates/decisions/src/membership/machine.rs
@@ -101,7 +101,7 @@
             .map(|state| state.health)
     }
 
-    /// 0 for a member not suspected, 1 when this instance or others suspect it, 2 for both.
+    /// 0 for a member not suspected, 1 for a suspect, 2 when an own probe confirmed it.
     pub fn suspicion_grade(&self, name: &InstanceName) -> u32 {
         self.members
             .get(name)
@@ -139,7 +139,6 @@
     pub fn on_leave(&mut self, _now: UnixMs) -> Vec<MembershipAction> {
         self.leaving = true;
         self.incarnation = self.incarnation.next();
-        self.updates.push(&self.own.name.clone());
         let told = self.sample(self.settings.leave_fan_out, |_, state| {
             state.heard && state.is_probed()
         });
@@ -249,16 +248,17 @@
             return Vec::new();
         };
         self.updates.push(&update.member);
-        if change.after == Health::Suspect && !own {
-            self.check_suspicion(&update.member);
+        if change.after == Health::Suspect {
+            self.check_suspicion(&update.member, own);
         }
         report(&update.member, &change)
     }
 
-    /// Probes a suspect next; in a large zone only some members do, chosen at random.
-    fn check_suspicion(&mut self, member: &InstanceName) {
+    /// Probes a suspect next, which also tells it. Of those that hear of a suspicion in a large
+    /// zone only some do, chosen at random.
+    fn check_suspicion(&mut self, member: &InstanceName, own: bool) {
         let members = self.members.heard().count() as u64 + 1;
-        if self.random.next_u64() % members < self.settings.confirmations as u64 {
+        if own || self.random.next_u64() % members < self.settings.confirmations as u64 {
             self.round.push(member.clone());
         }
     }
@@ -270,8 +270,6 @@
             return Vec::new();
         }
         self.incarnation = Incarnation(update.incarnation).next();
-        let own = self.own.name.clone();
-        self.updates.push(&own);
         vec![MembershipAction::Event(MembershipEvent::Refuted {
             incarnation: self.incarnation.0,
         })]
@@ -316,14 +314,14 @@
         actions
     }
 
-    /// How long a suspect has: less when two sources suspect it, or when there is only one.
+    /// How long a suspect has: less when that is confirmed or nobody else could confirm it.
     fn suspicion_ms(&self, state: &MemberState) -> u64 {
-        let probed = self.members.heard().filter(|(_, other)| other.is_probed());
-        if probed.count() <= 1 || state.suspicion_grade() > 1 {
-            self.settings.min_suspicion_ms
-        } else {
-            self.settings.suspicion_ms
+        let others = self.members.heard().filter(|(_, other)| other.is_probed());
+        let others = others.count() as u32;
+        if others <= 1 || state.suspicion_confirmed {
+            return self.settings.min_suspicion_ms;
         }
+        self.settings.suspicion_ms * u64::from(u32::BITS - others.leading_zeros())
     }
 
     /// Says of a member what this instance found itself.
--- a/crates/decisions/src/membership/member.rs
+++ b/crates/decisions/src/membership/member.rs
@@ -26,10 +26,8 @@
     pub(super) heard: bool,
     pub(super) listed: bool,
     pub(super) changed_at: UnixMs,
-    /// Whether this instance's own probe failed since it is suspected.
-    pub(super) own_probe_failed: bool,
-    /// Whether others say that it is suspect.
-    pub(super) others_suspect: bool,
+    /// Whether a probe of this instance failed after the suspicion had begun.
+    pub(super) suspicion_confirmed: bool,
 }
 
 impl MemberState {
@@ -42,8 +40,7 @@
             heard: false,
             listed: true,
             changed_at: now,
-            own_probe_failed: false,
-            others_suspect: false,
+            suspicion_confirmed: false,
         }
     }
 
@@ -62,15 +59,10 @@
         !self.heard || known < (Incarnation(update.incarnation), update.health)
     }
 
-    /// Notes who suspects it: this instance itself or others.
-    pub(super) fn note_suspicion(&mut self, own: bool) {
-        self.own_probe_failed |= own;
-        self.others_suspect |= !own;
-    }
-
-    /// How many independent sources suspect it, at most two.
+    /// 0 for a member not suspected, 1 for a suspect, 2 when an own probe confirmed it.
     pub(super) fn suspicion_grade(&self) -> u32 {
-        u32::from(self.own_probe_failed) + u32::from(self.others_suspect)
+        let suspected = self.health == Health::Suspect;
+        u32::from(suspected) + u32::from(suspected && self.suspicion_confirmed)
     }
 
     /// Whether it is probed in the round.
--- a/crates/decisions/src/membership/members.rs
+++ b/crates/decisions/src/membership/members.rs
@@ -80,20 +80,17 @@
                 listed: false,
                 ..MemberState::listed(update.address, now)
             });
-        let repeated = state.heard && state.incarnation == incarnation;
-        if update.health == Health::Suspect && repeated && state.health == Health::Suspect {
-            state.note_suspicion(own);
+        let repeated = (state.incarnation, state.health) == (incarnation, Health::Suspect);
+        if own && repeated && update.health == Health::Suspect && !state.suspicion_confirmed {
+            state.suspicion_confirmed = true;
+            state.changed_at = now;
         }
         if !state.is_older_than(update) {
             return None;
         }
         let before = state.heard.then_some(state.health);
         let restarted = state.heard && !state.incarnation.is_same_process(incarnation);
-        state.own_probe_failed = false;
-        state.others_suspect = false;
-        if update.health == Health::Suspect {
-            state.note_suspicion(own);
-        }
+        state.suspicion_confirmed = false;
         state.address = update.address;
         state.incarnation = incarnation;
         state.health = update.health;
--- a/crates/decisions/src/membership/settings.rs
+++ b/crates/decisions/src/membership/settings.rs
@@ -11,9 +11,9 @@
     pub suspect_after_ms: u64,
     /// Members that are asked to probe for this one.
     pub indirect_probes: usize,
-    /// How long a suspect has to refute it while only this instance or only others suspect it.
+    /// How long a suspect has to refute it, times the binary logarithm of the zone's size.
     pub suspicion_ms: u64,
-    /// How long a suspect has when both this instance and others suspect it.
+    /// How long a suspect has once a further probe of this instance has failed.
     pub min_suspicion_ms: u64,
     /// Expected number of members that check a suspicion they hear of, in a zone of any size.
     pub confirmations: usize,
@@ -38,7 +38,7 @@
             probe_timeout_ms: 100,
             suspect_after_ms: 300,
             indirect_probes: 3,
-            suspicion_ms: 1_500,
+            suspicion_ms: 500,
             min_suspicion_ms: 500,
             confirmations: 8,
             max_updates: 8,
