--- a/crates/standin/src/engine/core.rs
+++ b/crates/standin/src/engine/core.rs
@@ -136,11 +136,10 @@
 
     /// Forgets loads for which only cancelled requests wait.
     fn drop_unwanted_loads(&mut self) {
-        let waiting = &self.waiting;
+        let batch = &self.batch;
         self.wanted_loads.retain(|name| {
-            waiting
-                .values()
-                .any(|sequence| sequence.model == *name && !sequence.is_cancelled())
+            let mut waiting = batch.waiting();
+            waiting.any(|sequence| sequence.model == *name && !sequence.is_cancelled())
         });
     }
 
