--- a/crates/decisions/src/claims/claim.rs
+++ b/crates/decisions/src/claims/claim.rs
@@ -1,12 +1,16 @@
 //! The state machine of one keyed call.
 
-use monsoonspread_model::{Refusal, RefusalReason, UnixMs};
+use monsoonspread_model::{Refusal, UnixMs};
 
+use super::refusals::{key_conflict, no_store, not_run, too_late, unknown};
 use super::{
     ClaimAction, ClaimAnswer, ClaimDump, ClaimKey, ClaimRecord, ClaimSettings, ClaimState,
     ClaimToken, MAX_STORED_BODY_BYTES, OutcomeWrite, RunResult,
 };
 
+/// Revision of a key that is absent.
+const ABSENT: u64 = 0;
+
 /// One keyed call on one instance, from its arrival until its outcome is recorded.
 #[derive(Clone, Debug)]
 pub struct Claim {
@@ -19,6 +23,8 @@
     answered: bool,
     ran: bool,
     attempts: u32,
+    /// Whether a create or a retake may still take effect unseen.
+    write_lost: bool,
     poll_ms: u64,
     mod_revision: Option<u64>,
 }
@@ -69,6 +75,7 @@
             answered: false,
             ran: false,
             attempts: 0,
+            write_lost: false,
             mod_revision: None,
         }
     }
@@ -108,12 +115,9 @@
             return Vec::new();
         }
         self.mod_revision = mod_revision;
-        if self.answered {
-            return self.record(now, ClaimState::NotRun);
-        }
         if now >= self.deadline_unix_ms {
             let mut actions = self.refuse(too_late());
-            actions.extend(self.record(now, ClaimState::NotRun));
+            actions.extend(self.record(ClaimState::NotRun));
             return actions;
         }
         self.phase = Phase::Running;
@@ -139,6 +143,7 @@
         if self.phase != Phase::Claiming {
             return Vec::new();
         }
+        self.write_lost = true;
         self.phase = Phase::ReadingBack;
         vec![ClaimAction::Read]
     }
@@ -146,10 +151,10 @@
     /// A create, a retake or a read did not reach the key-value service.
     pub fn on_store_unreachable(&mut self, now: UnixMs) -> Vec<ClaimAction> {
         match self.phase {
-            Phase::Claiming if self.attempts <= 1 => self.refuse_and_end(no_store(now)),
+            Phase::Claiming if !self.write_lost => self.refuse_and_end(no_store(now)),
             Phase::Claiming | Phase::ReadingBack => {
                 let mut actions = self.refuse(no_store(now));
-                actions.extend(self.read_later(now, Phase::ReadingBack));
+                actions.extend(self.read_later(now, Phase::Recording(ClaimState::NotRun)));
                 actions
             }
             Phase::Waiting => self.refuse_and_end(unknown()),
@@ -169,19 +174,19 @@
             (Phase::Recording(outcome), Some((record, mod_revision))) => {
                 self.on_recorded(record, mod_revision, outcome)
             }
-            (Phase::Recording(_), None) => self.end(),
+            (Phase::Recording(outcome), None) => vec![self.write(outcome, ABSENT)],
             (Phase::New | Phase::Claiming | Phase::Running | Phase::Done, _) => Vec::new(),
         }
     }
 
     /// The call ended.
-    pub fn on_run_result(&mut self, now: UnixMs, result: RunResult) -> Vec<ClaimAction> {
+    pub fn on_run_result(&mut self, _now: UnixMs, result: RunResult) -> Vec<ClaimAction> {
         if self.phase != Phase::Running {
             return Vec::new();
         }
         let (answer, outcome) = answer_and_outcome(result);
         let mut actions = self.answer(answer);
-        actions.extend(self.record(now, outcome));
+        actions.extend(self.record(outcome));
         actions
     }
 
@@ -191,8 +196,8 @@
             return Vec::new();
         }
         match write {
-            OutcomeWrite::Written | OutcomeWrite::Conflict => self.end(),
-            OutcomeWrite::Unknown => vec![ClaimAction::Read],
+            OutcomeWrite::Written => self.end(),
+            OutcomeWrite::Conflict | OutcomeWrite::Unknown => vec![ClaimAction::Read],
             OutcomeWrite::Unreachable => self.read_later(now, self.phase.clone()),
         }
     }
@@ -231,9 +236,6 @@
         if record.token == self.token && self.phase != Phase::Waiting {
             return self.on_created(now, Some(mod_revision));
         }
-        if self.answered {
-            return self.end();
-        }
         if record.body_digest != self.body_digest {
             return self.refuse_and_end(key_conflict());
         }
@@ -260,18 +262,20 @@
 
     /// Reading back found no record: the lost create may still take effect.
     fn on_nothing_found(&mut self, now: UnixMs) -> Vec<ClaimAction> {
-        if self.answered {
-            return self.read_later(now, Phase::ReadingBack);
-        }
         if self.attempts < self.settings.create_attempts && now < self.deadline_unix_ms {
             return self.create();
         }
         let mut actions = self.refuse(no_store(now));
-        actions.extend(self.read_later(now, Phase::ReadingBack));
+        actions.extend(self.record(ClaimState::NotRun));
         actions
     }
 
     fn retake(&mut self, now: UnixMs, expected_mod_revision: u64) -> Vec<ClaimAction> {
+        if now >= self.deadline_unix_ms && self.write_lost {
+            let mut actions = self.refuse(too_late());
+            actions.extend(self.record(ClaimState::NotRun));
+            return actions;
+        }
         if now >= self.deadline_unix_ms {
             return self.refuse_and_end(too_late());
         }
@@ -299,7 +303,7 @@
     }
 
     /// Records `outcome`, reading the record's revision first where it is not known.
-    fn record(&mut self, _now: UnixMs, outcome: ClaimState) -> Vec<ClaimAction> {
+    fn record(&mut self, outcome: ClaimState) -> Vec<ClaimAction> {
         self.phase = Phase::Recording(outcome.clone());
         match self.mod_revision {
             Some(mod_revision) => vec![self.write(outcome, mod_revision)],
@@ -314,10 +318,22 @@
         mod_revision: u64,
         outcome: ClaimState,
     ) -> Vec<ClaimAction> {
-        if record.token != self.token || record.state != ClaimState::Started {
+        if record.token == self.token {
+            let open = record.state == ClaimState::Started;
+            return if open {
+                vec![self.write(outcome, mod_revision)]
+            } else {
+                self.end()
+            };
+        }
+        let may_be_retaken = record.state == ClaimState::NotRun && self.write_lost;
+        if !may_be_retaken || outcome != ClaimState::NotRun {
             return self.end();
         }
-        vec![self.write(outcome, mod_revision)]
+        vec![ClaimAction::WriteOutcome {
+            record: record.clone(),
+            expected_mod_revision: mod_revision,
+        }]
     }
 
     fn write(&self, outcome: ClaimState, expected_mod_revision: u64) -> ClaimAction {
@@ -400,42 +416,3 @@
         body: body.to_vec(),
     }
 }
-
-fn too_late() -> Refusal {
-    Refusal::not_run(
-        RefusalReason::DeadlineExceeded,
-        "the call's deadline passed before it could run",
-    )
-}
-
-fn not_run() -> Refusal {
-    Refusal::not_run(
-        RefusalReason::Unavailable,
-        "the service did not run the call",
-    )
-}
-
-fn key_conflict() -> Refusal {
-    Refusal::not_run(
-        RefusalReason::KeyConflict,
-        "the idempotency key belongs to a call with another body",
-    )
-}
-
-fn unknown() -> Refusal {
-    Refusal::may_have_run(
-        RefusalReason::OutcomeUnknown,
-        "a call with this idempotency key may have run, its outcome is not known",
-    )
-}
-
-/// Pause that callers are asked to keep while the key-value service can't be reached.
-const STORE_RETRY_MS: u64 = 1_000;
-
-fn no_store(now: UnixMs) -> Refusal {
-    Refusal::not_run(
-        RefusalReason::StoreUnavailable,
-        "the key-value service can't be reached to claim the idempotency key",
-    )
-    .with_retry_at(now + STORE_RETRY_MS)
-}
--- a/crates/decisions/src/claims/mod.rs
+++ b/crates/decisions/src/claims/mod.rs
@@ -13,6 +13,7 @@
 mod dump;
 mod key;
 mod record;
+mod refusals;
 mod results;
 mod settings;
 #[cfg(test)]
