--- /dev/null
+++ b/crates/decisions/src/owner/tests/mod.rs
@@ -0,0 +1,11 @@
+//! Tests of the owner.
+
+mod fake_engine;
+mod fixture;
+mod grants;
+mod holder;
+mod interleavings;
+mod loads;
+mod queues;
+mod succession;
+mod world;
--- a/crates/platform/src/http/http_client.rs
+++ b/crates/platform/src/http/http_client.rs
@@ -60,6 +60,29 @@
         self
     }
 
+    /// Reads `path` at `address`.
+    ///
+    /// # Errors
+    ///
+    /// Fails when there is no answer; every status is an answer.
+    ///
+    /// ```
+    /// # use monsoonspread_platform::http::HttpClient;
+    /// # tokio::runtime::Runtime::new().unwrap().block_on(async {
+    /// let nobody = "127.0.0.1:1".parse().unwrap();
+    /// assert!(HttpClient::new().get(nobody, "/dump", 1_000).await.is_err());
+    /// # });
+    /// ```
+    pub async fn get(
+        &self,
+        address: SocketAddr,
+        path: &str,
+        timeout_ms: u64,
+    ) -> Result<Reply, SendError> {
+        let request = self.request("GET", address, path);
+        self.send(request, "", timeout_ms).await
+    }
+
     /// Starts a request to `path` at `address`, with the headers common to all.
     pub(crate) fn request(
         &self,
