--- a/crates/decisions/src/ownership/view.rs
+++ b/crates/decisions/src/ownership/view.rs
@@ -19,6 +19,7 @@
     former: BTreeMap<UpstreamName, InstanceName>,
     leaving_since: BTreeMap<InstanceName, UnixMs>,
     unheard_until: Option<UnixMs>,
+    gave_up_unheard: bool,
 }
 
 impl View {
@@ -32,6 +33,7 @@
             former: BTreeMap::new(),
             leaving_since: BTreeMap::new(),
             unheard_until: None,
+            gave_up_unheard: false,
         }
     }
 
@@ -54,6 +56,12 @@
         self.advance(now);
     }
 
+    /// True once, when members of the table that are still unheard of begin to count as gone.
+    pub(super) fn gives_up_unheard(&mut self, now: UnixMs) -> bool {
+        let due = self.unheard_until.is_some_and(|until| now >= until);
+        due && !std::mem::replace(&mut self.gave_up_unheard, true)
+    }
+
     pub(super) fn knows_members(&self) -> bool {
         self.unheard_until.is_some()
     }
@@ -157,6 +165,19 @@
             .collect()
     }
 
+    /// How many live instances come before this one; the first writes tables, others are late.
+    pub(super) fn rank(&self, now: UnixMs) -> usize {
+        let live = self.live(now);
+        live.iter().take_while(|name| **name < self.own).count()
+    }
+
+    /// Whether fewer than half of the table's members are live.
+    pub(super) fn is_minority(&self, now: UnixMs) -> bool {
+        let members = self.table.members.iter();
+        let live = members.filter(|name| self.is_live(now, name)).count();
+        live * 2 < self.table.members.len()
+    }
+
     /// When the owner before the present one announced that it leaves, if it does.
     pub(super) fn former_leaving_since(&self, upstream: &UpstreamName) -> Option<UnixMs> {
         let former = self.former.get(upstream)?;
--- a/crates/standin/src/engine/mod.rs
+++ b/crates/standin/src/engine/mod.rs
@@ -1,15 +1,19 @@
 //! Model engines: continuous batching, adapter slots, streamed answers, orders.
 
 mod api;
+mod batch;
 mod chunk;
 mod command;
 mod core;
 mod counters;
+mod fencing;
 mod prefix_cache;
 mod sequence;
 mod settings;
 mod slots;
 mod task;
+#[cfg(test)]
+mod tests;
 
 pub use core::CRASH_TEXT;
 pub use counters::EngineCounters;
