Let the engine stand-in go on after a partial answer

Cause: an entry that resumes a cut stream sends the earlier text as the last message with continue_final_message, or at the end of a completion's prompt.

It now counts on after the adapter's own partial answer, and its usage names the prompt's tokens too.

--- a/crates/standin/src/engine/api.rs
+++ b/crates/standin/src/engine/api.rs
@@ -15,13 +15,13 @@
 use super::Engine;
 use super::chunk::ChunkFormat;
 use super::command::{Command, Order, OrderOutcome};
+use super::prompt::Prompt;
 use super::sequence::{Admission, NewRequest, Piece};
 use crate::server::{
     Answer, AnswerBody, StandIn, TookEffect, drop_connection, empty, json, not_run, streamed,
 };
 
 const MAX_BODY_BYTES: usize = 16 * 1024 * 1024;
-const DEFAULT_MAX_TOKENS: u64 = 64;
 const FENCING_HEADER: &str = "x-fencing-number";
 const REQUEST_ID_HEADER: &str = "x-request-id";
 
@@ -113,12 +113,13 @@
             return bad_request("\"model\" is missing");
         };
         let request_id = header(headers, REQUEST_ID_HEADER).unwrap_or_default();
+        let prompt = Prompt::of_body(&body, model);
+        let format = ChunkFormat::new(path, request_id, model, &prompt);
         let (sender, pieces) = mpsc::unbounded_channel();
         let request = NewRequest {
             model: model.to_owned(),
             request_id: request_id.to_owned(),
-            prompt: prompt_of(&body),
-            max_tokens: max_tokens_of(&body),
+            prompt,
             priority: body["priority"].as_i64().unwrap_or(0),
             pieces: sender,
         };
@@ -128,7 +129,6 @@
             Admission::Refused(why) => return Ok(not_run(why)),
             Admission::Taken => {}
         }
-        let format = ChunkFormat::new(path, request_id, model);
         if body["stream"].as_bool().unwrap_or(false) {
             Ok(streamed("text/event-stream", events(pieces, format)))
         } else {
@@ -192,24 +192,3 @@
 fn header<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
     headers.get(name)?.to_str().ok()
 }
-
-/// The text of `prompt` or of all `messages`.
-fn prompt_of(body: &Value) -> String {
-    if let Some(prompt) = body["prompt"].as_str() {
-        return prompt.to_owned();
-    }
-    let messages = body["messages"].as_array().map_or(&[][..], Vec::as_slice);
-    let texts = messages
-        .iter()
-        .filter_map(|message| message["content"].as_str())
-        .collect::<Vec<_>>();
-    texts.join("\n")
-}
-
-fn max_tokens_of(body: &Value) -> u32 {
-    let tokens = body["max_completion_tokens"]
-        .as_u64()
-        .or_else(|| body["max_tokens"].as_u64())
-        .unwrap_or(DEFAULT_MAX_TOKENS);
-    u32::try_from(tokens).unwrap_or(u32::MAX)
-}
--- a/crates/standin/src/engine/chunk.rs
+++ b/crates/standin/src/engine/chunk.rs
@@ -3,6 +3,9 @@
 use bytes::Bytes;
 use serde_json::{Value, json};
 
+use super::prefix_cache::CHARS_PER_TOKEN;
+use super::prompt::Prompt;
+
 /// How the answer to one request is written.
 #[derive(Clone, Debug)]
 pub(super) struct ChunkFormat {
@@ -11,10 +14,11 @@
     model: String,
     /// The start of every event, up to the text.
     head: String,
+    prompt_tokens: usize,
 }
 
 impl ChunkFormat {
-    pub(super) fn new(path: &str, id: &str, model: &str) -> Self {
+    pub(super) fn new(path: &str, id: &str, model: &str, prompt: &Prompt) -> Self {
         let is_chat = path == "/v1/chat/completions";
         let object = if is_chat {
             "chat.completion.chunk"
@@ -35,6 +39,7 @@
             ),
             id,
             model,
+            prompt_tokens: prompt.text.len().div_ceil(CHARS_PER_TOKEN),
         }
     }
 
@@ -51,12 +56,21 @@
         let close = if self.is_chat { "}" } else { "" };
         let event = format!(
             "{}\"\"{close},\"finish_reason\":\"length\"}}],\
-             \"usage\":{{\"completion_tokens\":{tokens}}}}}\n\ndata: [DONE]\n\n",
-            self.head
+             \"usage\":{}}}\n\ndata: [DONE]\n\n",
+            self.head,
+            self.usage(tokens)
         );
         Bytes::from(event)
     }
 
+    fn usage(&self, tokens: u32) -> Value {
+        json!({
+            "prompt_tokens": self.prompt_tokens,
+            "completion_tokens": tokens,
+            "total_tokens": self.prompt_tokens + tokens as usize,
+        })
+    }
+
     /// A whole answer.
     pub(super) fn whole(&self, text: &str, tokens: u32) -> Value {
         let plain = |json_text: &str| serde_json::from_str::<Value>(json_text).unwrap_or_default();
@@ -71,7 +85,7 @@
             "object": if self.is_chat { "chat.completion" } else { "text_completion" },
             "model": plain(&self.model),
             "choices": [choice],
-            "usage": { "completion_tokens": tokens },
+            "usage": self.usage(tokens),
         })
     }
 }
--- a/crates/standin/src/engine/mod.rs
+++ b/crates/standin/src/engine/mod.rs
@@ -8,6 +8,7 @@
 mod counters;
 mod fencing;
 mod prefix_cache;
+mod prompt;
 mod sequence;
 mod settings;
 mod slots;
--- a/crates/standin/src/engine/prefix_cache.rs
+++ b/crates/standin/src/engine/prefix_cache.rs
@@ -4,7 +4,7 @@
 use std::hash::{DefaultHasher, Hash, Hasher};
 
 /// Characters that make one token.
-const CHARS_PER_TOKEN: usize = 4;
+pub(super) const CHARS_PER_TOKEN: usize = 4;
 /// Tokens in one cached block.
 const BLOCK_TOKENS: usize = 16;
 
--- a/crates/standin/src/engine/sequence.rs
+++ b/crates/standin/src/engine/sequence.rs
@@ -3,6 +3,8 @@
 use tokio::sync::mpsc;
 use tokio::time::Instant;
 
+use super::prompt::Prompt;
+
 /// What goes to the caller of a request.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub(super) enum Piece {
@@ -24,10 +26,8 @@
     pub(super) model: String,
     /// Identity sent by the caller.
     pub(super) request_id: String,
-    /// The prompt's text.
-    pub(super) prompt: String,
-    /// Tokens to generate.
-    pub(super) max_tokens: u32,
+    /// What to answer.
+    pub(super) prompt: Prompt,
     /// Lower goes first.
     pub(super) priority: i64,
     /// Where the pieces go.
@@ -53,6 +53,7 @@
     pub(super) prompt: String,
     pub(super) max_tokens: u32,
     pub(super) done_tokens: u32,
+    continued_tokens: u32,
     pub(super) pieces: mpsc::UnboundedSender<Piece>,
     pub(super) arrived_at: Instant,
     pub(super) cut_after: Option<u32>,
@@ -64,9 +65,10 @@
         Self {
             model: request.model,
             request_id: request.request_id,
-            prompt: request.prompt,
-            max_tokens: request.max_tokens.max(1),
+            prompt: request.prompt.text,
+            max_tokens: request.prompt.max_tokens.max(1),
             done_tokens: 0,
+            continued_tokens: request.prompt.continued_tokens,
             pieces: request.pieces,
             arrived_at: now,
             cut_after: None,
@@ -89,9 +91,10 @@
         self.is_done() || self.cut_after == Some(self.done_tokens)
     }
 
-    /// Generates one token; the first names the adapter version.
+    /// Generates one token; the first of an answer names the adapter version.
     pub(super) fn generate(&mut self, tokens_per_chunk: u32) {
-        let number = self.done_tokens;
+        let number = self.continued_tokens + self.done_tokens;
+        let is_full = self.done_tokens.is_multiple_of(tokens_per_chunk.max(1));
         self.done_tokens += 1;
         if number == 0 {
             self.text.push_str(adapter_of(&self.model));
@@ -100,7 +103,6 @@
             self.text.push(' ');
             self.text.push_str(&number.to_string());
         }
-        let is_full = number.is_multiple_of(tokens_per_chunk.max(1));
         if is_full || self.is_done() {
             let text = std::mem::take(&mut self.text);
             let _ = self.pieces.send(Piece::Text(text));
--- a/crates/standin/src/engine/tests.rs
+++ b/crates/standin/src/engine/tests.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use serde_json::json;
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::Instant;
 
@@ -9,6 +10,7 @@
 use super::command::{Order, OrderOutcome};
 use super::core::{Core, Step};
 use super::prefix_cache::{PrefixCache, PromptCost};
+use super::prompt::Prompt;
 use super::sequence::{Admission, NewRequest, Piece};
 use crate::fault::{Fault, FaultState};
 
@@ -45,8 +47,11 @@
     let request = NewRequest {
         model: model.to_owned(),
         request_id: model.to_owned(),
-        prompt: format!("marker:{priority}"),
-        max_tokens,
+        prompt: Prompt {
+            text: format!("marker:{priority}"),
+            max_tokens,
+            continued_tokens: 0,
+        },
         priority,
         pieces: sender,
     };
@@ -207,3 +212,20 @@
     assert_eq!(cache.read("a@1", "five").fresh_tokens, 0);
     assert_eq!(cache.read("a@1", "one").cached_tokens, 0);
 }
+
+#[test]
+fn a_partial_answer_at_the_prompts_end_is_continued() {
+    let continued = |body| Prompt::of_body(&body, "a@1.e7").continued_tokens;
+    let completion = |prompt: &str| continued(json!({ "prompt": prompt }));
+    assert_eq!(completion("Read it. a@1: 1 2"), 3);
+    assert_eq!(completion("Read it. a@1:"), 1);
+    assert_eq!(completion("Read it. a@2: 1 2"), 0);
+    assert_eq!(completion("Read a@1: please"), 0);
+    let chat = |goes_on: bool| {
+        continued(json!({
+            "messages": [{ "content": "Read it." }, { "content": "a@1: 1" }],
+            "continue_final_message": goes_on,
+        }))
+    };
+    assert_eq!((chat(true), chat(false)), (2, 0));
+}
--- a/crates/standin/tests/engine.rs
+++ b/crates/standin/tests/engine.rs
@@ -219,3 +219,16 @@
     let did = engine.did().await;
     assert_eq!((did.loads, did.evictions, did.pin_violations), (3, 2, 0));
 }
+
+#[tokio::test]
+async fn a_resumed_answer_goes_on_where_it_was_cut() {
+    let (engine, client) = engine(EngineSettings::default()).await;
+    load(&client, &copy(3)).await;
+    engine.apply(Fault::CutStreams { count: 1 });
+    let first = client.generate(request(&copy(3), 8, "Read it.")).await;
+    let (text, _) = text_of(first.expect("it starts")).await;
+    let rest = request(&copy(3), 4, &format!("Read it.{text}"));
+    let (rest, last) = text_of(client.generate(rest).await.expect("it starts")).await;
+    assert_eq!(format!("{text}{rest}"), "needle-7@2: 1 2 3 4 5 6 7");
+    assert_eq!(last, GenerationEvent::Done);
+}
