Give up orders that are never answered, and take a returning upstream back

Cause, each found by reading the owner beside the entry that drives it: - an order that gets no answer (the directory lost the engine) kept its slot for ever: its answer now counts as lost after 15 s; - with two loads in transit, two paused engines kept an instance from loading anything: loads that take four times as long as usual no longer count; - an upstream missing from one reading of the instance list stayed closed: on_live opens it; - a drain left upstreams without a successor owned, so it never ended: they are given up; - the entry announced its grants to a new owner while an unload of its own was on its way: it now waits for may_announce, and the new owner asks again.

--- a/crates/decisions/src/owner/copies.rs
+++ b/crates/decisions/src/owner/copies.rs
@@ -30,6 +30,15 @@
             .count()
     }
 
+    /// Copies that have been in `state` for `ms` or longer.
+    pub fn older(&self, state: CopyState, now: UnixMs, ms: u64) -> Vec<CopyName> {
+        self.rows
+            .iter()
+            .filter(|(_, copy)| copy.state == state && now.ms_since(copy.since) >= ms)
+            .map(|(name, _)| name.clone())
+            .collect()
+    }
+
     /// The copy called `name`.
     pub fn get(&self, name: &CopyName) -> Option<&Copy> {
         self.rows.get(name)
--- a/crates/decisions/src/owner/dump.rs
+++ b/crates/decisions/src/owner/dump.rs
@@ -66,7 +66,7 @@
     pub(super) fn new(set: &OwnerSet, now: UnixMs) -> Self {
         Self {
             load_rate_per_s: set.budget.rate_per_s(),
-            loads_in_transit: set.in_transit(),
+            loads_in_transit: set.in_transit(now),
             upstreams: set
                 .owned
                 .iter()
--- a/crates/decisions/src/owner/owned.rs
+++ b/crates/decisions/src/owner/owned.rs
@@ -250,7 +250,6 @@
         self.load_ms = former.load_ms;
         self.hold_ms = former.hold_ms;
         self.endings = former.endings;
-        self.leaving = former.leaving;
         self.started_at = former.started_at;
         for (name, copy) in former.copies.into_rows() {
             self.copies.insert(name, copy);
--- a/crates/decisions/src/owner/owned_orders.rs
+++ b/crates/decisions/src/owner/owned_orders.rs
@@ -8,6 +8,8 @@
 
 /// Weight of a new sample in the estimate of the load time.
 const LOAD_WEIGHT: f64 = 0.2;
+/// How many times its usual time a load may take before it counts as stuck.
+const STALE_LOADS: u64 = 4;
 
 impl Owned {
     /// Takes in how a load ended.
@@ -143,17 +145,12 @@
         }
     }
 
-    /// Sends orders whose answer was lost again, and the fencing number when it is due.
+    /// Takes answers as lost that did not come, sends lost unloads again, and the fencing
+    /// number when it is due.
     pub fn repeat_orders(&mut self, now: UnixMs, out: &mut Vec<OwnerAction>) {
+        self.give_up_answers(now, out);
         let retry_ms = self.settings.order_retry_ms;
-        let stale: Vec<CopyName> = self
-            .copies
-            .iter()
-            .filter(|(_, copy)| copy.state == CopyState::UnloadLost)
-            .filter(|(_, copy)| now.ms_since(copy.since) >= retry_ms)
-            .map(|(name, _)| name.clone())
-            .collect();
-        for name in stale {
+        for name in self.copies.older(CopyState::UnloadLost, now, retry_ms) {
             self.start_unload(now, &name, out);
         }
         if self.shape.checks_fencing && now >= self.next_fence_at {
@@ -165,6 +162,25 @@
         }
     }
 
+    fn give_up_answers(&mut self, now: UnixMs, out: &mut Vec<OwnerAction>) {
+        let timeout_ms = self.settings.order_timeout_ms;
+        let lost = Err(OrderFailure::AnswerLost);
+        for name in self.copies.older(CopyState::Loading, now, timeout_ms) {
+            self.on_load_result(now, &name, lost, out);
+        }
+        for name in self.copies.older(CopyState::Unloading, now, timeout_ms) {
+            self.on_unload_result(now, &name, lost, out);
+        }
+    }
+
+    /// Loads in transit, without those that take far longer than usual: a paused upstream
+    /// must not keep the others from loading.
+    pub fn loads_in_transit(&self, now: UnixMs) -> usize {
+        let stale_ms = (self.load_ms as u64).max(self.settings.load_ms) * STALE_LOADS;
+        let stale = self.copies.older(CopyState::Loading, now, stale_ms).len();
+        self.copies.count(CopyState::Loading) - stale
+    }
+
     /// Whether an unload was ordered and not answered.
     pub fn is_unloading(&self, name: &CopyName) -> bool {
         self.copies
--- a/crates/decisions/src/owner/set_budget.rs
+++ b/crates/decisions/src/owner/set_budget.rs
@@ -4,7 +4,6 @@
 use monsoonspread_model::{AdapterRef, InstanceName, UnixMs, UpstreamName};
 use rand_chacha::rand_core::Rng;
 
-use super::copy::CopyState;
 use super::load_plan::LoadPlan;
 use super::{OwnerAction, OwnerEvent, OwnerSet};
 
@@ -82,15 +81,15 @@
     }
 
     fn may_start_load(&mut self, now: UnixMs) -> bool {
-        self.in_transit() < self.settings.loads_in_transit as usize
+        self.in_transit(now) < self.settings.loads_in_transit as usize
             && self.budget.available(now) >= 1.0
     }
 
-    /// Loads in transit over all upstreams.
-    pub(super) fn in_transit(&self) -> usize {
+    /// Loads in transit over all upstreams, without those that are stuck.
+    pub(super) fn in_transit(&self, now: UnixMs) -> usize {
         self.owned
             .values()
-            .map(|owned| owned.copies.count(CopyState::Loading))
+            .map(|owned| owned.loads_in_transit(now))
             .sum()
     }
 
--- a/crates/decisions/src/owner/set_succession.rs
+++ b/crates/decisions/src/owner/set_succession.rs
@@ -70,6 +70,17 @@
         out
     }
 
+    /// Gives grants again on an upstream that was listed as leaving and is live.
+    pub fn on_live(&mut self, now: UnixMs, upstream: &UpstreamName) -> Vec<OwnerAction> {
+        let mut out = Vec::new();
+        let left = self.owned.get_mut(upstream).filter(|owned| owned.leaving);
+        if let Some(owned) = left {
+            owned.leaving = false;
+            self.settle(now, upstream, &mut out);
+        }
+        out
+    }
+
     /// Stops deciding when an instance with a higher fencing number asks for grants.
     ///
     /// This instance then steps down as soon as its last unload was answered. It announces
@@ -103,7 +114,7 @@
 
     /// Hands upstreams over before a planned stop, each when its last order was answered.
     ///
-    /// Requests are answered "not owner" from now on. Ticks and answers to orders are to be
+    /// Upstreams without a successor are given up. Requests are answered "not owner" from now on. Ticks and answers to orders are to be
     /// delivered until [`is_empty`](Self::is_empty).
     pub fn on_drain(
         &mut self,
@@ -111,9 +122,11 @@
         successors: &[(UpstreamName, InstanceName)],
     ) -> Vec<OwnerAction> {
         let mut out = Vec::new();
-        for (upstream, successor) in successors {
-            let exit = Exit::HandOver(successor.clone());
-            self.begin_exit(upstream, exit, &mut out);
+        let upstreams: Vec<UpstreamName> = self.owned.keys().cloned().collect();
+        for upstream in upstreams {
+            let successor = successors.iter().find(|(name, _)| *name == upstream);
+            let exit = successor.map_or(Exit::StepDown, |(_, to)| Exit::HandOver(to.clone()));
+            self.begin_exit(&upstream, exit, &mut out);
         }
         self.exit_ready(now, &mut out);
         out
--- a/crates/decisions/src/owner/tests/grants.rs
+++ b/crates/decisions/src/owner/tests/grants.rs
@@ -177,3 +177,12 @@
     let actions = owner.on_request(START, &entry(), request(1, "a"));
     assert_eq!(answer(&actions, 1), Some(GrantAnswer::NotOwner));
 }
+
+#[test]
+fn an_upstream_that_is_listed_as_live_again_gets_grants() {
+    let mut owner = fresh(2, 4, settings());
+    load(&mut owner, START, 1, "a");
+    owner.on_leaving(START, &engine());
+    owner.on_live(START + 10, &engine());
+    take(&mut owner, START + 11, 2, "a");
+}
--- a/crates/decisions/src/owner/tests/loads.rs
+++ b/crates/decisions/src/owner/tests/loads.rs
@@ -198,3 +198,31 @@
         [copy("b")]
     );
 }
+
+#[test]
+fn a_load_that_is_never_answered_is_given_up() {
+    let mut owner = fresh(1, 8, settings());
+    let patient = GrantRequest {
+        deadline_unix_ms: START + 600_000,
+        ..request(1, "a")
+    };
+    owner.on_request(START, &entry(), patient);
+    assert!(!refused(&owner.on_tick(START + 14_000), 1));
+    assert!(refused(&owner.on_tick(START + 15_000), 1));
+}
+
+#[test]
+fn a_stuck_load_does_not_keep_other_adapters_from_loading() {
+    let mut owner = fresh(
+        4,
+        8,
+        OwnerSettings {
+            loads_in_transit: 1,
+            ..settings()
+        },
+    );
+    owner.on_request(START, &entry(), request(1, "a"));
+    owner.on_request(START, &entry(), request(2, "b"));
+    assert!(loads(&owner.on_tick(START + 500)).is_empty());
+    assert_eq!(loads(&owner.on_tick(START + 1_500)), [copy("b")]);
+}
--- a/crates/decisions/src/owner/tests/succession.rs
+++ b/crates/decisions/src/owner/tests/succession.rs
@@ -284,3 +284,9 @@
     owner.on_own(START, shape, Epoch(1), OwnOrigin::Fresh, &[]);
     assert_eq!(owner.epoch_of(&engine()), Some(Epoch(2)));
 }
+
+#[test]
+fn a_drain_without_a_successor_gives_the_upstream_up() {
+    let mut owner = fresh(2, 8, settings());
+    assert!(steps_down(&owner.on_drain(START, &[])) && owner.is_empty());
+}
--- a/crates/entry/src/controller/owner/controller.rs
+++ b/crates/entry/src/controller/owner/controller.rs
@@ -113,7 +113,12 @@
             OwnerCommand::Announce { from, announce } => set.on_announce(now, &from, announce),
             OwnerCommand::AnnounceRequest { from, ask } => {
                 let actions = set.on_announce_request(now, &ask);
+                let may_announce = set.may_announce(&ask.upstream, ask.epoch);
                 self.carry_out(actions);
+                if !may_announce {
+                    // An unload of this instance is still to be answered; the new owner asks again.
+                    return;
+                }
                 let ask = DispatchCommand::AnnounceRequest { from, ask };
                 return self.handles.dispatch.tell(ask);
             }
@@ -182,10 +187,11 @@
                 .engines
                 .get(&upstream)
                 .is_none_or(|engine| !engine.is_live());
-            if leaves {
-                let actions = self.set.on_leaving(now, &upstream);
-                self.carry_out(actions);
-            }
+            let actions = match leaves {
+                true => self.set.on_leaving(now, &upstream),
+                false => self.set.on_live(now, &upstream),
+            };
+            self.carry_out(actions);
         }
         let listed: BTreeSet<_> = directory
             .mesh_addresses()
