--- a/crates/load/src/cli.rs
+++ b/crates/load/src/cli.rs
@@ -52,6 +52,9 @@
 /// Arguments of `slopes`.
 #[derive(Args, Debug)]
 pub struct SlopesArgs {
+    /// Measures only slopes whose names start with this.
+    #[arg(long, value_name = "PREFIX", default_value = "")]
+    pub only: String,
     /// Writes the slopes with every point as JSON.
     #[arg(long, value_name = "FILE")]
     pub json: Option<PathBuf>,
--- a/crates/load/src/commands.rs
+++ b/crates/load/src/commands.rs
@@ -8,7 +8,7 @@
 use crate::compare;
 use crate::error::LoadError;
 use crate::report;
-use crate::slopes::{self, Probe, Slope};
+use crate::slopes::{self, Slope};
 use crate::workload::Workload;
 
 /// Runs the command that was asked for.
@@ -46,7 +46,9 @@
 }
 
 fn run_slopes(args: &SlopesArgs) -> Result<(), LoadError> {
-    let slopes: Vec<Slope> = slopes::probes().iter().map(Probe::run).collect();
+    let probes = slopes::probes().into_iter();
+    let chosen = probes.filter(|probe| probe.name.starts_with(&args.only));
+    let slopes: Vec<Slope> = chosen.map(|probe| probe.run()).collect();
     print!("{}", slopes::table(&slopes));
     write_json(args.json.as_deref(), &slopes)
 }
