--- a/crates/standin/src/engine/core.rs
+++ b/crates/standin/src/engine/core.rs
@@ -138,8 +138,9 @@
     fn drop_unwanted_loads(&mut self) {
         let batch = &self.batch;
         self.wanted_loads.retain(|name| {
-            let mut waiting = batch.waiting();
-            waiting.any(|sequence| sequence.model == *name && !sequence.is_cancelled())
+            batch
+                .waiting()
+                .any(|sequence| sequence.model == *name && !sequence.is_cancelled())
         });
     }
 
