Compare monsoonspread through entry instances in the same process

Cause: the baselines stood alone. Owners count the requests that waited for a load and how long, as the stand-in engines do for the baselines, and show it in the dump.

--- a/crates/decisions/src/owner/dump.rs
+++ b/crates/decisions/src/owner/dump.rs
@@ -4,7 +4,7 @@
 use serde::Serialize;
 
 use super::owned::Owned;
-use super::{OwnerSet, Speed};
+use super::{LoadWaits, OwnerSet, Speed};
 
 /// The state of an [`OwnerSet`].
 #[derive(Clone, Debug, PartialEq, Serialize)]
@@ -13,6 +13,8 @@
     pub load_rate_per_s: f64,
     /// Loads in transit.
     pub loads_in_transit: usize,
+    /// Requests that waited for loads since the process started.
+    pub load_waits: LoadWaits,
     /// Owned upstreams.
     pub upstreams: Vec<OwnedDump>,
 }
@@ -67,6 +69,7 @@
         Self {
             load_rate_per_s: set.budget.rate_per_s(),
             loads_in_transit: set.in_transit(),
+            load_waits: set.load_waits,
             upstreams: set
                 .owned
                 .iter()
--- a/crates/decisions/src/owner/set_orders.rs
+++ b/crates/decisions/src/owner/set_orders.rs
@@ -21,6 +21,11 @@
             self.step_down(upstream, &mut out);
             return out;
         }
+        if result.is_ok() {
+            let rows = owned.queue.iter();
+            let waited = rows.filter(|row| row.request.adapter == copy.adapter);
+            waited.for_each(|row| self.load_waits.add(now, row.request.arrived_at_unix_ms));
+        }
         owned.on_load_result(now, copy, result, &mut out);
         self.after_order(now, upstream, &mut out);
         out
--- a/crates/load/src/cli.rs
+++ b/crates/load/src/cli.rs
@@ -38,7 +38,7 @@
         long,
         value_enum,
         value_delimiter = ',',
-        default_value = "random,least-loaded,hash"
+        default_value = "random,least-loaded,hash,monsoonspread"
     )]
     pub policies: Vec<PolicyName>,
     /// Writes every figure as JSON.
--- a/crates/load/src/client/call.rs
+++ b/crates/load/src/client/call.rs
@@ -25,6 +25,11 @@
     format!("caller-{number:03}")
 }
 
+/// API key of caller `number`.
+pub fn caller_key(number: u32) -> String {
+    format!("load-key-{number:03}")
+}
+
 /// The adapter version that every request asks for.
 pub const ADAPTER_VERSION: u32 = 1;
 
--- a/crates/load/src/client/mod.rs
+++ b/crates/load/src/client/mod.rs
@@ -2,6 +2,7 @@
 
 mod attempt;
 mod call;
+mod json;
 mod streaming;
 
 use std::time::Instant;
@@ -18,7 +19,8 @@
 use crate::plan::PlannedRequest;
 use crate::record::Ending;
 pub use attempt::Attempt;
-pub use call::{ADAPTER_VERSION, Target, adapter_name, caller_name, wanted_model};
+pub use call::{ADAPTER_VERSION, Target, adapter_name, caller_key, caller_name, wanted_model};
+pub use json::JsonReader;
 use streaming::{Streaming, events};
 
 /// Header with the time left to the first token.
--- a/crates/load/src/error.rs
+++ b/crates/load/src/error.rs
@@ -3,6 +3,8 @@
 use std::path::PathBuf;
 
 use displaydoc::Display;
+use monsoonspread_ctl::RollOutError;
+use monsoonspread_entry::StartError;
 use monsoonspread_model::toml_check::Findings;
 use thiserror::Error;
 
@@ -20,6 +22,10 @@
     Workload(Findings),
     /// the stand-ins can't be started: {0}
     Fleet(std::io::Error),
+    /// an entry instance can't be started: {0}
+    Entry(#[from] StartError),
+    /// the bundle can't be rolled out: {0}
+    RollOut(#[from] RollOutError),
     /// the async runtime can't be started: {0}
     Runtime(std::io::Error),
     /// a plot can't be drawn: {0}
--- a/crates/load/src/fleet/mod.rs
+++ b/crates/load/src/fleet/mod.rs
@@ -1,17 +1,19 @@
 //! The stand-ins that a workload runs against.
 
+mod entries;
 mod totals;
 
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use monsoonspread_model::ZoneName;
+use monsoonspread_model::{InstanceKind, InstanceState, ListedInstance, ZoneName};
 use monsoonspread_standin::weights::WeightSource;
 use monsoonspread_standin::{Engine, EngineSettings, Fault, Running, Weights, WeightsSettings};
 
 use crate::workload::{EngineMix, Workload};
 
+pub use entries::EntryFleet;
 pub use totals::{FleetTotals, RunsByMarker};
 
 /// One engine of the fleet.
@@ -31,6 +33,21 @@
     pub fn address(&self) -> SocketAddr {
         self.running.address()
     }
+
+    /// Its row in the platform's instance list.
+    fn listed(&self, mix: &EngineMix) -> ListedInstance {
+        ListedInstance {
+            name: self.name.clone(),
+            kind: InstanceKind::Engine,
+            zone: self.zone.clone(),
+            address: self.address(),
+            state: InstanceState::Live,
+            service: None,
+            checks_fencing: self.checks_fencing,
+            adapter_slots: mix.adapter_slots as u32,
+            batch_places: mix.batch_places as u32,
+        }
+    }
 }
 
 /// The engines and the weight store of a workload.
@@ -74,6 +91,12 @@
         self.engines.iter().map(FleetEngine::address).collect()
     }
 
+    /// The engines' rows in the platform's instance list.
+    pub fn listed(&self) -> Vec<ListedInstance> {
+        let rows = self.engines.iter().map(|engine| engine.listed(&self.mix));
+        rows.collect()
+    }
+
     /// Slows the workload's slowed engines, or sets them back to their usual speed.
     pub fn set_slowed(&self, slowed: bool) {
         let factor = if slowed { self.mix.slowed_factor } else { 1.0 };
--- a/crates/load/src/policy/least_loaded.rs
+++ b/crates/load/src/policy/least_loaded.rs
@@ -4,12 +4,6 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use http_body_util::{BodyExt, Empty};
-use hyper::Uri;
-use hyper::body::Bytes;
-use hyper_util::client::legacy::Client as HttpClient;
-use hyper_util::client::legacy::connect::HttpConnector;
-use hyper_util::rt::TokioExecutor;
 use monsoonspread_model::LoadReport;
 use rand::SeedableRng;
 use rand::seq::IndexedRandom;
@@ -17,7 +11,7 @@
 use tokio::task::JoinHandle;
 
 use super::{Policy, direct_target};
-use crate::client::Target;
+use crate::client::{JsonReader, Target};
 use crate::plan::PlannedRequest;
 
 /// How often each engine's report is read.
@@ -84,12 +78,12 @@
 }
 
 async fn read_reports(engines: Vec<SocketAddr>, reported: Reported) {
-    let client = HttpClient::builder(TokioExecutor::new()).build_http::<Empty<Bytes>>();
+    let reader = JsonReader::new();
     let mut ticks = tokio::time::interval(READ_EVERY);
     loop {
         ticks.tick().await;
         for (place, engine) in engines.iter().enumerate() {
-            let Some(report) = read_report(&client, *engine).await else {
+            let Some(report) = reader.get::<LoadReport>(*engine, "/load").await else {
                 continue;
             };
             let mut reported = reported.lock().unwrap_or_else(|broken| broken.into_inner());
@@ -97,13 +91,3 @@
         }
     }
 }
-
-async fn read_report(
-    client: &HttpClient<HttpConnector, Empty<Bytes>>,
-    engine: SocketAddr,
-) -> Option<LoadReport> {
-    let uri: Uri = format!("http://{engine}/load").parse().ok()?;
-    let response = client.get(uri).await.ok()?;
-    let body = response.into_body().collect().await.ok()?.to_bytes();
-    serde_json::from_slice(&body).ok()
-}
--- a/crates/load/src/policy/mod.rs
+++ b/crates/load/src/policy/mod.rs
@@ -2,6 +2,7 @@
 
 mod hash;
 mod least_loaded;
+mod monsoonspread;
 mod name;
 mod random;
 
@@ -14,6 +15,7 @@
 
 pub use hash::HashAffinity;
 pub use least_loaded::LeastLoaded;
+pub use monsoonspread::Monsoonspread;
 pub use name::PolicyName;
 pub use random::Random;
 
--- a/crates/load/src/policy/name.rs
+++ b/crates/load/src/policy/name.rs
@@ -4,9 +4,9 @@
 
 use clap::ValueEnum;
 
-use super::{HashAffinity, LeastLoaded, Policy, Random};
+use super::{HashAffinity, LeastLoaded, Monsoonspread, Policy, Random};
 use crate::error::LoadError;
-use crate::fleet::Fleet;
+use crate::fleet::{EntryFleet, Fleet};
 use crate::workload::Workload;
 
 /// A policy that can be compared.
@@ -18,6 +18,8 @@
     LeastLoaded,
     /// Plain hash affinity.
     Hash,
+    /// Entry instances with their decisions.
+    Monsoonspread,
 }
 
 impl PolicyName {
@@ -32,12 +34,13 @@
             PolicyName::Random => "random",
             PolicyName::LeastLoaded => "least-loaded",
             PolicyName::Hash => "hash",
+            PolicyName::Monsoonspread => "monsoonspread",
         }
     }
 
     /// Whether the engines load adapters by themselves under this policy.
     pub fn engines_load(self) -> bool {
-        true
+        self != PolicyName::Monsoonspread
     }
 
     /// Starts the policy in front of `fleet`.
@@ -55,6 +58,10 @@
             PolicyName::Random => Arc::new(Random::new(engines, workload.seed)),
             PolicyName::LeastLoaded => Arc::new(LeastLoaded::new(engines, workload.seed)),
             PolicyName::Hash => Arc::new(HashAffinity::new(engines)),
+            PolicyName::Monsoonspread => {
+                let entries = EntryFleet::start(workload, fleet).await?;
+                Arc::new(Monsoonspread::new(entries))
+            }
         })
     }
 }
