Stop a stand-in that has crashed

Cause: scripts/local.sh waited 15 s in vain for an engine whose fault "crash" was on; its server waited for the start only and did not heed the stop.

--- a/crates/standin/src/server/running.rs
+++ b/crates/standin/src/server/running.rs
@@ -149,7 +149,11 @@
             }
             drop(listener);
             self.target.crash();
-            match self.wait_for_start().await {
+            let started = tokio::select! {
+                started = self.wait_for_start() => started,
+                () = stop.cancelled() => return,
+            };
+            match started {
                 Ok(started) => listener = started,
                 Err(error) => {
                     log::error!("address {} can't be bound again: {error}", self.address);
--- a/crates/standin/tests/store.rs
+++ b/crates/standin/tests/store.rs
@@ -162,3 +162,13 @@
     let client = EtcdGateway::new(vec![address, up.address()]);
     written(client.compare_and_swap(KEY, 0, b"one").await.unwrap());
 }
+
+#[tokio::test]
+async fn a_crashed_store_can_be_stopped() {
+    let (store, client) = store().await;
+    store.apply(Fault::Crash);
+    while client.get(KEY).await.is_ok() {
+        tokio::task::yield_now().await;
+    }
+    store.stop().await;
+}
