--- a/crates/decisions/src/bundle_spread/machine.rs
+++ b/crates/decisions/src/bundle_spread/machine.rs
@@ -1,6 +1,5 @@
 //! The state machine of one instance.
 
-use std::collections::BTreeMap;
 use std::sync::Arc;
 
 use monsoonspread_model::bundle::{self, BundleDelta, Manifest};
@@ -10,9 +9,10 @@
 use rand_chacha::ChaCha8Rng;
 use rand_chacha::rand_core::SeedableRng;
 
+use super::checked::{self, Rejected};
 use super::event::Source;
 use super::history::History;
-use super::pending::{Pending, Wanted};
+use super::sources::{Pending, Sources};
 use super::{BundleAction, BundleDump, BundleEvent, BundleSpreadSettings, ManifestVerifier};
 
 /// Decides which bundle is in force on one instance and passes it on.
@@ -25,9 +25,7 @@
     manifest: Option<Manifest>,
     history: History,
     peers: Vec<InstanceName>,
-    /// Peers that said they have a higher version.
-    sources: BTreeMap<InstanceName, BundleVersion>,
-    wanted: Option<Wanted>,
+    sources: Sources,
     pending: Option<Pending>,
     notices_left: u32,
     next_notice_at: UnixMs,
@@ -49,6 +47,7 @@
         verifier: Box<dyn ManifestVerifier>,
         seed: u64,
     ) -> Self {
+        let max_sources = settings.sources_kept;
         Self {
             own,
             history: History::new(settings.deltas_kept, settings.delta_entries_kept),
@@ -58,8 +57,7 @@
             current: Arc::default(),
             manifest: None,
             peers: Vec::new(),
-            sources: BTreeMap::new(),
-            wanted: None,
+            sources: Sources::new(max_sources),
             pending: None,
             notices_left: 0,
             next_notice_at: UnixMs(0),
@@ -92,10 +90,9 @@
 
     /// The key-value service's pointer was read.
     pub fn on_pointer(&mut self, now: UnixMs, manifest: Manifest) -> Vec<BundleAction> {
+        let version = manifest.version;
         let mut actions = self.want(manifest, &Source::Store);
-        if let Some(wanted) = &mut self.wanted {
-            wanted.store_failed = false;
-        }
+        self.sources.note_store(version);
         actions.extend(self.fetch(now));
         actions
     }
@@ -109,8 +106,8 @@
     ) -> Vec<BundleAction> {
         let version = notice.manifest.version;
         let mut actions = self.want(notice.manifest, &Source::Peer(from.clone()));
-        if self.wanted_version() >= version {
-            self.note_source(from, version);
+        if self.sources.wanted_version() >= version {
+            self.note_peer(from, version);
         }
         actions.extend(self.fetch(now));
         actions
@@ -123,8 +120,8 @@
         from: &InstanceName,
         version: BundleVersion,
     ) -> Vec<BundleAction> {
-        self.note_source(from, version);
-        self.fetch(now)
+        self.note_peer(from, version);
+        self.fetch(now).into_iter().collect()
     }
 
     /// A peer asks for what it lacks.
@@ -202,7 +199,7 @@
         let mut actions = if self.pending.as_ref().is_some_and(late) {
             self.give_up(now)
         } else {
-            self.fetch(now)
+            self.fetch(now).into_iter().collect()
         };
         if self.notices_left > 0 && now >= self.next_notice_at {
             actions.extend(self.notify(now));
@@ -212,25 +209,19 @@
 
     /// What this instance has in force, and what it lacks.
     pub fn dump(&self, _now: UnixMs) -> BundleDump {
-        let told = self.sources.values().copied().max().unwrap_or_default();
         BundleDump {
             version: self.version(),
             digest: self.manifest.as_ref().map(|own| own.digest.clone()),
-            known_version: told.max(self.wanted_version()).max(self.version()),
+            known_version: self.sources.known_version().max(self.version()),
             deltas_kept: self.history.len(),
             fetching: self.pending.is_some(),
         }
     }
 
-    fn wanted_version(&self) -> BundleVersion {
-        let wanted = self.wanted.as_ref();
-        wanted.map_or(BundleVersion(0), |wanted| wanted.manifest.version)
-    }
-
     /// Remembers a signed manifest that is newer than what is in force or wanted.
     fn want(&mut self, manifest: Manifest, from: &Source) -> Vec<BundleAction> {
         let version = manifest.version;
-        if version <= self.version() || version <= self.wanted_version() {
+        if version <= self.version() || version <= self.sources.wanted_version() {
             return Vec::new();
         }
         if !self.verifier.verify(&manifest) {
@@ -240,66 +231,42 @@
                 from,
             })];
         }
-        self.wanted = Some(Wanted {
-            manifest,
-            store_failed: matches!(from, Source::Peer(_)),
-        });
+        self.sources.want(manifest, *from == Source::Store);
         Vec::new()
     }
 
-    fn note_source(&mut self, peer: &InstanceName, version: BundleVersion) {
-        if version <= self.version() {
-            return;
-        }
-        let known = self.sources.contains_key(peer);
-        if known || self.sources.len() < self.settings.sources_kept {
-            self.sources.insert(peer.clone(), version);
+    fn note_peer(&mut self, peer: &InstanceName, version: BundleVersion) {
+        if version > self.version() {
+            self.sources.note_peer(peer, version);
         }
     }
 
     /// Asks a peer that has a higher version, or else the key-value service.
-    fn fetch(&mut self, now: UnixMs) -> Vec<BundleAction> {
-        if self.pending.is_some() {
-            return Vec::new();
+    fn fetch(&mut self, now: UnixMs) -> Option<BundleAction> {
+        let asked = self.pending.as_ref().map(|pending| pending.version);
+        let in_store = self.sources.in_store();
+        let in_store = in_store.filter(|manifest| Some(manifest.version) > asked);
+        if asked.is_some() && in_store.is_none() {
+            return None;
         }
-        let Some((source, version)) = self.next_source() else {
-            return Vec::new();
-        };
-        let action = match (&source, &self.wanted) {
-            (Source::Store, Some(wanted)) => BundleAction::FetchFromStore(wanted.manifest.clone()),
-            (Source::Store, None) => return Vec::new(),
-            (Source::Peer(peer), _) => BundleAction::Send {
+        let (version, source, action) = if let Some(manifest) = in_store {
+            let action = BundleAction::FetchFromStore(manifest.clone());
+            (manifest.version, Source::Store, action)
+        } else {
+            let (peer, version) = self.sources.peer(&mut self.random)?;
+            let have = self.version();
+            let action = BundleAction::Send {
                 to: peer.clone(),
-                message: MeshMessage::BundleRequest(BundleRequest {
-                    have: self.version(),
-                }),
-            },
+                message: MeshMessage::BundleRequest(BundleRequest { have }),
+            };
+            (version, Source::Peer(peer), action)
         };
         self.pending = Some(Pending {
             version,
             source,
             deadline_unix_ms: now + self.settings.fetch_timeout_ms,
         });
-        vec![action]
-    }
-
-    /// The peer with the highest version, unless only the key-value service has that.
-    fn next_source(&mut self) -> Option<(Source, BundleVersion)> {
-        let highest = self.sources.values().copied().max();
-        let wanted = self.wanted.as_ref().filter(|wanted| !wanted.store_failed);
-        let stored = wanted.map(|wanted| wanted.manifest.version);
-        if stored.is_some() && stored > highest {
-            return stored.map(|version| (Source::Store, version));
-        }
-        let highest = highest?;
-        let holders: Vec<_> = self
-            .sources
-            .iter()
-            .filter(|(_, version)| **version == highest)
-            .map(|(peer, _)| peer)
-            .collect();
-        let peer = (*holders.choose(&mut self.random)?).clone();
-        Some((Source::Peer(peer), highest))
+        Some(action)
     }
 
     /// Forgets the source that failed and asks another.
@@ -307,16 +274,7 @@
         let Some(pending) = self.pending.take() else {
             return Vec::new();
         };
-        match &pending.source {
-            Source::Peer(peer) => {
-                self.sources.remove(peer);
-            }
-            Source::Store => {
-                if let Some(wanted) = &mut self.wanted {
-                    wanted.store_failed = true;
-                }
-            }
-        }
+        self.sources.fail(&pending.source);
         let mut actions = vec![BundleAction::Event(BundleEvent::FetchFailed {
             version: pending.version,
             from: pending.source,
@@ -335,13 +293,9 @@
         if manifest.version <= self.version() {
             return self.end_fetch(now, &from);
         }
-        if !self.verifier.verify(&manifest) {
-            return self.reject(now, manifest.version, from, true);
-        }
-        let signed = bundle::digest(content) == manifest.digest;
-        match bundle::decode(content) {
-            Ok(bundle) if signed => self.adopt(now, bundle, manifest, None, from),
-            _ => self.reject(now, manifest.version, from, false),
+        match checked::whole(&*self.verifier, &manifest, content) {
+            Ok(bundle) => self.adopt(now, bundle, manifest, None),
+            Err(rejected) => self.reject(now, manifest.version, from, rejected),
         }
     }
 
@@ -355,14 +309,9 @@
         if manifest.version <= self.version() || delta.from != self.version() {
             return self.end_fetch(now, &from);
         }
-        if !self.verifier.verify(&manifest) {
-            return self.reject(now, manifest.version, from, true);
-        }
-        let result = delta.apply(&self.current);
-        let signed = result.filter(|new| bundle::digest(&bundle::encode(new)) == manifest.digest);
-        match signed {
-            Some(bundle) => self.adopt(now, bundle, manifest, Some(delta), from),
-            None => self.reject(now, manifest.version, from, false),
+        match checked::changed(&*self.verifier, &manifest, &self.current, &delta) {
+            Ok(bundle) => self.adopt(now, bundle, manifest, Some(delta)),
+            Err(rejected) => self.reject(now, manifest.version, from, rejected),
         }
     }
 
@@ -371,21 +320,15 @@
         now: UnixMs,
         version: BundleVersion,
         from: Source,
-        unsigned: bool,
+        rejected: Rejected,
     ) -> Vec<BundleAction> {
-        let event = if unsigned {
-            BundleEvent::BadSignature {
-                version,
-                from: from.clone(),
-            }
-        } else {
-            BundleEvent::BadContent {
-                version,
-                from: from.clone(),
-            }
+        let was_pending = self.is_pending_from(&from);
+        let event = match rejected {
+            Rejected::BadSignature => BundleEvent::BadSignature { version, from },
+            Rejected::BadContent => BundleEvent::BadContent { version, from },
         };
         let mut actions = vec![BundleAction::Event(event)];
-        if self.is_pending_from(&from) {
+        if was_pending {
             actions.extend(self.give_up(now));
         }
         actions
@@ -400,15 +343,7 @@
         if self.is_pending_from(from) {
             self.pending = None;
         }
-        self.forget_old();
-        self.fetch(now)
-    }
-
-    fn forget_old(&mut self) {
-        let version = self.current.version;
-        self.sources.retain(|_, held| *held > version);
-        self.wanted
-            .take_if(|wanted| wanted.manifest.version <= version);
+        self.fetch(now).into_iter().collect()
     }
 
     /// Puts a bundle in force; its signature and digest have been checked.
@@ -418,11 +353,7 @@
         bundle: Bundle,
         manifest: Manifest,
         delta: Option<BundleDelta>,
-        from: Source,
     ) -> Vec<BundleAction> {
-        if bundle.version != manifest.version {
-            return self.reject(now, manifest.version, from, false);
-        }
         if self.version() > BundleVersion(0) {
             let delta = delta.unwrap_or_else(|| BundleDelta::between(&self.current, &bundle));
             self.history.push(delta);
@@ -437,7 +368,7 @@
         ];
         actions.extend(self.notify(now));
         self.pending = None;
-        self.forget_old();
+        self.sources.forget_up_to(version);
         actions.extend(self.fetch(now));
         actions
     }
--- a/crates/decisions/src/bundle_spread/mod.rs
+++ b/crates/decisions/src/bundle_spread/mod.rs
@@ -6,19 +6,20 @@
 //! what it lacks, which is a delta where the peer still has one.
 
 mod action;
+mod checked;
 mod dump;
 mod event;
 mod history;
 mod machine;
 mod manifest_verifier;
-mod pending;
 mod settings;
+mod sources;
 #[cfg(test)]
 mod tests;
 
 pub use action::BundleAction;
 pub use dump::BundleDump;
-pub use event::BundleEvent;
+pub use event::{BundleEvent, Source};
 pub use machine::BundleSpread;
 pub use manifest_verifier::ManifestVerifier;
 pub use settings::BundleSpreadSettings;
