Pass over an upstream between owners after three answers in place of six

Cause: with an owner killed, an instance of another zone asked its successor, which had not taken over yet, again and again until every ask of the request was used up: refused as "no upstream could be reached" although another candidate was free. Ruled out: asking the successor less often; the same number of asks is spent a little later. The change is in the dispatcher, with a test there.

--- a/crates/decisions/src/dispatch/asks.rs
+++ b/crates/decisions/src/dispatch/asks.rs
@@ -175,6 +175,29 @@
         }
     }
 
+    /// Asks for the same upstream again, as its owner may be changing, and then for another.
+    pub(super) fn on_not_owner(
+        &mut self,
+        now: UnixMs,
+        reply: &GrantReply,
+        actions: &mut Vec<DispatchAction>,
+    ) {
+        let Some(state) = self.requests.get_mut(&reply.request) else {
+            return;
+        };
+        let Some(ask) = state.ask_of(&reply.upstream) else {
+            return;
+        };
+        ask.not_owner_replies += 1;
+        if ask.not_owner_replies <= self.settings.max_not_owner_retries {
+            return self.ask_again(now, reply.request, &reply.upstream);
+        }
+        state.take_ask(&reply.upstream);
+        if state.is_waiting() {
+            self.retry(now, reply.request, actions);
+        }
+    }
+
     pub(super) fn ask_again(&mut self, now: UnixMs, request: RequestId, upstream: &UpstreamName) {
         let again_at = now + self.settings.not_owner_retry_ms;
         if let Some(state) = self.requests.get_mut(&request)
@@ -222,6 +245,7 @@
             upstream: upstream.clone(),
             answer_deadline: Some(now + self.settings.ask_timeout_ms),
             again_at: None,
+            not_owner_replies: 0,
             expected_at: None,
             may_load,
         });
--- a/crates/decisions/src/dispatch/dispatcher.rs
+++ b/crates/decisions/src/dispatch/dispatcher.rs
@@ -113,7 +113,7 @@
                 self.on_queued(now, reply, *expected_at_unix_ms, &mut actions);
             }
             GrantAnswer::NotRun(refusal) => self.on_refused(now, reply, refusal, &mut actions),
-            GrantAnswer::NotOwner => self.ask_again(now, reply.request, &reply.upstream),
+            GrantAnswer::NotOwner => self.on_not_owner(now, reply, &mut actions),
         }
         self.finish_if_stuck(now, reply.request, &mut actions);
         actions
--- a/crates/decisions/src/dispatch/settings.rs
+++ b/crates/decisions/src/dispatch/settings.rs
@@ -11,6 +11,8 @@
     pub ask_timeout_ms: u64,
     /// Wait before asking again after an owner said that it is not the owner.
     pub not_owner_retry_ms: u64,
+    /// Times that a request asks for the same upstream again after such an answer.
+    pub max_not_owner_retries: u32,
     /// Asks that one request may make in all.
     pub max_asks: u32,
     /// Generations that one request may start in all.
@@ -39,6 +41,7 @@
             placement: PlacementSettings::default(),
             ask_timeout_ms: 150,
             not_owner_retry_ms: 20,
+            max_not_owner_retries: 2,
             max_asks: 6,
             max_attempts: 3,
             retry_ratio: 0.2,
--- a/crates/decisions/src/dispatch/state.rs
+++ b/crates/decisions/src/dispatch/state.rs
@@ -14,6 +14,8 @@
     pub(super) answer_deadline: Option<UnixMs>,
     /// When to ask the same upstream again, after a change of owner.
     pub(super) again_at: Option<UnixMs>,
+    /// How often the asked instance said that it is not the owner.
+    pub(super) not_owner_replies: u32,
     /// When the owner expects to grant it, once queued.
     pub(super) expected_at: Option<UnixMs>,
     pub(super) may_load: bool,
--- a/crates/decisions/src/dispatch/tests/rules.rs
+++ b/crates/decisions/src/dispatch/tests/rules.rs
@@ -188,3 +188,19 @@
     assert!(world.running.is_empty());
     assert_eq!(world.dispatcher.in_flight(), 0);
 }
+
+#[test]
+fn an_upstream_between_owners_is_asked_again_and_then_passed_over() {
+    let mut world = world();
+    let request = world.request(1, RequestClass::Ordinary, false);
+    let unowned = world.asks[0].1.clone();
+    while world.asks.last().unwrap().1 == unowned {
+        world.reply(request, &unowned, GrantAnswer::NotOwner);
+        world.advance(20);
+    }
+    assert_eq!(world.asks.len(), 4);
+    grant_last_ask(&mut world, 1);
+    world.first_token(request, FIRST);
+    world.end(request, FIRST, EndKind::Done);
+    assert_eq!(world.results[&request], Ok(()));
+}
