Test zones that are cut off from each other, and copies of cancelled requests

Cause: each zone has to go on with what it reaches, and to catch up from peers alone. Instances meet over wires that the test cuts.

--- /dev/null
+++ b/crates/entry/tests/partition.rs
@@ -0,0 +1,106 @@
+//! Zones that are cut off from each other.
+
+mod support;
+
+#[path = "support/proxy.rs"]
+mod proxy;
+
+use monsoonspread_demo::region::zone_name;
+use monsoonspread_demo::{Region, RegionShape};
+use monsoonspread_entry::{Entry, Platform};
+use monsoonspread_model::{Bundle, BundleVersion};
+use monsoonspread_standin::Fault;
+use proxy::Wire;
+use support::*;
+
+/// One instance in each of two zones, which reach each other by wires only.
+async fn wired_region() -> (Region, Vec<Wire>) {
+    let mut region = region_without_entries(RegionShape {
+        zones: 2,
+        entries_per_zone: 0,
+        ..shape(0, 1)
+    })
+    .await;
+    let mut wires = Vec::new();
+    for zone in [1, 2] {
+        let (name, zone) = (format!("entry-{zone}-1"), zone_name(zone));
+        let settings = region.settings(&name, &zone);
+        let platform = Platform::connect(&settings);
+        let entry = Entry::start(settings, platform).await.unwrap();
+        let wire = Wire::to(entry.mesh_address()).await;
+        region.list_entry(&name, &zone, wire.address);
+        region.entries.insert(name, entry);
+        wires.push(wire);
+    }
+    region.wait_for_bundle(BundleVersion(1)).await;
+    region.wait_for_owners().await.unwrap();
+    (region, wires)
+}
+
+async fn every_adapter_is_served_by(region: &Region, entry: &str) {
+    for number in 0..8 {
+        let adapter = format!("needle-{:04}", 2 * number);
+        eventually("the adapter is served", async || {
+            let reply = generate(region, entry, &adapter).await;
+            assert!(
+                reply.status == 200 || reply.says_not_run(),
+                "{}",
+                reply.text
+            );
+            reply.status == 200
+        })
+        .await;
+    }
+}
+
+/// Upstreams that served a few adapters.
+async fn upstreams_used(region: &Region, entry: &str) -> Vec<String> {
+    let mut used = Vec::new();
+    for number in 0..8 {
+        let reply = generate(region, entry, &format!("needle-{:04}", 2 * number)).await;
+        used.push(reply.header("x-monsoonspread-upstream").to_owned());
+    }
+    used.sort();
+    used.dedup();
+    used
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn each_zone_goes_on_alone_and_both_meet_again() {
+    let (region, wires) = wired_region().await;
+    every_adapter_is_served_by(&region, "entry-1-1").await;
+    wires.iter().for_each(Wire::cut);
+    every_adapter_is_served_by(&region, "entry-1-1").await;
+    every_adapter_is_served_by(&region, "entry-2-1").await;
+    wires.iter().for_each(Wire::heal);
+    eventually("both zones' engines are used again", async || {
+        upstreams_used(&region, "entry-1-1").await.len() == 2
+    })
+    .await;
+    assert_eq!(pin_violations(&region).await, 0);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn zone_cut_off_from_everybody_serves_and_catches_up() {
+    let (region, wires) = wired_region().await;
+    every_adapter_is_served_by(&region, "entry-2-1").await;
+    wires.iter().for_each(Wire::cut);
+    region.store.apply(Fault::Cut {
+        peers: vec!["entry-2-1".to_owned()],
+    });
+    let second = Bundle::sample(BundleVersion(2), 42);
+    monsoonspread_demo::roll_out::roll_out(&region.store_client(), &region.key, &second)
+        .await
+        .unwrap();
+    every_adapter_is_served_by(&region, "entry-2-1").await;
+    let keyed = commit(&region, "entry-2-1", Some("k-cut")).await;
+    assert!(keyed.says_not_run(), "{}", keyed.text);
+    let behind = region.entries["entry-2-1"].bundle();
+    assert_eq!(behind.borrow().bundle().version, BundleVersion(1));
+    // The peers alone bring it up to date.
+    wires.iter().for_each(Wire::heal);
+    region.wait_for_bundle(BundleVersion(2)).await;
+    let reply = generate(&region, "entry-2-1", "needle-0040").await;
+    assert_eq!(reply.status, 200, "{}", reply.text);
+    assert_eq!(pin_violations(&region).await, 0);
+}
--- a/crates/entry/tests/upstreams.rs
+++ b/crates/entry/tests/upstreams.rs
@@ -119,3 +119,34 @@
     assert!(reply.header("retry-after").parse::<u64>().unwrap() >= 1);
     assert_eq!(region.engines["engine-1-1"].did().await.runs, 0);
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn copy_of_a_cancelled_request_is_not_evicted_under_it() {
+    let mut region_shape = shape(1, 1);
+    region_shape.engine.adapter_slots = 2;
+    region_shape.weights.loads_per_s = 1_000.0;
+    region_shape.weights.load_ms = 1;
+    let region = region(region_shape).await;
+    for round in 0..20 {
+        let adapter = |number: usize| format!("needle-{:04}", 2 * ((round + number) % 20));
+        let body = chat(&adapter(0), 2_000, true);
+        let mut stream = Stream::open(&region, "entry-1-1", &body).await;
+        stream.first().await;
+        let (first, second) = (adapter(1), adapter(2));
+        let others = async {
+            tokio::join!(
+                generate(&region, "entry-1-1", &first),
+                generate(&region, "entry-1-1", &second)
+            )
+        };
+        let (_, (first, second)) = tokio::join!(async { drop(stream) }, others);
+        assert_eq!(
+            (first.status, second.status),
+            (200, 200),
+            "{}{}",
+            first.text,
+            second.text
+        );
+    }
+    assert_eq!(pin_violations(&region).await, 0);
+}
