Let an instance that starts without the instance list get it from a peer

Cause: a restart during an outage of the list and of the key-value service left an instance with bundle and tables but without any engine's address. Two messages are added to the mesh; a peer's list is used only until the instance has read the list itself. Proof: a test starts an instance with both away and a request at it is served.

--- a/crates/entry/src/controller/handles.rs
+++ b/crates/entry/src/controller/handles.rs
@@ -6,6 +6,7 @@
 use super::membership::MembershipCommand;
 use super::owner::OwnerCommand;
 use super::ownership::OwnershipCommand;
+use crate::directory::DirectoryCommand;
 use crate::mesh::MeshHandle;
 
 /// A way to each task.
@@ -21,6 +22,8 @@
     pub membership: Mailbox<MembershipCommand>,
     /// Ownership tables.
     pub ownership: Mailbox<OwnershipCommand>,
+    /// The instance list.
+    pub directory: Mailbox<DirectoryCommand>,
     /// Bundles.
     pub bundle: Mailbox<BundleCommand>,
 }
--- a/crates/entry/src/controller/router.rs
+++ b/crates/entry/src/controller/router.rs
@@ -10,6 +10,7 @@
 use super::membership::MembershipCommand;
 use super::owner::OwnerCommand;
 use super::ownership::OwnershipCommand;
+use crate::directory::DirectoryCommand;
 use crate::mesh::MeshEvent;
 
 /// Gives each message to the task that it is for.
@@ -32,6 +33,8 @@
                     let member = hello.instance.clone();
                     let opened = OwnershipCommand::PeerAnswers(member);
                     self.handles.ownership.post(opened);
+                    let opened = DirectoryCommand::PeerOpened(hello.instance.clone());
+                    self.handles.directory.post(opened);
                     let opened = MembershipCommand::Opened { hello, address };
                     self.handles.membership.post(opened);
                 }
@@ -122,6 +125,10 @@
             MeshMessage::BudgetLend(lend) => {
                 handles.owner.post(OwnerCommand::BudgetLend { from, lend });
             }
+            MeshMessage::ListRequest => {
+                handles.directory.post(DirectoryCommand::Request(from));
+            }
+            MeshMessage::List(rows) => handles.directory.post(DirectoryCommand::Rows(rows)),
             MeshMessage::CrashNotice(notice) => {
                 handles.dispatch.tell(DispatchCommand::CrashNotice(notice));
             }
--- /dev/null
+++ b/crates/entry/src/directory/command.rs
@@ -0,0 +1,13 @@
+//! What the directory task is told.
+
+use monsoonspread_model::{InstanceName, ListedInstance};
+
+/// A message to the task that reads the instance list.
+pub enum DirectoryCommand {
+    /// A connection to a peer is open.
+    PeerOpened(InstanceName),
+    /// A peer asks for the list.
+    Request(InstanceName),
+    /// A peer's last reading of the list.
+    Rows(Vec<ListedInstance>),
+}
--- a/crates/entry/src/directory/mod.rs
+++ b/crates/entry/src/directory/mod.rs
@@ -1,10 +1,12 @@
 //! Which instances there are, as the platform's lagging list says.
 
+mod command;
 mod engine_row;
 mod poller;
 mod service_row;
 mod snapshot;
 
+pub use command::DirectoryCommand;
 pub use engine_row::EngineRow;
 pub use poller::Poller;
 pub use service_row::ServiceRow;
--- a/crates/entry/src/directory/poller.rs
+++ b/crates/entry/src/directory/poller.rs
@@ -3,10 +3,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use tokio::sync::watch;
+use monsoonspread_model::ListedInstance;
+use monsoonspread_model::message::MeshMessage;
+use tokio::sync::{mpsc, watch};
 use tokio::time::{MissedTickBehavior, interval, timeout};
 
-use super::Directory;
+use super::{Directory, DirectoryCommand};
 use crate::event::Event;
 use crate::mesh::MeshHandle;
 use crate::platform::Platform;
@@ -20,8 +22,13 @@
     settings: Arc<Settings>,
     platform: Platform,
     mesh: MeshHandle,
+    commands: mpsc::Receiver<DirectoryCommand>,
     directory: watch::Sender<Arc<Directory>>,
+    /// The last reading, own or of a peer.
+    rows: Vec<ListedInstance>,
     available: bool,
+    /// Whether this instance has read the list itself.
+    was_read: bool,
 }
 
 impl Poller {
@@ -30,14 +37,18 @@
         settings: Arc<Settings>,
         platform: Platform,
         mesh: MeshHandle,
+        commands: mpsc::Receiver<DirectoryCommand>,
         directory: watch::Sender<Arc<Directory>>,
     ) -> Self {
         Self {
             settings,
             platform,
             mesh,
+            commands,
             directory,
+            rows: Vec::new(),
             available: true,
+            was_read: false,
         }
     }
 
@@ -46,14 +57,29 @@
         let mut ticks = interval(Duration::from_millis(self.settings.platform.list_poll_ms));
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
         loop {
-            ticks.tick().await;
-            self.read().await;
+            tokio::select! {
+                _ = ticks.tick() => self.read().await,
+                Some(command) = self.commands.recv() => self.on_command(command),
+            }
+        }
+    }
+
+    fn on_command(&mut self, command: DirectoryCommand) {
+        match command {
+            DirectoryCommand::PeerOpened(peer) if self.rows.is_empty() => {
+                self.mesh.send(&peer, MeshMessage::ListRequest);
+            }
+            DirectoryCommand::Request(peer) if !self.rows.is_empty() => {
+                self.mesh.send(&peer, MeshMessage::List(self.rows.clone()));
+            }
+            DirectoryCommand::Rows(rows) if !self.was_read => self.publish(rows),
+            _ => {}
         }
     }
 
     async fn read(&mut self) {
         let error = match timeout(READ_TIMEOUT, self.platform.list.list()).await {
-            Ok(Ok(rows)) => return self.on_rows(&rows),
+            Ok(Ok(rows)) => return self.on_read(rows),
             Ok(Err(error)) => error.to_string(),
             Err(_) => "no answer in time".to_owned(),
         };
@@ -66,13 +92,19 @@
         }
     }
 
-    fn on_rows(&mut self, rows: &[monsoonspread_model::ListedInstance]) {
+    fn on_read(&mut self, rows: Vec<ListedInstance>) {
         if !self.available {
             Event::ListAvailable.log();
         }
         self.available = true;
+        self.was_read = true;
+        self.publish(rows);
+    }
+
+    fn publish(&mut self, rows: Vec<ListedInstance>) {
         let previous = Arc::clone(&self.directory.borrow());
-        let directory = Directory::new(rows, &previous, &self.platform);
+        let directory = Directory::new(&rows, &previous, &self.platform);
+        self.rows = rows;
         self.mesh.know(directory.mesh_addresses());
         self.directory.send_replace(Arc::new(directory));
     }
--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -99,6 +99,7 @@
         let (membership, membership_commands) = Mailbox::new("membership");
         let (ownership, ownership_commands) = Mailbox::new("ownership");
         let (bundle_mailbox, bundle_commands) = Mailbox::new("bundle");
+        let (directory_mailbox, directory_commands) = Mailbox::new("directory");
         let (routes, route_commands) = Mailbox::new("service routes");
         let (claims, claim_commands) = Mailbox::new("claims");
         let handles = Handles {
@@ -107,6 +108,7 @@
             owner,
             membership,
             ownership,
+            directory: directory_mailbox,
             bundle: bundle_mailbox,
         };
         let calls = ServiceCalls {
@@ -192,7 +194,16 @@
             RouteController::new(settings.zone.clone(), route_commands, directory.clone()).run(),
         );
         tasks.spawn(ClaimBatches::new(Arc::clone(&platform.store), claims, claim_commands).run());
-        tasks.spawn(Poller::new(Arc::clone(&settings), platform, mesh, directory_sender).run());
+        tasks.spawn(
+            Poller::new(
+                Arc::clone(&settings),
+                platform,
+                mesh,
+                directory_commands,
+                directory_sender,
+            )
+            .run(),
+        );
         tasks.spawn(follow_bundle(bundle.clone(), hello, state.clone()));
 
         let chain = Chain::new(settings.instance.clone(), bundle.clone(), metrics)
--- a/crates/entry/tests/platform_faults.rs
+++ b/crates/entry/tests/platform_faults.rs
@@ -4,6 +4,7 @@
 
 use monsoonspread_demo::region::zone_name;
 use monsoonspread_demo::roll_out::roll_out;
+use monsoonspread_entry::{Entry, Platform};
 use monsoonspread_model::{Bundle, BundleVersion};
 use monsoonspread_standin::Fault;
 use support::*;
@@ -81,3 +82,19 @@
     let reply = generate(&region, "entry-1-9", "needle-0002").await;
     assert_eq!(reply.status, 200, "{}", reply.text);
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn instance_that_starts_without_any_platform_serves_by_its_peers() {
+    let mut region = region(shape(2, 1)).await;
+    region.store.apply(Fault::Crash);
+    region.list.apply(Fault::Crash);
+    let mut settings = region.settings("entry-1-9", &zone_name(1));
+    settings.mesh.peers = region.entries.values().map(Entry::mesh_address).collect();
+    let platform = Platform::connect(&settings);
+    let entry = Entry::start(settings, platform).await.unwrap();
+    region.entries.insert("entry-1-9".to_owned(), entry);
+    region.wait_for_bundle(BundleVersion(1)).await;
+    region.wait_for_owners().await.unwrap();
+    let reply = generate(&region, "entry-1-9", "needle-0002").await;
+    assert_eq!(reply.status, 200, "{}", reply.text);
+}
--- a/crates/model/src/message/mod.rs
+++ b/crates/model/src/message/mod.rs
@@ -29,7 +29,7 @@
 pub use quarantine::CrashNotice;
 pub use swim::{Health, MemberUpdate, Swim, SwimBody};
 
-use crate::{OwnershipTable, UpstreamName, ZoneName};
+use crate::{ListedInstance, OwnershipTable, UpstreamName, ZoneName};
 
 /// Everything that entry instances say to each other.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
@@ -84,4 +84,8 @@
     BudgetLend(BudgetLend),
     /// A request crashed an upstream.
     CrashNotice(CrashNotice),
+    /// Asks for the instance list, which the sender can't read.
+    ListRequest,
+    /// The instance list as the sender last read it.
+    List(Vec<ListedInstance>),
 }
