--- a/crates/load/src/slopes/measure.rs
+++ b/crates/load/src/slopes/measure.rs
@@ -32,10 +32,15 @@
     let before = resident_bytes();
     values.extend((0..copies).map(|_| build()));
     let grown = resident_bytes().saturating_sub(before);
-    KEPT.with_borrow_mut(|kept| kept.push(Box::new(values)));
+    keep(values);
     grown as f64 / copies as f64
 }
 
+/// Keeps `value` until the process ends, so that its memory is not used again.
+pub fn keep<T: 'static>(value: T) {
+    KEPT.with_borrow_mut(|kept| kept.push(Box::new(value)));
+}
+
 /// Microseconds that one call of `work` takes, in the fastest of several rounds.
 pub fn us_each<T>(mut work: impl FnMut() -> T) -> f64 {
     let started = Instant::now();
--- a/crates/load/src/slopes/mod.rs
+++ b/crates/load/src/slopes/mod.rs
@@ -4,6 +4,7 @@
 //! multiplies the slopes by the target's numbers.
 
 mod bundle_probes;
+mod entry_probes;
 mod line;
 mod measure;
 mod member_probes;
@@ -22,6 +23,7 @@
 pub fn probes() -> Vec<Probe> {
     let all = [
         bundle_probes::PROBES,
+        entry_probes::PROBES,
         member_probes::PROBES,
         owner_probes::PROBES,
         ownership_probes::PROBES,
