Read from mesh connections into smaller buffers

Cause: the library's default of 128 KiB for each connection. At the target's size an instance has a connection to each of some 190 instances of its zone and to owners in others, which alone is more than 27 of 32 MB.

--- a/crates/entry/src/mesh/handshake.rs
+++ b/crates/entry/src/mesh/handshake.rs
@@ -12,6 +12,9 @@
 use super::authentication::{PROOF_BYTES, Side, matches, nonce, proof};
 use super::{Context, MAX_MESSAGE_BYTES};
 
+/// Buffer that each connection reads into; an instance at the target's size has hundreds.
+const READ_BUFFER_BYTES: usize = 8 * 1024;
+
 /// A connection between instances.
 pub(super) type Socket = WebSocketStream<TcpStream>;
 
@@ -102,6 +105,7 @@
 
 fn config() -> WebSocketConfig {
     WebSocketConfig::default()
+        .read_buffer_size(READ_BUFFER_BYTES)
         .max_message_size(Some(MAX_MESSAGE_BYTES))
         .max_frame_size(Some(MAX_MESSAGE_BYTES))
 }
