Read streamed answers in one place, and hold the capacity page to the probes

Cause: the client returned a pair with an unnamed stream type, which was hard to read. A test now fails when the capacity page names a slope that is not measured.

--- a/crates/load/src/client/mod.rs
+++ b/crates/load/src/client/mod.rs
@@ -21,7 +21,7 @@
 pub use attempt::Attempt;
 pub use call::{ADAPTER_VERSION, Target, adapter_name, caller_key, caller_name, wanted_model};
 pub use json::JsonReader;
-use streaming::{Streaming, events};
+use streaming::Streaming;
 
 /// Header with the time left to the first token.
 const DEADLINE_HEADER: &str = "x-deadline-ms";
@@ -59,24 +59,14 @@
         request: &PlannedRequest,
         give_up_at: Instant,
     ) -> Attempt {
-        let mut streaming = Streaming::new(wanted_model(request), request.tokens);
-        let begun = self.begin(target, request, give_up_at, &mut streaming);
-        let (ending, body) = match tokio::time::timeout_at(give_up_at.into(), begun).await {
-            Err(_) => (Some(Ending::GaveUp), None),
-            Ok(Err(attempt)) => return attempt,
-            Ok(Ok((ending, body))) => (ending, Some(body)),
-        };
-        let ending = match (ending, body) {
-            (Some(ending), _) => ending,
-            (None, Some(mut body)) => {
-                let ending = streaming.read(&mut body, false).await;
-                ending.expect("an answer that is read to its end has one")
-            }
-            (None, None) => Ending::GaveUp,
-        };
-        Attempt::Ended {
-            ending,
-            first_token_at: streaming.first_token_at,
+        let begun = self.begin(target, request, give_up_at);
+        match tokio::time::timeout_at(give_up_at.into(), begun).await {
+            Err(_) => Attempt::Ended {
+                ending: Ending::GaveUp,
+                first_token_at: None,
+            },
+            Ok(Err(attempt)) => attempt,
+            Ok(Ok(streaming)) => streaming.finish().await,
         }
     }
 
@@ -86,33 +76,26 @@
         target: &Target,
         request: &PlannedRequest,
         give_up_at: Instant,
-        streaming: &mut Streaming,
-    ) -> Result<
-        (
-            Option<Ending>,
-            impl futures_util::Stream<Item = Result<String, String>> + Unpin + use<>,
-        ),
-        Attempt,
-    > {
-        let left_ms = give_up_at
-            .saturating_duration_since(Instant::now())
-            .as_millis();
-        let http = http_request(target, request, left_ms as u64);
-        let response = self.http.request(http).await.map_err(|error| {
-            if error.is_connect() {
-                return Attempt::NotSent(error.to_string());
-            }
-            Attempt::Ended {
-                ending: Ending::Broken(error.to_string()),
-                first_token_at: None,
-            }
-        })?;
+    ) -> Result<Streaming, Attempt> {
+        let left = give_up_at.saturating_duration_since(Instant::now());
+        let http = http_request(target, request, left.as_millis() as u64);
+        let response = self.http.request(http).await.map_err(not_answered)?;
         if !response.status().is_success() {
             return Err(refusal(response).await);
         }
-        let mut body = events(response.into_body());
-        let ending = streaming.read(&mut body, true).await;
-        Ok((ending, body))
+        let mut streaming = Streaming::new(request, response.into_body());
+        streaming.read_first_token().await;
+        Ok(streaming)
+    }
+}
+
+fn not_answered(error: hyper_util::client::legacy::Error) -> Attempt {
+    if error.is_connect() {
+        return Attempt::NotSent(error.to_string());
+    }
+    Attempt::Ended {
+        ending: Ending::Broken(error.to_string()),
+        first_token_at: None,
     }
 }
 
--- a/crates/load/src/client/streaming.rs
+++ b/crates/load/src/client/streaming.rs
@@ -4,60 +4,73 @@
 
 use eventsource_stream::Eventsource;
 use futures_util::StreamExt;
+use futures_util::stream::BoxStream;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use serde_json::Value;
 
+use super::{Attempt, wanted_model};
+use crate::plan::PlannedRequest;
 use crate::record::Ending;
 
 /// Marks the end of a whole answer.
 const DONE: &str = "[DONE]";
 
 /// A streamed answer as far as it was read.
-#[derive(Debug)]
 pub struct Streaming {
     wanted_model: String,
     wanted_tokens: u32,
-    /// When the first token came.
-    pub first_token_at: Option<Instant>,
+    events: BoxStream<'static, Result<String, String>>,
+    first_token_at: Option<Instant>,
     tokens: u32,
+    ending: Option<Ending>,
 }
 
 impl Streaming {
-    /// Expects `wanted_tokens` tokens from `wanted_model`, an adapter with its version.
-    pub fn new(wanted_model: String, wanted_tokens: u32) -> Self {
+    /// Expects the answer to `request` in `body`.
+    pub fn new(request: &PlannedRequest, body: Incoming) -> Self {
+        let events = body.into_data_stream().eventsource();
+        let events = events.map(|event| match event {
+            Ok(event) => Ok(event.data),
+            Err(error) => Err(error.to_string()),
+        });
         Self {
-            wanted_model,
-            wanted_tokens,
+            wanted_model: wanted_model(request),
+            wanted_tokens: request.tokens,
+            events: events.boxed(),
             first_token_at: None,
             tokens: 0,
+            ending: None,
         }
     }
 
-    /// Reads `body` to its end, or to its first token when `until_first_token` is set.
-    ///
-    /// Returns how the answer ended, or nothing when it goes on.
-    pub async fn read(
-        &mut self,
-        events: &mut (impl futures_util::Stream<Item = Result<String, String>> + Unpin),
-        until_first_token: bool,
-    ) -> Option<Ending> {
-        while let Some(event) = events.next().await {
-            let text = match event {
-                Ok(text) => text,
-                Err(error) => return Some(Ending::Broken(error)),
-            };
-            if text == DONE {
-                return Some(self.end());
-            }
-            if let Some(ending) = self.chunk(&text) {
-                return Some(ending);
-            }
-            if until_first_token && self.first_token_at.is_some() {
-                return None;
+    /// Reads up to the first token, or to the end when none comes.
+    pub async fn read_first_token(&mut self) {
+        while self.ending.is_none() && self.first_token_at.is_none() {
+            self.read_event().await;
+        }
+    }
+
+    /// Reads to the end.
+    pub async fn finish(mut self) -> Attempt {
+        loop {
+            if let Some(ending) = self.ending {
+                return Attempt::Ended {
+                    ending,
+                    first_token_at: self.first_token_at,
+                };
             }
+            self.read_event().await;
         }
-        Some(Ending::Broken("the stream ended early".to_owned()))
+    }
+
+    async fn read_event(&mut self) {
+        self.ending = match self.events.next().await {
+            None => Some(Ending::Broken("the stream ended early".to_owned())),
+            Some(Err(error)) => Some(Ending::Broken(error)),
+            Some(Ok(text)) if text == DONE => Some(self.whole()),
+            Some(Ok(text)) => self.chunk(&text),
+        };
     }
 
     fn chunk(&mut self, text: &str) -> Option<Ending> {
@@ -88,24 +101,15 @@
         rest.is_some_and(|rest| rest.is_empty() || rest.starts_with(".e"))
     }
 
-    fn end(&self) -> Ending {
-        if self.tokens == self.wanted_tokens {
-            return Ending::Answered;
-        }
+    fn whole(&self) -> Ending {
         let Self {
             tokens,
             wanted_tokens,
             ..
         } = self;
+        if tokens == wanted_tokens {
+            return Ending::Answered;
+        }
         Ending::Wrong(format!("{tokens} tokens instead of {wanted_tokens}"))
     }
 }
-
-/// The data of each server-sent event of `body`.
-pub fn events(body: Incoming) -> impl futures_util::Stream<Item = Result<String, String>> + Unpin {
-    body.into_data_stream().eventsource().map(|event| {
-        event
-            .map(|event| event.data)
-            .map_err(|error| error.to_string())
-    })
-}
--- a/crates/load/src/slopes/tests.rs
+++ b/crates/load/src/slopes/tests.rs
@@ -40,3 +40,17 @@
     assert!(slope.line.slope.abs() < 0.1, "{slope:?}");
     assert!(slope.line.intercept > 0.0, "{slope:?}");
 }
+
+#[test]
+fn every_slope_of_the_capacity_page_is_measured() {
+    let page = include_str!("../../../../docs/CAPACITY.md");
+    let names: Vec<&str> = probes().iter().map(|probe| probe.name).collect();
+    let rows = page.lines().filter(|line| line.starts_with("| `"));
+    let named: Vec<&str> = rows
+        .flat_map(|row| row.split('`').skip(1).step_by(2))
+        .collect();
+    assert!(!named.is_empty());
+    for name in named {
+        assert!(names.contains(&name), "{name} is not measured");
+    }
+}
