Count waits for loads whether they end in a load or not

Cause: the comparison counted only requests whose load came; baselines' requests that gave up at their deadline waited for nothing. Ruled out: leaving out refused requests on our side, which would flatter us.

--- a/crates/decisions/src/owner/dump.rs
+++ b/crates/decisions/src/owner/dump.rs
@@ -69,7 +69,7 @@
         Self {
             load_rate_per_s: set.budget.rate_per_s(),
             loads_in_transit: set.in_transit(now),
-            load_waits: set.load_waits,
+            load_waits: LoadWaits::sum(set.owned.values().map(|owned| &owned.load_waits)),
             upstreams: set
                 .owned
                 .iter()
--- a/crates/decisions/src/owner/owned.rs
+++ b/crates/decisions/src/owner/owned.rs
@@ -13,6 +13,7 @@
 use super::endings::{Ending, Endings};
 use super::grants::Grants;
 use super::load_failures::LoadFailures;
+use super::load_waits::LoadWaits;
 use super::outstanding::Outstanding;
 use super::place_shares::PlaceShares;
 use super::popularity::Popularity;
@@ -76,6 +77,8 @@
     pub hold_ms: [f64; RequestClass::ALL.len()],
     /// Serial of the next grant.
     pub next_serial: u64,
+    /// Requests that waited for loads.
+    pub load_waits: LoadWaits,
 }
 
 impl Owned {
@@ -110,6 +113,7 @@
             load_ms: settings.load_ms as f64,
             hold_ms: HOLD_MS,
             next_serial: 0,
+            load_waits: LoadWaits::default(),
             settings,
         }
     }
@@ -200,6 +204,7 @@
         retry_at: UnixMs,
         out: &mut Vec<OwnerAction>,
     ) {
+        self.count_load_wait(now, waiting);
         let refusal = Refusal::not_run(reason, message).with_retry_at(retry_at);
         let kept_until = retry_at.min(now + self.settings.ending_kept_ms);
         self.endings.insert(
@@ -215,6 +220,13 @@
         }));
     }
 
+    /// Counts a request that stops waiting before its adapter is loaded.
+    pub fn count_load_wait(&mut self, now: UnixMs, waiting: &Waiting) {
+        if self.usable_copy(&waiting.request.adapter).is_none() {
+            self.load_waits.add(now, waiting.request.arrived_at_unix_ms);
+        }
+    }
+
     /// Ends ownership: waiting requests are to ask the next owner.
     pub fn release(&mut self, out: &mut Vec<OwnerAction>) {
         self.stop_serving(out);
@@ -250,6 +262,7 @@
         self.load_ms = former.load_ms;
         self.hold_ms = former.hold_ms;
         self.endings = former.endings;
+        self.load_waits = former.load_waits;
         self.started_at = former.started_at;
         for (name, copy) in former.copies.into_rows() {
             self.copies.insert(name, copy);
--- a/crates/decisions/src/owner/owned_grants.rs
+++ b/crates/decisions/src/owner/owned_grants.rs
@@ -281,7 +281,9 @@
     /// Takes a request back, granted or not, or not even seen yet.
     pub fn on_withdraw(&mut self, now: UnixMs, from: &InstanceName, request: RequestId) {
         let key = RequestKey::new(from, request);
-        self.queue.remove(&key);
+        if let Some(waiting) = self.queue.remove(&key) {
+            self.count_load_wait(now, &waiting);
+        }
         if let Some((id, _)) = self.grants.of_request(&key) {
             self.grants.remove(id);
             self.endings.insert_returned(id);
--- a/crates/decisions/src/owner/set.rs
+++ b/crates/decisions/src/owner/set.rs
@@ -14,7 +14,7 @@
 use super::load_budget::LoadBudget;
 use super::owned::Owned;
 use super::request_key::RequestKey;
-use super::{LoadWaits, OwnerAction, OwnerDump, OwnerSettings, Speed};
+use super::{OwnerAction, OwnerDump, OwnerSettings, Speed};
 
 /// Every upstream that one entry instance owns, and the instance's share of the weight store.
 ///
@@ -36,7 +36,6 @@
     pub(super) budget: LoadBudget,
     pub(super) peers: BTreeSet<InstanceName>,
     pub(super) next_budget_ask_at: UnixMs,
-    pub(super) load_waits: LoadWaits,
     pub(super) rng: ChaCha8Rng,
 }
 
@@ -57,7 +56,6 @@
             exits: BTreeMap::new(),
             peers: BTreeSet::new(),
             next_budget_ask_at: UnixMs(0),
-            load_waits: LoadWaits::default(),
             rng: ChaCha8Rng::seed_from_u64(seed),
         }
     }
--- a/crates/decisions/src/owner/set_orders.rs
+++ b/crates/decisions/src/owner/set_orders.rs
@@ -24,7 +24,7 @@
         if result.is_ok() {
             let rows = owned.queue.iter();
             let waited = rows.filter(|row| row.request.adapter == copy.adapter);
-            waited.for_each(|row| self.load_waits.add(now, row.request.arrived_at_unix_ms));
+            waited.for_each(|row| owned.load_waits.add(now, row.request.arrived_at_unix_ms));
         }
         owned.on_load_result(now, copy, result, &mut out);
         self.after_order(now, upstream, &mut out);
--- a/crates/standin/src/engine/core.rs
+++ b/crates/standin/src/engine/core.rs
@@ -289,9 +289,15 @@
         Some(Step::Takes(settings.scaled(time_ms)))
     }
 
+    /// Drops cancelled requests; those that waited for a load count as having waited until now.
     fn drop_cancelled(&mut self) {
+        let now = Instant::now();
         for sequence in self.batch.take_cancelled() {
             self.counters.cancelled += 1;
+            if !self.slots.is_ready(&sequence.model) {
+                let waited = now.duration_since(sequence.arrived_at);
+                self.counters.auto_load_wait_ms += waited.as_millis() as u64;
+            }
             self.slots.unpin(&sequence.model);
         }
     }
