Refuse a request that would wait most of its time for a load

Now a request whose expected wait for a load not yet ordered is over 0.7 of its time is refused at once, and age counts less in the choice of loads. The waits of requests that are given up for want of a load are counted too, which they were not.

--- a/crates/decisions/src/owner/owned_estimates.rs
+++ b/crates/decisions/src/owner/owned_estimates.rs
@@ -2,10 +2,10 @@
 
 use monsoonspread_model::{AdapterRef, CopyName, RefusalReason, RequestClass, UnixMs};
 
-use super::OwnerAction;
 use super::copy::CopyState;
 use super::owned::Owned;
 use super::waiting::Waiting;
+use super::{LoadWaits, OwnerAction};
 
 /// Earliest time after which a refused request may come back.
 const RETRY_MIN_MS: u64 = 100;
@@ -62,7 +62,12 @@
     }
 
     /// Gives up every waiting request that can't start in time any more.
-    pub fn refuse_late(&mut self, now: UnixMs, out: &mut Vec<OwnerAction>) {
+    pub fn refuse_late(
+        &mut self,
+        now: UnixMs,
+        load_waits: &mut LoadWaits,
+        out: &mut Vec<OwnerAction>,
+    ) {
         if self.queue.len() == 0 {
             return;
         }
@@ -74,6 +79,9 @@
             .collect();
         for key in late {
             if let Some(waiting) = self.queue.remove(&key) {
+                if self.usable_copy(&waiting.request.adapter).is_none() {
+                    load_waits.add(now, waiting.request.arrived_at_unix_ms);
+                }
                 self.refuse_deadline(now, &waiting, out);
             }
         }
--- a/crates/decisions/src/owner/set.rs
+++ b/crates/decisions/src/owner/set.rs
@@ -11,6 +11,7 @@
 use rand_chacha::rand_core::SeedableRng;
 
 use super::exit::Exit;
+use super::expected_wait::ExpectedWait;
 use super::load_budget::LoadBudget;
 use super::owned::Owned;
 use super::request_key::RequestKey;
@@ -212,7 +213,7 @@
         for owned in self.owned.values_mut() {
             owned.endings.sweep(now);
             owned.expire_grants(now, &mut out);
-            owned.refuse_late(now, &mut out);
+            owned.refuse_late(now, &mut self.load_waits, &mut out);
             owned.ask_holders(now, &mut out);
             owned.repeat_orders(now, &mut out);
         }
@@ -252,18 +253,18 @@
         key: &RequestKey,
         out: &mut Vec<OwnerAction>,
     ) {
-        let Some(expected_at) = self.expected_at(now, upstream, key) else {
+        let Some(wait) = self.expected_wait(now, upstream, key) else {
             return;
         };
         let Some(owned) = self.owned.get_mut(upstream) else {
             return;
         };
-        let first_token_ms = owned.first_token_ms(now);
-        let in_time = owned
-            .queue
-            .get(key)
-            .is_some_and(|waiting| waiting.in_time(expected_at, first_token_ms));
-        if in_time {
+        let Some(waiting) = owned.queue.get(key) else {
+            return;
+        };
+        let expected_at = now + wait.total_ms();
+        let in_time = waiting.in_time(expected_at, owned.first_token_ms(now));
+        if in_time && self.settings.may_wait(now, waiting, wait) {
             let answer = GrantAnswer::Queued {
                 expected_at_unix_ms: expected_at,
             };
@@ -273,25 +274,26 @@
         }
     }
 
-    /// When a waiting request is expected to start.
-    fn expected_at(
+    /// How long a waiting request is expected to wait on.
+    fn expected_wait(
         &mut self,
         now: UnixMs,
         upstream: &UpstreamName,
         key: &RequestKey,
-    ) -> Option<UnixMs> {
+    ) -> Option<ExpectedWait> {
         let owned = self.owned.get(upstream)?;
         let waiting = owned.queue.get(key)?;
-        let adapter = &waiting.request.adapter;
-        let place_wait_ms = owned.place_wait_ms(waiting);
-        let load_wait_ms = match owned.usable_copy(adapter) {
-            Some(_) => 0,
-            None => match owned.loading_ms(adapter, now) {
-                Some(left_ms) => left_ms,
-                None => self.load_wait_ms(now, upstream, &adapter.clone()),
-            },
+        let adapter = waiting.request.adapter.clone();
+        let place_ms = owned.place_wait_ms(waiting);
+        let underway_ms = match owned.usable_copy(&adapter) {
+            Some(_) => Some(0),
+            None => owned.loading_ms(&adapter, now),
         };
-        Some(now + place_wait_ms.max(load_wait_ms))
+        Some(ExpectedWait {
+            place_ms,
+            load_underway: underway_ms.is_some(),
+            load_ms: underway_ms.unwrap_or_else(|| self.load_wait_ms(now, upstream, &adapter)),
+        })
     }
 
     /// The upstream, when it is owned and the ownership is not ending.
--- a/crates/decisions/src/owner/settings.rs
+++ b/crates/decisions/src/owner/settings.rs
@@ -1,5 +1,10 @@
 //! Settings of an owner.
 
+use monsoonspread_model::UnixMs;
+
+use super::expected_wait::ExpectedWait;
+use super::waiting::Waiting;
+
 /// Settings of an [`OwnerSet`](super::OwnerSet).
 #[derive(Clone, Debug, PartialEq)]
 pub struct OwnerSettings {
@@ -23,6 +28,8 @@
     pub long_idle_share: f64,
     /// Share of the adapter slots that long work alone may pin.
     pub long_slot_share: f64,
+    /// Share of the time to its deadline that a request may wait for a load.
+    pub load_wait_share: f64,
     /// Half-life of an adapter's popularity.
     pub popularity_half_life_ms: u64,
     /// Adapters whose popularity is tracked for each upstream.
@@ -65,6 +72,16 @@
     pub slow_min_share: f64,
 }
 
+impl OwnerSettings {
+    /// Whether a request that just came may wait that long for a load.
+    pub(super) fn may_wait(&self, now: UnixMs, waiting: &Waiting, wait: ExpectedWait) -> bool {
+        let slack_ms = waiting.request.deadline_unix_ms.ms_since(now) as f64;
+        wait.load_underway
+            || waiting.since < now
+            || wait.load_ms as f64 <= slack_ms * self.load_wait_share
+    }
+}
+
 impl Default for OwnerSettings {
     fn default() -> Self {
         Self {
@@ -78,6 +95,7 @@
             long_share: 0.25,
             long_idle_share: 0.5,
             long_slot_share: 0.5,
+            load_wait_share: 0.7,
             popularity_half_life_ms: 15_000,
             popularity_rows: 256,
             reuse_horizon_ms: 10_000,
--- a/crates/decisions/src/owner/tests/queues.rs
+++ b/crates/decisions/src/owner/tests/queues.rs
@@ -204,3 +204,26 @@
     owner.on_tick(START + 20_000);
     assert_eq!(owner.owned[&engine()].batch_cap, 8, "it is tried again");
 }
+
+#[test]
+fn a_request_that_would_wait_long_for_a_load_is_refused_while_there_is_time() {
+    let slow_loads = OwnerSettings {
+        load_rate_per_s: 0.1,
+        load_burst: 1.0,
+        load_wait_share: 0.5,
+        ..settings()
+    };
+    let mut owner = loaded(slow_loads);
+    let by = |id, deadline_ms| GrantRequest {
+        deadline_unix_ms: START + deadline_ms,
+        ..request(id, "b")
+    };
+    assert!(refused(
+        &owner.on_request(START, &entry(), by(2, 15_000)),
+        2
+    ));
+    assert!(!refused(
+        &owner.on_request(START, &entry(), by(3, 30_000)),
+        3
+    ));
+}
--- a/crates/decisions/src/owner/waiting.rs
+++ b/crates/decisions/src/owner/waiting.rs
@@ -23,7 +23,7 @@
 /// Time to the deadline at which a request weighs one and a half times as much.
 const URGENT_MS: f64 = 500.0;
 /// Waiting time that adds a request's weight once more.
-const AGE_PER_WEIGHT_MS: f64 = 2_000.0;
+const AGE_PER_WEIGHT_MS: f64 = 20_000.0;
 
 impl Waiting {
     /// Whether this request can still start by its deadline when it starts at `start`.
