--- a/crates/decisions/src/dispatch/asks.rs
+++ b/crates/decisions/src/dispatch/asks.rs
@@ -1,7 +1,7 @@
 //! Asking owners for grants and taking their answers.
 
 use monsoonspread_model::message::{GrantAnswer, GrantId, GrantReply, HeldGrant, RequestId};
-use monsoonspread_model::{CopyName, Epoch, Refusal, UnixMs, UpstreamName};
+use monsoonspread_model::{CopyName, Epoch, Refusal, RefusalReason, UnixMs, UpstreamName};
 
 use super::action::{DispatchAction, DispatchEvent};
 use super::attempt::{Attempt, AttemptId};
@@ -171,7 +171,8 @@
             state.refusal = Some(refusal.clone());
         }
         if state.is_waiting() {
-            self.retry(now, reply.request, actions);
+            let may_load = is_of_the_upstream(refusal.reason);
+            self.retry(now, reply.request, may_load, actions);
         }
     }
 
@@ -194,7 +195,7 @@
         }
         state.take_ask(&reply.upstream);
         if state.is_waiting() {
-            self.retry(now, reply.request, actions);
+            self.retry(now, reply.request, true, actions);
         }
     }
 
@@ -213,6 +214,7 @@
         &mut self,
         now: UnixMs,
         request: RequestId,
+        may_load: bool,
         actions: &mut Vec<DispatchAction>,
     ) {
         let Some(state) = self.requests.get(&request) else {
@@ -221,7 +223,7 @@
         if state.untried.is_empty() || !self.retries.spend() {
             return;
         }
-        if let Some(upstream) = self.ask_next(now, request, true, actions) {
+        if let Some(upstream) = self.ask_next(now, request, may_load, actions) {
             let event = DispatchEvent::Retried { request, upstream };
             actions.push(DispatchAction::Event(event));
         }
@@ -254,3 +256,12 @@
         Some(upstream)
     }
 }
+
+/// Whether a refusal is about the one upstream, so that a load elsewhere helps. For lack of
+/// time or places it would only cost the region a second load.
+fn is_of_the_upstream(reason: RefusalReason) -> bool {
+    matches!(
+        reason,
+        RefusalReason::LoadFailed | RefusalReason::Unavailable | RefusalReason::Draining
+    )
+}
--- a/crates/decisions/src/dispatch/tests/rules.rs
+++ b/crates/decisions/src/dispatch/tests/rules.rs
@@ -204,3 +204,20 @@
     world.end(request, FIRST, EndKind::Done);
     assert_eq!(world.results[&request], Ok(()));
 }
+
+#[test]
+fn only_a_refusal_about_the_upstream_makes_a_second_one_load() {
+    for (reason, may_load) in [
+        (RefusalReason::LoadFailed, true),
+        (RefusalReason::Unavailable, true),
+        (RefusalReason::Overloaded, false),
+        (RefusalReason::DeadlineExceeded, false),
+    ] {
+        let mut world = world();
+        let request = world.request(1, RequestClass::Ordinary, false);
+        let asked = world.asks[0].1.clone();
+        let refusal = Refusal::not_run(reason, "no");
+        world.reply(request, &asked, GrantAnswer::NotRun(refusal));
+        assert_eq!(world.loads_allowed, [true, may_load], "{reason:?}");
+    }
+}
