--- a/crates/entry/tests/random_faults.rs
+++ b/crates/entry/tests/random_faults.rs
@@ -111,16 +111,17 @@
 }
 
 fn engine_fault(random: &mut ChaCha8Rng, entries: &[String]) -> Fault {
-    match random.next_u32() % 10 {
+    match random.next_u32() % 11 {
         0 => Fault::Restart,
         1 => Fault::Pause,
-        2 => Fault::CutStreams { count: 3 },
+        2 => Fault::CutStreams { count: 8 },
         3 => Fault::FailLoads { count: 2 },
         4 => Fault::LoseAnswers { count: 2 },
         5 => Fault::Refuse { on: true },
         6 => Fault::Slow { factor: 8.0 },
         7 => Fault::DelayAnswers { delay_ms: 200 },
         8 => Fault::Drain { on: true },
+        9 => Fault::CutStreams { count: 16 },
         _ => Fault::Cut {
             peers: vec![pick(random, entries)],
         },
@@ -143,7 +144,7 @@
     let services = region.services.keys().cloned().collect::<Vec<_>>();
     for number in 0..FAULTS {
         let engine = &region.engines[&pick(random, &engines)];
-        match random.next_u32() % 8 {
+        match random.next_u32() % 12 {
             0 => region.store.apply(platform_fault(random)),
             1 => region.list.apply(platform_fault(random)),
             2 => {
@@ -151,7 +152,7 @@
                 region.services[&pick(random, &services)].apply(lost);
             }
             3 => region.store.apply(Fault::Clear),
-            4 | 5 => engine.apply(Fault::Clear),
+            4..7 => engine.apply(Fault::Clear),
             _ => engine.apply(engine_fault(random, &entries)),
         }
         if number == FAULTS / 2 {
