Doubt the ownership after a pause, and go on asking lost holders

Now an owner that had no event for a second gives no grant before a fencing order sent after the pause is accepted, or, where numbers are ignored, before a report taken after it shows no newer copy; and a new owner goes on asking holders that are gone, more seldom, until their grants have ended, so that one that was only paused steps down. The check that short work never waits beside a free place leaves out owners in doubt, and a new one demands that doubt ends. Ruled out: waiting for the longest grant (5 minutes) after each death before older copies are evicted, which would fill the slots of every upstream that was taken over.

--- a/crates/decisions/src/owner/mod.rs
+++ b/crates/decisions/src/owner/mod.rs
@@ -36,7 +36,8 @@
 //! only when no former owner can unload them, and evicted only when every grant on them is
 //! accounted for. An owner steps down when an order is refused for its number, when a report
 //! shows a newer owner's copy, or when a newer owner asks for grants; then it lets its last
-//! unload be answered before its grants are announced.
+//! unload be answered before its grants are announced. An owner that was paused gives no grant
+//! before an order is accepted anew, or a later report shows no newer copy.
 //!
 //! On upstreams that check fencing numbers these rules hold whatever is paused or cut off. On
 //! upstreams that don't, a former owner that never hears of its successor can still unload
@@ -49,6 +50,7 @@
 mod action;
 mod copies;
 mod copy;
+mod doubt;
 mod dump;
 mod endings;
 mod event;
--- a/crates/decisions/src/owner/owned.rs
+++ b/crates/decisions/src/owner/owned.rs
@@ -10,6 +10,7 @@
 
 use super::copies::Copies;
 use super::copy::{Copy, CopyState};
+use super::doubt::Doubt;
 use super::endings::{Ending, Endings};
 use super::grants::Grants;
 use super::load_failures::LoadFailures;
@@ -54,6 +55,8 @@
     pub fenced_at: Option<UnixMs>,
     /// When the next fencing order is due, for upstreams that check.
     pub next_fence_at: UnixMs,
+    /// Whether this is still the owner, after a pause.
+    pub doubt: Doubt,
     /// Whether every slot's use is known.
     pub slots_known: bool,
     /// When it became owned.
@@ -100,6 +103,7 @@
             reconciliation: Reconciliation::complete(now),
             fenced_at: None,
             next_fence_at: now,
+            doubt: Doubt::default(),
             slots_known: true,
             owned_at: now,
             leaving: false,
@@ -259,6 +263,14 @@
         }
     }
 
+    /// Doubts the ownership after a pause that began at `paused_at`.
+    pub fn on_pause(&mut self, now: UnixMs, paused_at: UnixMs) {
+        if self.owned_at <= paused_at {
+            self.doubt.begin(now);
+            self.next_fence_at = now;
+        }
+    }
+
     /// Answers waiting requests that another instance is the owner now.
     pub fn stop_serving(&mut self, out: &mut Vec<OwnerAction>) {
         for waiting in self.queue.take_all() {
--- a/crates/decisions/src/owner/owned_grants.rs
+++ b/crates/decisions/src/owner/owned_grants.rs
@@ -137,7 +137,7 @@
 
     /// Grants every request that can start now.
     pub fn grant_ready(&mut self, now: UnixMs, out: &mut Vec<OwnerAction>) {
-        if !self.takes_work(now) {
+        if !self.takes_work(now) || self.doubt.is_open() {
             return;
         }
         while let Some((key, copy)) = self.next_grantable(now) {
--- a/crates/decisions/src/owner/owned_orders.rs
+++ b/crates/decisions/src/owner/owned_orders.rs
@@ -131,6 +131,7 @@
         if epoch != self.epoch {
             return;
         }
+        self.doubt.on_fence_answered(result.is_ok());
         match result {
             Ok(()) => {
                 self.on_order_accepted(now);
@@ -149,12 +150,14 @@
     /// number when it is due.
     pub fn repeat_orders(&mut self, now: UnixMs, out: &mut Vec<OwnerAction>) {
         self.give_up_answers(now, out);
+        self.doubt.on_tick(now, self.settings.order_timeout_ms);
         let retry_ms = self.settings.order_retry_ms;
         for name in self.copies.older(CopyState::UnloadLost, now, retry_ms) {
             self.start_unload(now, &name, out);
         }
         if self.shape.checks_fencing && now >= self.next_fence_at {
             self.next_fence_at = now + self.settings.fence_interval_ms;
+            self.doubt.on_fence_sent(now);
             out.push(OwnerAction::Fence {
                 upstream: self.name().clone(),
                 epoch: self.epoch,
--- a/crates/decisions/src/owner/owned_reports.rs
+++ b/crates/decisions/src/owner/owned_reports.rs
@@ -20,6 +20,10 @@
         self.take_in_listed(now, report, &listed);
         self.note_unused(now, report, &listed);
         self.check_slots_known(report);
+        if !self.shape.checks_fencing {
+            let margin_ms = self.settings.clock_margin_ms;
+            self.doubt.on_report(report.taken_at_unix_ms, margin_ms);
+        }
         self.started_at = Some(report.started_at_unix_ms);
         self.draining = report.draining;
         if self.draining {
--- a/crates/decisions/src/owner/owned_succession.rs
+++ b/crates/decisions/src/owner/owned_succession.rs
@@ -104,7 +104,7 @@
     pub fn may_evict_foreign(&self, copy: &Copy, now: UnixMs) -> bool {
         let reconciliation = &self.reconciliation;
         let needs_proof_after = match reconciliation.complete_at {
-            Some(_) if !reconciliation.lost_a_holder => return true,
+            Some(_) if !reconciliation.has_lost_holder() => return true,
             Some(complete_at) => complete_at,
             None => reconciliation.grants_end_at,
         };
--- a/crates/decisions/src/owner/reconciliation.rs
+++ b/crates/decisions/src/owner/reconciliation.rs
@@ -4,6 +4,9 @@
 
 use monsoonspread_model::{InstanceName, UnixMs};
 
+/// How many times longer lost holders alone wait to be asked again.
+const LOST_RETRIES: u64 = 4;
+
 /// Which instances have not yet reported their grants on one upstream.
 #[derive(Debug)]
 pub(super) struct Reconciliation {
@@ -12,8 +15,7 @@
     next_ask_at: UnixMs,
     /// When every grant of a former owner has ended.
     pub grants_end_at: UnixMs,
-    /// Whether an instance went away without reporting.
-    pub lost_a_holder: bool,
+    lost: BTreeSet<InstanceName>,
     /// Since when every instance has reported or is gone.
     pub complete_at: Option<UnixMs>,
 }
@@ -26,7 +28,7 @@
             asked_any: false,
             next_ask_at: now,
             grants_end_at: now,
-            lost_a_holder: false,
+            lost: BTreeSet::new(),
             complete_at: Some(now),
         }
     }
@@ -40,7 +42,7 @@
             silent,
             next_ask_at: now,
             grants_end_at,
-            lost_a_holder: false,
+            lost: BTreeSet::new(),
         }
     }
 
@@ -49,13 +51,19 @@
         self.complete_at.is_some()
     }
 
+    /// Whether an instance went away without reporting.
+    pub fn has_lost_holder(&self) -> bool {
+        !self.lost.is_empty()
+    }
+
     /// Whether every instance has reported, so that former owners have stepped down.
     pub fn is_answered_by_all(&self) -> bool {
-        self.asked_any && self.is_complete() && !self.lost_a_holder
+        self.asked_any && self.is_complete() && !self.has_lost_holder()
     }
 
     /// Takes in that an instance reported. Returns whether this was the last one.
     pub fn on_announced(&mut self, now: UnixMs, instance: &InstanceName) -> bool {
+        self.lost.remove(instance);
         self.silent.remove(instance) && self.check_complete(now)
     }
 
@@ -64,17 +72,25 @@
         if !self.silent.remove(instance) {
             return false;
         }
-        self.lost_a_holder = true;
+        self.lost.insert(instance.clone());
         self.check_complete(now)
     }
 
     /// The instances to ask now, none when it is not time.
+    ///
+    /// Those that are gone are asked too, more seldom: one that was only paused learns that it
+    /// has a successor.
     pub fn ask(&mut self, now: UnixMs, retry_ms: u64) -> Vec<InstanceName> {
-        if self.silent.is_empty() || now < self.next_ask_at {
+        if now < self.next_ask_at || now >= self.grants_end_at {
             return Vec::new();
         }
-        self.next_ask_at = now + retry_ms;
-        self.silent.iter().cloned().collect()
+        let retries = if self.silent.is_empty() {
+            LOST_RETRIES
+        } else {
+            1
+        };
+        self.next_ask_at = now + retry_ms * retries;
+        self.silent.union(&self.lost).cloned().collect()
     }
 
     fn check_complete(&mut self, now: UnixMs) -> bool {
--- a/crates/decisions/src/owner/set.rs
+++ b/crates/decisions/src/owner/set.rs
@@ -37,6 +37,7 @@
     pub(super) budget: LoadBudget,
     pub(super) peers: BTreeSet<InstanceName>,
     pub(super) next_budget_ask_at: UnixMs,
+    pub(super) settled_at: Option<UnixMs>,
     pub(super) load_waits: LoadWaits,
     pub(super) rng: ChaCha8Rng,
 }
@@ -58,6 +59,7 @@
             exits: BTreeMap::new(),
             peers: BTreeSet::new(),
             next_budget_ask_at: UnixMs(0),
+            settled_at: None,
             load_waits: LoadWaits::default(),
             rng: ChaCha8Rng::seed_from_u64(seed),
         }
@@ -230,13 +232,28 @@
         upstream: &UpstreamName,
         out: &mut Vec<OwnerAction>,
     ) {
+        self.check_pause(now);
         if let Some(owned) = self.serving(upstream) {
             owned.grant_ready(now, out);
         }
         self.start_loads(now, out);
     }
 
+    /// Doubts every ownership when nothing happened for so long that this instance was paused.
+    fn check_pause(&mut self, now: UnixMs) {
+        let Some(paused_at) = self.settled_at.replace(now) else {
+            return;
+        };
+        if now.ms_since(paused_at) < self.settings.pause_ms {
+            return;
+        }
+        for owned in self.owned.values_mut() {
+            owned.on_pause(now, paused_at);
+        }
+    }
+
     fn settle_all(&mut self, now: UnixMs, out: &mut Vec<OwnerAction>) {
+        self.check_pause(now);
         for (name, owned) in &mut self.owned {
             if !self.exits.contains_key(name) {
                 owned.grant_ready(now, out);
--- a/crates/decisions/src/owner/settings.rs
+++ b/crates/decisions/src/owner/settings.rs
@@ -56,6 +56,8 @@
     pub order_retry_ms: u64,
     /// How long an answer to an order is waited for before it is taken as lost.
     pub order_timeout_ms: u64,
+    /// Time without an event after which an owner takes itself as having been paused.
+    pub pause_ms: u64,
     /// How often an owner shows its number to an upstream that checks it.
     pub fence_interval_ms: u64,
     /// How far clocks of instances and upstreams may differ.
@@ -109,6 +111,7 @@
             fence_retry_ms: 250,
             order_retry_ms: 1_000,
             order_timeout_ms: 15_000,
+            pause_ms: 1_000,
             fence_interval_ms: 2_000,
             clock_margin_ms: 500,
             unreachable_ms: 500,
--- a/crates/decisions/src/owner/tests/fixture.rs
+++ b/crates/decisions/src/owner/tests/fixture.rs
@@ -57,6 +57,7 @@
         load_burst: 1_000.0,
         loads_in_transit: 100,
         loads_in_transit_per_upstream: 100,
+        pause_ms: u64::MAX,
         ..OwnerSettings::default()
     }
 }
--- a/crates/decisions/src/owner/tests/holder.rs
+++ b/crates/decisions/src/owner/tests/holder.rs
@@ -26,6 +26,8 @@
     pub waiting: BTreeMap<RequestId, GrantRequest>,
     pub running: Vec<HeldGrant>,
     pub gone: bool,
+    /// Until when it does nothing; what it runs goes on.
+    pub paused_until: UnixMs,
 }
 
 impl Holder {
--- a/crates/decisions/src/owner/tests/interleavings.rs
+++ b/crates/decisions/src/owner/tests/interleavings.rs
@@ -19,6 +19,7 @@
 
 fn short_lived() -> OwnerSettings {
     OwnerSettings {
+        pause_ms: 1_000,
         grant_min_ms: 5_000,
         grant_max_ms: 10_000,
         ..settings()
@@ -53,6 +54,7 @@
         let starved = owned.queue.iter().find(|row| {
             row.request.class == RequestClass::Short
                 && owned.takes_work(world.now)
+                && !owned.doubt.is_open()
                 && !owner.exits.contains_key(&engine())
                 && row.in_time(world.now, owned.first_token_ms(world.now))
                 && owned.usable_copy(&row.request.adapter).is_some()
@@ -74,6 +76,7 @@
     };
     assert_eq!(owned.queue.len(), 0, "seed {seed}: requests wait for ever");
     assert_eq!(owned.grants.len(), 0, "seed {seed}: grants are lost");
+    assert!(!owned.doubt.is_open(), "seed {seed}: in doubt for ever");
     let known = owned.copies.iter().all(|(_, copy)| copy.is_loaded());
     assert!(known, "seed {seed}: {:?}", owned.copies);
 }
@@ -139,3 +142,22 @@
         check_calm(world, seed);
     }
 }
+
+#[test]
+fn a_holder_that_is_paused_and_taken_as_gone() {
+    for seed in 0..RUNS {
+        let world = run(seed, seed % 2 == 0, true, |world| world.pause(1, 2_500));
+        check_calm(world, seed);
+    }
+}
+
+#[test]
+fn a_takeover_from_an_owner_that_is_paused_and_taken_as_gone() {
+    for seed in 0..RUNS {
+        let world = run(seed, seed % 2 == 0, true, |world| {
+            world.own(1, OwnOrigin::Takeover);
+            world.pause(0, 2_500);
+        });
+        check_calm(world, seed);
+    }
+}
