Keep a copy until its engine has noticed a cut

Cause: copy_of_a_cancelled_request_is_not_evicted_under_it failed once on a busy machine (1 pin violation): a cancelled generation's grant went back at once, and the unload that followed reached the engine before the closed connection did. A copy with a cancelled or broken generation is now evicted only after a later report shows it unused, or after 10 s.

--- a/crates/decisions/src/owner/owned_loads.rs
+++ b/crates/decisions/src/owner/owned_loads.rs
@@ -101,6 +101,7 @@
         copy.is_loaded()
             && now >= copy.keep_until
             && self.grants.pins(name) == 0
+            && !copy.may_run_cut_off(now, self.settings.clock_margin_ms)
             && self.is_accounted_for(name, copy, now)
             && !(self.queue.wants(&name.adapter) && self.usable_copy(&name.adapter) == Some(name))
     }
