Refuse at once what silent holders keep from being loaded

Cause: on an engine whose every slot holds copies of a former owner, and while a dead instance is still listed as one that could hold grants, the new owner can't evict before every grant has ended, up to 300 s.

Ruled out: a missed heal of the stand-ins, since the dump shows the engine taking work, unreconciled, with four copies of the older epoch and no pins.

A slot is now expected when the last of those grants has ended, once the holders were silent for a second and no copy is known to be free of them, so the request is refused as not run at once and goes to its next candidate. What may be evicted is unchanged.

--- a/crates/decisions/src/owner/owned_estimates.rs
+++ b/crates/decisions/src/owner/owned_estimates.rs
@@ -11,6 +11,8 @@
 const RETRY_MIN_MS: u64 = 100;
 /// Latest time after which a refused request may come back.
 const RETRY_MAX_MS: u64 = 5_000;
+/// Time after which holders that have not announced their grants are taken to stay silent.
+const SILENT_HOLDERS_MS: u64 = 1_000;
 /// Multiplier that spreads requests which come back (2^64 divided by the golden ratio).
 const SPREAD: u64 = 0x9E37_79B9_7F4A_7C15;
 
@@ -37,6 +39,22 @@
         (hold_ms * (ahead + 1) as f64 / f64::from(shares.of(class))) as u64
     }
 
+    /// How long until a slot can be freed, when none can be freed now.
+    ///
+    /// Where unknown grants of former owners can be on every copy and the holders stay silent,
+    /// that is when the last of those grants has ended.
+    pub fn slot_wait_ms(&self, now: UnixMs) -> u64 {
+        let usual_ms = self.hold_ms[0] as u64;
+        let grants_end_ms = self.reconciliation.grants_end_at.ms_since(now);
+        let silent_ms = self.settings.grant_max_ms.saturating_sub(grants_end_ms);
+        let may_be_known_soon = self.reconciliation.is_complete() || silent_ms < SILENT_HOLDERS_MS;
+        let is_known = |(name, copy)| self.is_accounted_for(name, copy, now);
+        if may_be_known_soon || self.copies.iter().any(is_known) {
+            return usual_ms;
+        }
+        usual_ms.max(grants_end_ms)
+    }
+
     /// How long until a load that was ordered for `adapter` ends, when one was.
     pub fn loading_ms(&self, adapter: &AdapterRef, now: UnixMs) -> Option<u64> {
         let copy = self
--- a/crates/decisions/src/owner/owned_loads.rs
+++ b/crates/decisions/src/owner/owned_loads.rs
@@ -106,7 +106,7 @@
     }
 
     /// Whether no unknown grant can be on a copy. Never so for a newer owner's.
-    fn is_accounted_for(&self, name: &CopyName, copy: &Copy, now: UnixMs) -> bool {
+    pub fn is_accounted_for(&self, name: &CopyName, copy: &Copy, now: UnixMs) -> bool {
         match name.epoch.cmp(&self.epoch) {
             Ordering::Less => self.may_evict_foreign(copy, now),
             Ordering::Equal => true,
--- a/crates/decisions/src/owner/set_budget.rs
+++ b/crates/decisions/src/owner/set_budget.rs
@@ -121,7 +121,7 @@
         let weight = owned.load_weight(adapter, now);
         let slot_wait_ms = match owned.has_room_for(weight, now) {
             true => 0,
-            false => owned.hold_ms[0] as u64,
+            false => owned.slot_wait_ms(now),
         };
         let load_ms = owned.load_ms as u64;
         let heavier = self.heavier_loads(now, weight);
--- a/crates/decisions/src/owner/tests/succession.rs
+++ b/crates/decisions/src/owner/tests/succession.rs
@@ -290,3 +290,12 @@
     let mut owner = fresh(2, 8, settings());
     assert!(steps_down(&owner.on_drain(START, &[])) && owner.is_empty());
 }
+
+#[test]
+fn a_request_is_refused_at_once_while_silent_holders_keep_every_slot() {
+    let mut owner = taken_over(1, true, true);
+    let early = owner.on_request(START + 10, &entry(), request(1, "b"));
+    assert!(!refused(&early, 1), "the holders may answer soon");
+    let late = owner.on_request(START + 1_500, &entry(), request(2, "c"));
+    assert!(refused(&late, 2), "{late:?}");
+}
