--- a/crates/standin/src/run.rs
+++ b/crates/standin/src/run.rs
@@ -13,11 +13,11 @@
 
 use crate::cli::{Command, Listen};
 use crate::control::{Control, Controlled};
-use crate::engine::Engine;
+use crate::engine::{Engine, EngineSettings};
 use crate::fleet::Fleet;
 use crate::instances::Instances;
 use crate::server::{Running, StandIn};
-use crate::service::Service;
+use crate::service::{Service, ServiceSettings};
 use crate::store::Store;
 use crate::weights::{HttpWeights, Weights};
 
@@ -80,12 +80,16 @@
         }
         Command::Engine { weights, listen } => {
             let source = Arc::new(HttpWeights::new(weights));
-            let engine = Engine::start_at(settings(&listen)?, source, listen.listen).await?;
-            serve("engine", engine, &listen, None).await
+            let settings: EngineSettings = settings(&listen)?;
+            let name = settings.name.clone();
+            let engine = Engine::start_at(settings, source, listen.listen).await?;
+            serve(&name, engine, &listen, None).await
         }
         Command::Service(listen) => {
-            let service = Service::start_at(settings(&listen)?, listen.listen).await?;
-            serve("service", service, &listen, None).await
+            let settings: ServiceSettings = settings(&listen)?;
+            let name = settings.name.clone();
+            let service = Service::start_at(settings, listen.listen).await?;
+            serve(&name, service, &listen, None).await
         }
         Command::All { plan } => {
             let fleet = Fleet::start(&read(&plan)?).await?;
--- a/scripts/local.sh
+++ b/scripts/local.sh
@@ -153,6 +153,9 @@
   echo "  curl http://${callers[0]}/v1/chat/completions -H 'authorization: Bearer sample-bench-key' \\"
   echo "    -d '{\"model\":\"needle-0000\",\"max_tokens\":16,\"messages\":[{\"role\":\"user\",\"content\":\"Read the note.\"}]}'"
   echo "  $bin/monsoonspread-ctl dump ${operators[0]}"
+  echo "Slow an engine down, and set it right:"
+  echo "  curl http://$(control_of engine-1-1)/faults/engine-1-1 -d '{\"fault\":\"slow\",\"factor\":5}'"
+  echo "  curl http://$(control_of engine-1-1)/faults/engine-1-1 -d '{\"fault\":\"clear\"}'"
   echo "Stop it:"
   echo "  scripts/local.sh stop $dir"
 }
