Test that a paused owner waits for proof

Cause: with the doubt removed in a scratch copy every test still passed, since asking lost holders already mends the interleaving that had failed. Seen failing with the doubt removed: both tests of a paused owner; with the doubt ended by any accepted fencing order, also one sent before the pause: the test on a checking engine. With lost holders not asked, the takeover from a paused owner fails.

--- a/crates/decisions/src/owner/tests/mod.rs
+++ b/crates/decisions/src/owner/tests/mod.rs
@@ -6,6 +6,7 @@
 mod holder;
 mod interleavings;
 mod loads;
+mod pauses;
 mod queues;
 mod succession;
 mod world;
