--- a/crates/decisions/src/dispatch/tests/world.rs
+++ b/crates/decisions/src/dispatch/tests/world.rs
@@ -23,6 +23,7 @@
     pub(super) results: BTreeMap<RequestId, Result<(), Refusal>>,
     pub(super) generated: Vec<(RequestId, UpstreamName, bool)>,
     pub(super) hedges: usize,
+    pub(super) loads_allowed: Vec<bool>,
     pub(super) crashes_spread: usize,
     may_have_run: BTreeSet<RequestId>,
     adapters: BTreeMap<RequestId, AdapterRef>,
@@ -52,6 +53,7 @@
             results: BTreeMap::new(),
             generated: Vec::new(),
             hedges: 0,
+            loads_allowed: Vec::new(),
             crashes_spread: 0,
             may_have_run: BTreeSet::new(),
             adapters: BTreeMap::new(),
@@ -170,6 +172,7 @@
         match action {
             DispatchAction::Ask(ask) => {
                 assert_eq!(Some(&ask.adapter), self.adapters.get(&ask.request));
+                self.loads_allowed.push(ask.may_load);
                 self.asks.push((ask.request, ask.upstream));
             }
             DispatchAction::Generate {
--- a/crates/decisions/src/owner/set.rs
+++ b/crates/decisions/src/owner/set.rs
@@ -15,7 +15,7 @@
 use super::load_budget::LoadBudget;
 use super::owned::Owned;
 use super::request_key::RequestKey;
-use super::{LoadWaits, OwnerAction, OwnerDump, OwnerSettings, Speed};
+use super::{OwnerAction, OwnerDump, OwnerSettings, Speed};
 
 /// Every upstream that one entry instance owns, and the instance's share of the weight store.
 ///
@@ -38,7 +38,6 @@
     pub(super) peers: BTreeSet<InstanceName>,
     pub(super) next_budget_ask_at: UnixMs,
     pub(super) settled_at: Option<UnixMs>,
-    pub(super) load_waits: LoadWaits,
     pub(super) rng: ChaCha8Rng,
 }
 
@@ -60,7 +59,6 @@
             peers: BTreeSet::new(),
             next_budget_ask_at: UnixMs(0),
             settled_at: None,
-            load_waits: LoadWaits::default(),
             rng: ChaCha8Rng::seed_from_u64(seed),
         }
     }
@@ -215,7 +213,7 @@
         for owned in self.owned.values_mut() {
             owned.endings.sweep(now);
             owned.expire_grants(now, &mut out);
-            owned.refuse_late(now, &mut self.load_waits, &mut out);
+            owned.refuse_late(now, &mut out);
             owned.ask_holders(now, &mut out);
             owned.repeat_orders(now, &mut out);
         }
