--- a/crates/decisions/src/owner/tests/mod.rs
+++ b/crates/decisions/src/owner/tests/mod.rs
@@ -1,5 +1,6 @@
 //! Tests of the owner.
 
+mod envelope;
 mod fake_engine;
 mod fixture;
 mod grants;
--- a/crates/decisions/src/owner/tests/world.rs
+++ b/crates/decisions/src/owner/tests/world.rs
@@ -7,6 +7,7 @@
 };
 use monsoonspread_model::{Epoch, InstanceName, LoadReport, RequestClass, UnixMs};
 
+use super::envelope::Envelope;
 use super::fake_engine::{FakeEngine, Order};
 use super::fixture::{START, ended, engine, request};
 use super::holder::{Holder, Reaction, copy_of};
@@ -19,14 +20,6 @@
 /// Places in the engine's batch.
 pub const PLACES: u32 = 4;
 
-/// A message on its way.
-struct Envelope {
-    from: usize,
-    to: usize,
-    message: MeshMessage,
-    sent_at: UnixMs,
-}
-
 /// Everything, with what was seen of it.
 pub struct World {
     pub now: UnixMs,
