--- a/crates/decisions/src/ownership/machine.rs
+++ b/crates/decisions/src/ownership/machine.rs
@@ -4,8 +4,8 @@
 
 use monsoonspread_model::message::Health;
 use monsoonspread_model::{
-    Epoch, InstanceKind, InstanceName, ListedInstance, OwnershipTable, Succession, UnixMs,
-    UpstreamName, ZoneName,
+    Epoch, InstanceKind, InstanceName, InstanceState, ListedInstance, OwnershipTable, Succession,
+    UnixMs, UpstreamName, ZoneName,
 };
 
 use super::owned::Owned;
@@ -27,8 +27,10 @@
     writer: Writer,
     upstreams: BTreeSet<UpstreamName>,
     leaving: bool,
-    /// Whether anything changed since owners and table were worked out last.
+    /// Whether anything changed since the owners were worked out last.
     changed: bool,
+    /// When something changed first since the table was planned last.
+    plan_since: Option<UnixMs>,
 }
 
 impl Ownership {
@@ -53,6 +55,7 @@
             upstreams: BTreeSet::new(),
             leaving: false,
             changed: true,
+            plan_since: None,
         }
     }
 
@@ -77,9 +80,8 @@
         now: UnixMs,
         members: &[(InstanceName, Health)],
     ) -> Vec<OwnershipAction> {
-        self.view
-            .set_members(now, members, self.settings.unheard_ms);
-        self.changed = true;
+        let unheard_ms = self.settings.unheard_ms;
+        self.changed |= self.view.set_members(now, members, unheard_ms);
         self.follow(now)
     }
 
@@ -91,9 +93,10 @@
             .map(|row| UpstreamName::from(row.name.as_str()))
             .collect();
         let entries = listed.iter().filter(|row| row.kind == InstanceKind::Entry);
-        self.owned.holders = entries
-            .map(|row| InstanceName::from(row.name.as_str()))
-            .collect();
+        let name = |row: &ListedInstance| InstanceName::from(row.name.as_str());
+        self.owned.holders = entries.clone().map(name).collect();
+        let live = entries.filter(|row| row.zone == self.zone && row.state == InstanceState::Live);
+        self.view.set_listed(now, live.map(name).collect());
         self.changed = true;
         self.follow(now)
     }
@@ -251,7 +254,9 @@
             self.view.advance(now);
             self.changed = true;
         }
-        self.follow(now)
+        let mut actions = self.follow(now);
+        actions.extend(self.write_if_due(now));
+        actions
     }
 
     /// What this instance knows and holds.
@@ -327,23 +332,30 @@
         if self.leaving || !self.view.knows_members() {
             return Vec::new();
         }
-        let mut actions = Vec::new();
-        if self.changed || self.owned.awaits_handover() {
-            actions.extend(self.owned.follow(now, &self.view));
-        }
-        if !self.owned.has_first_epoch() {
-            return actions;
+        if !self.changed && !self.owned.awaits_handover() {
+            return Vec::new();
         }
         if std::mem::replace(&mut self.changed, false) {
+            self.plan_since.get_or_insert(now);
+        }
+        self.owned.follow(now, &self.view)
+    }
+
+    /// Plans the table anew when something changed, and writes the one that is wanted.
+    fn write_if_due(&mut self, now: UnixMs) -> Vec<OwnershipAction> {
+        if self.leaving || !self.owned.has_first_epoch() {
+            return Vec::new();
+        }
+        if let Some(since) = self.plan_since.take() {
             let table = self.plan(now);
-            self.writer.want(now, table);
+            self.writer.want(since, table);
         }
-        if !self.writer.wants() {
-            return actions;
+        if !self.writer.may_write(now) {
+            return Vec::new();
         }
         let delay_ms = self.delay_ms(now);
-        actions.extend(self.writer.write_if_due(now, delay_ms));
-        actions
+        let write = self.writer.write_if_due(now, delay_ms);
+        write.into_iter().collect()
     }
 
     /// The table that fits what is known now, unless the one in force does.
--- a/crates/decisions/src/ownership/settings.rs
+++ b/crates/decisions/src/ownership/settings.rs
@@ -15,7 +15,8 @@
     pub store_retry_ms: u64,
     /// How long a successor waits for the handover of an owner that leaves as planned.
     pub handover_wait_ms: u64,
-    /// How long a member of the table may stay unheard of before it counts as gone.
+    /// How long a member of the table that is not listed may stay unheard of before it counts
+    /// as gone.
     pub unheard_ms: u64,
 }
 
@@ -28,7 +29,7 @@
             minority_settle_ms: 5_000,
             store_retry_ms: 1_000,
             handover_wait_ms: 500,
-            unheard_ms: 3_000,
+            unheard_ms: 15_000,
         }
     }
 }
--- a/crates/decisions/src/ownership/view.rs
+++ b/crates/decisions/src/ownership/view.rs
@@ -11,6 +11,8 @@
     own: InstanceName,
     pub(super) table: OwnershipTable,
     health: BTreeMap<InstanceName, Health>,
+    /// Instances that the platform's list names as live; counts for those not heard of yet.
+    listed: BTreeSet<InstanceName>,
     /// Instances whose places in the table are void, since they restarted after it.
     pub(super) lapsed: BTreeSet<InstanceName>,
     /// Lowest fencing number that is still in force, by upstream.
@@ -28,6 +30,7 @@
             own,
             table,
             health: BTreeMap::new(),
+            listed: BTreeSet::new(),
             lapsed: BTreeSet::new(),
             floors: BTreeMap::new(),
             former: BTreeMap::new(),
@@ -38,14 +41,19 @@
     }
 
     /// Takes the members; those of the table that are missing count as gone `unheard_ms` later.
+    /// True when that can change who owns what.
     pub(super) fn set_members(
         &mut self,
         now: UnixMs,
         members: &[(InstanceName, Health)],
         unheard_ms: u64,
-    ) {
+    ) -> bool {
+        let first = self.unheard_until.is_none();
         self.unheard_until.get_or_insert(now + unheard_ms);
-        self.health = members.iter().cloned().collect();
+        let before = std::mem::replace(&mut self.health, members.iter().cloned().collect());
+        if !first && same_but_for_suspicion(&before, &self.health) {
+            return false;
+        }
         for (member, health) in members {
             if *health == Health::Leaving {
                 self.leaving_since.entry(member.clone()).or_insert(now);
@@ -54,6 +62,13 @@
             }
         }
         self.advance(now);
+        true
+    }
+
+    /// Takes the zone's instances that the platform's list names as live.
+    pub(super) fn set_listed(&mut self, now: UnixMs, listed: BTreeSet<InstanceName>) {
+        self.listed = listed;
+        self.advance(now);
     }
 
     /// True once, when members of the table that are still unheard of begin to count as gone.
@@ -145,19 +160,18 @@
     pub(super) fn is_live(&self, now: UnixMs, instance: &InstanceName) -> bool {
         match self.health.get(instance) {
             Some(health) => matches!(health, Health::Alive | Health::Suspect),
-            None => *instance == self.own || self.unheard_until.is_none_or(|until| now < until),
+            None => {
+                let waits = self.unheard_until.is_none_or(|until| now < until);
+                waits || *instance == self.own || self.listed.contains(instance)
+            }
         }
     }
 
     /// Members that answer, and members of the table that may still turn up.
     pub(super) fn live(&self, now: UnixMs) -> BTreeSet<InstanceName> {
-        let alive = self
-            .health
-            .iter()
-            .filter(|(_, health)| **health == Health::Alive)
-            .map(|(member, _)| member);
+        let heard = self.health.keys();
         let known = self.table.members.iter();
-        alive
+        heard
             .chain(known)
             .chain([&self.own])
             .filter(|member| self.is_live(now, member))
@@ -184,3 +198,19 @@
         self.leaving_since.get(former).copied()
     }
 }
+
+/// Whether both name the same members, each as live, leaving or dead.
+fn same_but_for_suspicion(
+    one: &BTreeMap<InstanceName, Health>,
+    other: &BTreeMap<InstanceName, Health>,
+) -> bool {
+    let coarse = |health: &Health| match health {
+        Health::Alive | Health::Suspect => Health::Alive,
+        Health::Leaving | Health::Dead => *health,
+    };
+    one.len() == other.len()
+        && one
+            .iter()
+            .zip(other)
+            .all(|(one, other)| one.0 == other.0 && coarse(one.1) == coarse(other.1))
+}
--- a/crates/decisions/src/ownership/writer.rs
+++ b/crates/decisions/src/ownership/writer.rs
@@ -67,13 +67,13 @@
         self.retry_at = retry_at;
     }
 
-    /// Sets the table to write; one that stays the same keeps its waiting time.
-    pub(super) fn want(&mut self, now: UnixMs, table: Option<OwnershipTable>) {
+    /// Sets the table that is wanted since a time; one that stays the same keeps its own time.
+    pub(super) fn want(&mut self, since: UnixMs, table: Option<OwnershipTable>) {
         let before = self.wanted.take();
         self.wanted = table.map(|table| {
             let since_unix_ms = before
                 .filter(|before| before.table == table)
-                .map_or(now, |before| before.since_unix_ms);
+                .map_or(since, |before| before.since_unix_ms);
             Wanted {
                 table,
                 since_unix_ms,
@@ -81,8 +81,9 @@
         });
     }
 
-    pub(super) fn wants(&self) -> bool {
-        self.wanted.is_some()
+    /// Whether a table is wanted and a call may be made.
+    pub(super) fn may_write(&self, now: UnixMs) -> bool {
+        self.wanted.is_some() && self.is_ready(now)
     }
 
     /// Writes the wanted table once it has waited for `delay_ms`.
