--- a/crates/decisions/src/dispatch/asks.rs
+++ b/crates/decisions/src/dispatch/asks.rs
@@ -1,7 +1,7 @@
 //! Asking owners for grants and taking their answers.
 
 use monsoonspread_model::message::{GrantAnswer, GrantId, GrantReply, HeldGrant, RequestId};
-use monsoonspread_model::{CopyName, Epoch, Refusal, UnixMs, UpstreamName};
+use monsoonspread_model::{CopyName, Epoch, Refusal, RefusalReason, UnixMs, UpstreamName};
 
 use super::action::{DispatchAction, DispatchEvent};
 use super::attempt::{Attempt, AttemptId};
@@ -171,7 +171,31 @@
             state.refusal = Some(refusal.clone());
         }
         if state.is_waiting() {
-            self.retry(now, reply.request, actions);
+            let may_load = is_of_the_upstream(refusal.reason);
+            self.retry(now, reply.request, may_load, actions);
+        }
+    }
+
+    /// Asks for the same upstream again, as its owner may be changing, and then for another.
+    pub(super) fn on_not_owner(
+        &mut self,
+        now: UnixMs,
+        reply: &GrantReply,
+        actions: &mut Vec<DispatchAction>,
+    ) {
+        let Some(state) = self.requests.get_mut(&reply.request) else {
+            return;
+        };
+        let Some(ask) = state.ask_of(&reply.upstream) else {
+            return;
+        };
+        ask.not_owner_replies += 1;
+        if ask.not_owner_replies <= self.settings.max_not_owner_retries {
+            return self.ask_again(now, reply.request, &reply.upstream);
+        }
+        state.take_ask(&reply.upstream);
+        if state.is_waiting() {
+            self.retry(now, reply.request, true, actions);
         }
     }
 
@@ -190,6 +214,7 @@
         &mut self,
         now: UnixMs,
         request: RequestId,
+        may_load: bool,
         actions: &mut Vec<DispatchAction>,
     ) {
         let Some(state) = self.requests.get(&request) else {
@@ -198,7 +223,7 @@
         if state.untried.is_empty() || !self.retries.spend() {
             return;
         }
-        if let Some(upstream) = self.ask_next(now, request, true, actions) {
+        if let Some(upstream) = self.ask_next(now, request, may_load, actions) {
             let event = DispatchEvent::Retried { request, upstream };
             actions.push(DispatchAction::Event(event));
         }
@@ -222,6 +247,7 @@
             upstream: upstream.clone(),
             answer_deadline: Some(now + self.settings.ask_timeout_ms),
             again_at: None,
+            not_owner_replies: 0,
             expected_at: None,
             may_load,
         });
@@ -230,3 +256,12 @@
         Some(upstream)
     }
 }
+
+/// Whether a refusal is about the one upstream, so that a load elsewhere helps. For lack of
+/// time or places it would only cost the region a second load.
+fn is_of_the_upstream(reason: RefusalReason) -> bool {
+    matches!(
+        reason,
+        RefusalReason::LoadFailed | RefusalReason::Unavailable | RefusalReason::Draining
+    )
+}
--- a/crates/decisions/src/owner/dump.rs
+++ b/crates/decisions/src/owner/dump.rs
@@ -4,7 +4,7 @@
 use serde::Serialize;
 
 use super::owned::Owned;
-use super::{OwnerSet, Speed};
+use super::{LoadWaits, OwnerSet, Speed};
 
 /// The state of an [`OwnerSet`].
 #[derive(Clone, Debug, PartialEq, Serialize)]
@@ -13,6 +13,8 @@
     pub load_rate_per_s: f64,
     /// Loads in transit.
     pub loads_in_transit: usize,
+    /// Requests that waited for loads since the process started.
+    pub load_waits: LoadWaits,
     /// Owned upstreams.
     pub upstreams: Vec<OwnedDump>,
 }
@@ -66,7 +68,8 @@
     pub(super) fn new(set: &OwnerSet, now: UnixMs) -> Self {
         Self {
             load_rate_per_s: set.budget.rate_per_s(),
-            loads_in_transit: set.in_transit(),
+            loads_in_transit: set.in_transit(now),
+            load_waits: LoadWaits::sum(set.owned.values().map(|owned| &owned.load_waits)),
             upstreams: set
                 .owned
                 .iter()
