--- a/crates/decisions/src/bundle_spread/machine.rs
+++ b/crates/decisions/src/bundle_spread/machine.rs
@@ -65,21 +65,61 @@
     }
 
     /// The bundle in force.
+    ///
+    /// ```
+    /// # use monsoonspread_decisions::bundle_spread::{BundleSpread, BundleSpreadSettings};
+    /// # use monsoonspread_model::bundle::{Manifest, Verifier};
+    /// # use monsoonspread_model::{BundleVersion, UnixMs};
+    /// # let verifier = Box::new(Verifier::new(Vec::new()));
+    /// # let settings = BundleSpreadSettings::default();
+    /// # let mut spread = BundleSpread::new("entry-1".into(), settings, verifier, 1);
+    /// assert!(spread.current().adapters.is_empty());
+    /// ```
     pub fn current(&self) -> &Arc<Bundle> {
         &self.current
     }
 
     /// The version in force, 0 for none.
+    ///
+    /// ```
+    /// # use monsoonspread_decisions::bundle_spread::{BundleSpread, BundleSpreadSettings};
+    /// # use monsoonspread_model::bundle::{Manifest, Verifier};
+    /// # use monsoonspread_model::{BundleVersion, UnixMs};
+    /// # let verifier = Box::new(Verifier::new(Vec::new()));
+    /// # let settings = BundleSpreadSettings::default();
+    /// # let mut spread = BundleSpread::new("entry-1".into(), settings, verifier, 1);
+    /// assert_eq!(spread.version(), BundleVersion(0));
+    /// ```
     pub fn version(&self) -> BundleVersion {
         self.current.version
     }
 
     /// The signed manifest of the bundle in force.
+    ///
+    /// ```
+    /// # use monsoonspread_decisions::bundle_spread::{BundleSpread, BundleSpreadSettings};
+    /// # use monsoonspread_model::bundle::{Manifest, Verifier};
+    /// # use monsoonspread_model::{BundleVersion, UnixMs};
+    /// # let verifier = Box::new(Verifier::new(Vec::new()));
+    /// # let settings = BundleSpreadSettings::default();
+    /// # let mut spread = BundleSpread::new("entry-1".into(), settings, verifier, 1);
+    /// assert!(spread.manifest().is_none());
+    /// ```
     pub fn manifest(&self) -> Option<&Manifest> {
         self.manifest.as_ref()
     }
 
     /// Takes the peers that new bundles are told to.
+    ///
+    /// ```
+    /// # use monsoonspread_decisions::bundle_spread::{BundleSpread, BundleSpreadSettings};
+    /// # use monsoonspread_model::bundle::{Manifest, Verifier};
+    /// # use monsoonspread_model::{BundleVersion, UnixMs};
+    /// # let verifier = Box::new(Verifier::new(Vec::new()));
+    /// # let settings = BundleSpreadSettings::default();
+    /// # let mut spread = BundleSpread::new("entry-1".into(), settings, verifier, 1);
+    /// spread.on_peers(UnixMs(0), &["entry-2".into()]);
+    /// ```
     pub fn on_peers(&mut self, _now: UnixMs, peers: &[InstanceName]) {
         self.peers = peers
             .iter()
@@ -89,6 +129,22 @@
     }
 
     /// The key-value service's pointer was read.
+    ///
+    /// ```
+    /// # use monsoonspread_decisions::bundle_spread::{BundleSpread, BundleSpreadSettings};
+    /// # use monsoonspread_model::bundle::{Manifest, Verifier};
+    /// # use monsoonspread_model::{BundleVersion, UnixMs};
+    /// # let verifier = Box::new(Verifier::new(Vec::new()));
+    /// # let settings = BundleSpreadSettings::default();
+    /// # let mut spread = BundleSpread::new("entry-1".into(), settings, verifier, 1);
+    /// let manifest = Manifest {
+    ///     version: BundleVersion(1),
+    ///     digest: String::new(),
+    ///     parts: Vec::new(),
+    ///     signature: String::new(),
+    /// };
+    /// assert_eq!(spread.on_pointer(UnixMs(0), manifest).len(), 1, "nobody signed it");
+    /// ```
     pub fn on_pointer(&mut self, now: UnixMs, manifest: Manifest) -> Vec<BundleAction> {
         let version = manifest.version;
         let mut actions = self.want(manifest, &Source::Store);
@@ -98,6 +154,25 @@
     }
 
     /// A peer told of a bundle.
+    ///
+    /// ```
+    /// # use monsoonspread_decisions::bundle_spread::{BundleSpread, BundleSpreadSettings};
+    /// # use monsoonspread_model::bundle::{Manifest, Verifier};
+    /// # use monsoonspread_model::{BundleVersion, UnixMs};
+    /// # let verifier = Box::new(Verifier::new(Vec::new()));
+    /// # let settings = BundleSpreadSettings::default();
+    /// # let mut spread = BundleSpread::new("entry-1".into(), settings, verifier, 1);
+    /// use monsoonspread_model::message::BundleNotice;
+    /// let manifest = Manifest {
+    ///     version: BundleVersion(1),
+    ///     digest: String::new(),
+    ///     parts: Vec::new(),
+    ///     signature: String::new(),
+    /// };
+    /// let notice = BundleNotice { manifest };
+    /// spread.on_notice(UnixMs(0), &"entry-2".into(), notice);
+    /// assert_eq!(spread.version(), BundleVersion(0), "nobody signed it");
+    /// ```
     pub fn on_notice(
         &mut self,
         now: UnixMs,
@@ -114,6 +189,17 @@
     }
 
     /// A peer's message said which version it has in force.
+    ///
+    /// ```
+    /// # use monsoonspread_decisions::bundle_spread::{BundleSpread, BundleSpreadSettings};
+    /// # use monsoonspread_model::bundle::{Manifest, Verifier};
+    /// # use monsoonspread_model::{BundleVersion, UnixMs};
+    /// # let verifier = Box::new(Verifier::new(Vec::new()));
+    /// # let settings = BundleSpreadSettings::default();
+    /// # let mut spread = BundleSpread::new("entry-1".into(), settings, verifier, 1);
+    /// let asked = spread.on_peer_version(UnixMs(0), &"entry-2".into(), BundleVersion(3));
+    /// assert_eq!(asked.len(), 1);
+    /// ```
     pub fn on_peer_version(
         &mut self,
         now: UnixMs,
@@ -125,6 +211,18 @@
     }
 
     /// A peer asks for what it lacks.
+    ///
+    /// ```
+    /// # use monsoonspread_decisions::bundle_spread::{BundleSpread, BundleSpreadSettings};
+    /// # use monsoonspread_model::bundle::{Manifest, Verifier};
+    /// # use monsoonspread_model::{BundleVersion, UnixMs};
+    /// # let verifier = Box::new(Verifier::new(Vec::new()));
+    /// # let settings = BundleSpreadSettings::default();
+    /// # let mut spread = BundleSpread::new("entry-1".into(), settings, verifier, 1);
+    /// use monsoonspread_model::message::BundleRequest;
+    /// let request = BundleRequest { have: BundleVersion(0) };
+    /// assert!(spread.on_request(UnixMs(0), &"entry-2".into(), request).is_empty());
+    /// ```
     pub fn on_request(
         &mut self,
         _now: UnixMs,
@@ -149,6 +247,25 @@
     }
 
     /// A peer sent a bundle.
+    ///
+    /// ```
+    /// # use monsoonspread_decisions::bundle_spread::{BundleSpread, BundleSpreadSettings};
+    /// # use monsoonspread_model::bundle::{Manifest, Verifier};
+    /// # use monsoonspread_model::{BundleVersion, UnixMs};
+    /// # let verifier = Box::new(Verifier::new(Vec::new()));
+    /// # let settings = BundleSpreadSettings::default();
+    /// # let mut spread = BundleSpread::new("entry-1".into(), settings, verifier, 1);
+    /// use monsoonspread_model::message::BundleContent;
+    /// let manifest = Manifest {
+    ///     version: BundleVersion(1),
+    ///     digest: String::new(),
+    ///     parts: Vec::new(),
+    ///     signature: String::new(),
+    /// };
+    /// let content = BundleContent::Whole { manifest, content: Vec::new() };
+    /// spread.on_content(UnixMs(0), &"entry-2".into(), content);
+    /// assert_eq!(spread.version(), BundleVersion(0), "nobody signed it");
+    /// ```
     pub fn on_content(
         &mut self,
         now: UnixMs,
@@ -165,6 +282,23 @@
     }
 
     /// The joined parts of a bundle were read from the key-value service.
+    ///
+    /// ```
+    /// # use monsoonspread_decisions::bundle_spread::{BundleSpread, BundleSpreadSettings};
+    /// # use monsoonspread_model::bundle::{Manifest, Verifier};
+    /// # use monsoonspread_model::{BundleVersion, UnixMs};
+    /// # let verifier = Box::new(Verifier::new(Vec::new()));
+    /// # let settings = BundleSpreadSettings::default();
+    /// # let mut spread = BundleSpread::new("entry-1".into(), settings, verifier, 1);
+    /// let manifest = Manifest {
+    ///     version: BundleVersion(1),
+    ///     digest: String::new(),
+    ///     parts: Vec::new(),
+    ///     signature: String::new(),
+    /// };
+    /// spread.on_parts(UnixMs(0), manifest, b"");
+    /// assert_eq!(spread.version(), BundleVersion(0), "nobody signed it");
+    /// ```
     pub fn on_parts(
         &mut self,
         now: UnixMs,
@@ -185,6 +319,16 @@
     }
 
     /// The key-value service did not give the content.
+    ///
+    /// ```
+    /// # use monsoonspread_decisions::bundle_spread::{BundleSpread, BundleSpreadSettings};
+    /// # use monsoonspread_model::bundle::{Manifest, Verifier};
+    /// # use monsoonspread_model::{BundleVersion, UnixMs};
+    /// # let verifier = Box::new(Verifier::new(Vec::new()));
+    /// # let settings = BundleSpreadSettings::default();
+    /// # let mut spread = BundleSpread::new("entry-1".into(), settings, verifier, 1);
+    /// assert!(spread.on_fetch_failed(UnixMs(0)).is_empty());
+    /// ```
     pub fn on_fetch_failed(&mut self, now: UnixMs) -> Vec<BundleAction> {
         let from_store = |pending: &Pending| pending.source == Source::Store;
         if !self.pending.as_ref().is_some_and(from_store) {
@@ -194,6 +338,16 @@
     }
 
     /// Lets time pass; every 100 ms.
+    ///
+    /// ```
+    /// # use monsoonspread_decisions::bundle_spread::{BundleSpread, BundleSpreadSettings};
+    /// # use monsoonspread_model::bundle::{Manifest, Verifier};
+    /// # use monsoonspread_model::{BundleVersion, UnixMs};
+    /// # let verifier = Box::new(Verifier::new(Vec::new()));
+    /// # let settings = BundleSpreadSettings::default();
+    /// # let mut spread = BundleSpread::new("entry-1".into(), settings, verifier, 1);
+    /// assert!(spread.on_tick(UnixMs(0)).is_empty());
+    /// ```
     pub fn on_tick(&mut self, now: UnixMs) -> Vec<BundleAction> {
         let late = |pending: &Pending| now >= pending.deadline_unix_ms;
         let mut actions = if self.pending.as_ref().is_some_and(late) {
@@ -208,6 +362,16 @@
     }
 
     /// What this instance has in force, and what it lacks.
+    ///
+    /// ```
+    /// # use monsoonspread_decisions::bundle_spread::{BundleSpread, BundleSpreadSettings};
+    /// # use monsoonspread_model::bundle::{Manifest, Verifier};
+    /// # use monsoonspread_model::{BundleVersion, UnixMs};
+    /// # let verifier = Box::new(Verifier::new(Vec::new()));
+    /// # let settings = BundleSpreadSettings::default();
+    /// # let mut spread = BundleSpread::new("entry-1".into(), settings, verifier, 1);
+    /// assert!(!spread.dump(UnixMs(0)).fetching);
+    /// ```
     pub fn dump(&self, _now: UnixMs) -> BundleDump {
         BundleDump {
             version: self.version(),
--- a/crates/decisions/src/claims/claim.rs
+++ b/crates/decisions/src/claims/claim.rs
@@ -81,6 +81,17 @@
     }
 
     /// Takes other settings.
+    ///
+    /// ```
+    /// # use monsoonspread_decisions::claims::*;
+    /// # use monsoonspread_model::UnixMs;
+    /// # use rand_chacha::{ChaCha8Rng, rand_core::SeedableRng};
+    /// # let token = ClaimToken::random(&mut ChaCha8Rng::seed_from_u64(1));
+    /// # let key = ClaimKey::new(&"records".into(), &"bench".into(), "offset-17");
+    /// # let mut claim = Claim::new(key, token, body_digest("commit", b"{}"), UnixMs(900));
+    /// let claim = claim.with_settings(ClaimSettings { poll_ms: 5, ..Default::default() });
+    /// assert!(!claim.is_done());
+    /// ```
     #[must_use]
     pub fn with_settings(mut self, settings: ClaimSettings) -> Self {
         self.poll_ms = settings.poll_ms;
@@ -89,16 +100,47 @@
     }
 
     /// Where the record is kept.
+    ///
+    /// ```
+    /// # use monsoonspread_decisions::claims::*;
+    /// # use monsoonspread_model::UnixMs;
+    /// # use rand_chacha::{ChaCha8Rng, rand_core::SeedableRng};
+    /// # let token = ClaimToken::random(&mut ChaCha8Rng::seed_from_u64(1));
+    /// # let key = ClaimKey::new(&"records".into(), &"bench".into(), "offset-17");
+    /// # let mut claim = Claim::new(key, token, body_digest("commit", b"{}"), UnixMs(900));
+    /// assert!(claim.key().as_str().starts_with("/monsoonspread/claim/"));
+    /// ```
     pub fn key(&self) -> &ClaimKey {
         &self.key
     }
 
     /// Whether nothing is left to do.
+    ///
+    /// ```
+    /// # use monsoonspread_decisions::claims::*;
+    /// # use monsoonspread_model::UnixMs;
+    /// # use rand_chacha::{ChaCha8Rng, rand_core::SeedableRng};
+    /// # let token = ClaimToken::random(&mut ChaCha8Rng::seed_from_u64(1));
+    /// # let key = ClaimKey::new(&"records".into(), &"bench".into(), "offset-17");
+    /// # let mut claim = Claim::new(key, token, body_digest("commit", b"{}"), UnixMs(900));
+    /// claim.start(UnixMs(900));
+    /// assert!(claim.is_done(), "the deadline had passed");
+    /// ```
     pub fn is_done(&self) -> bool {
         self.phase == Phase::Done
     }
 
     /// Starts; nothing has run before.
+    ///
+    /// ```
+    /// # use monsoonspread_decisions::claims::*;
+    /// # use monsoonspread_model::UnixMs;
+    /// # use rand_chacha::{ChaCha8Rng, rand_core::SeedableRng};
+    /// # let token = ClaimToken::random(&mut ChaCha8Rng::seed_from_u64(1));
+    /// # let key = ClaimKey::new(&"records".into(), &"bench".into(), "offset-17");
+    /// # let mut claim = Claim::new(key, token, body_digest("commit", b"{}"), UnixMs(900));
+    /// assert!(matches!(claim.start(UnixMs(0))[..], [ClaimAction::Create(_)]));
+    /// ```
     pub fn start(&mut self, now: UnixMs) -> Vec<ClaimAction> {
         if self.phase != Phase::New {
             return Vec::new();
@@ -110,6 +152,17 @@
     }
 
     /// The record was created or retaken; `mod_revision` is its revision where known.
+    ///
+    /// ```
+    /// # use monsoonspread_decisions::claims::*;
+    /// # use monsoonspread_model::UnixMs;
+    /// # use rand_chacha::{ChaCha8Rng, rand_core::SeedableRng};
+    /// # let token = ClaimToken::random(&mut ChaCha8Rng::seed_from_u64(1));
+    /// # let key = ClaimKey::new(&"records".into(), &"bench".into(), "offset-17");
+    /// # let mut claim = Claim::new(key, token, body_digest("commit", b"{}"), UnixMs(900));
+    /// claim.start(UnixMs(0));
+    /// assert_eq!(claim.on_created(UnixMs(4), None), [ClaimAction::Run]);
+    /// ```
     pub fn on_created(&mut self, now: UnixMs, mod_revision: Option<u64>) -> Vec<ClaimAction> {
         if !matches!(self.phase, Phase::Claiming | Phase::ReadingBack) {
             return Vec::new();
@@ -126,6 +179,20 @@
     }
 
     /// The record was not created or retaken, as the key holds `record`.
+    ///
+    /// ```
+    /// # use monsoonspread_decisions::claims::*;
+    /// # use monsoonspread_model::UnixMs;
+    /// # use rand_chacha::{ChaCha8Rng, rand_core::SeedableRng};
+    /// # let token = ClaimToken::random(&mut ChaCha8Rng::seed_from_u64(1));
+    /// # let key = ClaimKey::new(&"records".into(), &"bench".into(), "offset-17");
+    /// # let mut claim = Claim::new(key, token, body_digest("commit", b"{}"), UnixMs(900));
+    /// let ClaimAction::Create(mut record) = claim.start(UnixMs(0)).remove(0) else { return };
+    /// record.state = ClaimState::Unknown;
+    /// record.token = ClaimToken::random(&mut ChaCha8Rng::seed_from_u64(2));
+    /// let actions = claim.on_exists(UnixMs(4), &record, 7);
+    /// assert!(matches!(actions[..], [ClaimAction::Answer(ClaimAnswer::Refused(_))]));
+    /// ```
     pub fn on_exists(
         &mut self,
         now: UnixMs,
@@ -139,6 +206,17 @@
     }
 
     /// The answer to a create or a retake was lost.
+    ///
+    /// ```
+    /// # use monsoonspread_decisions::claims::*;
+    /// # use monsoonspread_model::UnixMs;
+    /// # use rand_chacha::{ChaCha8Rng, rand_core::SeedableRng};
+    /// # let token = ClaimToken::random(&mut ChaCha8Rng::seed_from_u64(1));
+    /// # let key = ClaimKey::new(&"records".into(), &"bench".into(), "offset-17");
+    /// # let mut claim = Claim::new(key, token, body_digest("commit", b"{}"), UnixMs(900));
+    /// claim.start(UnixMs(0));
+    /// assert_eq!(claim.on_write_unknown(UnixMs(4)), [ClaimAction::Read]);
+    /// ```
     pub fn on_write_unknown(&mut self, _now: UnixMs) -> Vec<ClaimAction> {
         if self.phase != Phase::Claiming {
             return Vec::new();
@@ -149,6 +227,19 @@
     }
 
     /// A create, a retake or a read did not reach the key-value service.
+    ///
+    /// ```
+    /// # use monsoonspread_decisions::claims::*;
+    /// # use monsoonspread_model::UnixMs;
+    /// # use rand_chacha::{ChaCha8Rng, rand_core::SeedableRng};
+    /// # let token = ClaimToken::random(&mut ChaCha8Rng::seed_from_u64(1));
+    /// # let key = ClaimKey::new(&"records".into(), &"bench".into(), "offset-17");
+    /// # let mut claim = Claim::new(key, token, body_digest("commit", b"{}"), UnixMs(900));
+    /// claim.start(UnixMs(0));
+    /// let actions = claim.on_store_unreachable(UnixMs(4));
+    /// let [ClaimAction::Answer(ClaimAnswer::Refused(refusal))] = &actions[..] else { return };
+    /// assert!(refusal.not_run);
+    /// ```
     pub fn on_store_unreachable(&mut self, now: UnixMs) -> Vec<ClaimAction> {
         match self.phase {
             Phase::Claiming if !self.write_lost => self.refuse_and_end(no_store(now)),
@@ -164,6 +255,19 @@
     }
 
     /// The record was read.
+    ///
+    /// ```
+    /// # use monsoonspread_decisions::claims::*;
+    /// # use monsoonspread_model::UnixMs;
+    /// # use rand_chacha::{ChaCha8Rng, rand_core::SeedableRng};
+    /// # let token = ClaimToken::random(&mut ChaCha8Rng::seed_from_u64(1));
+    /// # let key = ClaimKey::new(&"records".into(), &"bench".into(), "offset-17");
+    /// # let mut claim = Claim::new(key, token, body_digest("commit", b"{}"), UnixMs(900));
+    /// claim.start(UnixMs(0));
+    /// claim.on_write_unknown(UnixMs(4));
+    /// let again = claim.on_read(UnixMs(5), None);
+    /// assert!(matches!(again[..], [ClaimAction::Create(_)]));
+    /// ```
     pub fn on_read(&mut self, now: UnixMs, found: Option<(&ClaimRecord, u64)>) -> Vec<ClaimAction> {
         match (self.phase.clone(), found) {
             (Phase::ReadingBack | Phase::Waiting, Some((record, mod_revision))) => {
@@ -180,6 +284,19 @@
     }
 
     /// The call ended.
+    ///
+    /// ```
+    /// # use monsoonspread_decisions::claims::*;
+    /// # use monsoonspread_model::UnixMs;
+    /// # use rand_chacha::{ChaCha8Rng, rand_core::SeedableRng};
+    /// # let token = ClaimToken::random(&mut ChaCha8Rng::seed_from_u64(1));
+    /// # let key = ClaimKey::new(&"records".into(), &"bench".into(), "offset-17");
+    /// # let mut claim = Claim::new(key, token, body_digest("commit", b"{}"), UnixMs(900));
+    /// claim.start(UnixMs(0));
+    /// claim.on_created(UnixMs(4), Some(7));
+    /// let actions = claim.on_run_result(UnixMs(9), RunResult::Unknown);
+    /// assert!(matches!(actions[..], [ClaimAction::Answer(_), ClaimAction::WriteOutcome { .. }]));
+    /// ```
     pub fn on_run_result(&mut self, _now: UnixMs, result: RunResult) -> Vec<ClaimAction> {
         if self.phase != Phase::Running {
             return Vec::new();
@@ -191,6 +308,20 @@
     }
 
     /// The outcome was written, or not.
+    ///
+    /// ```
+    /// # use monsoonspread_decisions::claims::*;
+    /// # use monsoonspread_model::UnixMs;
+    /// # use rand_chacha::{ChaCha8Rng, rand_core::SeedableRng};
+    /// # let token = ClaimToken::random(&mut ChaCha8Rng::seed_from_u64(1));
+    /// # let key = ClaimKey::new(&"records".into(), &"bench".into(), "offset-17");
+    /// # let mut claim = Claim::new(key, token, body_digest("commit", b"{}"), UnixMs(900));
+    /// claim.start(UnixMs(0));
+    /// claim.on_created(UnixMs(4), Some(7));
+    /// claim.on_run_result(UnixMs(9), RunResult::NotRun);
+    /// claim.on_outcome_written(UnixMs(12), OutcomeWrite::Written);
+    /// assert!(claim.is_done());
+    /// ```
     pub fn on_outcome_written(&mut self, now: UnixMs, write: OutcomeWrite) -> Vec<ClaimAction> {
         if !matches!(self.phase, Phase::Recording(_)) {
             return Vec::new();
@@ -203,6 +334,16 @@
     }
 
     /// How far the call is.
+    ///
+    /// ```
+    /// # use monsoonspread_decisions::claims::*;
+    /// # use monsoonspread_model::UnixMs;
+    /// # use rand_chacha::{ChaCha8Rng, rand_core::SeedableRng};
+    /// # let token = ClaimToken::random(&mut ChaCha8Rng::seed_from_u64(1));
+    /// # let key = ClaimKey::new(&"records".into(), &"bench".into(), "offset-17");
+    /// # let mut claim = Claim::new(key, token, body_digest("commit", b"{}"), UnixMs(900));
+    /// assert_eq!(claim.dump(UnixMs(0)).phase, "new");
+    /// ```
     pub fn dump(&self, _now: UnixMs) -> ClaimDump {
         let phase = match self.phase {
             Phase::New => "new",
--- a/crates/decisions/src/claims/key.rs
+++ b/crates/decisions/src/claims/key.rs
@@ -26,6 +26,12 @@
     }
 
     /// The key as text.
+    ///
+    /// ```
+    /// # use monsoonspread_decisions::claims::ClaimKey;
+    /// # let key = ClaimKey::new(&"records".into(), &"bench".into(), "offset-17");
+    /// assert!(key.as_str().starts_with("/monsoonspread/claim/"));
+    /// ```
     pub fn as_str(&self) -> &str {
         &self.0
     }
--- a/crates/decisions/src/membership/incarnation.rs
+++ b/crates/decisions/src/membership/incarnation.rs
@@ -25,11 +25,25 @@
     }
 
     /// The incarnation that refutes this one.
+    ///
+    /// ```
+    /// # use monsoonspread_decisions::membership::Incarnation;
+    /// # use monsoonspread_model::UnixMs;
+    /// # let first = Incarnation::started_at(UnixMs(7));
+    /// assert!(first.next() > first);
+    /// ```
     pub fn next(self) -> Self {
         Self(self.0 + 1)
     }
 
     /// Whether both are of one process.
+    ///
+    /// ```
+    /// # use monsoonspread_decisions::membership::Incarnation;
+    /// # use monsoonspread_model::UnixMs;
+    /// # let first = Incarnation::started_at(UnixMs(7));
+    /// assert!(first.next().is_same_process(first));
+    /// ```
     pub fn is_same_process(self, other: Self) -> bool {
         self.0 >> REFUTATION_BITS == other.0 >> REFUTATION_BITS
     }
--- a/crates/decisions/src/membership/machine.rs
+++ b/crates/decisions/src/membership/machine.rs
@@ -70,6 +70,14 @@
     }
 
     /// Every member that was heard of with its health, this instance included.
+    ///
+    /// ```
+    /// # use monsoonspread_decisions::membership::{Member, Membership, MembershipSettings};
+    /// # use monsoonspread_model::{BundleVersion, UnixMs, message::Health};
+    /// # let own = Member { name: "entry-1".into(), address: ([127, 0, 0, 1], 7000).into() };
+    /// # let mut membership = Membership::new(UnixMs(5), own, MembershipSettings::default(), 1);
+    /// assert_eq!(membership.members(), [("entry-1".into(), Health::Alive)]);
+    /// ```
     pub fn members(&self) -> Vec<(InstanceName, Health)> {
         let others = self.members.heard();
         others
@@ -79,6 +87,14 @@
     }
 
     /// Names of members that answer, this instance included, in order.
+    ///
+    /// ```
+    /// # use monsoonspread_decisions::membership::{Member, Membership, MembershipSettings};
+    /// # use monsoonspread_model::{BundleVersion, UnixMs, message::Health};
+    /// # let own = Member { name: "entry-1".into(), address: ([127, 0, 0, 1], 7000).into() };
+    /// # let mut membership = Membership::new(UnixMs(5), own, MembershipSettings::default(), 1);
+    /// assert_eq!(membership.live(), ["entry-1".into()]);
+    /// ```
     pub fn live(&self) -> Vec<InstanceName> {
         let mut live: Vec<_> = self
             .members()
@@ -91,6 +107,14 @@
     }
 
     /// What is said of a member.
+    ///
+    /// ```
+    /// # use monsoonspread_decisions::membership::{Member, Membership, MembershipSettings};
+    /// # use monsoonspread_model::{BundleVersion, UnixMs, message::Health};
+    /// # let own = Member { name: "entry-1".into(), address: ([127, 0, 0, 1], 7000).into() };
+    /// # let mut membership = Membership::new(UnixMs(5), own, MembershipSettings::default(), 1);
+    /// assert_eq!(membership.health(&"entry-2".into()), None);
+    /// ```
     pub fn health(&self, name: &InstanceName) -> Option<Health> {
         if *name == self.own.name {
             return Some(self.own_health());
@@ -102,6 +126,14 @@
     }
 
     /// 0 for a member not suspected, 1 for a suspect, 2 when an own probe confirmed it.
+    ///
+    /// ```
+    /// # use monsoonspread_decisions::membership::{Member, Membership, MembershipSettings};
+    /// # use monsoonspread_model::{BundleVersion, UnixMs, message::Health};
+    /// # let own = Member { name: "entry-1".into(), address: ([127, 0, 0, 1], 7000).into() };
+    /// # let mut membership = Membership::new(UnixMs(5), own, MembershipSettings::default(), 1);
+    /// assert_eq!(membership.suspicion_grade(&"entry-2".into()), 0);
+    /// ```
     pub fn suspicion_grade(&self, name: &InstanceName) -> u32 {
         self.members
             .get(name)
@@ -109,11 +141,27 @@
     }
 
     /// The mesh listener of a member or of an instance that the list names.
+    ///
+    /// ```
+    /// # use monsoonspread_decisions::membership::{Member, Membership, MembershipSettings};
+    /// # use monsoonspread_model::{BundleVersion, UnixMs, message::Health};
+    /// # let own = Member { name: "entry-1".into(), address: ([127, 0, 0, 1], 7000).into() };
+    /// # let mut membership = Membership::new(UnixMs(5), own, MembershipSettings::default(), 1);
+    /// assert_eq!(membership.address_of(&"entry-2".into()), None);
+    /// ```
     pub fn address_of(&self, name: &InstanceName) -> Option<SocketAddr> {
         self.members.get(name).map(|state| state.address)
     }
 
     /// Takes the rows of the platform's list, or seeds from the settings.
+    ///
+    /// ```
+    /// # use monsoonspread_decisions::membership::{Member, Membership, MembershipSettings};
+    /// # use monsoonspread_model::{BundleVersion, UnixMs, message::Health};
+    /// # let own = Member { name: "entry-1".into(), address: ([127, 0, 0, 1], 7000).into() };
+    /// # let mut membership = Membership::new(UnixMs(5), own, MembershipSettings::default(), 1);
+    /// assert!(membership.on_listed(UnixMs(5), &[]).is_empty());
+    /// ```
     pub fn on_listed(&mut self, now: UnixMs, listed: &[ListedInstance]) -> Vec<MembershipAction> {
         let listed: BTreeMap<_, _> = listed
             .iter()
@@ -126,16 +174,41 @@
     }
 
     /// A bundle is in force on this instance.
+    ///
+    /// ```
+    /// # use monsoonspread_decisions::membership::{Member, Membership, MembershipSettings};
+    /// # use monsoonspread_model::{BundleVersion, UnixMs, message::Health};
+    /// # let own = Member { name: "entry-1".into(), address: ([127, 0, 0, 1], 7000).into() };
+    /// # let mut membership = Membership::new(UnixMs(5), own, MembershipSettings::default(), 1);
+    /// membership.on_bundle_version(BundleVersion(12));
+    /// ```
     pub fn on_bundle_version(&mut self, version: BundleVersion) {
         self.bundle_version = version;
     }
 
     /// This instance has a table of the zone.
+    ///
+    /// ```
+    /// # use monsoonspread_decisions::membership::{Member, Membership, MembershipSettings};
+    /// # use monsoonspread_model::{BundleVersion, UnixMs, message::Health};
+    /// # let own = Member { name: "entry-1".into(), address: ([127, 0, 0, 1], 7000).into() };
+    /// # let mut membership = Membership::new(UnixMs(5), own, MembershipSettings::default(), 1);
+    /// membership.on_table_revision(3);
+    /// ```
     pub fn on_table_revision(&mut self, revision: u64) {
         self.table_revision = revision;
     }
 
     /// This instance leaves as planned: says so at once to a few members.
+    ///
+    /// ```
+    /// # use monsoonspread_decisions::membership::{Member, Membership, MembershipSettings};
+    /// # use monsoonspread_model::{BundleVersion, UnixMs, message::Health};
+    /// # let own = Member { name: "entry-1".into(), address: ([127, 0, 0, 1], 7000).into() };
+    /// # let mut membership = Membership::new(UnixMs(5), own, MembershipSettings::default(), 1);
+    /// membership.on_leave(UnixMs(6));
+    /// assert_eq!(membership.health(&"entry-1".into()), Some(Health::Leaving));
+    /// ```
     pub fn on_leave(&mut self, _now: UnixMs) -> Vec<MembershipAction> {
         self.leaving = true;
         self.incarnation = self.incarnation.next();
@@ -149,6 +222,21 @@
     }
 
     /// A message of another member.
+    ///
+    /// ```
+    /// # use monsoonspread_decisions::membership::{Member, Membership, MembershipSettings};
+    /// # use monsoonspread_model::{BundleVersion, UnixMs, message::Health};
+    /// # let own = Member { name: "entry-1".into(), address: ([127, 0, 0, 1], 7000).into() };
+    /// # let mut membership = Membership::new(UnixMs(5), own, MembershipSettings::default(), 1);
+    /// use monsoonspread_model::message::{Swim, SwimBody};
+    /// let swim = Swim {
+    ///     body: SwimBody::Ping { sequence: 1 },
+    ///     updates: Vec::new(),
+    ///     bundle_version: BundleVersion(0),
+    ///     table_revision: 0,
+    /// };
+    /// assert_eq!(membership.on_swim(UnixMs(6), &"entry-2".into(), swim).len(), 1);
+    /// ```
     pub fn on_swim(
         &mut self,
         now: UnixMs,
@@ -173,6 +261,14 @@
     }
 
     /// Lets time pass; every 100 ms.
+    ///
+    /// ```
+    /// # use monsoonspread_decisions::membership::{Member, Membership, MembershipSettings};
+    /// # use monsoonspread_model::{BundleVersion, UnixMs, message::Health};
+    /// # let own = Member { name: "entry-1".into(), address: ([127, 0, 0, 1], 7000).into() };
+    /// # let mut membership = Membership::new(UnixMs(5), own, MembershipSettings::default(), 1);
+    /// assert!(membership.on_tick(UnixMs(100)).is_empty(), "there is nobody to probe");
+    /// ```
     pub fn on_tick(&mut self, now: UnixMs) -> Vec<MembershipAction> {
         let gap_ms = self.last_tick_at.map_or(0, |last| now.ms_since(last));
         self.last_tick_at = Some(now);
@@ -189,6 +285,14 @@
     }
 
     /// What this instance knows of its zone.
+    ///
+    /// ```
+    /// # use monsoonspread_decisions::membership::{Member, Membership, MembershipSettings};
+    /// # use monsoonspread_model::{BundleVersion, UnixMs, message::Health};
+    /// # let own = Member { name: "entry-1".into(), address: ([127, 0, 0, 1], 7000).into() };
+    /// # let mut membership = Membership::new(UnixMs(5), own, MembershipSettings::default(), 1);
+    /// assert!(membership.dump(UnixMs(6)).members.is_empty());
+    /// ```
     pub fn dump(&self, _now: UnixMs) -> MembershipDump {
         let members = self.members.iter();
         MembershipDump {
--- a/crates/decisions/src/ownership/machine.rs
+++ b/crates/decisions/src/ownership/machine.rs
@@ -60,21 +60,55 @@
     }
 
     /// The table in force.
+    ///
+    /// ```
+    /// # use monsoonspread_decisions::ownership::{Ownership, OwnershipSettings};
+    /// # use monsoonspread_model::UnixMs;
+    /// # let settings = OwnershipSettings::default();
+    /// # let mut ownership = Ownership::new("entry-1".into(), "z".into(), settings);
+    /// assert_eq!(ownership.table().revision, 0);
+    /// ```
     pub fn table(&self) -> &OwnershipTable {
         &self.view.table
     }
 
     /// Who owns `upstream` now: the first usable place in its failover order.
+    ///
+    /// ```
+    /// # use monsoonspread_decisions::ownership::{Ownership, OwnershipSettings};
+    /// # use monsoonspread_model::UnixMs;
+    /// # let settings = OwnershipSettings::default();
+    /// # let mut ownership = Ownership::new("entry-1".into(), "z".into(), settings);
+    /// assert!(ownership.owner_of(UnixMs(0), &"engine-1".into()).is_none());
+    /// ```
     pub fn owner_of(&self, now: UnixMs, upstream: &UpstreamName) -> Option<&Succession> {
         self.view.owner_of(now, upstream)
     }
 
     /// The fencing number this instance owns `upstream` with.
+    ///
+    /// ```
+    /// # use monsoonspread_decisions::ownership::{Ownership, OwnershipSettings};
+    /// # use monsoonspread_model::UnixMs;
+    /// # let settings = OwnershipSettings::default();
+    /// # let mut ownership = Ownership::new("entry-1".into(), "z".into(), settings);
+    /// assert_eq!(ownership.owned_epoch(&"engine-1".into()), None);
+    /// ```
     pub fn owned_epoch(&self, upstream: &UpstreamName) -> Option<Epoch> {
         self.owned.epochs().get(upstream).copied()
     }
 
     /// Takes every member of the zone with its health, this instance included.
+    ///
+    /// ```
+    /// # use monsoonspread_decisions::ownership::{Ownership, OwnershipSettings};
+    /// # use monsoonspread_model::UnixMs;
+    /// # let settings = OwnershipSettings::default();
+    /// # let mut ownership = Ownership::new("entry-1".into(), "z".into(), settings);
+    /// use monsoonspread_model::message::Health;
+    /// let members = [("entry-1".into(), Health::Alive)];
+    /// assert!(ownership.on_members(UnixMs(0), &members).is_empty());
+    /// ```
     pub fn on_members(
         &mut self,
         now: UnixMs,
@@ -86,6 +120,14 @@
     }
 
     /// Takes the platform's list; entries of every zone count as possible holders of grants.
+    ///
+    /// ```
+    /// # use monsoonspread_decisions::ownership::{Ownership, OwnershipSettings};
+    /// # use monsoonspread_model::UnixMs;
+    /// # let settings = OwnershipSettings::default();
+    /// # let mut ownership = Ownership::new("entry-1".into(), "z".into(), settings);
+    /// assert!(ownership.on_upstreams(UnixMs(0), &[]).is_empty());
+    /// ```
     pub fn on_upstreams(&mut self, now: UnixMs, listed: &[ListedInstance]) -> Vec<OwnershipAction> {
         self.upstreams = listed
             .iter()
@@ -102,6 +144,18 @@
     }
 
     /// Takes a table that the key-value service has confirmed, here or at a peer.
+    ///
+    /// ```
+    /// # use monsoonspread_decisions::ownership::{Ownership, OwnershipSettings};
+    /// # use monsoonspread_model::UnixMs;
+    /// # let settings = OwnershipSettings::default();
+    /// # let mut ownership = Ownership::new("entry-1".into(), "z".into(), settings);
+    /// use monsoonspread_decisions::ownership::TableSource;
+    /// use monsoonspread_model::OwnershipTable;
+    /// let table = OwnershipTable { revision: 4, ..OwnershipTable::new("z") };
+    /// ownership.on_table(UnixMs(0), table, TableSource::Peer);
+    /// assert_eq!(ownership.table().revision, 4);
+    /// ```
     pub fn on_table(
         &mut self,
         now: UnixMs,
@@ -116,6 +170,14 @@
     }
 
     /// The key-value service holds no table of this zone.
+    ///
+    /// ```
+    /// # use monsoonspread_decisions::ownership::{Ownership, OwnershipSettings};
+    /// # use monsoonspread_model::UnixMs;
+    /// # let settings = OwnershipSettings::default();
+    /// # let mut ownership = Ownership::new("entry-1".into(), "z".into(), settings);
+    /// assert!(ownership.on_table_absent(UnixMs(0)).is_empty());
+    /// ```
     pub fn on_table_absent(&mut self, now: UnixMs) -> Vec<OwnershipAction> {
         self.writer.end_read();
         self.note_store(0, Epoch(1));
@@ -123,6 +185,14 @@
     }
 
     /// The table could not be read.
+    ///
+    /// ```
+    /// # use monsoonspread_decisions::ownership::{Ownership, OwnershipSettings};
+    /// # use monsoonspread_model::UnixMs;
+    /// # let settings = OwnershipSettings::default();
+    /// # let mut ownership = Ownership::new("entry-1".into(), "z".into(), settings);
+    /// assert_eq!(ownership.on_read_failed(UnixMs(0)).len(), 1);
+    /// ```
     pub fn on_read_failed(&mut self, now: UnixMs) -> Vec<OwnershipAction> {
         self.writer.end_read();
         self.pause_writer(now);
@@ -133,6 +203,16 @@
     }
 
     /// Takes the result of the last write.
+    ///
+    /// ```
+    /// # use monsoonspread_decisions::ownership::{Ownership, OwnershipSettings};
+    /// # use monsoonspread_model::UnixMs;
+    /// # let settings = OwnershipSettings::default();
+    /// # let mut ownership = Ownership::new("entry-1".into(), "z".into(), settings);
+    /// use monsoonspread_decisions::ownership::WriteResult;
+    /// let late = ownership.on_write_result(UnixMs(0), WriteResult::Unreachable);
+    /// assert!(late.is_empty(), "nothing was being written");
+    /// ```
     pub fn on_write_result(&mut self, now: UnixMs, result: WriteResult) -> Vec<OwnershipAction> {
         let Some(written) = self.writer.end_write() else {
             return Vec::new();
@@ -163,6 +243,15 @@
     }
 
     /// An upstream refused `epoch` of this instance, which has stepped down.
+    ///
+    /// ```
+    /// # use monsoonspread_decisions::ownership::{Ownership, OwnershipSettings};
+    /// # use monsoonspread_model::UnixMs;
+    /// # let settings = OwnershipSettings::default();
+    /// # let mut ownership = Ownership::new("entry-1".into(), "z".into(), settings);
+    /// use monsoonspread_model::Epoch;
+    /// assert!(ownership.on_stepped_down(UnixMs(0), &"engine-1".into(), Epoch(3)).is_empty());
+    /// ```
     pub fn on_stepped_down(
         &mut self,
         now: UnixMs,
@@ -173,6 +262,15 @@
     }
 
     /// Somebody uses `epoch` for `upstream`; whoever has a lower one is not its owner any more.
+    ///
+    /// ```
+    /// # use monsoonspread_decisions::ownership::{Ownership, OwnershipSettings};
+    /// # use monsoonspread_model::UnixMs;
+    /// # let settings = OwnershipSettings::default();
+    /// # let mut ownership = Ownership::new("entry-1".into(), "z".into(), settings);
+    /// use monsoonspread_model::Epoch;
+    /// assert!(ownership.on_epoch_seen(UnixMs(0), &"engine-1".into(), Epoch(3)).is_empty());
+    /// ```
     pub fn on_epoch_seen(
         &mut self,
         now: UnixMs,
@@ -188,6 +286,14 @@
     }
 
     /// Instance `restarted` came back as a new process: its places in the table are void.
+    ///
+    /// ```
+    /// # use monsoonspread_decisions::ownership::{Ownership, OwnershipSettings};
+    /// # use monsoonspread_model::UnixMs;
+    /// # let settings = OwnershipSettings::default();
+    /// # let mut ownership = Ownership::new("entry-1".into(), "z".into(), settings);
+    /// assert!(ownership.on_restarted(UnixMs(0), &"entry-2".into()).is_empty());
+    /// ```
     pub fn on_restarted(&mut self, now: UnixMs, restarted: &InstanceName) -> Vec<OwnershipAction> {
         self.view.lapsed.insert(restarted.clone());
         self.view.advance(now);
@@ -196,6 +302,17 @@
     }
 
     /// The leaving owner `from` hands `upstream` over to this instance.
+    ///
+    /// ```
+    /// # use monsoonspread_decisions::ownership::{Ownership, OwnershipSettings};
+    /// # use monsoonspread_model::UnixMs;
+    /// # let settings = OwnershipSettings::default();
+    /// # let mut ownership = Ownership::new("entry-1".into(), "z".into(), settings);
+    /// use monsoonspread_model::Epoch;
+    /// let actions =
+    ///     ownership.on_handover(UnixMs(0), &"entry-2".into(), &"engine-1".into(), Epoch(3));
+    /// assert_eq!(actions.len(), 1, "refused, as no table names this instance");
+    /// ```
     pub fn on_handover(
         &mut self,
         now: UnixMs,
@@ -225,6 +342,16 @@
     }
 
     /// This instance leaves as planned.
+    ///
+    /// ```
+    /// # use monsoonspread_decisions::ownership::{Ownership, OwnershipSettings};
+    /// # use monsoonspread_model::UnixMs;
+    /// # let settings = OwnershipSettings::default();
+    /// # let mut ownership = Ownership::new("entry-1".into(), "z".into(), settings);
+    /// use monsoonspread_decisions::ownership::OwnershipAction;
+    /// let successors = Vec::new();
+    /// assert_eq!(ownership.on_leave(UnixMs(0)), [OwnershipAction::HandOver { successors }]);
+    /// ```
     pub fn on_leave(&mut self, now: UnixMs) -> Vec<OwnershipAction> {
         self.leaving = true;
         self.writer.want(now, None);
@@ -243,6 +370,15 @@
     }
 
     /// Lets time pass; every 100 ms.
+    ///
+    /// ```
+    /// # use monsoonspread_decisions::ownership::{Ownership, OwnershipSettings};
+    /// # use monsoonspread_model::UnixMs;
+    /// # let settings = OwnershipSettings::default();
+    /// # let mut ownership = Ownership::new("entry-1".into(), "z".into(), settings);
+    /// assert_eq!(ownership.on_tick(UnixMs(0)).len(), 1);
+    /// assert!(ownership.on_tick(UnixMs(100)).is_empty(), "the read is under way");
+    /// ```
     pub fn on_tick(&mut self, now: UnixMs) -> Vec<OwnershipAction> {
         if !self.owned.has_first_epoch() {
             let read = self.writer.read_if_ready(now);
@@ -260,6 +396,14 @@
     }
 
     /// What this instance knows and holds.
+    ///
+    /// ```
+    /// # use monsoonspread_decisions::ownership::{Ownership, OwnershipSettings};
+    /// # use monsoonspread_model::UnixMs;
+    /// # let settings = OwnershipSettings::default();
+    /// # let mut ownership = Ownership::new("entry-1".into(), "z".into(), settings);
+    /// assert!(!ownership.dump(UnixMs(0)).store_seen);
+    /// ```
     pub fn dump(&self, _now: UnixMs) -> OwnershipDump {
         OwnershipDump {
             table: self.view.table.clone(),
--- a/crates/decisions/src/ownership/planner.rs
+++ b/crates/decisions/src/ownership/planner.rs
@@ -18,6 +18,16 @@
 
 impl<'a> Planner<'a> {
     /// Plans for `live` instances and `upstreams`, with `order_length` places in each order.
+    ///
+    /// ```
+    /// # use std::collections::{BTreeMap, BTreeSet};
+    /// # use monsoonspread_decisions::ownership::Planner;
+    /// # use monsoonspread_model::{Epoch, OwnershipTable};
+    /// # let table = OwnershipTable::new("z");
+    /// # let live = BTreeSet::from(["entry-1".into(), "entry-2".into()]);
+    /// # let upstreams = BTreeSet::from(["engine-1".into()]);
+    /// assert_eq!(Planner::new(&table, &live, &upstreams, 3).plan().unwrap().members.len(), 2);
+    /// ```
     pub fn new(
         current: &'a OwnershipTable,
         live: &'a BTreeSet<InstanceName>,
@@ -38,6 +48,18 @@
     }
 
     /// Takes the lowest fencing number that is still in force for each upstream.
+    ///
+    /// ```
+    /// # use std::collections::{BTreeMap, BTreeSet};
+    /// # use monsoonspread_decisions::ownership::Planner;
+    /// # use monsoonspread_model::{Epoch, OwnershipTable};
+    /// # let table = OwnershipTable::new("z");
+    /// # let live = BTreeSet::from(["entry-1".into(), "entry-2".into()]);
+    /// # let upstreams = BTreeSet::from(["engine-1".into()]);
+    /// let floors = BTreeMap::from([("engine-1".into(), Epoch(7))]);
+    /// let next = Planner::new(&table, &live, &upstreams, 3).with_floors(&floors).plan();
+    /// assert!(next.unwrap().order_of(&"engine-1".into())[0].epoch > Epoch(7));
+    /// ```
     #[must_use]
     pub fn with_floors(mut self, floors: &'a BTreeMap<UpstreamName, Epoch>) -> Self {
         self.floors = floors;
@@ -45,6 +67,19 @@
     }
 
     /// Takes the instances that lost their places in the current table.
+    ///
+    /// ```
+    /// # use std::collections::{BTreeMap, BTreeSet};
+    /// # use monsoonspread_decisions::ownership::Planner;
+    /// # use monsoonspread_model::{Epoch, OwnershipTable};
+    /// # let table = OwnershipTable::new("z");
+    /// # let live = BTreeSet::from(["entry-1".into(), "entry-2".into()]);
+    /// # let upstreams = BTreeSet::from(["engine-1".into()]);
+    /// let first = Planner::new(&table, &live, &upstreams, 3).plan().unwrap();
+    /// let lapsed = BTreeSet::from([first.order_of(&"engine-1".into())[0].instance.clone()]);
+    /// let next = Planner::new(&first, &live, &upstreams, 3).with_lapsed(&lapsed).plan();
+    /// assert_ne!(next, None);
+    /// ```
     #[must_use]
     pub fn with_lapsed(mut self, lapsed: &'a BTreeSet<InstanceName>) -> Self {
         self.lapsed = lapsed;
@@ -52,6 +87,17 @@
     }
 
     /// Issues no fencing number below `first_epoch`.
+    ///
+    /// ```
+    /// # use std::collections::{BTreeMap, BTreeSet};
+    /// # use monsoonspread_decisions::ownership::Planner;
+    /// # use monsoonspread_model::{Epoch, OwnershipTable};
+    /// # let table = OwnershipTable::new("z");
+    /// # let live = BTreeSet::from(["entry-1".into(), "entry-2".into()]);
+    /// # let upstreams = BTreeSet::from(["engine-1".into()]);
+    /// let next = Planner::new(&table, &live, &upstreams, 3).with_first_epoch(Epoch(9)).plan();
+    /// assert_eq!(next.unwrap().order_of(&"engine-1".into())[0].epoch, Epoch(9));
+    /// ```
     #[must_use]
     pub fn with_first_epoch(mut self, first_epoch: Epoch) -> Self {
         self.first_epoch = self.first_epoch.max(first_epoch);
