--- a/crates/decisions/src/bundle_spread/machine.rs
+++ b/crates/decisions/src/bundle_spread/machine.rs
@@ -2,8 +2,8 @@
 
 use std::sync::Arc;
 
-use monsoonspread_model::bundle::{self, BundleDelta, Manifest};
-use monsoonspread_model::message::{BundleContent, BundleNotice, BundleRequest};
+use monsoonspread_model::bundle::{BundleDelta, Manifest};
+use monsoonspread_model::message::{BundleNotice, BundleRequest};
 use monsoonspread_model::{Bundle, BundleVersion, InstanceName, MeshMessage, UnixMs};
 use rand::seq::IndexedRandom;
 use rand_chacha::ChaCha8Rng;
@@ -17,18 +17,18 @@
 
 /// Decides which bundle is in force on one instance and passes it on.
 pub struct BundleSpread {
-    own: InstanceName,
-    settings: BundleSpreadSettings,
-    random: ChaCha8Rng,
-    verifier: Box<dyn ManifestVerifier>,
-    current: Arc<Bundle>,
-    manifest: Option<Manifest>,
-    history: History,
-    peers: Vec<InstanceName>,
-    sources: Sources,
-    pending: Option<Pending>,
-    notices_left: u32,
-    next_notice_at: UnixMs,
+    pub(super) own: InstanceName,
+    pub(super) settings: BundleSpreadSettings,
+    pub(super) random: ChaCha8Rng,
+    pub(super) verifier: Box<dyn ManifestVerifier>,
+    pub(super) current: Arc<Bundle>,
+    pub(super) manifest: Option<Manifest>,
+    pub(super) history: History,
+    pub(super) peers: Vec<InstanceName>,
+    pub(super) sources: Sources,
+    pub(super) pending: Option<Pending>,
+    pub(super) notices_left: u32,
+    pub(super) next_notice_at: UnixMs,
 }
 
 impl BundleSpread {
@@ -109,258 +109,6 @@
         self.manifest.as_ref()
     }
 
-    /// Takes the peers that new bundles are told to.
-    ///
-    /// ```
-    /// # use monsoonspread_decisions::bundle_spread::{BundleSpread, BundleSpreadSettings};
-    /// # use monsoonspread_model::bundle::{Manifest, Verifier};
-    /// # use monsoonspread_model::{BundleVersion, UnixMs};
-    /// # let verifier = Box::new(Verifier::new(Vec::new()));
-    /// # let settings = BundleSpreadSettings::default();
-    /// # let mut spread = BundleSpread::new("entry-1".into(), settings, verifier, 1);
-    /// spread.on_peers(UnixMs(0), &["entry-2".into()]);
-    /// ```
-    pub fn on_peers(&mut self, _now: UnixMs, peers: &[InstanceName]) {
-        self.peers = peers
-            .iter()
-            .filter(|peer| **peer != self.own)
-            .cloned()
-            .collect();
-    }
-
-    /// The key-value service's pointer was read.
-    ///
-    /// ```
-    /// # use monsoonspread_decisions::bundle_spread::{BundleSpread, BundleSpreadSettings};
-    /// # use monsoonspread_model::bundle::{Manifest, Verifier};
-    /// # use monsoonspread_model::{BundleVersion, UnixMs};
-    /// # let verifier = Box::new(Verifier::new(Vec::new()));
-    /// # let settings = BundleSpreadSettings::default();
-    /// # let mut spread = BundleSpread::new("entry-1".into(), settings, verifier, 1);
-    /// let manifest = Manifest {
-    ///     version: BundleVersion(1),
-    ///     digest: String::new(),
-    ///     parts: Vec::new(),
-    ///     signature: String::new(),
-    /// };
-    /// assert_eq!(spread.on_pointer(UnixMs(0), manifest).len(), 1, "nobody signed it");
-    /// ```
-    pub fn on_pointer(&mut self, now: UnixMs, manifest: Manifest) -> Vec<BundleAction> {
-        let version = manifest.version;
-        let mut actions = self.want(manifest, &Source::Store);
-        self.sources.note_store(version);
-        actions.extend(self.fetch(now));
-        actions
-    }
-
-    /// A peer told of a bundle.
-    ///
-    /// ```
-    /// # use monsoonspread_decisions::bundle_spread::{BundleSpread, BundleSpreadSettings};
-    /// # use monsoonspread_model::bundle::{Manifest, Verifier};
-    /// # use monsoonspread_model::{BundleVersion, UnixMs};
-    /// # let verifier = Box::new(Verifier::new(Vec::new()));
-    /// # let settings = BundleSpreadSettings::default();
-    /// # let mut spread = BundleSpread::new("entry-1".into(), settings, verifier, 1);
-    /// use monsoonspread_model::message::BundleNotice;
-    /// let manifest = Manifest {
-    ///     version: BundleVersion(1),
-    ///     digest: String::new(),
-    ///     parts: Vec::new(),
-    ///     signature: String::new(),
-    /// };
-    /// let notice = BundleNotice { manifest };
-    /// spread.on_notice(UnixMs(0), &"entry-2".into(), notice);
-    /// assert_eq!(spread.version(), BundleVersion(0), "nobody signed it");
-    /// ```
-    pub fn on_notice(
-        &mut self,
-        now: UnixMs,
-        from: &InstanceName,
-        notice: BundleNotice,
-    ) -> Vec<BundleAction> {
-        let version = notice.manifest.version;
-        let mut actions = self.want(notice.manifest, &Source::Peer(from.clone()));
-        if self.sources.wanted_version() >= version {
-            self.note_peer(from, version);
-        }
-        actions.extend(self.fetch(now));
-        actions
-    }
-
-    /// A peer's message said which version it has in force.
-    ///
-    /// ```
-    /// # use monsoonspread_decisions::bundle_spread::{BundleSpread, BundleSpreadSettings};
-    /// # use monsoonspread_model::bundle::{Manifest, Verifier};
-    /// # use monsoonspread_model::{BundleVersion, UnixMs};
-    /// # let verifier = Box::new(Verifier::new(Vec::new()));
-    /// # let settings = BundleSpreadSettings::default();
-    /// # let mut spread = BundleSpread::new("entry-1".into(), settings, verifier, 1);
-    /// let asked = spread.on_peer_version(UnixMs(0), &"entry-2".into(), BundleVersion(3));
-    /// assert_eq!(asked.len(), 1);
-    /// ```
-    pub fn on_peer_version(
-        &mut self,
-        now: UnixMs,
-        from: &InstanceName,
-        version: BundleVersion,
-    ) -> Vec<BundleAction> {
-        self.note_peer(from, version);
-        self.fetch(now).into_iter().collect()
-    }
-
-    /// A peer asks for what it lacks.
-    ///
-    /// ```
-    /// # use monsoonspread_decisions::bundle_spread::{BundleSpread, BundleSpreadSettings};
-    /// # use monsoonspread_model::bundle::{Manifest, Verifier};
-    /// # use monsoonspread_model::{BundleVersion, UnixMs};
-    /// # let verifier = Box::new(Verifier::new(Vec::new()));
-    /// # let settings = BundleSpreadSettings::default();
-    /// # let mut spread = BundleSpread::new("entry-1".into(), settings, verifier, 1);
-    /// use monsoonspread_model::message::BundleRequest;
-    /// let request = BundleRequest { have: BundleVersion(0) };
-    /// assert!(spread.on_request(UnixMs(0), &"entry-2".into(), request).is_empty());
-    /// ```
-    pub fn on_request(
-        &mut self,
-        _now: UnixMs,
-        from: &InstanceName,
-        request: BundleRequest,
-    ) -> Vec<BundleAction> {
-        let newer = self.version() > request.have;
-        let Some(manifest) = self.manifest.clone().filter(|_| newer) else {
-            return Vec::new();
-        };
-        let content = match self.history.since(request.have) {
-            Some(delta) => BundleContent::Delta { manifest, delta },
-            None => BundleContent::Whole {
-                manifest,
-                content: bundle::encode(&self.current),
-            },
-        };
-        vec![BundleAction::Send {
-            to: from.clone(),
-            message: MeshMessage::BundleContent(content),
-        }]
-    }
-
-    /// A peer sent a bundle.
-    ///
-    /// ```
-    /// # use monsoonspread_decisions::bundle_spread::{BundleSpread, BundleSpreadSettings};
-    /// # use monsoonspread_model::bundle::{Manifest, Verifier};
-    /// # use monsoonspread_model::{BundleVersion, UnixMs};
-    /// # let verifier = Box::new(Verifier::new(Vec::new()));
-    /// # let settings = BundleSpreadSettings::default();
-    /// # let mut spread = BundleSpread::new("entry-1".into(), settings, verifier, 1);
-    /// use monsoonspread_model::message::BundleContent;
-    /// let manifest = Manifest {
-    ///     version: BundleVersion(1),
-    ///     digest: String::new(),
-    ///     parts: Vec::new(),
-    ///     signature: String::new(),
-    /// };
-    /// let content = BundleContent::Whole { manifest, content: Vec::new() };
-    /// spread.on_content(UnixMs(0), &"entry-2".into(), content);
-    /// assert_eq!(spread.version(), BundleVersion(0), "nobody signed it");
-    /// ```
-    pub fn on_content(
-        &mut self,
-        now: UnixMs,
-        from: &InstanceName,
-        content: BundleContent,
-    ) -> Vec<BundleAction> {
-        let source = Source::Peer(from.clone());
-        match content {
-            BundleContent::Whole { manifest, content } => {
-                self.on_whole(now, manifest, &content, source)
-            }
-            BundleContent::Delta { manifest, delta } => self.on_delta(now, manifest, delta, source),
-        }
-    }
-
-    /// The joined parts of a bundle were read from the key-value service.
-    ///
-    /// ```
-    /// # use monsoonspread_decisions::bundle_spread::{BundleSpread, BundleSpreadSettings};
-    /// # use monsoonspread_model::bundle::{Manifest, Verifier};
-    /// # use monsoonspread_model::{BundleVersion, UnixMs};
-    /// # let verifier = Box::new(Verifier::new(Vec::new()));
-    /// # let settings = BundleSpreadSettings::default();
-    /// # let mut spread = BundleSpread::new("entry-1".into(), settings, verifier, 1);
-    /// let manifest = Manifest {
-    ///     version: BundleVersion(1),
-    ///     digest: String::new(),
-    ///     parts: Vec::new(),
-    ///     signature: String::new(),
-    /// };
-    /// spread.on_parts(UnixMs(0), manifest, b"");
-    /// assert_eq!(spread.version(), BundleVersion(0), "nobody signed it");
-    /// ```
-    pub fn on_parts(
-        &mut self,
-        now: UnixMs,
-        manifest: Manifest,
-        content: &[u8],
-    ) -> Vec<BundleAction> {
-        self.on_whole(now, manifest, content, Source::Store)
-    }
-
-    /// A delta was read from the key-value service; one from another version is passed over.
-    pub fn on_stored_delta(
-        &mut self,
-        now: UnixMs,
-        manifest: Manifest,
-        delta: BundleDelta,
-    ) -> Vec<BundleAction> {
-        self.on_delta(now, manifest, delta, Source::Store)
-    }
-
-    /// The key-value service did not give the content.
-    ///
-    /// ```
-    /// # use monsoonspread_decisions::bundle_spread::{BundleSpread, BundleSpreadSettings};
-    /// # use monsoonspread_model::bundle::{Manifest, Verifier};
-    /// # use monsoonspread_model::{BundleVersion, UnixMs};
-    /// # let verifier = Box::new(Verifier::new(Vec::new()));
-    /// # let settings = BundleSpreadSettings::default();
-    /// # let mut spread = BundleSpread::new("entry-1".into(), settings, verifier, 1);
-    /// assert!(spread.on_fetch_failed(UnixMs(0)).is_empty());
-    /// ```
-    pub fn on_fetch_failed(&mut self, now: UnixMs) -> Vec<BundleAction> {
-        let from_store = |pending: &Pending| pending.source == Source::Store;
-        if !self.pending.as_ref().is_some_and(from_store) {
-            return Vec::new();
-        }
-        self.give_up(now)
-    }
-
-    /// Lets time pass; every 100 ms.
-    ///
-    /// ```
-    /// # use monsoonspread_decisions::bundle_spread::{BundleSpread, BundleSpreadSettings};
-    /// # use monsoonspread_model::bundle::{Manifest, Verifier};
-    /// # use monsoonspread_model::{BundleVersion, UnixMs};
-    /// # let verifier = Box::new(Verifier::new(Vec::new()));
-    /// # let settings = BundleSpreadSettings::default();
-    /// # let mut spread = BundleSpread::new("entry-1".into(), settings, verifier, 1);
-    /// assert!(spread.on_tick(UnixMs(0)).is_empty());
-    /// ```
-    pub fn on_tick(&mut self, now: UnixMs) -> Vec<BundleAction> {
-        let late = |pending: &Pending| now >= pending.deadline_unix_ms;
-        let mut actions = if self.pending.as_ref().is_some_and(late) {
-            self.give_up(now)
-        } else {
-            self.fetch(now).into_iter().collect()
-        };
-        if self.notices_left > 0 && now >= self.next_notice_at {
-            actions.extend(self.notify(now));
-        }
-        actions
-    }
-
     /// What this instance has in force, and what it lacks.
     ///
     /// ```
@@ -383,7 +131,7 @@
     }
 
     /// Remembers a signed manifest that is newer than what is in force or wanted.
-    fn want(&mut self, manifest: Manifest, from: &Source) -> Vec<BundleAction> {
+    pub(super) fn want(&mut self, manifest: Manifest, from: &Source) -> Vec<BundleAction> {
         let version = manifest.version;
         if version <= self.version() || version <= self.sources.wanted_version() {
             return Vec::new();
@@ -399,14 +147,14 @@
         Vec::new()
     }
 
-    fn note_peer(&mut self, peer: &InstanceName, version: BundleVersion) {
+    pub(super) fn note_peer(&mut self, peer: &InstanceName, version: BundleVersion) {
         if version > self.version() {
             self.sources.note_peer(peer, version);
         }
     }
 
     /// Asks a peer that has a higher version, or else the key-value service.
-    fn fetch(&mut self, now: UnixMs) -> Option<BundleAction> {
+    pub(super) fn fetch(&mut self, now: UnixMs) -> Option<BundleAction> {
         let asked = self.pending.as_ref().map(|pending| pending.version);
         let in_store = self.sources.in_store();
         let in_store = in_store.filter(|manifest| Some(manifest.version) > asked);
@@ -434,7 +182,7 @@
     }
 
     /// Forgets the source that failed and asks another.
-    fn give_up(&mut self, now: UnixMs) -> Vec<BundleAction> {
+    pub(super) fn give_up(&mut self, now: UnixMs) -> Vec<BundleAction> {
         let Some(pending) = self.pending.take() else {
             return Vec::new();
         };
@@ -447,7 +195,7 @@
         actions
     }
 
-    fn on_whole(
+    pub(super) fn on_whole(
         &mut self,
         now: UnixMs,
         manifest: Manifest,
@@ -463,7 +211,7 @@
         }
     }
 
-    fn on_delta(
+    pub(super) fn on_delta(
         &mut self,
         now: UnixMs,
         manifest: Manifest,
@@ -479,7 +227,7 @@
         }
     }
 
-    fn reject(
+    pub(super) fn reject(
         &mut self,
         now: UnixMs,
         version: BundleVersion,
@@ -498,12 +246,12 @@
         actions
     }
 
-    fn is_pending_from(&self, from: &Source) -> bool {
+    pub(super) fn is_pending_from(&self, from: &Source) -> bool {
         let pending = self.pending.as_ref();
         pending.is_some_and(|pending| pending.source == *from)
     }
 
-    fn end_fetch(&mut self, now: UnixMs, from: &Source) -> Vec<BundleAction> {
+    pub(super) fn end_fetch(&mut self, now: UnixMs, from: &Source) -> Vec<BundleAction> {
         if self.is_pending_from(from) {
             self.pending = None;
         }
@@ -511,7 +259,7 @@
     }
 
     /// Puts a bundle in force; its signature and digest have been checked.
-    fn adopt(
+    pub(super) fn adopt(
         &mut self,
         now: UnixMs,
         bundle: Bundle,
@@ -538,7 +286,7 @@
     }
 
     /// Tells a few random peers of the bundle in force.
-    fn notify(&mut self, now: UnixMs) -> Vec<BundleAction> {
+    pub(super) fn notify(&mut self, now: UnixMs) -> Vec<BundleAction> {
         let Some(manifest) = self.manifest.clone() else {
             return Vec::new();
         };
--- a/crates/decisions/src/bundle_spread/mod.rs
+++ b/crates/decisions/src/bundle_spread/mod.rs
@@ -9,6 +9,7 @@
 mod checked;
 mod dump;
 mod event;
+mod handlers;
 mod history;
 mod machine;
 mod manifest_verifier;
--- a/crates/decisions/src/claims/claim.rs
+++ b/crates/decisions/src/claims/claim.rs
@@ -5,32 +5,32 @@
 use super::refusals::{key_conflict, no_store, not_run, too_late, unknown};
 use super::{
     ClaimAction, ClaimAnswer, ClaimDump, ClaimKey, ClaimRecord, ClaimSettings, ClaimState,
-    ClaimToken, MAX_STORED_BODY_BYTES, OutcomeWrite, RunResult,
+    ClaimToken, MAX_STORED_BODY_BYTES, RunResult,
 };
 
 /// Revision of a key that is absent.
-const ABSENT: u64 = 0;
+pub(super) const ABSENT: u64 = 0;
 
 /// One keyed call on one instance, from its arrival until its outcome is recorded.
 #[derive(Clone, Debug)]
 pub struct Claim {
-    key: ClaimKey,
-    token: ClaimToken,
-    body_digest: String,
-    deadline_unix_ms: UnixMs,
-    settings: ClaimSettings,
-    phase: Phase,
-    answered: bool,
-    ran: bool,
-    attempts: u32,
+    pub(super) key: ClaimKey,
+    pub(super) token: ClaimToken,
+    pub(super) body_digest: String,
+    pub(super) deadline_unix_ms: UnixMs,
+    pub(super) settings: ClaimSettings,
+    pub(super) phase: Phase,
+    pub(super) answered: bool,
+    pub(super) ran: bool,
+    pub(super) attempts: u32,
     /// Whether a create or a retake may still take effect unseen.
-    write_lost: bool,
-    poll_ms: u64,
-    mod_revision: Option<u64>,
+    pub(super) write_lost: bool,
+    pub(super) poll_ms: u64,
+    pub(super) mod_revision: Option<u64>,
 }
 
 #[derive(Clone, Debug, Eq, PartialEq)]
-enum Phase {
+pub(super) enum Phase {
     New,
     /// A create or a retake is under way.
     Claiming,
@@ -130,209 +130,6 @@
         self.phase == Phase::Done
     }
 
-    /// Starts; nothing has run before.
-    ///
-    /// ```
-    /// # use monsoonspread_decisions::claims::*;
-    /// # use monsoonspread_model::UnixMs;
-    /// # use rand_chacha::{ChaCha8Rng, rand_core::SeedableRng};
-    /// # let token = ClaimToken::random(&mut ChaCha8Rng::seed_from_u64(1));
-    /// # let key = ClaimKey::new(&"records".into(), &"bench".into(), "offset-17");
-    /// # let mut claim = Claim::new(key, token, body_digest("commit", b"{}"), UnixMs(900));
-    /// assert!(matches!(claim.start(UnixMs(0))[..], [ClaimAction::Create(_)]));
-    /// ```
-    pub fn start(&mut self, now: UnixMs) -> Vec<ClaimAction> {
-        if self.phase != Phase::New {
-            return Vec::new();
-        }
-        if now >= self.deadline_unix_ms {
-            return self.refuse_and_end(too_late());
-        }
-        self.create()
-    }
-
-    /// The record was created or retaken; `mod_revision` is its revision where known.
-    ///
-    /// ```
-    /// # use monsoonspread_decisions::claims::*;
-    /// # use monsoonspread_model::UnixMs;
-    /// # use rand_chacha::{ChaCha8Rng, rand_core::SeedableRng};
-    /// # let token = ClaimToken::random(&mut ChaCha8Rng::seed_from_u64(1));
-    /// # let key = ClaimKey::new(&"records".into(), &"bench".into(), "offset-17");
-    /// # let mut claim = Claim::new(key, token, body_digest("commit", b"{}"), UnixMs(900));
-    /// claim.start(UnixMs(0));
-    /// assert_eq!(claim.on_created(UnixMs(4), None), [ClaimAction::Run]);
-    /// ```
-    pub fn on_created(&mut self, now: UnixMs, mod_revision: Option<u64>) -> Vec<ClaimAction> {
-        if !matches!(self.phase, Phase::Claiming | Phase::ReadingBack) {
-            return Vec::new();
-        }
-        self.mod_revision = mod_revision;
-        if now >= self.deadline_unix_ms {
-            let mut actions = self.refuse(too_late());
-            actions.extend(self.record(ClaimState::NotRun));
-            return actions;
-        }
-        self.phase = Phase::Running;
-        self.ran = true;
-        vec![ClaimAction::Run]
-    }
-
-    /// The record was not created or retaken, as the key holds `record`.
-    ///
-    /// ```
-    /// # use monsoonspread_decisions::claims::*;
-    /// # use monsoonspread_model::UnixMs;
-    /// # use rand_chacha::{ChaCha8Rng, rand_core::SeedableRng};
-    /// # let token = ClaimToken::random(&mut ChaCha8Rng::seed_from_u64(1));
-    /// # let key = ClaimKey::new(&"records".into(), &"bench".into(), "offset-17");
-    /// # let mut claim = Claim::new(key, token, body_digest("commit", b"{}"), UnixMs(900));
-    /// let ClaimAction::Create(mut record) = claim.start(UnixMs(0)).remove(0) else { return };
-    /// record.state = ClaimState::Unknown;
-    /// record.token = ClaimToken::random(&mut ChaCha8Rng::seed_from_u64(2));
-    /// let actions = claim.on_exists(UnixMs(4), &record, 7);
-    /// assert!(matches!(actions[..], [ClaimAction::Answer(ClaimAnswer::Refused(_))]));
-    /// ```
-    pub fn on_exists(
-        &mut self,
-        now: UnixMs,
-        record: &ClaimRecord,
-        mod_revision: u64,
-    ) -> Vec<ClaimAction> {
-        if !matches!(self.phase, Phase::Claiming | Phase::ReadingBack) {
-            return Vec::new();
-        }
-        self.on_found(now, record, mod_revision)
-    }
-
-    /// The answer to a create or a retake was lost.
-    ///
-    /// ```
-    /// # use monsoonspread_decisions::claims::*;
-    /// # use monsoonspread_model::UnixMs;
-    /// # use rand_chacha::{ChaCha8Rng, rand_core::SeedableRng};
-    /// # let token = ClaimToken::random(&mut ChaCha8Rng::seed_from_u64(1));
-    /// # let key = ClaimKey::new(&"records".into(), &"bench".into(), "offset-17");
-    /// # let mut claim = Claim::new(key, token, body_digest("commit", b"{}"), UnixMs(900));
-    /// claim.start(UnixMs(0));
-    /// assert_eq!(claim.on_write_unknown(UnixMs(4)), [ClaimAction::Read]);
-    /// ```
-    pub fn on_write_unknown(&mut self, _now: UnixMs) -> Vec<ClaimAction> {
-        if self.phase != Phase::Claiming {
-            return Vec::new();
-        }
-        self.write_lost = true;
-        self.phase = Phase::ReadingBack;
-        vec![ClaimAction::Read]
-    }
-
-    /// A create, a retake or a read did not reach the key-value service.
-    ///
-    /// ```
-    /// # use monsoonspread_decisions::claims::*;
-    /// # use monsoonspread_model::UnixMs;
-    /// # use rand_chacha::{ChaCha8Rng, rand_core::SeedableRng};
-    /// # let token = ClaimToken::random(&mut ChaCha8Rng::seed_from_u64(1));
-    /// # let key = ClaimKey::new(&"records".into(), &"bench".into(), "offset-17");
-    /// # let mut claim = Claim::new(key, token, body_digest("commit", b"{}"), UnixMs(900));
-    /// claim.start(UnixMs(0));
-    /// let actions = claim.on_store_unreachable(UnixMs(4));
-    /// let [ClaimAction::Answer(ClaimAnswer::Refused(refusal))] = &actions[..] else { return };
-    /// assert!(refusal.not_run);
-    /// ```
-    pub fn on_store_unreachable(&mut self, now: UnixMs) -> Vec<ClaimAction> {
-        match self.phase {
-            Phase::Claiming if !self.write_lost => self.refuse_and_end(no_store(now)),
-            Phase::Claiming | Phase::ReadingBack => {
-                let mut actions = self.refuse(no_store(now));
-                actions.extend(self.read_later(now, Phase::Recording(ClaimState::NotRun)));
-                actions
-            }
-            Phase::Waiting => self.refuse_and_end(unknown()),
-            Phase::Recording(_) => self.read_later(now, self.phase.clone()),
-            Phase::New | Phase::Running | Phase::Done => Vec::new(),
-        }
-    }
-
-    /// The record was read.
-    ///
-    /// ```
-    /// # use monsoonspread_decisions::claims::*;
-    /// # use monsoonspread_model::UnixMs;
-    /// # use rand_chacha::{ChaCha8Rng, rand_core::SeedableRng};
-    /// # let token = ClaimToken::random(&mut ChaCha8Rng::seed_from_u64(1));
-    /// # let key = ClaimKey::new(&"records".into(), &"bench".into(), "offset-17");
-    /// # let mut claim = Claim::new(key, token, body_digest("commit", b"{}"), UnixMs(900));
-    /// claim.start(UnixMs(0));
-    /// claim.on_write_unknown(UnixMs(4));
-    /// let again = claim.on_read(UnixMs(5), None);
-    /// assert!(matches!(again[..], [ClaimAction::Create(_)]));
-    /// ```
-    pub fn on_read(&mut self, now: UnixMs, found: Option<(&ClaimRecord, u64)>) -> Vec<ClaimAction> {
-        match (self.phase.clone(), found) {
-            (Phase::ReadingBack | Phase::Waiting, Some((record, mod_revision))) => {
-                self.on_found(now, record, mod_revision)
-            }
-            (Phase::ReadingBack, None) => self.on_nothing_found(now),
-            (Phase::Waiting, None) => self.refuse_and_end(unknown()),
-            (Phase::Recording(outcome), Some((record, mod_revision))) => {
-                self.on_recorded(record, mod_revision, outcome)
-            }
-            (Phase::Recording(outcome), None) => vec![self.write(outcome, ABSENT)],
-            (Phase::New | Phase::Claiming | Phase::Running | Phase::Done, _) => Vec::new(),
-        }
-    }
-
-    /// The call ended.
-    ///
-    /// ```
-    /// # use monsoonspread_decisions::claims::*;
-    /// # use monsoonspread_model::UnixMs;
-    /// # use rand_chacha::{ChaCha8Rng, rand_core::SeedableRng};
-    /// # let token = ClaimToken::random(&mut ChaCha8Rng::seed_from_u64(1));
-    /// # let key = ClaimKey::new(&"records".into(), &"bench".into(), "offset-17");
-    /// # let mut claim = Claim::new(key, token, body_digest("commit", b"{}"), UnixMs(900));
-    /// claim.start(UnixMs(0));
-    /// claim.on_created(UnixMs(4), Some(7));
-    /// let actions = claim.on_run_result(UnixMs(9), RunResult::Unknown);
-    /// assert!(matches!(actions[..], [ClaimAction::Answer(_), ClaimAction::WriteOutcome { .. }]));
-    /// ```
-    pub fn on_run_result(&mut self, _now: UnixMs, result: RunResult) -> Vec<ClaimAction> {
-        if self.phase != Phase::Running {
-            return Vec::new();
-        }
-        let (answer, outcome) = answer_and_outcome(result);
-        let mut actions = self.answer(answer);
-        actions.extend(self.record(outcome));
-        actions
-    }
-
-    /// The outcome was written, or not.
-    ///
-    /// ```
-    /// # use monsoonspread_decisions::claims::*;
-    /// # use monsoonspread_model::UnixMs;
-    /// # use rand_chacha::{ChaCha8Rng, rand_core::SeedableRng};
-    /// # let token = ClaimToken::random(&mut ChaCha8Rng::seed_from_u64(1));
-    /// # let key = ClaimKey::new(&"records".into(), &"bench".into(), "offset-17");
-    /// # let mut claim = Claim::new(key, token, body_digest("commit", b"{}"), UnixMs(900));
-    /// claim.start(UnixMs(0));
-    /// claim.on_created(UnixMs(4), Some(7));
-    /// claim.on_run_result(UnixMs(9), RunResult::NotRun);
-    /// claim.on_outcome_written(UnixMs(12), OutcomeWrite::Written);
-    /// assert!(claim.is_done());
-    /// ```
-    pub fn on_outcome_written(&mut self, now: UnixMs, write: OutcomeWrite) -> Vec<ClaimAction> {
-        if !matches!(self.phase, Phase::Recording(_)) {
-            return Vec::new();
-        }
-        match write {
-            OutcomeWrite::Written => self.end(),
-            OutcomeWrite::Conflict | OutcomeWrite::Unknown => vec![ClaimAction::Read],
-            OutcomeWrite::Unreachable => self.read_later(now, self.phase.clone()),
-        }
-    }
-
     /// How far the call is.
     ///
     /// ```
@@ -361,14 +158,14 @@
         }
     }
 
-    fn create(&mut self) -> Vec<ClaimAction> {
+    pub(super) fn create(&mut self) -> Vec<ClaimAction> {
         self.phase = Phase::Claiming;
         self.attempts += 1;
         vec![ClaimAction::Create(self.record_of(ClaimState::Started))]
     }
 
     /// The key holds `record`.
-    fn on_found(
+    pub(super) fn on_found(
         &mut self,
         now: UnixMs,
         record: &ClaimRecord,
@@ -402,7 +199,7 @@
     }
 
     /// Reading back found no record: the lost create may still take effect.
-    fn on_nothing_found(&mut self, now: UnixMs) -> Vec<ClaimAction> {
+    pub(super) fn on_nothing_found(&mut self, now: UnixMs) -> Vec<ClaimAction> {
         if self.attempts < self.settings.create_attempts && now < self.deadline_unix_ms {
             return self.create();
         }
@@ -411,7 +208,7 @@
         actions
     }
 
-    fn retake(&mut self, now: UnixMs, expected_mod_revision: u64) -> Vec<ClaimAction> {
+    pub(super) fn retake(&mut self, now: UnixMs, expected_mod_revision: u64) -> Vec<ClaimAction> {
         if now >= self.deadline_unix_ms && self.write_lost {
             let mut actions = self.refuse(too_late());
             actions.extend(self.record(ClaimState::NotRun));
@@ -429,7 +226,7 @@
     }
 
     /// Waits for the outcome of another's run, as long as that can come in time.
-    fn wait(&mut self, now: UnixMs, record: &ClaimRecord) -> Vec<ClaimAction> {
+    pub(super) fn wait(&mut self, now: UnixMs, record: &ClaimRecord) -> Vec<ClaimAction> {
         let ends_at = record.deadline_unix_ms + self.settings.grace_ms;
         if now >= ends_at {
             return self.refuse_and_end(unknown());
@@ -444,7 +241,7 @@
     }
 
     /// Records `outcome`, reading the record's revision first where it is not known.
-    fn record(&mut self, outcome: ClaimState) -> Vec<ClaimAction> {
+    pub(super) fn record(&mut self, outcome: ClaimState) -> Vec<ClaimAction> {
         self.phase = Phase::Recording(outcome.clone());
         match self.mod_revision {
             Some(mod_revision) => vec![self.write(outcome, mod_revision)],
@@ -453,7 +250,7 @@
     }
 
     /// The record was read while its outcome was being recorded.
-    fn on_recorded(
+    pub(super) fn on_recorded(
         &mut self,
         record: &ClaimRecord,
         mod_revision: u64,
@@ -477,7 +274,7 @@
         }]
     }
 
-    fn write(&self, outcome: ClaimState, expected_mod_revision: u64) -> ClaimAction {
+    pub(super) fn write(&self, outcome: ClaimState, expected_mod_revision: u64) -> ClaimAction {
         ClaimAction::WriteOutcome {
             record: self.record_of(outcome),
             expected_mod_revision,
@@ -485,7 +282,7 @@
     }
 
     /// Reads again after a pause, or gives up when the time for that has passed.
-    fn read_later(&mut self, now: UnixMs, phase: Phase) -> Vec<ClaimAction> {
+    pub(super) fn read_later(&mut self, now: UnixMs, phase: Phase) -> Vec<ClaimAction> {
         let read_at = now + self.settings.store_retry_ms;
         if read_at >= self.deadline_unix_ms + self.settings.record_for_ms {
             return self.end();
@@ -494,7 +291,7 @@
         vec![ClaimAction::ReadAt(read_at)]
     }
 
-    fn record_of(&self, state: ClaimState) -> ClaimRecord {
+    pub(super) fn record_of(&self, state: ClaimState) -> ClaimRecord {
         ClaimRecord {
             token: self.token.clone(),
             body_digest: self.body_digest.clone(),
@@ -503,29 +300,29 @@
         }
     }
 
-    fn refuse(&mut self, refusal: Refusal) -> Vec<ClaimAction> {
+    pub(super) fn refuse(&mut self, refusal: Refusal) -> Vec<ClaimAction> {
         self.answer(ClaimAnswer::Refused(refusal))
     }
 
-    fn refuse_and_end(&mut self, refusal: Refusal) -> Vec<ClaimAction> {
+    pub(super) fn refuse_and_end(&mut self, refusal: Refusal) -> Vec<ClaimAction> {
         self.phase = Phase::Done;
         self.refuse(refusal)
     }
 
-    fn answer(&mut self, answer: ClaimAnswer) -> Vec<ClaimAction> {
+    pub(super) fn answer(&mut self, answer: ClaimAnswer) -> Vec<ClaimAction> {
         if std::mem::replace(&mut self.answered, true) {
             return Vec::new();
         }
         vec![ClaimAction::Answer(answer)]
     }
 
-    fn end(&mut self) -> Vec<ClaimAction> {
+    pub(super) fn end(&mut self) -> Vec<ClaimAction> {
         self.phase = Phase::Done;
         Vec::new()
     }
 }
 
-fn answer_and_outcome(result: RunResult) -> (ClaimAnswer, ClaimState) {
+pub(super) fn answer_and_outcome(result: RunResult) -> (ClaimAnswer, ClaimState) {
     match result {
         RunResult::Replied {
             status,
@@ -547,7 +344,7 @@
 }
 
 /// The state that keeps an answer for repeats.
-fn stored(status: u16, content_type: &str, body: &[u8]) -> ClaimState {
+pub(super) fn stored(status: u16, content_type: &str, body: &[u8]) -> ClaimState {
     if body.len() > MAX_STORED_BODY_BYTES {
         return ClaimState::Unknown;
     }
--- a/crates/decisions/src/claims/mod.rs
+++ b/crates/decisions/src/claims/mod.rs
@@ -11,6 +11,7 @@
 mod batcher;
 mod claim;
 mod dump;
+mod handlers;
 mod key;
 mod record;
 mod refusals;
--- a/crates/decisions/src/membership/machine.rs
+++ b/crates/decisions/src/membership/machine.rs
@@ -1,12 +1,9 @@
 //! The state machine of one instance.
 
-use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
 use monsoonspread_model::message::{Health, MemberUpdate, Swim, SwimBody};
-use monsoonspread_model::{
-    BundleVersion, InstanceKind, InstanceName, InstanceState, ListedInstance, MeshMessage, UnixMs,
-};
+use monsoonspread_model::{BundleVersion, InstanceName, MeshMessage, UnixMs};
 use rand::seq::{IndexedRandom, SliceRandom};
 use rand_chacha::ChaCha8Rng;
 use rand_chacha::rand_core::{Rng, SeedableRng};
@@ -23,21 +20,21 @@
 /// Keeps track of the instances of one zone.
 #[derive(Clone, Debug)]
 pub struct Membership {
-    own: Member,
-    settings: MembershipSettings,
-    random: ChaCha8Rng,
-    incarnation: Incarnation,
-    leaving: bool,
-    members: Members,
-    probes: Probes,
-    updates: UpdateQueue,
+    pub(super) own: Member,
+    pub(super) settings: MembershipSettings,
+    pub(super) random: ChaCha8Rng,
+    pub(super) incarnation: Incarnation,
+    pub(super) leaving: bool,
+    pub(super) members: Members,
+    pub(super) probes: Probes,
+    pub(super) updates: UpdateQueue,
     /// Members still to be probed in this round.
-    round: Vec<InstanceName>,
-    next_probe_at: UnixMs,
-    next_dead_probe_at: UnixMs,
-    last_tick_at: Option<UnixMs>,
-    bundle_version: BundleVersion,
-    table_revision: u64,
+    pub(super) round: Vec<InstanceName>,
+    pub(super) next_probe_at: UnixMs,
+    pub(super) next_dead_probe_at: UnixMs,
+    pub(super) last_tick_at: Option<UnixMs>,
+    pub(super) bundle_version: BundleVersion,
+    pub(super) table_revision: u64,
 }
 
 impl Membership {
@@ -153,137 +150,6 @@
         self.members.get(name).map(|state| state.address)
     }
 
-    /// Takes the rows of the platform's list, or seeds from the settings.
-    ///
-    /// ```
-    /// # use monsoonspread_decisions::membership::{Member, Membership, MembershipSettings};
-    /// # use monsoonspread_model::{BundleVersion, UnixMs, message::Health};
-    /// # let own = Member { name: "entry-1".into(), address: ([127, 0, 0, 1], 7000).into() };
-    /// # let mut membership = Membership::new(UnixMs(5), own, MembershipSettings::default(), 1);
-    /// assert!(membership.on_listed(UnixMs(5), &[]).is_empty());
-    /// ```
-    pub fn on_listed(&mut self, now: UnixMs, listed: &[ListedInstance]) -> Vec<MembershipAction> {
-        let listed: BTreeMap<_, _> = listed
-            .iter()
-            .filter(|row| row.kind == InstanceKind::Entry && row.state == InstanceState::Live)
-            .map(|row| (InstanceName::from(row.name.as_str()), row.address))
-            .filter(|(name, _)| *name != self.own.name)
-            .collect();
-        self.members.set_listed(now, &listed);
-        Vec::new()
-    }
-
-    /// A bundle is in force on this instance.
-    ///
-    /// ```
-    /// # use monsoonspread_decisions::membership::{Member, Membership, MembershipSettings};
-    /// # use monsoonspread_model::{BundleVersion, UnixMs, message::Health};
-    /// # let own = Member { name: "entry-1".into(), address: ([127, 0, 0, 1], 7000).into() };
-    /// # let mut membership = Membership::new(UnixMs(5), own, MembershipSettings::default(), 1);
-    /// membership.on_bundle_version(BundleVersion(12));
-    /// ```
-    pub fn on_bundle_version(&mut self, version: BundleVersion) {
-        self.bundle_version = version;
-    }
-
-    /// This instance has a table of the zone.
-    ///
-    /// ```
-    /// # use monsoonspread_decisions::membership::{Member, Membership, MembershipSettings};
-    /// # use monsoonspread_model::{BundleVersion, UnixMs, message::Health};
-    /// # let own = Member { name: "entry-1".into(), address: ([127, 0, 0, 1], 7000).into() };
-    /// # let mut membership = Membership::new(UnixMs(5), own, MembershipSettings::default(), 1);
-    /// membership.on_table_revision(3);
-    /// ```
-    pub fn on_table_revision(&mut self, revision: u64) {
-        self.table_revision = revision;
-    }
-
-    /// This instance leaves as planned: says so at once to a few members.
-    ///
-    /// ```
-    /// # use monsoonspread_decisions::membership::{Member, Membership, MembershipSettings};
-    /// # use monsoonspread_model::{BundleVersion, UnixMs, message::Health};
-    /// # let own = Member { name: "entry-1".into(), address: ([127, 0, 0, 1], 7000).into() };
-    /// # let mut membership = Membership::new(UnixMs(5), own, MembershipSettings::default(), 1);
-    /// membership.on_leave(UnixMs(6));
-    /// assert_eq!(membership.health(&"entry-1".into()), Some(Health::Leaving));
-    /// ```
-    pub fn on_leave(&mut self, _now: UnixMs) -> Vec<MembershipAction> {
-        self.leaving = true;
-        self.incarnation = self.incarnation.next();
-        let told = self.sample(self.settings.leave_fan_out, |_, state| {
-            state.heard && state.is_probed()
-        });
-        let sequence = 0;
-        told.into_iter()
-            .map(|to| self.send(to, SwimBody::Ack { sequence }))
-            .collect()
-    }
-
-    /// A message of another member.
-    ///
-    /// ```
-    /// # use monsoonspread_decisions::membership::{Member, Membership, MembershipSettings};
-    /// # use monsoonspread_model::{BundleVersion, UnixMs, message::Health};
-    /// # let own = Member { name: "entry-1".into(), address: ([127, 0, 0, 1], 7000).into() };
-    /// # let mut membership = Membership::new(UnixMs(5), own, MembershipSettings::default(), 1);
-    /// use monsoonspread_model::message::{Swim, SwimBody};
-    /// let swim = Swim {
-    ///     body: SwimBody::Ping { sequence: 1 },
-    ///     updates: Vec::new(),
-    ///     bundle_version: BundleVersion(0),
-    ///     table_revision: 0,
-    /// };
-    /// assert_eq!(membership.on_swim(UnixMs(6), &"entry-2".into(), swim).len(), 1);
-    /// ```
-    pub fn on_swim(
-        &mut self,
-        now: UnixMs,
-        from: &InstanceName,
-        swim: Swim,
-    ) -> Vec<MembershipAction> {
-        let mut actions = self.compare_versions(from, &swim);
-        for update in &swim.updates {
-            actions.extend(self.apply(now, false, update));
-        }
-        match swim.body {
-            SwimBody::Ping { sequence } => {
-                actions.push(self.send(from.clone(), SwimBody::Ack { sequence }));
-            }
-            SwimBody::Ack { sequence } => actions.extend(self.on_ack(sequence)),
-            SwimBody::PingRequest { sequence, target } => {
-                let relay = Some((from.clone(), sequence));
-                actions.push(self.probe(now, target, relay));
-            }
-        }
-        actions
-    }
-
-    /// Lets time pass; every 100 ms.
-    ///
-    /// ```
-    /// # use monsoonspread_decisions::membership::{Member, Membership, MembershipSettings};
-    /// # use monsoonspread_model::{BundleVersion, UnixMs, message::Health};
-    /// # let own = Member { name: "entry-1".into(), address: ([127, 0, 0, 1], 7000).into() };
-    /// # let mut membership = Membership::new(UnixMs(5), own, MembershipSettings::default(), 1);
-    /// assert!(membership.on_tick(UnixMs(100)).is_empty(), "there is nobody to probe");
-    /// ```
-    pub fn on_tick(&mut self, now: UnixMs) -> Vec<MembershipAction> {
-        let gap_ms = self.last_tick_at.map_or(0, |last| now.ms_since(last));
-        self.last_tick_at = Some(now);
-        if gap_ms > self.settings.max_tick_gap_ms {
-            return self.on_stood_still(now, gap_ms);
-        }
-        self.members.forget(now, self.settings.forget_ms);
-        let mut actions = self.suspect_late(now);
-        actions.extend(self.bury_suspects(now));
-        actions.extend(self.ask_others(now));
-        actions.extend(self.probe_next(now));
-        actions.extend(self.probe_dead(now));
-        actions
-    }
-
     /// What this instance knows of its zone.
     ///
     /// ```
@@ -313,7 +179,7 @@
         }
     }
 
-    fn own_health(&self) -> Health {
+    pub(super) fn own_health(&self) -> Health {
         if self.leaving {
             Health::Leaving
         } else {
@@ -321,7 +187,7 @@
         }
     }
 
-    fn own_update(&self) -> MemberUpdate {
+    pub(super) fn own_update(&self) -> MemberUpdate {
         MemberUpdate {
             member: self.own.name.clone(),
             address: self.own.address,
@@ -330,7 +196,11 @@
         }
     }
 
-    fn compare_versions(&self, from: &InstanceName, swim: &Swim) -> Vec<MembershipAction> {
+    pub(super) fn compare_versions(
+        &self,
+        from: &InstanceName,
+        swim: &Swim,
+    ) -> Vec<MembershipAction> {
         let bundle =
             (swim.bundle_version > self.bundle_version).then(|| MembershipAction::PeerHasBundle {
                 peer: from.clone(),
@@ -344,7 +214,12 @@
         bundle.into_iter().chain(table).collect()
     }
 
-    fn apply(&mut self, now: UnixMs, own: bool, update: &MemberUpdate) -> Vec<MembershipAction> {
+    pub(super) fn apply(
+        &mut self,
+        now: UnixMs,
+        own: bool,
+        update: &MemberUpdate,
+    ) -> Vec<MembershipAction> {
         if update.member == self.own.name {
             return self.refute(update);
         }
@@ -360,7 +235,7 @@
 
     /// Probes a suspect next, which also tells it. Of those that hear of a suspicion in a large
     /// zone only some do, chosen at random.
-    fn check_suspicion(&mut self, member: &InstanceName, own: bool) {
+    pub(super) fn check_suspicion(&mut self, member: &InstanceName, own: bool) {
         let members = self.members.heard().count() as u64 + 1;
         if own || self.random.next_u64() % members < self.settings.confirmations as u64 {
             self.round.push(member.clone());
@@ -368,7 +243,7 @@
     }
 
     /// Answers a wrong statement about this instance with a higher incarnation.
-    fn refute(&mut self, update: &MemberUpdate) -> Vec<MembershipAction> {
+    pub(super) fn refute(&mut self, update: &MemberUpdate) -> Vec<MembershipAction> {
         let said = (Incarnation(update.incarnation), update.health);
         if said <= (self.incarnation, self.own_health()) {
             return Vec::new();
@@ -380,7 +255,7 @@
     }
 
     /// The time that this instance stood still is held against nobody.
-    fn on_stood_still(&mut self, now: UnixMs, gap_ms: u64) -> Vec<MembershipAction> {
+    pub(super) fn on_stood_still(&mut self, now: UnixMs, gap_ms: u64) -> Vec<MembershipAction> {
         self.probes.clear();
         self.members.restart_suspicions(now);
         vec![MembershipAction::Event(MembershipEvent::StoodStill {
@@ -388,13 +263,13 @@
         })]
     }
 
-    fn on_ack(&mut self, sequence: u64) -> Option<MembershipAction> {
+    pub(super) fn on_ack(&mut self, sequence: u64) -> Option<MembershipAction> {
         let probe = self.probes.finish(sequence)?;
         let (origin, sequence) = probe.relay?;
         Some(self.send(origin, SwimBody::Ack { sequence }))
     }
 
-    fn suspect_late(&mut self, now: UnixMs) -> Vec<MembershipAction> {
+    pub(super) fn suspect_late(&mut self, now: UnixMs) -> Vec<MembershipAction> {
         let late = self.probes.take_late(now, self.settings.suspect_after_ms);
         let mut actions = Vec::new();
         for probe in late.into_iter().filter(|probe| probe.relay.is_none()) {
@@ -403,7 +278,7 @@
         actions
     }
 
-    fn bury_suspects(&mut self, now: UnixMs) -> Vec<MembershipAction> {
+    pub(super) fn bury_suspects(&mut self, now: UnixMs) -> Vec<MembershipAction> {
         let late: Vec<_> = self
             .members
             .heard()
@@ -419,7 +294,7 @@
     }
 
     /// How long a suspect has: less when that is confirmed or nobody else could confirm it.
-    fn suspicion_ms(&self, state: &MemberState) -> u64 {
+    pub(super) fn suspicion_ms(&self, state: &MemberState) -> u64 {
         let others = self.members.heard().filter(|(_, other)| other.is_probed());
         let others = others.count() as u32;
         if others <= 1 || state.suspicion_confirmed {
@@ -429,7 +304,7 @@
     }
 
     /// Says of a member what this instance found itself.
-    fn declare(
+    pub(super) fn declare(
         &mut self,
         now: UnixMs,
         name: &InstanceName,
@@ -450,7 +325,7 @@
         self.apply(now, true, &update)
     }
 
-    fn ask_others(&mut self, now: UnixMs) -> Vec<MembershipAction> {
+    pub(super) fn ask_others(&mut self, now: UnixMs) -> Vec<MembershipAction> {
         let slow = self.probes.mark_slow(now, self.settings.probe_timeout_ms);
         let mut actions = Vec::new();
         for (sequence, target) in slow {
@@ -465,7 +340,7 @@
         actions
     }
 
-    fn probe_next(&mut self, now: UnixMs) -> Option<MembershipAction> {
+    pub(super) fn probe_next(&mut self, now: UnixMs) -> Option<MembershipAction> {
         if now < self.next_probe_at {
             return None;
         }
@@ -484,7 +359,7 @@
     }
 
     /// Probes a dead member now and then, so that a healed partition is noticed.
-    fn probe_dead(&mut self, now: UnixMs) -> Option<MembershipAction> {
+    pub(super) fn probe_dead(&mut self, now: UnixMs) -> Option<MembershipAction> {
         if now < self.next_dead_probe_at {
             return None;
         }
@@ -494,7 +369,7 @@
         Some(self.probe(now, target, None))
     }
 
-    fn probe(
+    pub(super) fn probe(
         &mut self,
         now: UnixMs,
         target: InstanceName,
@@ -509,7 +384,7 @@
         self.send(target, SwimBody::Ping { sequence })
     }
 
-    fn sample(
+    pub(super) fn sample(
         &mut self,
         count: usize,
         filter: impl Fn(&InstanceName, &MemberState) -> bool,
@@ -523,7 +398,7 @@
         names.sample(&mut self.random, count).cloned().collect()
     }
 
-    fn send(&mut self, to: InstanceName, body: SwimBody) -> MembershipAction {
+    pub(super) fn send(&mut self, to: InstanceName, body: SwimBody) -> MembershipAction {
         let updates = self.updates_for(&to);
         let message = MeshMessage::Swim(Swim {
             body,
@@ -535,7 +410,7 @@
     }
 
     /// The own state, what is said of `to` unless it is well, news, then any other members.
-    fn updates_for(&mut self, to: &InstanceName) -> Vec<MemberUpdate> {
+    pub(super) fn updates_for(&mut self, to: &InstanceName) -> Vec<MemberUpdate> {
         let mut updates = vec![self.own_update()];
         let accused = self.members.get(to).filter(|state| state.heard);
         let accused = accused.filter(|state| state.health != Health::Alive);
@@ -555,7 +430,7 @@
     }
 }
 
-fn report(member: &InstanceName, change: &MemberChange) -> Vec<MembershipAction> {
+pub(super) fn report(member: &InstanceName, change: &MemberChange) -> Vec<MembershipAction> {
     let member = member.clone();
     let event = match (change.before, change.after) {
         (None, Health::Alive) => MembershipEvent::Joined {
--- a/crates/decisions/src/membership/mod.rs
+++ b/crates/decisions/src/membership/mod.rs
@@ -9,6 +9,7 @@
 mod action;
 mod dump;
 mod event;
+mod handlers;
 mod incarnation;
 mod machine;
 mod member;
--- a/crates/decisions/src/ownership/mod.rs
+++ b/crates/decisions/src/ownership/mod.rs
@@ -9,6 +9,7 @@
 mod directory;
 mod dump;
 mod event;
+mod handlers;
 mod machine;
 mod owned;
 mod planner;
