--- a/crates/decisions/examples/ownership_gap.rs
+++ b/crates/decisions/examples/ownership_gap.rs
@@ -267,6 +267,7 @@
 /// Bytes that one node sends in a second while nothing happens.
 fn idle_bytes_per_s(count: usize) -> u64 {
     let mut zone = Zone::new(count, 1);
+    zone.advance(JOIN_MS);
     zone.sent_bytes = 0;
     zone.advance(10_000);
     zone.sent_bytes / 10 / count as u64
--- a/crates/decisions/src/membership/mod.rs
+++ b/crates/decisions/src/membership/mod.rs
@@ -16,6 +16,7 @@
 mod members;
 mod probes;
 mod settings;
+mod suspicion;
 #[cfg(test)]
 mod tests;
 mod updates;
