--- a/crates/decisions/src/membership/mod.rs
+++ b/crates/decisions/src/membership/mod.rs
@@ -9,12 +9,14 @@
 mod action;
 mod dump;
 mod event;
+mod handlers;
 mod incarnation;
 mod machine;
 mod member;
 mod members;
 mod probes;
 mod settings;
+mod suspicion;
 #[cfg(test)]
 mod tests;
 mod updates;
