--- a/crates/entry/src/controller/dispatch/mod.rs
+++ b/crates/entry/src/controller/dispatch/mod.rs
@@ -1,5 +1,6 @@
 //! Model requests in flight: the task around the dispatcher's state machine.
 
+mod actions;
 mod answer;
 mod command;
 mod controller;
