--- a/crates/entry/tests/owners.rs
+++ b/crates/entry/tests/owners.rs
@@ -1,8 +1,11 @@
-//! Owners that die or stop as planned while streams run.
+//! Instances that die, restart or stop as planned while requests run.
 
 mod support;
 
 use monsoonspread_demo::Region;
+use monsoonspread_demo::region::zone_name;
+use monsoonspread_standin::Fault;
+use serde_json::Value;
 use support::*;
 
 /// The owner of the region's only engine, and the other instance.
@@ -55,3 +58,102 @@
     assert_eq!(owner_of(&region, &other, "engine-1-1").await, other);
     assert_eq!(pin_violations(&region).await, 0);
 }
+
+/// Batch places in use on the region's only engine, as its owner counts them.
+async fn places_used(region: &Region, owner: &str) -> Value {
+    dump(region, owner).await["owner"]["upstreams"][0]["places_used"].clone()
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn request_that_waits_at_a_killed_owner_gets_one_true_answer() {
+    let mut region_shape = shape(2, 1);
+    region_shape.weights.load_ms = 1_000;
+    let mut region = region(region_shape).await;
+    let (owner, other) = owner_and_other(&region).await;
+    let waiting = chat("needle-0002", 8, false);
+    let address = region.callers_address(&other);
+    let client = bench();
+    let answer = client.post(address, CHAT, &waiting);
+    let kill = async {
+        eventually("the adapter is on its way", async || {
+            region.weights.served().asked > 0
+        })
+        .await;
+        region.entries.remove(&owner)
+    };
+    let (reply, killed) = tokio::join!(answer, kill);
+    drop(killed);
+    let reply = reply.unwrap();
+    assert!(
+        reply.status == 200 || reply.says_not_run(),
+        "{}",
+        reply.text
+    );
+    let runs = region.engines["engine-1-1"].did().await.runs;
+    assert_eq!(runs, u64::from(reply.status == 200));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn places_of_a_killed_holder_are_freed() {
+    let mut region = region(shape(2, 1)).await;
+    let (owner, other) = owner_and_other(&region).await;
+    let mut stream = Stream::open(&region, &other, &chat("needle-0002", 4_000, true)).await;
+    stream.first().await;
+    assert_eq!(places_used(&region, &owner).await, 1);
+    drop(region.entries.remove(&other));
+    region.list.remove(&other);
+    eventually("the owner counts its place as free", async || {
+        places_used(&region, &owner).await == 0
+    })
+    .await;
+    assert_eq!(pin_violations(&region).await, 0);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn restarted_instance_serves_again_under_its_name() {
+    let mut region = region(shape(2, 1)).await;
+    let (owner, other) = owner_and_other(&region).await;
+    let mut stream = Stream::open(&region, &other, &chat("needle-0002", 200, true)).await;
+    stream.first().await;
+    drop(region.entries.remove(&owner));
+    region.start_entry(&owner, &zone_name(1)).await.unwrap();
+    for entry in [&owner, &other] {
+        eventually("both serve", async || {
+            let reply = generate(&region, entry, "needle-0004").await;
+            assert!(
+                reply.status == 200 || reply.says_not_run(),
+                "{}",
+                reply.text
+            );
+            reply.status == 200
+        })
+        .await;
+    }
+    let events = stream.rest().await;
+    assert!(is_whole(&events), "{events:?}");
+    assert_eq!(pin_violations(&region).await, 0);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn planned_stop_without_the_platform_cuts_no_request() {
+    let mut region = region(shape(2, 1)).await;
+    let (owner, other) = owner_and_other(&region).await;
+    let mut stream = Stream::open(&region, &owner, &chat("needle-0002", 100, true)).await;
+    stream.first().await;
+    region.store.apply(Fault::Crash);
+    region.list.apply(Fault::Crash);
+    let stopping = region.entries.remove(&owner).unwrap();
+    let (events, ()) = tokio::join!(stream.rest(), stopping.drain());
+    assert!(is_whole(&events), "{events:?}");
+    eventually("the other instance serves", async || {
+        let reply = generate(&region, &other, "needle-0004").await;
+        assert!(
+            reply.status == 200 || reply.says_not_run(),
+            "{}",
+            reply.text
+        );
+        reply.status == 200
+    })
+    .await;
+    assert_eq!(pin_violations(&region).await, 0);
+}
--- a/crates/entry/tests/partition.rs
+++ b/crates/entry/tests/partition.rs
@@ -69,7 +69,18 @@
 async fn each_zone_goes_on_alone_and_both_meet_again() {
     let (region, wires) = wired_region().await;
     every_adapter_is_served_by(&region, "entry-1-1").await;
+    let mut streams = Vec::new();
+    for number in 0..4 {
+        let body = chat(&format!("needle-{:04}", 2 * number), 150, true);
+        let mut stream = Stream::open(&region, "entry-1-1", &body).await;
+        stream.first().await;
+        streams.push(stream);
+    }
     wires.iter().for_each(Wire::cut);
+    for stream in streams {
+        let events = stream.rest().await;
+        assert!(is_whole(&events), "{events:?}");
+    }
     every_adapter_is_served_by(&region, "entry-1-1").await;
     every_adapter_is_served_by(&region, "entry-2-1").await;
     wires.iter().for_each(Wire::heal);
--- a/crates/entry/tests/platform_faults.rs
+++ b/crates/entry/tests/platform_faults.rs
@@ -98,3 +98,30 @@
     let reply = generate(&region, "entry-1-9", "needle-0002").await;
     assert_eq!(reply.status, 200, "{}", reply.text);
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn outage_of_the_list_changes_nothing_for_what_is_known() {
+    let region = region(shape(2, 2)).await;
+    region.list.apply(Fault::Crash);
+    for number in 0..6 {
+        let adapter = format!("needle-{:04}", 2 * number);
+        let reply = generate(&region, "entry-1-2", &adapter).await;
+        assert_eq!(reply.status, 200, "{}", reply.text);
+    }
+    assert_eq!(commit(&region, "entry-1-1", Some("k-3")).await.status, 200);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn slow_store_delays_commits_and_bundles_only() {
+    let region = region(shape(2, 1)).await;
+    region.store.apply(Fault::DelayAnswers { delay_ms: 300 });
+    let generation = generate(&region, "entry-1-1", "needle-0002").await;
+    assert_eq!(generation.status, 200, "{}", generation.text);
+    let first = commit(&region, "entry-1-1", Some("k-slow")).await;
+    assert_eq!(first.status, 200, "{}", first.text);
+    let repeat = commit(&region, "entry-1-2", Some("k-slow")).await;
+    assert_eq!((repeat.status, &repeat.text), (200, &first.text));
+    assert_eq!(runs_of(&region, "k-slow"), 1);
+    let second = Bundle::sample(BundleVersion(2), 42);
+    region.roll_out(&second).await.unwrap();
+}
