--- a/crates/entry/tests/partition.rs
+++ b/crates/entry/tests/partition.rs
@@ -115,3 +115,20 @@
     assert_eq!(reply.status, 200, "{}", reply.text);
     assert_eq!(pin_violations(&region).await, 0);
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn instance_starts_and_stops_in_a_zone_that_is_cut_off() {
+    let (mut region, wires) = wired_region().await;
+    wires.iter().for_each(Wire::cut);
+    let zone = zone_name(2);
+    region.start_entry("entry-2-2", &zone).await.unwrap();
+    region.wait_for_bundle(BundleVersion(1)).await;
+    every_adapter_is_served_by(&region, "entry-2-2").await;
+    let mut stream = Stream::open(&region, "entry-2-1", &chat("needle-0002", 60, true)).await;
+    stream.first().await;
+    let stopping = region.entries.remove("entry-2-1").unwrap();
+    let (events, ()) = tokio::join!(stream.rest(), stopping.drain());
+    assert!(is_whole(&events), "{events:?}");
+    every_adapter_is_served_by(&region, "entry-2-2").await;
+    assert_eq!(pin_violations(&region).await, 0);
+}
--- a/crates/entry/tests/platform_faults.rs
+++ b/crates/entry/tests/platform_faults.rs
@@ -125,3 +125,53 @@
     let second = Bundle::sample(BundleVersion(2), 42);
     region.roll_out(&second).await.unwrap();
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn outcome_is_recorded_after_an_outage_of_the_store() {
+    let mut region_shape = shape(2, 1);
+    region_shape.service.call_ms = 300;
+    let region = region(region_shape).await;
+    let outage = async {
+        eventually("the commit runs", async || runs_of(&region, "k-out") == 1).await;
+        region.store.apply(Fault::Crash);
+    };
+    let (first, ()) = tokio::join!(commit(&region, "entry-1-1", Some("k-out")), outage);
+    assert_eq!(first.status, 200, "{}", first.text);
+    let repeat = commit(&region, "entry-1-2", Some("k-out")).await;
+    assert_eq!(repeat.error_type(), "store_unavailable");
+    region.store.apply(Fault::Start);
+    eventually("the repeat gets the first answer", async || {
+        let repeat = commit(&region, "entry-1-2", Some("k-out")).await;
+        repeat.status == 200 && repeat.text == first.text
+    })
+    .await;
+    assert_eq!(runs_of(&region, "k-out"), 1);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn instance_starts_and_learns_while_answers_of_the_store_are_lost() {
+    let mut region = region(shape(2, 1)).await;
+    region.store.apply(Fault::LoseAnswers { count: 10 });
+    let zone = zone_name(1);
+    region.start_entry("entry-1-9", &zone).await.unwrap();
+    region.wait_for_bundle(BundleVersion(1)).await;
+    region.wait_for_owners().await.unwrap();
+    let reply = generate(&region, "entry-1-9", "needle-0002").await;
+    assert_eq!(reply.status, 200, "{}", reply.text);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn instance_that_starts_on_an_older_pointer_gets_the_newer_bundle_from_peers() {
+    let mut region = region(shape(2, 1)).await;
+    let second = Bundle::sample(BundleVersion(2), 42);
+    region.roll_out(&second).await.unwrap();
+    let first = Bundle::sample(BundleVersion(1), 40);
+    let store = region.store_client();
+    roll_out(&store, &region.key, &first).await.unwrap();
+    let zone = zone_name(1);
+    region.start_entry("entry-1-9", &zone).await.unwrap();
+    region.wait_for_bundle(BundleVersion(2)).await;
+    region.wait_for_owners().await.unwrap();
+    let reply = generate(&region, "entry-1-9", "needle-0040").await;
+    assert_eq!(reply.status, 200, "{}", reply.text);
+}
