--- a/crates/decisions/src/dispatch/dispatcher.rs
+++ b/crates/decisions/src/dispatch/dispatcher.rs
@@ -130,7 +130,7 @@
         if let Some(state) = self.requests.get_mut(&request)
             && state.take_ask(upstream).is_some()
         {
-            self.retry(now, request, &mut actions);
+            self.retry(now, request, true, &mut actions);
             self.finish_if_stuck(now, request, &mut actions);
         }
         actions
--- a/crates/decisions/src/dispatch/end.rs
+++ b/crates/decisions/src/dispatch/end.rs
@@ -146,7 +146,7 @@
             scatter(&mut state.untried, request);
         }
         let before = state.asks_made;
-        self.retry(now, request, actions);
+        self.retry(now, request, true, actions);
         self.requests
             .get(&request)
             .is_some_and(|state| state.asks_made > before)
