--- a/crates/entry/src/settings/parse.rs
+++ b/crates/entry/src/settings/parse.rs
@@ -92,7 +92,13 @@
 fn listeners(table: &TableReader<'_>) -> Option<Listeners> {
     let callers = table.parsed("callers", ADDRESS);
     let operators = table.parsed("operators", ADDRESS);
-    let mesh = table.parsed("mesh", ADDRESS);
+    let mesh = table.parsed::<SocketAddr>("mesh", ADDRESS);
+    if mesh.is_some_and(|mesh| mesh.ip().is_unspecified()) {
+        table.finding(
+            "mesh",
+            "must be the address that other instances connect to",
+        );
+    }
     Some(Listeners {
         callers: callers?,
         operators: operators?,
--- a/crates/entry/src/settings/tests.rs
+++ b/crates/entry/src/settings/tests.rs
@@ -48,6 +48,13 @@
     assert_eq!(findings.lines().count(), 4, "{findings}");
 }
 
+#[test]
+fn mesh_listener_must_be_reachable_by_others() {
+    let text = GOOD.replace("127.0.0.1:8082", "0.0.0.0:8082");
+    let findings = parse("entry.toml", &text).unwrap_err().to_string();
+    assert!(findings.contains("entry.toml:9: listeners.mesh: must be the address"));
+}
+
 #[test]
 fn any_text_gives_settings_or_findings() {
     for seed in 0..500 {
