Count load waits by request in time

Cause: random placement waited least for loads, since nearly all of its requests had given up before a load ended. Waits are now divided by the requests in time before policies are compared.

--- a/crates/load/src/compare/aim.rs
+++ b/crates/load/src/compare/aim.rs
@@ -5,7 +5,7 @@
 use monsoonspread_model::RequestClass;
 use serde::Serialize;
 
-use super::{Comparison, PhaseReport, PolicyReport};
+use super::{Comparison, PolicyReport};
 use crate::plan::Phase;
 
 /// The policy that the aims are about.
@@ -76,7 +76,7 @@
                 at_most: false,
             },
             Aim {
-                name: "time waited for loads over the best baseline's",
+                name: "time waited for loads by request in time over the best baseline's",
                 ratio: ratio(load_wait(judged), least(load_wait)),
                 bound: LOAD_WAIT_AT_MOST,
                 at_most: true,
@@ -131,15 +131,17 @@
     report.phase(Phase::Swing).crest.in_time as f64
 }
 
-/// Time that requests waited for loads in all measured phases.
+/// Time waited for loads for each request in time, over all measured phases.
+///
+/// A policy that answers little would else look good, since nobody waits who has given up.
 fn load_wait(report: &PolicyReport) -> f64 {
-    let measured = |phase: &&PhaseReport| phase.figures.phase != Phase::WarmUp;
-    let waits = report
-        .phases
-        .iter()
-        .filter(measured)
-        .map(|phase| phase.figures.load_wait_ms as f64);
-    waits.sum()
+    let measured = || {
+        let phases = report.phases.iter();
+        phases.filter(|phase| phase.figures.phase != Phase::WarmUp)
+    };
+    let waited_ms: u64 = measured().map(|phase| phase.figures.load_wait_ms).sum();
+    let in_time: u64 = measured().map(|phase| phase.all.in_time).sum();
+    ratio(waited_ms as f64, in_time as f64)
 }
 
 fn ratio(value: f64, base: f64) -> f64 {
--- a/crates/load/src/report/tests.rs
+++ b/crates/load/src/report/tests.rs
@@ -67,7 +67,9 @@
     let reached: Vec<bool> = aims.iter().map(Aim::reached).collect();
     assert_eq!(reached, [true, false, true, true]);
     assert_eq!(aims[1].ratio, 1.25);
-    assert_eq!(aims[2].ratio, 0.4);
+    let by_request = |waited_ms: f64, swing: f64| waited_ms / (3.0 * 100.0 + swing);
+    let ratio = by_request(200.0, 50.0) / by_request(500.0, 40.0);
+    assert!((aims[2].ratio - ratio).abs() < 1e-9);
 }
 
 #[test]
