--- a/crates/decisions/src/dispatch/deadlines.rs
+++ b/crates/decisions/src/dispatch/deadlines.rs
@@ -111,7 +111,7 @@
             withdraw(upstream, id, actions);
         }
         if !silent.is_empty() && state.is_waiting() {
-            self.retry(now, id, actions);
+            self.retry(now, id, true, actions);
         }
     }
 
