Send to the slow instance only once it is ready

Cause: slow_senders_are_cut failed in 3 of 10 runs on a busy machine: the instance answered 503 as it had its first bundle but was not ready yet, which another task of it sets a moment later. The test now waits for its readiness, which is what a balancer does, and asks for the same 408 as before. 10 runs in a row passed at a load of 30 on 10 cores.

--- a/crates/entry/tests/bad_input.rs
+++ b/crates/entry/tests/bad_input.rs
@@ -80,9 +80,12 @@
         .unwrap();
     let address = entry.callers_address();
     region.entries.insert("entry-slow".to_owned(), entry);
-    region
-        .wait_for_bundle(monsoonspread_model::BundleVersion(1))
-        .await;
+    // An instance turns ready a moment after it has its first bundle.
+    eventually("the instance is ready", async || {
+        let ready = bench().get(address, "/readyz").await;
+        ready.is_ok_and(|reply| reply.status == 200)
+    })
+    .await;
     let head = format!(
         "POST {CHAT} HTTP/1.1\r\nhost: x\r\nauthorization: Bearer {}\r\ncontent-length: 90\r\n\r\n{{",
         monsoonspread_model::bundle::SAMPLE_BENCH.key
