Roll out by the operators' code in the demo

Cause: the demo had a second roll-out of its own, without the check of the succession, the delta and the history; the regions of the tests now go the operators' way. The plain one stays for tests that offer what operators can't, such as an older bundle.

--- a/crates/demo/src/region/mod.rs
+++ b/crates/demo/src/region/mod.rs
@@ -6,14 +6,16 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use ed25519_dalek::SigningKey;
+use monsoonspread_ctl::{RollOut, SignedBundle};
 use monsoonspread_entry::settings::{LoadBudget, MeshKey};
 use monsoonspread_entry::{Entry, Platform, Settings};
 use monsoonspread_model::bundle::Verifier;
 use monsoonspread_model::{
-    Bundle, BundleVersion, InstanceKind, InstanceState, ListedInstance, ZoneName,
+    Bundle, BundleVersion, InstanceKind, InstanceState, ListedInstance, UnixMs, ZoneName,
 };
 use monsoonspread_platform::store::EtcdGateway;
 use monsoonspread_standin::{
@@ -24,10 +26,11 @@
 pub use shape::RegionShape;
 
 use crate::client::{Client, ClientError};
-use crate::roll_out::roll_out;
 
 /// Pause between two looks at a condition.
 const POLL: Duration = Duration::from_millis(20);
+/// Longest that the key-value service may take to put a bundle in force.
+const ROLL_OUT_TIMEOUT_MS: u64 = 30_000;
 
 /// Why a region did not come up.
 pub type RegionError = Box<dyn std::error::Error + Send + Sync>;
@@ -152,7 +155,10 @@
     ///
     /// Fails when the bundle can't be rolled out.
     pub async fn roll_out(&self, bundle: &Bundle) -> Result<(), RegionError> {
-        roll_out(&self.store_client(), &self.key, bundle).await?;
+        let store = Arc::new(self.store_client());
+        let deadline_unix_ms = UnixMs::now() + ROLL_OUT_TIMEOUT_MS;
+        let signed = SignedBundle::sign(bundle.clone(), &self.key);
+        RollOut::new(store, deadline_unix_ms).run(&signed).await?;
         self.wait_for_bundle(bundle.version).await;
         Ok(())
     }
--- a/crates/demo/src/roll_out.rs
+++ b/crates/demo/src/roll_out.rs
@@ -1,4 +1,4 @@
-//! Putting a bundle in force.
+//! Putting a bundle in force without the checks of the operators' command, for tests.
 
 use displaydoc::Display;
 use ed25519_dalek::SigningKey;
