Answer a keyed call at its deadline while the service hangs

Cause: the key-value service can be slow for long; a call whose create hung had no answer until the service spoke. on_deadline refuses at once: as not run while the claim is not held, which then never runs, also when the clock is set back; as unknown once the run began.

The quickcheck world now lets deadlines pass under way and sets the clock back. The entry must call on_deadline; until it does, nothing changes.

--- a/crates/decisions/src/claims/claim.rs
+++ b/crates/decisions/src/claims/claim.rs
@@ -200,7 +200,8 @@
 
     /// Reading back found no record: the lost create may still take effect.
     pub(super) fn on_nothing_found(&mut self, now: UnixMs) -> Vec<ClaimAction> {
-        if self.attempts < self.settings.create_attempts && now < self.deadline_unix_ms {
+        let tries_left = self.attempts < self.settings.create_attempts;
+        if tries_left && !self.is_over(now) {
             return self.create();
         }
         let mut actions = self.refuse(no_store(now));
@@ -209,12 +210,12 @@
     }
 
     pub(super) fn retake(&mut self, now: UnixMs, expected_mod_revision: u64) -> Vec<ClaimAction> {
-        if now >= self.deadline_unix_ms && self.write_lost {
+        if self.is_over(now) && self.write_lost {
             let mut actions = self.refuse(too_late());
             actions.extend(self.record(ClaimState::NotRun));
             return actions;
         }
-        if now >= self.deadline_unix_ms {
+        if self.is_over(now) {
             return self.refuse_and_end(too_late());
         }
         self.phase = Phase::Claiming;
@@ -225,10 +226,15 @@
         }]
     }
 
+    /// Whether nothing may begin any more.
+    fn is_over(&self, now: UnixMs) -> bool {
+        self.answered || now >= self.deadline_unix_ms
+    }
+
     /// Waits for the outcome of another's run, as long as that can come in time.
     pub(super) fn wait(&mut self, now: UnixMs, record: &ClaimRecord) -> Vec<ClaimAction> {
         let ends_at = record.deadline_unix_ms + self.settings.grace_ms;
-        if now >= ends_at {
+        if now >= ends_at || self.answered {
             return self.refuse_and_end(unknown());
         }
         let read_at = now + self.poll_ms;
--- a/crates/decisions/src/claims/handlers.rs
+++ b/crates/decisions/src/claims/handlers.rs
@@ -45,7 +45,7 @@
             return Vec::new();
         }
         self.mod_revision = mod_revision;
-        if now >= self.deadline_unix_ms {
+        if self.answered || now >= self.deadline_unix_ms {
             let mut actions = self.refuse(too_late());
             actions.extend(self.record(ClaimState::NotRun));
             return actions;
@@ -55,6 +55,31 @@
         vec![ClaimAction::Run]
     }
 
+    /// The deadline passed while an operation was under way; its end is still to be reported.
+    ///
+    /// ```
+    /// # use monsoonspread_decisions::claims::*;
+    /// # use monsoonspread_model::UnixMs;
+    /// # use rand_chacha::{ChaCha8Rng, rand_core::SeedableRng};
+    /// # let token = ClaimToken::random(&mut ChaCha8Rng::seed_from_u64(1));
+    /// # let key = ClaimKey::new(&"records".into(), &"bench".into(), "offset-17");
+    /// # let mut claim = Claim::new(key, token, body_digest("commit", b"{}"), UnixMs(900));
+    /// claim.start(UnixMs(0));
+    /// assert!(matches!(claim.on_deadline(UnixMs(900))[..], [ClaimAction::Answer(_)]));
+    /// assert_eq!(claim.on_created(UnixMs(950), None), [ClaimAction::Read], "it does not run");
+    /// ```
+    pub fn on_deadline(&mut self, now: UnixMs) -> Vec<ClaimAction> {
+        if now < self.deadline_unix_ms {
+            return Vec::new();
+        }
+        match self.phase {
+            Phase::Claiming | Phase::ReadingBack => self.refuse(too_late()),
+            Phase::Running => self.refuse(unknown()),
+            Phase::Waiting => self.refuse_and_end(unknown()),
+            Phase::New | Phase::Recording(_) | Phase::Done => Vec::new(),
+        }
+    }
+
     /// The record was not created or retaken, as the key holds `record`.
     ///
     /// ```
--- a/crates/decisions/src/claims/tests/step.rs
+++ b/crates/decisions/src/claims/tests/step.rs
@@ -6,6 +6,8 @@
 #[derive(Clone, Copy, Debug)]
 pub enum Step {
     Tick(u8),
+    /// The clock is set back.
+    ClockBack(u8),
     /// The caller sends its call again.
     Repeat,
     /// Another call comes with the same key.
@@ -20,6 +22,8 @@
     CatchUp(u8),
     /// An operation does not reach the store, or the service refuses to run it.
     Refuse(u8),
+    /// The deadline of a call passes while its operation is under way.
+    Deadline(u8),
     /// An entry instance dies with its machine; its operations may still be under way.
     Crash(u8),
 }
@@ -27,7 +31,7 @@
 impl Arbitrary for Step {
     fn arbitrary(g: &mut Gen) -> Self {
         let pick = u8::arbitrary(g);
-        match u8::arbitrary(g) % 24 {
+        match u8::arbitrary(g) % 27 {
             0..=3 => Self::Tick(pick),
             4 | 5 => Self::Repeat,
             6 => Self::OtherBody,
@@ -36,6 +40,8 @@
             17 | 18 => Self::Delay(pick),
             19 | 20 => Self::CatchUp(pick),
             21 | 22 => Self::Refuse(pick),
+            23 | 24 => Self::Deadline(pick),
+            25 => Self::ClockBack(pick),
             _ => Self::Crash(pick),
         }
     }
--- a/crates/decisions/src/claims/tests/world.rs
+++ b/crates/decisions/src/claims/tests/world.rs
@@ -71,6 +71,7 @@
     pub fn step(&mut self, step: Step) {
         match step {
             Step::Tick(times) => self.now = self.now + 20 * u64::from(times),
+            Step::ClockBack(times) => self.now = self.now - 20 * u64::from(times),
             Step::Repeat => self.call(b"body"),
             Step::OtherBody => self.call(b"other"),
             Step::Answer(pick) => self.take(pick, |world, one| world.answer(one, false)),
@@ -78,6 +79,7 @@
             Step::Delay(pick) => self.take(pick, Self::delay),
             Step::CatchUp(pick) => self.catch_up(pick),
             Step::Refuse(pick) => self.take(pick, Self::refuse),
+            Step::Deadline(pick) => self.pass_deadline(usize::from(pick) % self.nodes.len()),
             Step::Crash(pick) => {
                 let index = usize::from(pick) % self.nodes.len();
                 self.nodes[index].crashed = true;
@@ -131,6 +133,9 @@
                 ClaimAction::Run if self.now >= self.nodes[machine].deadline_unix_ms => {
                     panic!("a call is run after its deadline")
                 }
+                ClaimAction::Run if !self.nodes[machine].answers.is_empty() => {
+                    panic!("a call is run after its answer")
+                }
                 action => self.under_way.push(Operation { machine, action }),
             }
         }
@@ -170,6 +175,12 @@
         }
     }
 
+    fn pass_deadline(&mut self, index: usize) {
+        self.now = self.now.max(self.nodes[index].deadline_unix_ms);
+        let actions = self.nodes[index].claim.on_deadline(self.now);
+        self.tell(index, actions);
+    }
+
     fn catch_up(&mut self, pick: u8) {
         if !self.delayed.is_empty() {
             let operation = self.delayed.remove(usize::from(pick) % self.delayed.len());
@@ -239,6 +250,11 @@
                 self.runs += 1;
                 let node = &mut self.nodes[operation.machine];
                 node.ran = true;
+                let said_not_run = |answer: &ClaimAnswer| matches!(answer, ClaimAnswer::Refused(refusal) if refusal.not_run);
+                assert!(
+                    !node.answers.iter().any(said_not_run),
+                    "'not run' was not true"
+                );
                 self.ran_other_body = Some(node.other_body);
                 return false;
             }
