--- a/crates/decisions/src/dispatch/asks.rs
+++ b/crates/decisions/src/dispatch/asks.rs
@@ -1,11 +1,13 @@
 //! Asking owners for grants and taking their answers.
 
-use monsoonspread_model::message::{GrantAnswer, GrantId, GrantReply, HeldGrant, RequestId};
+use monsoonspread_model::message::{
+    GrantAnswer, GrantId, GrantOutcome, GrantReply, HeldGrant, RequestId,
+};
 use monsoonspread_model::{CopyName, Epoch, Refusal, RefusalReason, UnixMs, UpstreamName};
 
 use super::action::{DispatchAction, DispatchEvent};
 use super::attempt::{Attempt, AttemptId};
-use super::dispatcher::{Dispatcher, unused, withdraw, withdraw_asks};
+use super::dispatcher::{Dispatcher, ended, withdraw, withdraw_asks};
 use super::request::NewRequest;
 use super::state::Ask;
 
@@ -58,7 +60,11 @@
         grant: GrantId,
         actions: &mut Vec<DispatchAction>,
     ) {
-        actions.push(DispatchAction::Return(unused(upstream, grant)));
+        actions.push(DispatchAction::Return(ended(
+            upstream,
+            grant,
+            GrantOutcome::Unused,
+        )));
     }
 
     pub(super) fn on_granted(
--- a/crates/decisions/src/owner/copy.rs
+++ b/crates/decisions/src/owner/copy.rs
@@ -2,6 +2,9 @@
 
 use monsoonspread_model::UnixMs;
 
+/// An upstream notices within this time that a connection was closed, in milliseconds.
+const CUT_NOTICED_MS: u64 = 10_000;
+
 /// How far a copy's loading or unloading is.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(super) enum CopyState {
@@ -41,6 +44,8 @@
     pub used_at: UnixMs,
     /// When a report last showed that no request uses it.
     pub unused_at: Option<UnixMs>,
+    /// When a request was last cut off from it, which the upstream may notice later.
+    pub cut_at: Option<UnixMs>,
     /// Whether a former owner handed it over.
     pub handed_over: bool,
     /// Until when no unload is tried, after one failed.
@@ -55,6 +60,7 @@
             since: now,
             used_at: now,
             unused_at: None,
+            cut_at: None,
             handed_over: false,
             keep_until: now,
         }
@@ -66,6 +72,15 @@
         self.since = now;
     }
 
+    /// Whether a request that was cut off may still run on it.
+    pub fn may_run_cut_off(&self, now: UnixMs, margin_ms: u64) -> bool {
+        let Some(cut_at) = self.cut_at else {
+            return false;
+        };
+        let seen_unused = self.unused_at.is_some_and(|at| at > cut_at + margin_ms);
+        !seen_unused && now.ms_since(cut_at) < CUT_NOTICED_MS
+    }
+
     /// Whether the upstream holds it for sure.
     pub fn is_loaded(&self) -> bool {
         self.state == CopyState::Loaded
--- a/crates/decisions/src/owner/owned_grants.rs
+++ b/crates/decisions/src/owner/owned_grants.rs
@@ -137,7 +137,7 @@
 
     /// Grants every request that can start now.
     pub fn grant_ready(&mut self, now: UnixMs, out: &mut Vec<OwnerAction>) {
-        if !self.takes_work(now) {
+        if !self.takes_work(now) || self.doubt.is_open() {
             return;
         }
         while let Some((key, copy)) = self.next_grantable(now) {
@@ -250,12 +250,24 @@
             *usual_ms += HOLD_WEIGHT * (held_ms - *usual_ms);
         }
         match returned.outcome {
-            GrantOutcome::Done | GrantOutcome::Cancelled => {
+            GrantOutcome::Done | GrantOutcome::Unused => {
+                self.remember_return(now, returned.grant, grant);
+            }
+            GrantOutcome::Cancelled => {
+                self.note_cut(now, &grant);
                 self.remember_return(now, returned.grant, grant);
             }
             GrantOutcome::CopyMissing => self.on_copy_missing(now, &grant),
             GrantOutcome::Unreachable => self.on_unreachable(now, out),
-            GrantOutcome::Refused | GrantOutcome::Broken => {}
+            GrantOutcome::Broken => self.note_cut(now, &grant),
+            GrantOutcome::Refused => {}
+        }
+    }
+
+    /// The upstream may go on with a request for a moment after its connection was closed.
+    fn note_cut(&mut self, now: UnixMs, grant: &Outstanding) {
+        if let Some(copy) = self.copies.get_mut(&grant.copy) {
+            copy.cut_at = Some(now);
         }
     }
 
--- a/crates/decisions/src/owner/owned_loads.rs
+++ b/crates/decisions/src/owner/owned_loads.rs
@@ -101,12 +101,13 @@
         copy.is_loaded()
             && now >= copy.keep_until
             && self.grants.pins(name) == 0
+            && !copy.may_run_cut_off(now, self.settings.clock_margin_ms)
             && self.is_accounted_for(name, copy, now)
             && !(self.queue.wants(&name.adapter) && self.usable_copy(&name.adapter) == Some(name))
     }
 
     /// Whether no unknown grant can be on a copy. Never so for a newer owner's.
-    fn is_accounted_for(&self, name: &CopyName, copy: &Copy, now: UnixMs) -> bool {
+    pub fn is_accounted_for(&self, name: &CopyName, copy: &Copy, now: UnixMs) -> bool {
         match name.epoch.cmp(&self.epoch) {
             Ordering::Less => self.may_evict_foreign(copy, now),
             Ordering::Equal => true,
