Take a refused connection for a failed probe

Cause: a process that ended refuses connections at once, while silence needs a probe's whole time to be noticed. The entry must call on_refused when a dial to a member of its zone is refused; a connection closed for being idle must not be reported.

--- a/crates/decisions/examples/ownership_gap.rs
+++ b/crates/decisions/examples/ownership_gap.rs
@@ -45,10 +45,23 @@
     sent_bytes: u64,
     /// Whether members know each other; before that, ownership is not told of changes.
     joined: bool,
+    /// Whether connections to an instance that is gone are refused.
+    refuses: bool,
     /// When each upstream was owned last.
     owned_at: BTreeMap<UpstreamName, UnixMs>,
 }
 
+/// How an instance goes.
+#[derive(Clone, Copy, PartialEq)]
+enum Event {
+    /// As planned.
+    Leave,
+    /// Its process ends: connections to it are refused.
+    Crash,
+    /// It falls silent.
+    Freeze,
+}
+
 /// What one leave or fault cost.
 #[derive(Clone, Copy)]
 struct Gap {
@@ -109,6 +122,7 @@
             sent: 0,
             sent_bytes: 0,
             joined: false,
+            refuses: false,
             owned_at: BTreeMap::new(),
         };
         zone.advance(JOIN_MS + random.next_u64() % TICK_MS);
@@ -145,6 +159,11 @@
         for (_, from, to, message) in due {
             let node = &mut self.nodes[to];
             if !node.running {
+                if self.refuses {
+                    let observer = &mut self.nodes[from].membership;
+                    let actions = observer.on_refused(now, &name(to));
+                    self.run_membership(from, actions);
+                }
                 continue;
             }
             match message {
@@ -236,7 +255,7 @@
 }
 
 /// The first instance goes, as planned or not; measured until all it owned has a new owner.
-fn gap(count: usize, seed: u64, planned: bool) -> Gap {
+fn gap(count: usize, seed: u64, event: Event) -> Gap {
     let mut zone = Zone::new(count, seed);
     let table = zone.nodes[0].ownership.table().clone();
     let orders = table.upstreams.into_iter();
@@ -244,13 +263,14 @@
     let lost: Vec<_> = lost.map(|(upstream, _)| upstream).collect();
     let (start, sent) = (zone.now, zone.sent);
     zone.owned_at.clear();
-    if planned {
+    if event == Event::Leave {
         let actions = zone.nodes[0].membership.on_leave(start);
         zone.run_membership(0, actions);
         let actions = zone.nodes[0].ownership.on_leave(start);
         zone.run_ownership(0, actions);
     } else {
         zone.nodes[0].running = false;
+        zone.refuses = event == Event::Crash;
     }
     while zone.now < start + LIMIT_MS && !lost.iter().all(|up| zone.owned_at.contains_key(up)) {
         zone.advance(1);
@@ -264,6 +284,12 @@
     }
 }
 
+const EVENTS: [(&str, Event); 3] = [
+    ("leave", Event::Leave),
+    ("crash", Event::Crash),
+    ("freeze", Event::Freeze),
+];
+
 /// Bytes that one node sends in a second while nothing happens.
 fn idle_bytes_per_s(count: usize) -> u64 {
     let mut zone = Zone::new(count, 1);
@@ -274,15 +300,15 @@
 }
 
 fn main() {
-    println!("instances  event  gap median ms  gap longest ms  messages in the zone meanwhile");
+    println!("instances  event   gap median ms  gap longest ms  messages in the zone meanwhile");
     for count in [3, 7, 20, 60, 190] {
-        for (event, planned) in [("leave", true), ("fault", false)] {
-            let mut gaps: Vec<_> = (0..SEEDS).map(|seed| gap(count, seed, planned)).collect();
+        for (name, event) in EVENTS {
+            let mut gaps: Vec<_> = (0..SEEDS).map(|seed| gap(count, seed, event)).collect();
             gaps.sort_by_key(|gap| gap.longest_ms);
             let (median, longest) = (gaps[gaps.len() / 2], gaps[gaps.len() - 1]);
             let (median_ms, longest_ms) = (median.longest_ms, longest.longest_ms);
             let messages = median.messages;
-            println!("{count:9}  {event}  {median_ms:13}  {longest_ms:14}  {messages:8}");
+            println!("{count:9}  {name:6}  {median_ms:13}  {longest_ms:14}  {messages:8}");
         }
     }
     println!("instances  membership bytes sent by a node in a second");
--- a/crates/decisions/src/membership/handlers.rs
+++ b/crates/decisions/src/membership/handlers.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use monsoonspread_model::message::{Swim, SwimBody};
+use monsoonspread_model::message::{Health, Swim, SwimBody};
 use monsoonspread_model::{
     BundleVersion, InstanceKind, InstanceName, InstanceState, ListedInstance, UnixMs,
 };
@@ -86,7 +86,7 @@
     /// # use monsoonspread_model::{BundleVersion, UnixMs, message::Health};
     /// # let own = Member { name: "entry-1".into(), address: ([127, 0, 0, 1], 7000).into() };
     /// # let mut membership = Membership::new(UnixMs(5), own, MembershipSettings::default(), 1);
-    /// use monsoonspread_model::message::{Swim, SwimBody};
+    /// use monsoonspread_model::message::{Health, Swim, SwimBody};
     /// let swim = Swim {
     ///     body: SwimBody::Ping { sequence: 1 },
     ///     updates: Vec::new(),
@@ -118,6 +118,19 @@
         actions
     }
 
+    /// A connection to `peer` was refused, which says as much as a failed probe, but sooner.
+    ///
+    /// ```
+    /// # use monsoonspread_decisions::membership::{Member, Membership, MembershipSettings};
+    /// # use monsoonspread_model::UnixMs;
+    /// # let own = Member { name: "entry-1".into(), address: ([127, 0, 0, 1], 7000).into() };
+    /// # let mut membership = Membership::new(UnixMs(5), own, MembershipSettings::default(), 1);
+    /// assert!(membership.on_refused(UnixMs(6), &"entry-2".into()).is_empty(), "not a member");
+    /// ```
+    pub fn on_refused(&mut self, now: UnixMs, peer: &InstanceName) -> Vec<MembershipAction> {
+        self.declare(now, peer, Health::Suspect)
+    }
+
     /// Lets time pass; every 100 ms.
     ///
     /// ```
--- a/crates/decisions/src/membership/tests.rs
+++ b/crates/decisions/src/membership/tests.rs
@@ -40,6 +40,19 @@
     check(holds);
 }
 
+#[test]
+fn a_member_that_refuses_connections_is_dead_sooner() {
+    fn holds(seed: u64) -> bool {
+        let mut net = joined(seed);
+        net.refuses = true;
+        let victim = seed as usize % COUNT;
+        net.stop(victim);
+        let found = net.advance_until(1_500, |net| net.all_say(victim, Health::Dead));
+        found.is_some()
+    }
+    check(holds);
+}
+
 #[test]
 fn losses_alone_kill_nobody_for_good() {
     fn holds(seed: u64) -> bool {
--- a/crates/decisions/src/membership/tests/net.rs
+++ b/crates/decisions/src/membership/tests/net.rs
@@ -26,6 +26,8 @@
     pub now: UnixMs,
     /// Messages lost of a hundred.
     pub loss_percent: u64,
+    /// Whether connections to stopped nodes are refused.
+    pub refuses: bool,
     pub sent: u64,
     pub largest: usize,
     nodes: Vec<Node>,
@@ -57,6 +59,7 @@
         let mut net = Self {
             now: UnixMs(1_000_000),
             loss_percent: 0,
+            refuses: false,
             sent: 0,
             largest: 0,
             nodes: Vec::new(),
@@ -175,6 +178,10 @@
                 let machine = &mut self.nodes[to].machine;
                 let actions = machine.on_swim(self.now, &name(from), swim);
                 self.run(to, actions);
+            } else if self.refuses {
+                let machine = &mut self.nodes[from].machine;
+                let actions = machine.on_refused(self.now, &name(to));
+                self.run(from, actions);
             }
         }
     }
