--- a/crates/decisions/src/ownership/tests.rs
+++ b/crates/decisions/src/ownership/tests.rs
@@ -1,6 +1,7 @@
 //! Zones of ownership machines under faults.
 
 mod planning;
+mod rows;
 mod rules;
 mod step;
 mod store;
--- a/crates/decisions/src/ownership/tests/zone.rs
+++ b/crates/decisions/src/ownership/tests/zone.rs
@@ -4,10 +4,10 @@
 
 use monsoonspread_model::message::Health;
 use monsoonspread_model::{
-    Epoch, InstanceKind, InstanceName, InstanceState, ListedInstance, OwnershipTable, UnixMs,
-    UpstreamName,
+    Epoch, InstanceKind, InstanceName, OwnershipTable, UnixMs, UpstreamName,
 };
 
+use super::rows::{name, row, upstream};
 use super::step::{INSTANCES, Step, UPSTREAMS};
 use super::store::{FakeStore, Write};
 use crate::ownership::{
@@ -53,28 +53,6 @@
     used: BTreeSet<Epoch>,
 }
 
-fn name(index: usize) -> InstanceName {
-    format!("entry-{index}").into()
-}
-
-fn upstream(index: usize) -> UpstreamName {
-    format!("engine-{index}").into()
-}
-
-fn row(name: String, kind: InstanceKind) -> ListedInstance {
-    ListedInstance {
-        name,
-        kind,
-        zone: "z".into(),
-        address: ([127, 0, 0, 1], 1).into(),
-        state: InstanceState::Live,
-        service: None,
-        checks_fencing: false,
-        adapter_slots: 4,
-        batch_places: 8,
-    }
-}
-
 fn new_node(process: u32) -> impl Fn(usize) -> Node {
     move |index| Node {
         machine: Ownership::new(name(index), "z".into(), OwnershipSettings::default()),
