Wait a second for the handover of a leaving owner

Cause: the owner hands an upstream over when its last order was answered, and a load takes a quarter of a second or more; after half a second the successor took over and the handover was refused. Ruled out by a test that passed before and after: remembering the former owner across a new table by name; the table that drops a leaving owner keeps the wait as it is.

--- a/crates/decisions/src/ownership/settings.rs
+++ b/crates/decisions/src/ownership/settings.rs
@@ -28,7 +28,7 @@
             rank_delay_ms: 1_000,
             minority_settle_ms: 5_000,
             store_retry_ms: 1_000,
-            handover_wait_ms: 500,
+            handover_wait_ms: 1_000,
             unheard_ms: 15_000,
         }
     }
