--- a/crates/load/src/compare/cpu.rs
+++ b/crates/load/src/compare/cpu.rs
@@ -37,7 +37,7 @@
 }
 
 /// Processor time that this process has used, 0 where it can't be read.
-fn cpu_s() -> f64 {
+pub fn cpu_s() -> f64 {
     let text = std::fs::read_to_string("/proc/self/stat").unwrap_or_default();
     let after_name = text.rsplit(')').next().unwrap_or_default();
     let fields: Vec<&str> = after_name.split_whitespace().collect();
--- a/crates/load/src/compare/mod.rs
+++ b/crates/load/src/compare/mod.rs
@@ -9,7 +9,7 @@
 
 pub use aim::{Aim, head_of_line, slowed};
 pub use audit::Audit;
-pub use cpu::CpuMeter;
+pub use cpu::{CpuMeter, cpu_s};
 pub use player::Player;
 pub use report::{Comparison, PhaseFigures, PhaseReport, PolicyReport, SecondReport};
 pub use session::Session;
--- a/crates/load/src/slopes/entry_probes.rs
+++ b/crates/load/src/slopes/entry_probes.rs
@@ -3,7 +3,7 @@
 use std::net::{Ipv4Addr, SocketAddr};
 use std::time::Duration;
 
-use monsoonspread_entry::mesh::{Hub, MeshHandle, listen};
+use monsoonspread_entry::mesh::{Hub, MeshEvent, MeshHandle, listen};
 use monsoonspread_entry::settings::MeshKey;
 use monsoonspread_model::load_report::LoadedAdapter;
 use monsoonspread_model::message::{Hello, PROTOCOL_VERSION};
@@ -16,10 +16,12 @@
 use super::measure::{bytes_each, keep, resident_bytes, us_each};
 use super::samples::{adapter, instance, listed, swim};
 use super::{Probe, Unit};
+use crate::compare::cpu_s;
 
 const ROWS: &[usize] = &[250, 500, 1_000, 2_000, 4_000];
 const SLOTS: &[usize] = &[4, 8, 16, 32];
 const CONNECTIONS: &[usize] = &[20, 40, 80, 160];
+const MESSAGES: &[usize] = &[4_000, 8_000, 16_000, 32_000];
 /// Lists kept for one measurement of memory.
 const COPIES: usize = 4;
 /// Engines for each entry instance in a list.
@@ -38,6 +40,13 @@
         sizes: CONNECTIONS,
         measure: connections,
     },
+    Probe {
+        name: "mesh.message",
+        unit: Unit::Us,
+        per: "message, both ends",
+        sizes: MESSAGES,
+        measure: echoes,
+    },
     Probe {
         name: "list.resident",
         unit: Unit::Bytes,
@@ -121,11 +130,47 @@
     grown as f64
 }
 
+/// Processor time of `count` messages that go to and fro between two instances one by one.
+fn echoes(count: usize) -> f64 {
+    let runtime = Runtime::new().expect("the async runtime starts");
+    let (cpu_s, nodes) = runtime.block_on(async {
+        let (mut a, mut a_events) = Node::start(0).await;
+        let (b, mut b_events) = Node::start(1).await;
+        let echo = b.mesh.clone();
+        a.tasks.spawn(async move {
+            while let Some(event) = b_events.recv().await {
+                if let MeshEvent::Received { from, message } = event {
+                    echo.send(&from, message);
+                }
+            }
+        });
+        a.mesh.know(vec![(instance(1), b.address)]);
+        echo_once(&a, &mut a_events).await;
+        let before_s = cpu_s();
+        for _ in 0..count / 2 {
+            echo_once(&a, &mut a_events).await;
+        }
+        (cpu_s() - before_s, (a, b))
+    });
+    keep(nodes);
+    keep(runtime);
+    cpu_s * 1e6
+}
+
+async fn echo_once(node: &Node, events: &mut mpsc::Receiver<MeshEvent>) {
+    node.mesh.send(&instance(1), MeshMessage::Swim(swim(1)));
+    while let Some(event) = events.recv().await {
+        if matches!(event, MeshEvent::Received { .. }) {
+            return;
+        }
+    }
+}
+
 async fn open(count: usize) -> Vec<Node> {
-    let centre = Node::start(0).await;
+    let centre = Node::start_drained(0).await;
     let mut nodes = vec![];
     for number in 1..=count {
-        nodes.push(Node::start(number).await);
+        nodes.push(Node::start_drained(number).await);
     }
     let addresses = nodes.iter().zip(1..);
     let known = addresses.map(|(node, number)| (instance(number), node.address));
@@ -145,11 +190,18 @@
     address: SocketAddr,
     mesh: MeshHandle,
     _hello: watch::Sender<Hello>,
-    _tasks: JoinSet<()>,
+    tasks: JoinSet<()>,
 }
 
 impl Node {
-    async fn start(number: usize) -> Self {
+    async fn start_drained(number: usize) -> Self {
+        let (mut node, mut events) = Self::start(number).await;
+        let drain = async move { while events.recv().await.is_some() {} };
+        node.tasks.spawn(drain);
+        node
+    }
+
+    async fn start(number: usize) -> (Self, mpsc::Receiver<MeshEvent>) {
         let hello = Hello {
             protocol_version: PROTOCOL_VERSION,
             instance: instance(number),
@@ -158,7 +210,7 @@
             bundle_version: BundleVersion(0),
         };
         let (hello_sender, hello) = watch::channel(hello);
-        let (sender, mut events) = mpsc::channel(EVENTS);
+        let (sender, events) = mpsc::channel(EVENTS);
         let (hub, mesh) = Hub::new(MeshKey::new(b"slopes-mesh-key-on-loopback"), hello, sender);
         let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await;
         let listener = listener.expect("a loopback port is free");
@@ -168,12 +220,12 @@
         let mut tasks = JoinSet::new();
         tasks.spawn(listen(&hub, listener));
         tasks.spawn(hub.run());
-        tasks.spawn(async move { while events.recv().await.is_some() {} });
-        Self {
+        let node = Self {
             address,
             mesh,
             _hello: hello_sender,
-            _tasks: tasks,
-        }
+            tasks,
+        };
+        (node, events)
     }
 }
