--- a/crates/decisions/src/owner/tests/grants.rs
+++ b/crates/decisions/src/owner/tests/grants.rs
@@ -186,3 +186,18 @@
     owner.on_live(START + 10, &engine());
     take(&mut owner, START + 11, 2, "a");
 }
+
+#[test]
+fn a_copy_is_kept_until_the_upstream_has_noticed_a_cut() {
+    for outcome in [GrantOutcome::Cancelled, GrantOutcome::Broken] {
+        let mut owner = fresh(1, 1, settings());
+        load(&mut owner, START, 1, "a");
+        let held = take(&mut owner, START, 2, "a");
+        owner.on_return(START + 10, &entry(), ended(held, outcome));
+        let actions = owner.on_request(START + 10, &entry(), request(3, "b"));
+        assert!(unloads(&actions).is_empty(), "{outcome:?}");
+        let unused = report(START + 1_000, &[(copy("a"), 0)]);
+        let actions = owner.on_report(START + 1_000, &engine(), unused);
+        assert_eq!(unloads(&actions), [copy("a")], "{outcome:?}");
+    }
+}
