Doubt the ownership after the shortest pause that can cost it

Cause: a member that is silent is taken as gone after 800 ms (300 ms to suspicion, 500 ms of it), so a successor may have begun after a pause of that length. Conclusion: the pause is 800 ms; the tests set their own and pass.

--- a/crates/decisions/src/owner/settings.rs
+++ b/crates/decisions/src/owner/settings.rs
@@ -111,7 +111,7 @@
             fence_retry_ms: 250,
             order_retry_ms: 1_000,
             order_timeout_ms: 15_000,
-            pause_ms: 1_000,
+            pause_ms: 800,
             fence_interval_ms: 2_000,
             clock_margin_ms: 500,
             unreachable_ms: 500,
