--- a/crates/entry/src/controller/dispatch/actions.rs
+++ b/crates/entry/src/controller/dispatch/actions.rs
@@ -2,19 +2,14 @@
 
 use std::collections::VecDeque;
 use std::sync::Arc;
-use std::time::Duration;
 
 use monsoonspread_decisions::dispatch::{
     AttemptEnd, AttemptId, DispatchAction, DispatchEvent, EndKind,
 };
-use monsoonspread_model::message::{
-    CrashNotice, GrantRequest, GrantReturn, MeshMessage, RequestId,
-};
+use monsoonspread_model::message::{CrashNotice, GrantRequest, MeshMessage, RequestId};
 use monsoonspread_model::{CopyName, InstanceName, Refusal, UnixMs, UpstreamName};
 use monsoonspread_platform::GenerateRequest;
 use tokio::sync::oneshot;
-use tokio::time::sleep;
-use tokio_util::sync::CancellationToken;
 
 use super::command::DispatchCommand;
 use super::controller::DispatchController;
@@ -22,22 +17,11 @@
 use super::record::{Record, RunningGeneration};
 use crate::event::Event;
 
-/// Time for an engine to notice that a stream was closed.
-const CANCEL_SETTLE: Duration = Duration::from_millis(250);
-
 impl DispatchController {
     /// Carries out actions and whatever they lead to.
     pub(super) fn carry_out(&mut self, actions: Vec<DispatchAction>) {
         let mut waiting = VecDeque::from(actions);
         while let Some(action) = waiting.pop_front() {
-            // The dispatcher gives a cancelled generation's grant back right after the cancel.
-            if let DispatchAction::Cancel { request, attempt } = action
-                && let Some(DispatchAction::Return(back)) =
-                    waiting.pop_front_if(|next| matches!(next, DispatchAction::Return(_)))
-            {
-                self.cancel_and_return(request, attempt, back);
-                continue;
-            }
             waiting.extend(self.carry_out_one(action));
         }
     }
@@ -53,11 +37,13 @@
                 copy,
                 resume,
             } => self.generate(request, attempt, upstream, copy, resume),
-            DispatchAction::Cancel { request, attempt } => {
-                self.cancel(request, attempt);
-            }
+            DispatchAction::Cancel { request, attempt } => self.cancel(request, attempt),
             DispatchAction::Choose { request, attempt } => self.choose(request, attempt),
-            DispatchAction::Return(back) => self.give_back(back),
+            DispatchAction::Return(back) => {
+                if let Some(owner) = self.known_owners.get(&back.upstream) {
+                    self.mesh.send(owner, MeshMessage::GrantReturn(back));
+                }
+            }
             DispatchAction::Finish { request, result } => self.finish(request, result),
             DispatchAction::Announce { to, announce } => {
                 self.mesh.send(&to, MeshMessage::Announce(announce));
@@ -110,7 +96,6 @@
         let Some(row) = directory.engines.get(&upstream) else {
             return self.handle.tell(unreachable(request, attempt));
         };
-        let gone = CancellationToken::new();
         let (chosen, chosen_receiver) = oneshot::channel();
         let body = if resume {
             record.call.resumed_body(&record.text, record.tokens)
@@ -134,42 +119,19 @@
             chosen: chosen_receiver,
             pieces: record.pieces.clone(),
             dispatch: self.handle.clone(),
-            _gone: gone.clone().drop_guard(),
         };
         let task = self.generations.spawn(Generation::new(job).run());
         let running = RunningGeneration {
             task,
             chosen: Some(chosen),
-            gone,
         };
-        self.running.insert((request, attempt), running);
-    }
-
-    /// Stops a generation; returns what is cancelled when its stream is gone.
-    fn cancel(&mut self, request: RequestId, attempt: AttemptId) -> Option<CancellationToken> {
-        let running = self.running.remove(&(request, attempt))?;
-        running.task.abort();
-        Some(running.gone)
+        record.generations.insert(attempt, running);
     }
 
-    /// Stops a generation and gives its grant back once the engine has had time to notice: until
-    /// then it may still run the request, and the copy must not be evicted.
-    fn cancel_and_return(&mut self, request: RequestId, attempt: AttemptId, back: GrantReturn) {
-        let Some(gone) = self.cancel(request, attempt) else {
-            return self.give_back(back);
-        };
-        let handle = self.handle.clone();
-        self.handle.settling().spawn(async move {
-            gone.cancelled().await;
-            sleep(CANCEL_SETTLE).await;
-            handle.tell(DispatchCommand::GiveBack(back));
-        });
-    }
-
-    /// Sends a grant back to the present owner of its upstream.
-    pub(super) fn give_back(&self, back: GrantReturn) {
-        if let Some(owner) = self.known_owners.get(&back.upstream) {
-            self.mesh.send(owner, MeshMessage::GrantReturn(back));
+    fn cancel(&mut self, request: RequestId, attempt: AttemptId) {
+        let record = self.records.get_mut(&request);
+        if let Some(running) = record.and_then(|record| record.generations.remove(&attempt)) {
+            running.task.abort();
         }
     }
 
@@ -181,7 +143,7 @@
             let after_ms = UnixMs::now().ms_since(record.arrived_at);
             self.metrics.on_first_token(record.class, after_ms);
         }
-        let running = self.running.get_mut(&(request, attempt));
+        let running = record.generations.get_mut(&attempt);
         if let Some(chosen) = running.and_then(|running| running.chosen.take()) {
             let _ = chosen.send(());
         }
@@ -191,6 +153,9 @@
         let Some(record) = self.take_record(request) else {
             return;
         };
+        for running in record.generations.values() {
+            running.task.abort();
+        }
         if result.is_ok() {
             let after_ms = UnixMs::now().ms_since(record.arrived_at);
             self.metrics.on_done(record.class, after_ms);
@@ -198,8 +163,15 @@
         let _ = record.result.send(result);
     }
 
-    /// Forgets a request whose generations have ended or are cancelled next.
-    pub(super) fn take_record(&mut self, request: RequestId) -> Option<Record> {
+    pub(super) fn forget(&mut self, request: RequestId) {
+        if let Some(record) = self.take_record(request) {
+            for running in record.generations.values() {
+                running.task.abort();
+            }
+        }
+    }
+
+    fn take_record(&mut self, request: RequestId) -> Option<Record> {
         let first = (request, UpstreamName::from(""));
         let asked: Vec<_> = self
             .asked
--- a/crates/entry/src/controller/dispatch/command.rs
+++ b/crates/entry/src/controller/dispatch/command.rs
@@ -1,9 +1,7 @@
 //! What the dispatch task is told.
 
 use monsoonspread_decisions::dispatch::{AttemptEnd, AttemptId, DispatchDump, NewRequest};
-use monsoonspread_model::message::{
-    AnnounceRequest, CrashNotice, GrantReply, GrantReturn, RequestId,
-};
+use monsoonspread_model::message::{AnnounceRequest, CrashNotice, GrantReply, RequestId};
 use monsoonspread_model::{InstanceName, Refusal, UpstreamName};
 use tokio::sync::{mpsc, oneshot};
 
@@ -66,8 +64,6 @@
         /// The text that the caller got from it.
         text: String,
     },
-    /// A cancelled generation's grant is to be given back.
-    GiveBack(GrantReturn),
     /// Describe the task's state.
     Dump(oneshot::Sender<DispatchDump>),
 }
--- a/crates/entry/src/controller/dispatch/controller.rs
+++ b/crates/entry/src/controller/dispatch/controller.rs
@@ -15,7 +15,7 @@
 use tokio::time::{MissedTickBehavior, interval};
 
 use super::command::{DispatchCommand, Submission};
-use super::record::{Record, RunningGeneration};
+use super::record::Record;
 use super::{DispatchHandle, OwnerMap};
 use crate::controller::Handles;
 use crate::directory::Directory;
@@ -30,7 +30,6 @@
     pub(super) own: InstanceName,
     pub(super) dispatcher: Dispatcher,
     pub(super) records: BTreeMap<RequestId, Record>,
-    pub(super) running: HashMap<(RequestId, AttemptId), RunningGeneration>,
     /// Which instance was asked for a grant.
     pub(super) asked: BTreeMap<(RequestId, UpstreamName), InstanceName>,
     pub(super) generations: JoinSet<()>,
@@ -58,7 +57,6 @@
             own,
             dispatcher: Dispatcher::new(zone, DispatchSettings::default()),
             records: BTreeMap::new(),
-            running: HashMap::new(),
             asked: BTreeMap::new(),
             generations: JoinSet::new(),
             mesh: handles.mesh,
@@ -96,7 +94,7 @@
             DispatchCommand::CallerGone(request) => {
                 let actions = self.dispatcher.on_caller_gone(request);
                 self.carry_out(actions);
-                self.take_record(request);
+                self.forget(request);
                 return;
             }
             DispatchCommand::Reply(reply) => {
@@ -124,7 +122,6 @@
                 end,
                 text,
             } => self.on_ended(now, request, attempt, end, &text),
-            DispatchCommand::GiveBack(back) => return self.give_back(back),
             DispatchCommand::Dump(reply) => {
                 let _ = reply.send(self.dispatcher.dump(now));
                 return;
@@ -209,6 +206,7 @@
             arrived_at: now,
             pieces: submission.pieces,
             result: submission.result,
+            generations: HashMap::new(),
             text: String::new(),
             tokens: 0,
         };
@@ -224,14 +222,13 @@
         end: AttemptEnd,
         text: &str,
     ) -> Vec<DispatchAction> {
-        let ended = self.running.remove(&(request, attempt));
-        // Only a chosen generation gave its text to the caller.
-        let was_chosen = ended.is_some_and(|running| running.chosen.is_none());
-        if let Some(record) = self.records.get_mut(&request)
-            && was_chosen
-        {
-            record.text.push_str(text);
-            record.tokens += end.tokens;
+        if let Some(record) = self.records.get_mut(&request) {
+            let generation = record.generations.remove(&attempt);
+            // Only a chosen generation gave its text to the caller.
+            if generation.is_some_and(|generation| generation.chosen.is_none()) {
+                record.text.push_str(text);
+                record.tokens += end.tokens;
+            }
         }
         self.dispatcher.on_end(now, request, attempt, end)
     }
--- a/crates/entry/src/controller/dispatch/generation.rs
+++ b/crates/entry/src/controller/dispatch/generation.rs
@@ -9,7 +9,6 @@
 use monsoonspread_platform::{Engine, EngineError, GenerateRequest, GenerationEvent};
 use serde_json::{Value, json};
 use tokio::sync::{mpsc, oneshot};
-use tokio_util::sync::DropGuard;
 
 use super::command::DispatchCommand;
 use super::{AnswerEvent, DispatchHandle};
@@ -28,8 +27,6 @@
     pub(super) chosen: oneshot::Receiver<()>,
     pub(super) pieces: mpsc::Sender<AnswerEvent>,
     pub(super) dispatch: DispatchHandle,
-    /// Tells that the stream is gone; dropped after it.
-    pub(super) _gone: DropGuard,
 }
 
 /// A generation that runs.
--- a/crates/entry/src/controller/dispatch/handle.rs
+++ b/crates/entry/src/controller/dispatch/handle.rs
@@ -7,7 +7,6 @@
 use monsoonspread_model::UnixMs;
 use monsoonspread_model::message::RequestId;
 use tokio::sync::{mpsc, oneshot};
-use tokio_util::task::TaskTracker;
 
 use super::Answer;
 use super::command::{DispatchCommand, Submission};
@@ -23,7 +22,6 @@
 pub struct DispatchHandle {
     commands: mpsc::UnboundedSender<DispatchCommand>,
     next_request: Arc<AtomicU64>,
-    settling: TaskTracker,
 }
 
 impl DispatchHandle {
@@ -34,7 +32,6 @@
         let handle = Self {
             commands,
             next_request: Arc::new(AtomicU64::new(first)),
-            settling: TaskTracker::new(),
         };
         (handle, receiver)
     }
@@ -68,17 +65,6 @@
         let _ = self.commands.send(command);
     }
 
-    /// Cancelled generations whose grants are not given back yet.
-    pub(super) fn settling(&self) -> &TaskTracker {
-        &self.settling
-    }
-
-    /// Waits until every cancelled generation's grant is given back.
-    pub async fn settled(&self) {
-        self.settling.close();
-        self.settling.wait().await;
-    }
-
     /// Describes the dispatcher.
     pub async fn dump(&self) -> Option<DispatchDump> {
         let (reply, answer) = oneshot::channel();
--- a/crates/entry/src/controller/dispatch/record.rs
+++ b/crates/entry/src/controller/dispatch/record.rs
@@ -1,11 +1,12 @@
 //! What the dispatch task keeps of each request beside the state machine.
 
+use std::collections::HashMap;
 use std::sync::Arc;
 
+use monsoonspread_decisions::dispatch::AttemptId;
 use monsoonspread_model::{Refusal, RequestClass, UnixMs};
 use tokio::sync::{mpsc, oneshot};
 use tokio::task::AbortHandle;
-use tokio_util::sync::CancellationToken;
 
 use super::AnswerEvent;
 use crate::filter::GenerateCall;
@@ -14,8 +15,6 @@
 pub(super) struct RunningGeneration {
     pub(super) task: AbortHandle,
     pub(super) chosen: Option<oneshot::Sender<()>>,
-    /// Cancelled when the task has dropped its stream.
-    pub(super) gone: CancellationToken,
 }
 
 /// One request in flight.
@@ -25,6 +24,7 @@
     pub(super) arrived_at: UnixMs,
     pub(super) pieces: mpsc::Sender<AnswerEvent>,
     pub(super) result: oneshot::Sender<Result<(), Refusal>>,
+    pub(super) generations: HashMap<AttemptId, RunningGeneration>,
     /// Text that the caller has from generations that ended.
     pub(super) text: String,
     /// Tokens of that text.
--- a/crates/entry/src/entry/mod.rs
+++ b/crates/entry/src/entry/mod.rs
@@ -193,9 +193,6 @@
         while self.server.join_next().await.is_some() {}
         self.calls.close();
         self.calls.wait().await;
-        self.handles.dispatch.settled().await;
-        // Answered only after what was told before, so that every grant is on its way.
-        self.handles.dispatch.dump().await;
         self.handles.mesh.close().await;
         Event::Stopped {
             instance: &self.settings.instance,
