--- a/crates/decisions/src/dispatch/dispatcher.rs
+++ b/crates/decisions/src/dispatch/dispatcher.rs
@@ -341,7 +341,11 @@
         request,
         attempt: attempt.id,
     });
-    let back = unused(&attempt.upstream, attempt.held.grant);
+    let back = ended(
+        &attempt.upstream,
+        attempt.held.grant,
+        GrantOutcome::Cancelled,
+    );
     actions.push(DispatchAction::Return(back));
 }
 
@@ -362,11 +366,12 @@
     });
 }
 
-pub(super) fn unused(upstream: &UpstreamName, grant: GrantId) -> GrantReturn {
+/// Gives a grant back of which nothing was seen.
+pub(super) fn ended(upstream: &UpstreamName, grant: GrantId, outcome: GrantOutcome) -> GrantReturn {
     GrantReturn {
         upstream: upstream.clone(),
         grant,
-        outcome: GrantOutcome::Cancelled,
+        outcome,
         first_token_ms: None,
         token_gap_us: None,
         tokens: 0,
--- a/crates/decisions/src/ownership/machine.rs
+++ b/crates/decisions/src/ownership/machine.rs
@@ -2,33 +2,32 @@
 
 use std::collections::BTreeSet;
 
-use monsoonspread_model::message::Health;
 use monsoonspread_model::{
-    Epoch, InstanceKind, InstanceName, ListedInstance, OwnershipTable, Succession, UnixMs,
-    UpstreamName, ZoneName,
+    Epoch, InstanceName, OwnershipTable, Succession, UnixMs, UpstreamName, ZoneName,
 };
 
 use super::owned::Owned;
 use super::view::View;
 use super::writer::Writer;
 use super::{
-    OwnKind, OwnershipAction, OwnershipDump, OwnershipEvent, OwnershipSettings, Planner,
-    TableSource, WriteResult,
+    OwnershipAction, OwnershipDump, OwnershipEvent, OwnershipSettings, Planner, TableSource,
 };
 
 /// Decides who owns the zone's upstreams, together with the machines of its other instances.
 #[derive(Clone, Debug)]
 pub struct Ownership {
-    own: InstanceName,
-    zone: ZoneName,
-    settings: OwnershipSettings,
-    view: View,
-    owned: Owned,
-    writer: Writer,
-    upstreams: BTreeSet<UpstreamName>,
-    leaving: bool,
-    /// Whether anything changed since owners and table were worked out last.
-    changed: bool,
+    pub(super) own: InstanceName,
+    pub(super) zone: ZoneName,
+    pub(super) settings: OwnershipSettings,
+    pub(super) view: View,
+    pub(super) owned: Owned,
+    pub(super) writer: Writer,
+    pub(super) upstreams: BTreeSet<UpstreamName>,
+    pub(super) leaving: bool,
+    /// Whether anything changed since the owners were worked out last.
+    pub(super) changed: bool,
+    /// When something changed first since the table was planned last.
+    pub(super) plan_since: Option<UnixMs>,
 }
 
 impl Ownership {
@@ -53,208 +52,58 @@
             upstreams: BTreeSet::new(),
             leaving: false,
             changed: true,
+            plan_since: None,
         }
     }
 
     /// The table in force.
+    ///
+    /// ```
+    /// # use monsoonspread_decisions::ownership::{Ownership, OwnershipSettings};
+    /// # use monsoonspread_model::UnixMs;
+    /// # let settings = OwnershipSettings::default();
+    /// # let mut ownership = Ownership::new("entry-1".into(), "z".into(), settings);
+    /// assert_eq!(ownership.table().revision, 0);
+    /// ```
     pub fn table(&self) -> &OwnershipTable {
         &self.view.table
     }
 
     /// Who owns `upstream` now: the first usable place in its failover order.
+    ///
+    /// ```
+    /// # use monsoonspread_decisions::ownership::{Ownership, OwnershipSettings};
+    /// # use monsoonspread_model::UnixMs;
+    /// # let settings = OwnershipSettings::default();
+    /// # let mut ownership = Ownership::new("entry-1".into(), "z".into(), settings);
+    /// assert!(ownership.owner_of(UnixMs(0), &"engine-1".into()).is_none());
+    /// ```
     pub fn owner_of(&self, now: UnixMs, upstream: &UpstreamName) -> Option<&Succession> {
         self.view.owner_of(now, upstream)
     }
 
     /// The fencing number this instance owns `upstream` with.
+    ///
+    /// ```
+    /// # use monsoonspread_decisions::ownership::{Ownership, OwnershipSettings};
+    /// # use monsoonspread_model::UnixMs;
+    /// # let settings = OwnershipSettings::default();
+    /// # let mut ownership = Ownership::new("entry-1".into(), "z".into(), settings);
+    /// assert_eq!(ownership.owned_epoch(&"engine-1".into()), None);
+    /// ```
     pub fn owned_epoch(&self, upstream: &UpstreamName) -> Option<Epoch> {
         self.owned.epochs().get(upstream).copied()
     }
 
-    /// Takes every member of the zone with its health, this instance included.
-    pub fn on_members(
-        &mut self,
-        now: UnixMs,
-        members: &[(InstanceName, Health)],
-    ) -> Vec<OwnershipAction> {
-        self.view
-            .set_members(now, members, self.settings.unheard_ms);
-        self.changed = true;
-        self.follow(now)
-    }
-
-    /// Takes the platform's list; entries of every zone count as possible holders of grants.
-    pub fn on_upstreams(&mut self, now: UnixMs, listed: &[ListedInstance]) -> Vec<OwnershipAction> {
-        self.upstreams = listed
-            .iter()
-            .filter(|row| row.kind == InstanceKind::Engine && row.zone == self.zone)
-            .map(|row| UpstreamName::from(row.name.as_str()))
-            .collect();
-        let entries = listed.iter().filter(|row| row.kind == InstanceKind::Entry);
-        self.owned.holders = entries
-            .map(|row| InstanceName::from(row.name.as_str()))
-            .collect();
-        self.changed = true;
-        self.follow(now)
-    }
-
-    /// Takes a table that the key-value service has confirmed, here or at a peer.
-    pub fn on_table(
-        &mut self,
-        now: UnixMs,
-        table: OwnershipTable,
-        source: TableSource,
-    ) -> Vec<OwnershipAction> {
-        if let TableSource::Store { mod_revision } = source {
-            self.writer.end_read();
-            self.note_store(mod_revision, table.next_epoch);
-        }
-        self.adopt(now, table, source)
-    }
-
-    /// The key-value service holds no table of this zone.
-    pub fn on_table_absent(&mut self, now: UnixMs) -> Vec<OwnershipAction> {
-        self.writer.end_read();
-        self.note_store(0, Epoch(1));
-        self.follow(now)
-    }
-
-    /// The table could not be read.
-    pub fn on_read_failed(&mut self, now: UnixMs) -> Vec<OwnershipAction> {
-        self.writer.end_read();
-        self.pause_writer(now);
-        let revision = self.view.table.revision;
-        vec![OwnershipAction::Event(OwnershipEvent::StoreUnreachable {
-            revision,
-        })]
-    }
-
-    /// Takes the result of the last write.
-    pub fn on_write_result(&mut self, now: UnixMs, result: WriteResult) -> Vec<OwnershipAction> {
-        let Some(written) = self.writer.end_write() else {
-            return Vec::new();
-        };
-        let revision = written.revision;
-        match result {
-            WriteResult::Written { mod_revision } => {
-                self.note_store(mod_revision, written.next_epoch);
-                let mut actions = vec![OwnershipAction::SpreadTable(written.clone())];
-                actions.extend(self.adopt(now, written, TableSource::Store { mod_revision }));
-                actions
-            }
-            WriteResult::Conflict { current } => {
-                self.writer.pause_until(now + self.settings.settle_ms);
-                let event = OwnershipEvent::WriteConflict { revision };
-                self.on_conflict(now, current, event)
-            }
-            WriteResult::Unknown => {
-                let event = OwnershipEvent::WriteUnknown { revision };
-                vec![OwnershipAction::Event(event), self.writer.read()]
-            }
-            WriteResult::Unreachable => {
-                self.pause_writer(now);
-                let event = OwnershipEvent::StoreUnreachable { revision };
-                vec![OwnershipAction::Event(event)]
-            }
-        }
-    }
-
-    /// An upstream refused `epoch` of this instance, which has stepped down.
-    pub fn on_stepped_down(
-        &mut self,
-        now: UnixMs,
-        upstream: &UpstreamName,
-        epoch: Epoch,
-    ) -> Vec<OwnershipAction> {
-        self.on_epoch_seen(now, upstream, Epoch(epoch.0 + 1))
-    }
-
-    /// Somebody uses `epoch` for `upstream`; whoever has a lower one is not its owner any more.
-    pub fn on_epoch_seen(
-        &mut self,
-        now: UnixMs,
-        upstream: &UpstreamName,
-        epoch: Epoch,
-    ) -> Vec<OwnershipAction> {
-        if !self.view.table.upstreams.contains_key(upstream) {
-            return Vec::new();
-        }
-        self.view.raise_floor(upstream, epoch);
-        self.changed = true;
-        self.follow(now)
-    }
-
-    /// Instance `restarted` came back as a new process: its places in the table are void.
-    pub fn on_restarted(&mut self, now: UnixMs, restarted: &InstanceName) -> Vec<OwnershipAction> {
-        self.view.lapsed.insert(restarted.clone());
-        self.view.advance(now);
-        self.changed = true;
-        self.follow(now)
-    }
-
-    /// The leaving owner `from` hands `upstream` over to this instance.
-    pub fn on_handover(
-        &mut self,
-        now: UnixMs,
-        from: &InstanceName,
-        upstream: &UpstreamName,
-        from_epoch: Epoch,
-    ) -> Vec<OwnershipAction> {
-        self.view.advance(now);
-        let place = self.view.own_place(upstream).cloned();
-        let usable = place.filter(|place| {
-            let floor = self.view.floors.get(upstream).copied().unwrap_or_default();
-            place.epoch > from_epoch && place.epoch >= floor && self.owned.may_use(place.epoch)
-        });
-        let already = self.owned.epochs().contains_key(upstream);
-        let Some(place) = usable.filter(|_| !already && !self.leaving) else {
-            return vec![OwnershipAction::Event(OwnershipEvent::HandoverRefused {
-                upstream: upstream.clone(),
-                from: from.clone(),
-            })];
-        };
-        self.view.raise_floor(upstream, place.epoch);
-        self.changed = true;
-        let own = self
-            .owned
-            .own(upstream.clone(), place.epoch, OwnKind::Handover, &self.view);
-        vec![own]
-    }
-
-    /// This instance leaves as planned.
-    pub fn on_leave(&mut self, now: UnixMs) -> Vec<OwnershipAction> {
-        self.leaving = true;
-        self.writer.want(now, None);
-        let mut successors = Vec::new();
-        let mut actions = Vec::new();
-        for upstream in self.owned.clear().into_keys() {
-            let Some(next) = self.view.successor_of(now, &upstream).cloned() else {
-                actions.push(OwnershipAction::Disown { upstream });
-                continue;
-            };
-            self.view.raise_floor(&upstream, next.epoch);
-            successors.push((upstream, next.instance));
-        }
-        actions.push(OwnershipAction::HandOver { successors });
-        actions
-    }
-
-    /// Lets time pass; every 100 ms.
-    pub fn on_tick(&mut self, now: UnixMs) -> Vec<OwnershipAction> {
-        if !self.owned.has_first_epoch() {
-            let read = self.writer.read_if_ready(now);
-            if read.is_some() {
-                return read.into_iter().collect();
-            }
-        }
-        if self.view.gives_up_unheard(now) {
-            self.view.advance(now);
-            self.changed = true;
-        }
-        self.follow(now)
-    }
-
     /// What this instance knows and holds.
+    ///
+    /// ```
+    /// # use monsoonspread_decisions::ownership::{Ownership, OwnershipSettings};
+    /// # use monsoonspread_model::UnixMs;
+    /// # let settings = OwnershipSettings::default();
+    /// # let mut ownership = Ownership::new("entry-1".into(), "z".into(), settings);
+    /// assert!(!ownership.dump(UnixMs(0)).store_seen);
+    /// ```
     pub fn dump(&self, _now: UnixMs) -> OwnershipDump {
         OwnershipDump {
             table: self.view.table.clone(),
@@ -265,7 +114,7 @@
         }
     }
 
-    fn on_conflict(
+    pub(super) fn on_conflict(
         &mut self,
         now: UnixMs,
         current: Option<(OwnershipTable, u64)>,
@@ -282,7 +131,7 @@
         actions
     }
 
-    fn note_store(&mut self, mod_revision: u64, next_epoch: Epoch) {
+    pub(super) fn note_store(&mut self, mod_revision: u64, next_epoch: Epoch) {
         self.writer.note_store(mod_revision, next_epoch);
         if !self.owned.has_first_epoch() {
             self.owned.set_first_epoch(self.writer.first_epoch());
@@ -291,13 +140,13 @@
     }
 
     /// Keeps off the key-value service; the whole zone together calls it a few times a second.
-    fn pause_writer(&mut self, now: UnixMs) {
+    pub(super) fn pause_writer(&mut self, now: UnixMs) {
         let turns = self.view.rank(now) as u64 + 1;
         let retry_at = now + self.settings.store_retry_ms * turns;
         self.writer.pause_until(retry_at);
     }
 
-    fn adopt(
+    pub(super) fn adopt(
         &mut self,
         now: UnixMs,
         table: OwnershipTable,
@@ -323,31 +172,38 @@
     }
 
     /// Brings ownership, and then the table, in step with what is known.
-    fn follow(&mut self, now: UnixMs) -> Vec<OwnershipAction> {
+    pub(super) fn follow(&mut self, now: UnixMs) -> Vec<OwnershipAction> {
         if self.leaving || !self.view.knows_members() {
             return Vec::new();
         }
-        let mut actions = Vec::new();
-        if self.changed || self.owned.awaits_handover() {
-            actions.extend(self.owned.follow(now, &self.view));
-        }
-        if !self.owned.has_first_epoch() {
-            return actions;
+        if !self.changed && !self.owned.awaits_handover() {
+            return Vec::new();
         }
         if std::mem::replace(&mut self.changed, false) {
+            self.plan_since.get_or_insert(now);
+        }
+        self.owned.follow(now, &self.view)
+    }
+
+    /// Plans the table anew when something changed, and writes the one that is wanted.
+    pub(super) fn write_if_due(&mut self, now: UnixMs) -> Vec<OwnershipAction> {
+        if self.leaving || !self.owned.has_first_epoch() {
+            return Vec::new();
+        }
+        if let Some(since) = self.plan_since.take() {
             let table = self.plan(now);
-            self.writer.want(now, table);
+            self.writer.want(since, table);
         }
-        if !self.writer.wants() {
-            return actions;
+        if !self.writer.may_write(now) {
+            return Vec::new();
         }
         let delay_ms = self.delay_ms(now);
-        actions.extend(self.writer.write_if_due(now, delay_ms));
-        actions
+        let write = self.writer.write_if_due(now, delay_ms);
+        write.into_iter().collect()
     }
 
     /// The table that fits what is known now, unless the one in force does.
-    fn plan(&self, now: UnixMs) -> Option<OwnershipTable> {
+    pub(super) fn plan(&self, now: UnixMs) -> Option<OwnershipTable> {
         let in_table;
         let upstreams = if self.upstreams.is_empty() {
             in_table = self.view.table.upstreams.keys().cloned().collect();
@@ -372,7 +228,7 @@
         .plan()
     }
 
-    fn delay_ms(&self, now: UnixMs) -> u64 {
+    pub(super) fn delay_ms(&self, now: UnixMs) -> u64 {
         if self.view.is_minority(now) {
             return self.settings.minority_settle_ms;
         }
--- a/crates/model/src/message/grant_return.rs
+++ b/crates/model/src/message/grant_return.rs
@@ -15,9 +15,12 @@
     /// The whole answer arrived.
     #[serde(rename = "d")]
     Done,
-    /// The caller went away or the grant was not needed.
+    /// The generation was cancelled; the upstream may notice a little later.
     #[serde(rename = "c")]
     Cancelled,
+    /// The grant was given back before anything was sent.
+    #[serde(rename = "n")]
+    Unused,
     /// The upstream could not be connected to.
     #[serde(rename = "u")]
     Unreachable,
