--- a/crates/decisions/src/membership/handlers.rs
+++ b/crates/decisions/src/membership/handlers.rs
@@ -86,7 +86,7 @@
     /// # use monsoonspread_model::{BundleVersion, UnixMs, message::Health};
     /// # let own = Member { name: "entry-1".into(), address: ([127, 0, 0, 1], 7000).into() };
     /// # let mut membership = Membership::new(UnixMs(5), own, MembershipSettings::default(), 1);
-    /// use monsoonspread_model::message::{Health, Swim, SwimBody};
+    /// use monsoonspread_model::message::{Swim, SwimBody};
     /// let swim = Swim {
     ///     body: SwimBody::Ping { sequence: 1 },
     ///     updates: Vec::new(),
