Show how far each keyed call is in the state dump

Cause: an operator who sees keyed calls hang has to know whether they wait for the store, run, or record their outcome. The row holds the phase and the deadline, never the caller's key.

--- a/crates/entry/src/controller/service/call.rs
+++ b/crates/entry/src/controller/service/call.rs
@@ -9,7 +9,7 @@
 use tokio::sync::{oneshot, watch};
 use tokio_util::task::TaskTracker;
 
-use super::{ClaimBatchCommand, RouteCommand};
+use super::{ClaimBatchCommand, ClaimsInFlight, RouteCommand};
 use crate::controller::Mailbox;
 use crate::directory::Directory;
 use crate::metrics::Metrics;
@@ -57,6 +57,8 @@
     pub store: Arc<dyn KeyValueStore>,
     /// Listed servers.
     pub directory: watch::Receiver<Arc<Directory>>,
+    /// Keyed calls in flight.
+    pub in_flight: ClaimsInFlight,
     /// Calls in flight.
     pub tasks: TaskTracker,
     /// Counts outcomes.
--- a/crates/entry/src/controller/service/keyed.rs
+++ b/crates/entry/src/controller/service/keyed.rs
@@ -25,6 +25,7 @@
         let digest = body_digest(&request.call, &request.body);
         let token = ClaimToken::random(&mut rand::rng());
         let mut claim = Claim::new(key, token, digest, request.deadline_unix_ms);
+        let row = self.in_flight.enter(&claim);
         let mut reply = Some(reply);
         let mut actions = VecDeque::from(claim.start(UnixMs::now()));
         while let Some(action) = actions.pop_front() {
@@ -62,6 +63,7 @@
                 }
             };
             actions.extend(next);
+            row.update(&claim);
         }
     }
 
--- a/crates/entry/src/controller/service/mod.rs
+++ b/crates/entry/src/controller/service/mod.rs
@@ -2,6 +2,7 @@
 
 mod call;
 mod claim_batches;
+mod claims_in_flight;
 mod command;
 mod controller;
 mod keyed;
@@ -9,5 +10,6 @@
 
 pub use call::{CallAnswer, CallRequest, ServiceCalls};
 pub use claim_batches::{ClaimBatchCommand, ClaimBatches};
+pub use claims_in_flight::ClaimsInFlight;
 pub use command::{RouteCommand, RoutedCall};
 pub use controller::RouteController;
--- a/crates/entry/src/dump/dumper.rs
+++ b/crates/entry/src/dump/dumper.rs
@@ -60,6 +60,7 @@
             dispatch: dispatch.ok().flatten(),
             services: services.unwrap_or_default(),
             service_calls: self.calls.tasks.len(),
+            claims: self.calls.in_flight.dump(),
             mesh: mesh.ok().flatten(),
             listed: self.listed(),
         }
--- a/crates/entry/src/dump/instance_dump.rs
+++ b/crates/entry/src/dump/instance_dump.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 
 use monsoonspread_decisions::bundle_spread::BundleDump;
+use monsoonspread_decisions::claims::ClaimDump;
 use monsoonspread_decisions::dispatch::DispatchDump;
 use monsoonspread_decisions::membership::MembershipDump;
 use monsoonspread_decisions::owner::OwnerDump;
@@ -38,8 +39,10 @@
     pub dispatch: Option<DispatchDump>,
     /// Servers of plain services.
     pub services: Vec<RouteDump>,
-    /// Keyed calls in flight.
+    /// Calls of plain services in flight.
     pub service_calls: usize,
+    /// How far each keyed call is.
+    pub claims: Vec<ClaimDump>,
     /// Connections to other instances.
     pub mesh: Option<MeshDump>,
     /// Rows of the instance list.
--- a/crates/entry/src/entry/mod.rs
+++ b/crates/entry/src/entry/mod.rs
@@ -20,7 +20,7 @@
 use crate::bundle_view::BundleView;
 use crate::controller::membership::MembershipCommand;
 use crate::controller::ownership::OwnershipCommand;
-use crate::controller::service::ServiceCalls;
+use crate::controller::service::{ClaimsInFlight, ServiceCalls};
 use crate::controller::{Handles, Router};
 use crate::dump::Dumper;
 use crate::event::Event;
@@ -104,6 +104,7 @@
             claims: mailboxes.claims,
             store: Arc::clone(&platform.store),
             directory: views.directory.clone(),
+            in_flight: ClaimsInFlight::default(),
             tasks: TaskTracker::new(),
             metrics: metrics.clone(),
         };
--- a/crates/entry/tests/platform_faults.rs
+++ b/crates/entry/tests/platform_faults.rs
@@ -129,10 +129,15 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn outcome_is_recorded_after_an_outage_of_the_store() {
     let mut region_shape = shape(2, 1);
-    region_shape.service.call_ms = 300;
+    region_shape.service.call_ms = 1_000;
     let region = region(region_shape).await;
     let outage = async {
-        eventually("the commit runs", async || runs_of(&region, "k-out") == 1).await;
+        eventually("the commit runs", async || {
+            let state = dump(&region, "entry-1-1").await;
+            assert!(!state.to_string().contains("k-out"));
+            state["claims"][0]["phase"] == "running" && runs_of(&region, "k-out") == 1
+        })
+        .await;
         region.store.apply(Fault::Crash);
     };
     let (first, ()) = tokio::join!(commit(&region, "entry-1-1", Some("k-out")), outage);
