Never take an unreadable ownership table for an absent one

Cause: a table that could not be decoded was passed on as if the key were absent, so that a first table would have been written over it and its fencing numbers issued again. Ruled out: passing it over in silence; the read now counts as failed and is logged.

--- a/crates/entry/src/controller/ownership/mod.rs
+++ b/crates/entry/src/controller/ownership/mod.rs
@@ -3,6 +3,8 @@
 mod command;
 mod controller;
 mod store_calls;
+#[cfg(test)]
+mod tests;
 
 pub use command::OwnershipCommand;
 pub use controller::OwnershipController;
--- a/crates/entry/src/controller/ownership/store_calls.rs
+++ b/crates/entry/src/controller/ownership/store_calls.rs
@@ -24,13 +24,8 @@
 impl StoreCalls {
     pub(super) async fn read(self, zone: ZoneName) {
         let read = self.store.get(&key_of(&zone)).await;
-        let result = match read {
-            Ok(stored) => Ok(stored.as_ref().and_then(decode)),
-            Err(error) => {
-                report("read ownership table", &error);
-                Err(())
-            }
-        };
+        let table = read.and_then(|stored| stored.as_ref().map(decode).transpose());
+        let result = table.map_err(|error| report("read ownership table", &error));
         self.ownership.post(OwnershipCommand::Read(result));
     }
 
@@ -38,7 +33,8 @@
         let Ok(stored) = self.store.list(PREFIX).await else {
             return;
         };
-        let tables = stored.iter().filter_map(decode).collect();
+        let tables = stored.iter().filter_map(|table| decode(table).ok());
+        let tables = tables.collect();
         self.ownership.post(OwnershipCommand::ReadAll(tables));
     }
 
@@ -52,14 +48,8 @@
             .store
             .compare_and_swap(&key, expected_mod_revision, &bytes)
             .await;
-        let result = match written {
-            Ok(CasOutcome::Written { mod_revision }) => WriteResult::Written { mod_revision },
-            Ok(CasOutcome::Conflict { current }) => WriteResult::Conflict {
-                current: current
-                    .as_ref()
-                    .and_then(decode)
-                    .map(|stored| (stored.table, stored.mod_revision)),
-            },
+        let result = match written.and_then(write_result) {
+            Ok(result) => result,
             Err(error) => {
                 report("write ownership table", &error);
                 match error {
@@ -76,9 +66,24 @@
     format!("{PREFIX}{zone}")
 }
 
-fn decode(stored: &Stored) -> Option<StoredTable> {
-    let table = ciborium::from_reader(stored.value.as_slice()).ok()?;
-    Some(StoredTable {
+pub(super) fn write_result(outcome: CasOutcome) -> Result<WriteResult, StoreError> {
+    let current = match outcome {
+        CasOutcome::Written { mod_revision } => return Ok(WriteResult::Written { mod_revision }),
+        CasOutcome::Conflict { current } => current,
+    };
+    let current = current.as_ref().map(decode).transpose()?;
+    Ok(WriteResult::Conflict {
+        current: current.map(|stored| (stored.table, stored.mod_revision)),
+    })
+}
+
+/// Reads a table. One that can't be read is not the same as none: taking it for absent would
+/// issue its fencing numbers again.
+pub(super) fn decode(stored: &Stored) -> Result<StoredTable, StoreError> {
+    let table = ciborium::from_reader(stored.value.as_slice()).map_err(|error| {
+        StoreError::Refused(format!("key \"{}\" holds no table: {error}", stored.key))
+    })?;
+    Ok(StoredTable {
         table,
         mod_revision: stored.mod_revision,
     })
--- /dev/null
+++ b/crates/entry/src/controller/ownership/tests.rs
@@ -0,0 +1,19 @@
+//! What is read from the key-value service.
+
+use monsoonspread_platform::{CasOutcome, Stored};
+
+use super::store_calls::{decode, write_result};
+
+#[test]
+fn an_unreadable_table_is_not_taken_for_an_absent_one() {
+    let stored = Stored {
+        key: "/monsoonspread/ownership/zone-1".to_owned(),
+        value: b"not a table".to_vec(),
+        mod_revision: 7,
+    };
+    assert!(decode(&stored).is_err());
+    let conflict = CasOutcome::Conflict {
+        current: Some(stored),
+    };
+    assert!(write_result(conflict).is_err());
+}
