Answer hanging claims at the deadline, and suspect refused peers at once

Ruled out: taking any failed dial for a refusal; a cut-off or overloaded instance would blame others. Conclusion: the test of the hanging claim waits for ever on the former code; now it and all unit tests pass.

--- a/crates/entry/src/controller/membership/command.rs
+++ b/crates/entry/src/controller/membership/command.rs
@@ -23,6 +23,8 @@
         /// The message.
         swim: Swim,
     },
+    /// Nobody listens where an instance did.
+    Refused(InstanceName),
     /// This instance has a table of the zone.
     TableRevision(u64),
     /// This instance leaves as planned.
--- a/crates/entry/src/controller/router.rs
+++ b/crates/entry/src/controller/router.rs
@@ -40,6 +40,10 @@
                 }
                 MeshEvent::Received { from, message } => self.on_message(from, message),
                 MeshEvent::Undelivered { to, message } => self.on_undelivered(to, message),
+                MeshEvent::Refused(peer) => {
+                    let refused = MembershipCommand::Refused(peer);
+                    self.handles.membership.post(refused);
+                }
                 MeshEvent::Lost(peer) => {
                     let failing = OwnershipCommand::PeerFails(peer.clone());
                     self.handles.ownership.post(failing);
--- a/crates/entry/src/controller/service/keyed.rs
+++ b/crates/entry/src/controller/service/keyed.rs
@@ -1,6 +1,7 @@
 //! Calls under a claim, which run at most once.
 
 use std::collections::VecDeque;
+use std::pin::pin;
 use std::time::Duration;
 
 use monsoonspread_decisions::claims::{
@@ -17,8 +18,18 @@
 
 type Reply = oneshot::Sender<Result<CallAnswer, Refusal>>;
 
+/// How an operation for a claim ended.
+enum Ended {
+    Created(CreateResult),
+    Retaken(Result<CasOutcome, StoreError>),
+    Read(Result<Option<Stored>, StoreError>),
+    Ran(RunResult),
+    Recorded(OutcomeWrite),
+}
+
 impl ServiceCalls {
-    /// Makes a keyed call and records its outcome; the caller is answered on the way.
+    /// Makes a keyed call and records its outcome; the caller is answered on the way, by the
+    /// deadline at the latest.
     pub(super) async fn make_keyed(&self, request: CallRequest, reply: Reply) {
         let idempotency_key = request.idempotency_key.clone().unwrap_or_default();
         let key = ClaimKey::new(&request.service, &request.caller, &idempotency_key);
@@ -29,88 +40,67 @@
         let mut reply = Some(reply);
         let mut actions = VecDeque::from(claim.start(UnixMs::now()));
         while let Some(action) = actions.pop_front() {
-            let next = match action {
-                ClaimAction::Create(record) => self.create(&mut claim, record).await,
-                ClaimAction::Retake {
-                    record,
-                    expected_mod_revision,
-                } => {
-                    self.retake(&mut claim, &record, expected_mod_revision)
-                        .await
-                }
-                ClaimAction::Read => self.read(&mut claim).await,
-                ClaimAction::ReadAt(at) => {
-                    sleep(Duration::from_millis(at.ms_since(UnixMs::now()))).await;
-                    self.read(&mut claim).await
-                }
-                ClaimAction::Run => {
-                    let result = run_result(self.make_unkeyed(&request).await);
-                    claim.on_run_result(UnixMs::now(), result)
-                }
-                ClaimAction::WriteOutcome {
-                    record,
-                    expected_mod_revision,
-                } => {
-                    let key = claim.key().as_str();
-                    let write = self.write(key, &record, expected_mod_revision).await;
-                    claim.on_outcome_written(UnixMs::now(), outcome_write(write))
-                }
-                ClaimAction::Answer(answer) => {
-                    if let Some(reply) = reply.take() {
-                        let _ = reply.send(call_answer(answer));
-                    }
-                    Vec::new()
+            if let ClaimAction::Answer(answer) = action {
+                send(&mut reply, answer);
+                continue;
+            }
+            let key = claim.key().clone();
+            let mut operation = pin!(self.operate(&key, &request, action));
+            let ended = tokio::select! {
+                ended = &mut operation => ended,
+                () = until(request.deadline_unix_ms), if reply.is_some() => {
+                    actions.extend(claim.on_deadline(UnixMs::now()));
+                    send_first(&mut reply, &mut actions);
+                    operation.await
                 }
             };
-            actions.extend(next);
+            if let Some(ended) = ended {
+                actions.extend(report(&mut claim, ended));
+            }
             row.update(&claim);
         }
     }
 
-    async fn create(&self, claim: &mut Claim, record: ClaimRecord) -> Vec<ClaimAction> {
-        let key = claim.key().clone();
-        let create = |reply| ClaimBatchCommand::Create { key, record, reply };
-        let created = self.claims.ask(create).await;
-        let now = UnixMs::now();
-        match created.unwrap_or(CreateResult::Unknown) {
-            CreateResult::Created(revision) => claim.on_created(now, revision),
-            CreateResult::Exists(record, revision) => claim.on_exists(now, &record, revision),
-            CreateResult::Unknown => claim.on_write_unknown(now),
-            CreateResult::Unreachable => claim.on_store_unreachable(now),
-        }
-    }
-
-    async fn retake(
+    async fn operate(
         &self,
-        claim: &mut Claim,
-        record: &ClaimRecord,
-        expected_mod_revision: u64,
-    ) -> Vec<ClaimAction> {
-        let key = claim.key().as_str();
-        let write = self.write(key, record, expected_mod_revision).await;
-        let now = UnixMs::now();
-        match write {
-            Ok(CasOutcome::Written { mod_revision }) => claim.on_created(now, Some(mod_revision)),
-            Ok(CasOutcome::Conflict { current }) => match current.as_ref().and_then(decode) {
-                Some((record, revision)) => claim.on_exists(now, &record, revision),
-                None => claim.on_write_unknown(now),
-            },
-            Err(StoreError::AnswerLost(_)) => claim.on_write_unknown(now),
-            Err(_) => claim.on_store_unreachable(now),
-        }
+        key: &ClaimKey,
+        request: &CallRequest,
+        action: ClaimAction,
+    ) -> Option<Ended> {
+        let ended = match action {
+            ClaimAction::Create(record) => Ended::Created(self.create(key, record).await),
+            ClaimAction::Retake {
+                record,
+                expected_mod_revision,
+            } => Ended::Retaken(
+                self.write(key.as_str(), &record, expected_mod_revision)
+                    .await,
+            ),
+            ClaimAction::Read => Ended::Read(self.store.get(key.as_str()).await),
+            ClaimAction::ReadAt(at) => {
+                until(at).await;
+                Ended::Read(self.store.get(key.as_str()).await)
+            }
+            ClaimAction::Run => Ended::Ran(run_result(self.make_unkeyed(request).await)),
+            ClaimAction::WriteOutcome {
+                record,
+                expected_mod_revision,
+            } => {
+                let write = self
+                    .write(key.as_str(), &record, expected_mod_revision)
+                    .await;
+                Ended::Recorded(outcome_write(write))
+            }
+            ClaimAction::Answer(_) => return None,
+        };
+        Some(ended)
     }
 
-    async fn read(&self, claim: &mut Claim) -> Vec<ClaimAction> {
-        let read = self.store.get(claim.key().as_str()).await;
-        let now = UnixMs::now();
-        match read {
-            Ok(None) => claim.on_read(now, None),
-            Ok(Some(stored)) => match decode(&stored) {
-                Some((record, revision)) => claim.on_read(now, Some((&record, revision))),
-                None => claim.on_store_unreachable(now),
-            },
-            Err(_) => claim.on_store_unreachable(now),
-        }
+    async fn create(&self, key: &ClaimKey, record: ClaimRecord) -> CreateResult {
+        let key = key.clone();
+        let create = |reply| ClaimBatchCommand::Create { key, record, reply };
+        let created = self.claims.ask(create).await;
+        created.unwrap_or(CreateResult::Unknown)
     }
 
     async fn write(
@@ -127,6 +117,72 @@
     }
 }
 
+/// Tells the claim how an operation ended.
+fn report(claim: &mut Claim, ended: Ended) -> Vec<ClaimAction> {
+    let now = UnixMs::now();
+    match ended {
+        Ended::Created(CreateResult::Created(revision)) => claim.on_created(now, revision),
+        Ended::Created(CreateResult::Exists(record, revision)) => {
+            claim.on_exists(now, &record, revision)
+        }
+        Ended::Created(CreateResult::Unknown) => claim.on_write_unknown(now),
+        Ended::Created(CreateResult::Unreachable) => claim.on_store_unreachable(now),
+        Ended::Retaken(write) => report_retaken(claim, now, write),
+        Ended::Read(read) => report_read(claim, now, read),
+        Ended::Ran(result) => claim.on_run_result(now, result),
+        Ended::Recorded(write) => claim.on_outcome_written(now, write),
+    }
+}
+
+fn report_retaken(
+    claim: &mut Claim,
+    now: UnixMs,
+    write: Result<CasOutcome, StoreError>,
+) -> Vec<ClaimAction> {
+    match write {
+        Ok(CasOutcome::Written { mod_revision }) => claim.on_created(now, Some(mod_revision)),
+        Ok(CasOutcome::Conflict { current }) => match current.as_ref().and_then(decode) {
+            Some((record, revision)) => claim.on_exists(now, &record, revision),
+            None => claim.on_write_unknown(now),
+        },
+        Err(StoreError::AnswerLost(_)) => claim.on_write_unknown(now),
+        Err(_) => claim.on_store_unreachable(now),
+    }
+}
+
+fn report_read(
+    claim: &mut Claim,
+    now: UnixMs,
+    read: Result<Option<Stored>, StoreError>,
+) -> Vec<ClaimAction> {
+    match read {
+        Ok(None) => claim.on_read(now, None),
+        Ok(Some(stored)) => match decode(&stored) {
+            Some((record, revision)) => claim.on_read(now, Some((&record, revision))),
+            None => claim.on_store_unreachable(now),
+        },
+        Err(_) => claim.on_store_unreachable(now),
+    }
+}
+
+async fn until(at: UnixMs) {
+    sleep(Duration::from_millis(at.ms_since(UnixMs::now()))).await;
+}
+
+/// Sends the answer that stands first among the actions, if one does.
+fn send_first(reply: &mut Option<Reply>, actions: &mut VecDeque<ClaimAction>) {
+    let is_answer = |action: &mut ClaimAction| matches!(action, ClaimAction::Answer(_));
+    if let Some(ClaimAction::Answer(answer)) = actions.pop_front_if(is_answer) {
+        send(reply, answer);
+    }
+}
+
+fn send(reply: &mut Option<Reply>, answer: ClaimAnswer) {
+    if let Some(reply) = reply.take() {
+        let _ = reply.send(call_answer(answer));
+    }
+}
+
 /// Reads a stored claim with its revision.
 pub(super) fn decode(stored: &Stored) -> Option<(ClaimRecord, u64)> {
     let record = serde_json::from_slice(&stored.value).ok()?;
--- a/crates/entry/src/controller/service/mod.rs
+++ b/crates/entry/src/controller/service/mod.rs
@@ -6,6 +6,8 @@
 mod command;
 mod controller;
 mod keyed;
+#[cfg(test)]
+mod tests;
 mod unkeyed;
 
 pub use call::{CallAnswer, CallRequest, ServiceCalls};
--- a/crates/entry/src/mesh/event.rs
+++ b/crates/entry/src/mesh/event.rs
@@ -29,6 +29,8 @@
         /// The message.
         message: MeshMessage,
     },
+    /// Nobody listens where a peer did.
+    Refused(InstanceName),
     /// The last connection to a peer broke; messages sent over it may be lost.
     Lost(InstanceName),
 }
--- a/crates/entry/src/mesh/hub.rs
+++ b/crates/entry/src/mesh/hub.rs
@@ -14,6 +14,7 @@
 use tokio::time::timeout;
 
 use super::connection::{Connection, ConnectionId};
+use super::dial_failure::DialFailure;
 use super::handshake::{self, Socket};
 use super::peer::{Link, Peer};
 use super::{
@@ -52,7 +53,12 @@
         address: Option<SocketAddr>,
     },
     /// A dial to a named peer failed.
-    DialFailed(InstanceName),
+    DialFailed {
+        /// The peer.
+        peer: InstanceName,
+        /// Why.
+        failure: DialFailure,
+    },
     /// A connection ended.
     Closed {
         /// The peer.
@@ -154,7 +160,7 @@
                 dialled,
                 address,
             } => self.on_opened(hello, *socket, dialled, address).await,
-            HubCommand::DialFailed(peer) => self.on_dial_failed(peer).await,
+            HubCommand::DialFailed { peer, failure } => self.on_dial_failed(peer, failure).await,
             HubCommand::Closed {
                 peer,
                 id,
@@ -209,15 +215,15 @@
         tokio::spawn(async move {
             let limit = Duration::from_millis(OPEN_TIMEOUT_MS);
             let opened = timeout(limit, open(address, &context)).await;
-            let command = match (opened.ok().flatten(), name) {
-                (Some((socket, hello)), dialled) => HubCommand::Opened {
+            let command = match (opened.unwrap_or(Err(DialFailure::Other)), name) {
+                (Ok((socket, hello)), dialled) => HubCommand::Opened {
                     hello,
                     socket: Box::new(socket),
                     dialled,
                     address: Some(address),
                 },
-                (None, Some(name)) => HubCommand::DialFailed(name),
-                (None, None) => return,
+                (Err(failure), Some(peer)) => HubCommand::DialFailed { peer, failure },
+                (Err(_), None) => return,
             };
             let _ = context.hub.send(command).await;
         });
@@ -232,7 +238,7 @@
     ) {
         let name = hello.instance.clone();
         if let Some(other) = dialled.filter(|dialled| *dialled != name) {
-            self.on_dial_failed(other).await;
+            self.on_dial_failed(other, DialFailure::Other).await;
         }
         if name == self.own {
             return;
@@ -261,7 +267,7 @@
         let _ = self.context.events.send(opened).await;
     }
 
-    async fn on_dial_failed(&mut self, name: InstanceName) {
+    async fn on_dial_failed(&mut self, name: InstanceName, failure: DialFailure) {
         let Some(peer) = self.peers.get_mut(&name) else {
             return;
         };
@@ -272,6 +278,9 @@
         for message in waiting {
             self.undelivered(name.clone(), message).await;
         }
+        if failure == DialFailure::Refused {
+            let _ = self.context.events.send(MeshEvent::Refused(name)).await;
+        }
     }
 
     async fn on_closed(
@@ -328,18 +337,20 @@
     }
 }
 
-async fn open(address: SocketAddr, context: &Context) -> Option<(Socket, Hello)> {
-    let stream = TcpStream::connect(address).await.ok()?;
-    stream.set_nodelay(true).ok()?;
-    handshake::dial(stream, context)
+async fn open(address: SocketAddr, context: &Context) -> Result<(Socket, Hello), DialFailure> {
+    let stream = TcpStream::connect(address)
         .await
-        .inspect_err(|error| {
-            let error = error.to_string();
-            Event::PeerRejected {
-                address,
-                error: &error,
-            }
-            .log();
-        })
-        .ok()
+        .map_err(|error| DialFailure::of(&error))?;
+    stream
+        .set_nodelay(true)
+        .map_err(|error| DialFailure::of(&error))?;
+    handshake::dial(stream, context).await.map_err(|error| {
+        let error = error.to_string();
+        Event::PeerRejected {
+            address,
+            error: &error,
+        }
+        .log();
+        DialFailure::Other
+    })
 }
--- a/crates/entry/src/mesh/mod.rs
+++ b/crates/entry/src/mesh/mod.rs
@@ -5,6 +5,7 @@
 
 mod authentication;
 mod connection;
+mod dial_failure;
 mod event;
 mod handle;
 mod handshake;
--- a/crates/entry/src/mesh/tests.rs
+++ b/crates/entry/src/mesh/tests.rs
@@ -112,3 +112,27 @@
     let event = a.events.recv().await.unwrap();
     assert!(matches!(event, MeshEvent::Undelivered { .. }));
 }
+
+#[tokio::test]
+async fn only_a_refused_connection_tells_that_nobody_listens() {
+    let mut a = node("a", KEY, 30_000).await;
+    let closed = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = closed.local_addr().unwrap();
+    drop(closed);
+    a.mesh.know(vec![("gone".into(), address)]);
+    assert!(a.mesh.send(&"gone".into(), ask(1)));
+    assert!(matches!(
+        a.events.recv().await.unwrap(),
+        MeshEvent::Undelivered { .. }
+    ));
+    let event = a.events.recv().await.unwrap();
+    assert!(matches!(event, MeshEvent::Refused(peer) if peer.as_str() == "gone"));
+    let stranger = node("stranger", b"fedcba9876543210", 30_000).await;
+    a.mesh.know(vec![(stranger.name.clone(), stranger.address)]);
+    assert!(a.mesh.send(&stranger.name, ask(1)));
+    assert!(matches!(
+        a.events.recv().await.unwrap(),
+        MeshEvent::Undelivered { .. }
+    ));
+    assert!(a.events.try_recv().is_err());
+}
