Wait for both instances in the table before the platform goes away in a test

Cause: planned_stop_without_the_platform_cuts_no_request failed in one run of all tests and in 1 of 6 at once: "never came true: the other instance serves". The store could be cut before a table that names both instances was written; then nobody may succeed, as designed, until the store is back. The test now first waits for the failover order of two; its checks are unchanged. That this was the reason is inferred from the code and the runs, not from a trace.

--- a/crates/entry/tests/owners.rs
+++ b/crates/entry/tests/owners.rs
@@ -140,6 +140,13 @@
     let (owner, other) = owner_and_other(&region).await;
     let mut stream = Stream::open(&region, &owner, &chat("needle-0002", 100, true)).await;
     stream.first().await;
+    // Without the store no table can be written, so the one in force must name both.
+    eventually("both instances are in the failover order", async || {
+        let state = dump(&region, &owner).await;
+        let order = &state["ownership"]["table"]["upstreams"]["engine-1-1"];
+        order.as_array().is_some_and(|order| order.len() == 2)
+    })
+    .await;
     region.store.apply(Fault::Crash);
     region.list.apply(Fault::Crash);
     let stopping = region.entries.remove(&owner).unwrap();
