Give back grants that came while the process stood still

Cause: the owners' random runs assume that an instance which wakes from a pause uses no grant it then reads, since its owner may be superseded and the copy on its way out; no such rule stood in the dispatcher. Ruled out: a time in the grant, which would rest on two clocks. A gap of more than 800 ms between events marks a pause; grants for asks made before it go back unused. Conclusion: the new rule test fails without the check, as the grant is used, and passes with it.

--- a/crates/decisions/src/dispatch/asks.rs
+++ b/crates/decisions/src/dispatch/asks.rs
@@ -91,11 +91,18 @@
         let asked = self
             .requests
             .get_mut(&reply.request)
-            .and_then(|state| state.take_ask(&reply.upstream).map(|_| state));
-        let Some(state) = asked else {
+            .and_then(|state| Some((state.take_ask(&reply.upstream)?, state)));
+        let Some((ask, state)) = asked else {
             self.give_back(&reply.upstream, grant, actions);
             return;
         };
+        // A grant that came while this process stood still may be of an owner that was
+        // superseded meanwhile, whose copies are being evicted.
+        if ask.asked_at < self.woke_at {
+            self.give_back(&reply.upstream, grant, actions);
+            self.retry(now, reply.request, true, actions);
+            return;
+        }
         let resume = state.tokens_delivered > 0;
         let attempt = AttemptId(state.attempts_made);
         state.attempts_made += 1;
@@ -251,6 +258,7 @@
         state.asks_made += 1;
         state.asks.push(Ask {
             upstream: upstream.clone(),
+            asked_at: now,
             answer_deadline: Some(now + self.settings.ask_timeout_ms),
             again_at: None,
             not_owner_replies: 0,
--- a/crates/decisions/src/dispatch/deadlines.rs
+++ b/crates/decisions/src/dispatch/deadlines.rs
@@ -103,6 +103,7 @@
             let again = state.grant_request(&ask.upstream, ask.may_load);
             state.asks_made += 1;
             state.asks[index].again_at = None;
+            state.asks[index].asked_at = now;
             state.asks[index].answer_deadline = Some(now + self.settings.ask_timeout_ms);
             actions.push(DispatchAction::Ask(again));
         }
--- a/crates/decisions/src/dispatch/dispatcher.rs
+++ b/crates/decisions/src/dispatch/dispatcher.rs
@@ -31,6 +31,10 @@
     pub(super) hedges: RetryBudget,
     pub(super) quarantine: Quarantine,
     pub(super) requests: BTreeMap<RequestId, RequestState>,
+    /// When the last event came; a long gap shows that the process stood still.
+    pub(super) last_event_at: Option<UnixMs>,
+    /// When the process last went on after it had stood still.
+    pub(super) woke_at: UnixMs,
     /// The highest fencing number seen of each upstream.
     pub(super) epochs: HashMap<UpstreamName, Epoch>,
 }
@@ -51,6 +55,8 @@
             hedges: RetryBudget::new(settings.hedge_ratio, settings.budget_burst),
             quarantine: Quarantine::new(),
             requests: BTreeMap::new(),
+            last_event_at: None,
+            woke_at: UnixMs(0),
             epochs: HashMap::new(),
             settings,
         }
@@ -75,6 +81,7 @@
 
     /// Takes a new request.
     pub fn on_request(&mut self, now: UnixMs, request: NewRequest) -> Vec<DispatchAction> {
+        self.notice_pause(now);
         let id = request.request;
         if let Some(refusal) = self.refused_at_once(now, &request) {
             let result = Err(refusal);
@@ -99,6 +106,7 @@
 
     /// Takes an owner's answer.
     pub fn on_reply(&mut self, now: UnixMs, reply: &GrantReply) -> Vec<DispatchAction> {
+        self.notice_pause(now);
         let mut actions = Vec::new();
         let stale = self.see_epoch(&reply.upstream, reply.epoch);
         match &reply.answer {
@@ -198,6 +206,7 @@
 
     /// Time passed; to be called every 20 ms or so.
     pub fn on_tick(&mut self, now: UnixMs) -> Vec<DispatchAction> {
+        self.notice_pause(now);
         let mut actions = Vec::new();
         self.board.on_tick();
         self.watch_waiting(now);
@@ -236,6 +245,14 @@
         }
     }
 
+    fn notice_pause(&mut self, now: UnixMs) {
+        let gap_ms = self.last_event_at.map_or(0, |last| now.ms_since(last));
+        self.last_event_at = Some(now);
+        if gap_ms > self.settings.pause_ms {
+            self.woke_at = now;
+        }
+    }
+
     fn refused_at_once(&self, now: UnixMs, request: &NewRequest) -> Option<Refusal> {
         if let Some(until) = self.quarantine.refused_until(now, request.fingerprint) {
             let message = "this request crashed two upstreams and is refused until it is changed";
--- a/crates/decisions/src/dispatch/settings.rs
+++ b/crates/decisions/src/dispatch/settings.rs
@@ -31,6 +31,8 @@
     pub slow_factor: f64,
     /// How long a broken stream may take to go on elsewhere.
     pub resume_within_ms: u64,
+    /// A longer gap between events shows that the process stood still; ticks come far more often.
+    pub pause_ms: u64,
     /// When a refused caller is told to come back at the earliest.
     pub retry_after_ms: u64,
 }
@@ -51,6 +53,7 @@
             hedge_min_ms: 100,
             slow_factor: 2.5,
             resume_within_ms: 2_000,
+            pause_ms: 800,
             retry_after_ms: 1_000,
         }
     }
--- a/crates/decisions/src/dispatch/state.rs
+++ b/crates/decisions/src/dispatch/state.rs
@@ -10,6 +10,7 @@
 #[derive(Clone, Debug)]
 pub(super) struct Ask {
     pub(super) upstream: UpstreamName,
+    pub(super) asked_at: UnixMs,
     /// When the owner must have said something.
     pub(super) answer_deadline: Option<UnixMs>,
     /// When to ask the same upstream again, after a change of owner.
--- a/crates/decisions/src/dispatch/tests/rules.rs
+++ b/crates/decisions/src/dispatch/tests/rules.rs
@@ -221,3 +221,19 @@
         assert_eq!(world.loads_allowed, [true, may_load], "{reason:?}");
     }
 }
+
+#[test]
+fn grants_that_came_while_the_process_stood_still_are_given_back() {
+    let mut world = world();
+    let request = world.request(1, RequestClass::Ordinary, false);
+    world.advance(20);
+    world.now = world.now + 900;
+    grant_last_ask(&mut world, 1);
+    assert!(world.generated.is_empty());
+    assert_eq!(world.asks.len(), 2, "another upstream is asked");
+    grant_last_ask(&mut world, 1);
+    world.first_token(request, FIRST);
+    world.end(request, FIRST, EndKind::Done);
+    assert_eq!(world.results[&request], Ok(()));
+    world.check_end();
+}
