Count popularity and demand with one sketch

Cause: the owner's popularity and placement's demand were the same decayed counts in bounded memory, written twice. Conclusion: the owner uses the sketch of placement; tests unchanged and green.

--- a/crates/decisions/src/owner/mod.rs
+++ b/crates/decisions/src/owner/mod.rs
@@ -73,7 +73,6 @@
 mod owned_reports;
 mod owned_succession;
 mod place_shares;
-mod popularity;
 mod reconciliation;
 mod request_key;
 mod set;
--- a/crates/decisions/src/owner/owned.rs
+++ b/crates/decisions/src/owner/owned.rs
@@ -17,12 +17,12 @@
 use super::load_waits::LoadWaits;
 use super::outstanding::Outstanding;
 use super::place_shares::PlaceShares;
-use super::popularity::Popularity;
 use super::reconciliation::Reconciliation;
 use super::request_key::RequestKey;
 use super::wait_queue::WaitQueue;
 use super::waiting::Waiting;
 use super::{OwnerAction, OwnerEvent, OwnerSettings, Speed, UpstreamShape};
+use crate::placement::DemandSketch;
 
 /// Usual time that a grant is held before one was seen, by class.
 const HOLD_MS: [f64; RequestClass::ALL.len()] = [500.0, 3_000.0, 20_000.0];
@@ -45,7 +45,7 @@
     /// Requests that ended.
     pub endings: Endings,
     /// How often adapters are asked for.
-    pub popularity: Popularity,
+    pub popularity: DemandSketch<AdapterRef>,
     /// How fast the upstream answers.
     pub speed: Speed,
     /// Adapters whose load failed.
@@ -100,7 +100,10 @@
             grants: Grants::default(),
             queue: WaitQueue::default(),
             endings: Endings::new(settings.endings_kept),
-            popularity: Popularity::new(settings.popularity_rows, settings.popularity_half_life_ms),
+            popularity: DemandSketch::new(
+                settings.popularity_rows,
+                settings.popularity_half_life_ms,
+            ),
             speed: Speed::default(),
             failures: LoadFailures::default(),
             reconciliation: Reconciliation::complete(now),
--- a/crates/decisions/src/owner/owned_grants.rs
+++ b/crates/decisions/src/owner/owned_grants.rs
@@ -41,7 +41,7 @@
         if self.queue.get(&key).is_some() {
             return Some(key);
         }
-        self.popularity.on_request(&request.adapter, now);
+        self.popularity.on_arrival(now, &request.adapter);
         let waiting = Waiting {
             key: key.clone(),
             request,
--- a/crates/decisions/src/owner/owned_loads.rs
+++ b/crates/decisions/src/owner/owned_loads.rs
@@ -126,7 +126,7 @@
     /// Requests for an adapter that are expected within the horizon.
     fn reuse(&self, adapter: &AdapterRef, now: UnixMs) -> f64 {
         let horizon_s = self.settings.reuse_horizon_ms as f64 / 1_000.0;
-        self.popularity.rate_per_s(adapter, now) * horizon_s
+        self.popularity.per_second(now, adapter) * horizon_s
     }
 
     /// Waiting work by adapter, for adapters that have no copy and may be loaded.
