--- a/crates/entry/tests/owners.rs
+++ b/crates/entry/tests/owners.rs
@@ -8,14 +8,6 @@
 use serde_json::Value;
 use support::*;
 
-/// The owner of the region's only engine, and the other instance.
-async fn owner_and_other(region: &Region) -> (String, String) {
-    let owner = owner_of(region, "entry-1-1", "engine-1-1").await;
-    let other = region.entries.keys().find(|name| **name != owner);
-    let other = other.unwrap().clone();
-    (owner, other)
-}
-
 #[tokio::test(flavor = "multi_thread")]
 async fn stream_survives_the_death_of_the_owner() {
     let mut region = region(shape(2, 1)).await;
@@ -152,15 +144,5 @@
     let stopping = region.entries.remove(&owner).unwrap();
     let (events, ()) = tokio::join!(stream.rest(), stopping.drain());
     assert!(is_whole(&events), "{events:?}");
-    eventually("the other instance serves", async || {
-        let reply = generate(&region, &other, "needle-0004").await;
-        assert!(
-            reply.status == 200 || reply.says_not_run(),
-            "{}",
-            reply.text
-        );
-        reply.status == 200
-    })
-    .await;
-    assert_eq!(pin_violations(&region).await, 0);
+    serves_again(&region, &other).await;
 }
--- a/crates/entry/tests/stops.rs
+++ b/crates/entry/tests/stops.rs
@@ -4,31 +4,9 @@
 
 use std::time::Duration;
 
-use monsoonspread_demo::Region;
 use monsoonspread_standin::Fault;
 use support::*;
 
-async fn owner_and_other(region: &Region) -> (String, String) {
-    let owner = owner_of(region, "entry-1-1", "engine-1-1").await;
-    let other = region.entries.keys().find(|name| **name != owner);
-    let other = other.unwrap().clone();
-    (owner, other)
-}
-
-async fn serves_again(region: &Region, entry: &str) {
-    eventually("the other instance serves", async || {
-        let reply = generate(region, entry, "needle-0004").await;
-        assert!(
-            reply.status == 200 || reply.says_not_run(),
-            "{}",
-            reply.text
-        );
-        reply.status == 200
-    })
-    .await;
-    assert_eq!(pin_violations(region).await, 0);
-}
-
 #[tokio::test(flavor = "multi_thread")]
 async fn engine_that_crashes_does_not_hold_up_a_planned_stop() {
     let mut region = region(shape(2, 1)).await;
--- a/crates/entry/tests/support/mod.rs
+++ b/crates/entry/tests/support/mod.rs
@@ -184,3 +184,26 @@
     }
     violations
 }
+
+/// The owner of the region's only engine, and the other instance.
+pub async fn owner_and_other(region: &Region) -> (String, String) {
+    let owner = owner_of(region, "entry-1-1", "engine-1-1").await;
+    let other = region.entries.keys().find(|name| **name != owner);
+    let other = other.unwrap().clone();
+    (owner, other)
+}
+
+/// Waits until `entry` serves, with every answer whole or truly not run.
+pub async fn serves_again(region: &Region, entry: &str) {
+    eventually("the other instance serves", async || {
+        let reply = generate(region, entry, "needle-0004").await;
+        assert!(
+            reply.status == 200 || reply.says_not_run(),
+            "{}",
+            reply.text
+        );
+        reply.status == 200
+    })
+    .await;
+    assert_eq!(pin_violations(region).await, 0);
+}
