--- a/crates/ctl/src/command/bundle.rs
+++ b/crates/ctl/src/command/bundle.rs
@@ -7,7 +7,7 @@
 use monsoonspread_platform::StoreError;
 use serde_json::json;
 
-use super::output::Output;
+use super::output::{Output, print_text};
 use super::{read_bundle, read_text, store, write_text};
 use crate::cli::{BundleCommand, FleetArgs, RollOutArgs, StoreArgs};
 use crate::diff::diff;
@@ -47,7 +47,7 @@
     match out {
         Some(out) => write_text(out, &text),
         None => {
-            print!("{text}");
+            print_text(&mut std::io::stdout(), &text);
             Ok(())
         }
     }
--- a/crates/ctl/src/command/mod.rs
+++ b/crates/ctl/src/command/mod.rs
@@ -3,6 +3,8 @@
 mod bundle;
 mod key;
 mod output;
+#[cfg(test)]
+mod tests;
 
 use std::fs;
 use std::net::SocketAddr;
--- a/crates/ctl/src/command/output.rs
+++ b/crates/ctl/src/command/output.rs
@@ -1,5 +1,8 @@
 //! Standard output, for people or for scripts.
 
+use std::fmt::Display;
+use std::io::{self, Write};
+
 use serde::Serialize;
 use serde_json::Value;
 
@@ -22,20 +25,29 @@
     /// Writes a result: the lines for people, the value for scripts.
     pub(super) fn result(self, value: &impl Serialize, lines: &[String]) {
         if self.json {
-            println!("{}", serde_json::to_string(value).unwrap_or_default());
+            print_line(&serde_json::to_string(value).unwrap_or_default());
             return;
         }
         for line in lines {
-            println!("{line}");
+            print_line(line);
         }
     }
 
     /// Writes a JSON document, in one line for scripts.
     pub(super) fn document(self, value: &Value) {
         if self.json {
-            println!("{value}");
+            print_line(value);
         } else {
-            println!("{value:#}");
+            print_line(&format_args!("{value:#}"));
         }
     }
 }
+
+fn print_line(line: &dyn Display) {
+    print_text(&mut io::stdout(), &format_args!("{line}\n"));
+}
+
+/// Writes text; a reader that has seen enough, such as `head`, is no error.
+pub(super) fn print_text(out: &mut dyn Write, text: &dyn Display) {
+    let _ = write!(out, "{text}");
+}
--- a/crates/decisions/src/membership/dump.rs
+++ b/crates/decisions/src/membership/dump.rs
@@ -2,7 +2,6 @@
 
 use std::net::SocketAddr;
 
-use monsoonspread_model::message::Health;
 use monsoonspread_model::{InstanceName, UnixMs};
 use serde::Serialize;
 
@@ -29,7 +28,7 @@
     /// Orders what is said of it.
     pub incarnation: u64,
     /// What is said of it.
-    pub health: Health,
+    pub health: &'static str,
     /// 0 for not suspected, 1 for a suspect, 2 when an own probe confirmed it.
     pub suspicion_grade: u32,
     /// When that changed.
--- a/crates/decisions/src/membership/machine.rs
+++ b/crates/decisions/src/membership/machine.rs
@@ -167,7 +167,7 @@
                     name: name.clone(),
                     address: state.address,
                     incarnation: state.incarnation.0,
-                    health: state.health,
+                    health: state.health.as_str(),
                     suspicion_grade: state.suspicion_grade(),
                     changed_at_unix_ms: state.changed_at,
                     listed: state.listed,
--- a/crates/model/src/message/swim.rs
+++ b/crates/model/src/message/swim.rs
@@ -23,6 +23,23 @@
     Dead,
 }
 
+impl Health {
+    /// The health's name in dumps.
+    ///
+    /// ```
+    /// # use monsoonspread_model::message::Health;
+    /// assert_eq!(Health::Suspect.as_str(), "suspect");
+    /// ```
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Alive => "alive",
+            Self::Suspect => "suspect",
+            Self::Leaving => "leaving",
+            Self::Dead => "dead",
+        }
+    }
+}
+
 /// One change of membership, sent along with probes.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct MemberUpdate {
