--- a/crates/decisions/src/dispatch/asks.rs
+++ b/crates/decisions/src/dispatch/asks.rs
@@ -7,7 +7,8 @@
 
 use super::action::{DispatchAction, DispatchEvent};
 use super::attempt::{Attempt, AttemptId};
-use super::dispatcher::{Dispatcher, ended, withdraw, withdraw_asks};
+use super::dispatcher::Dispatcher;
+use super::release::{ended, withdraw, withdraw_asks};
 use super::request::NewRequest;
 use super::state::Ask;
 
--- a/crates/decisions/src/dispatch/deadlines.rs
+++ b/crates/decisions/src/dispatch/deadlines.rs
@@ -4,7 +4,8 @@
 use monsoonspread_model::{Refusal, RefusalReason, RequestClass, UnixMs};
 
 use super::action::{DispatchAction, DispatchEvent};
-use super::dispatcher::{Dispatcher, withdraw};
+use super::dispatcher::Dispatcher;
+use super::release::withdraw;
 use super::state::RequestState;
 
 impl Dispatcher {
--- a/crates/decisions/src/dispatch/dispatcher.rs
+++ b/crates/decisions/src/dispatch/dispatcher.rs
@@ -3,16 +3,16 @@
 use std::collections::{BTreeMap, HashMap};
 
 use monsoonspread_model::message::{
-    Announce, AnnounceRequest, CrashNotice, GrantAnswer, GrantId, GrantOutcome, GrantReply,
-    GrantReturn, HeldGrant, RequestId,
+    Announce, AnnounceRequest, CrashNotice, GrantAnswer, GrantReply, HeldGrant, RequestId,
 };
 use monsoonspread_model::{
     Epoch, InstanceName, Refusal, RefusalReason, UnixMs, UpstreamName, ZoneName,
 };
 
 use super::action::{DispatchAction, DispatchEvent};
-use super::attempt::{Attempt, AttemptId};
+use super::attempt::AttemptId;
 use super::dump::DispatchDump;
+use super::release::{cancel, release, withdraw_asks};
 use super::request::NewRequest;
 use super::settings::DispatchSettings;
 use super::state::RequestState;
@@ -343,54 +343,3 @@
         vec![DispatchAction::Event(event)]
     }
 }
-
-/// Gives back everything that a request still holds.
-fn release(mut state: RequestState, actions: &mut Vec<DispatchAction>) {
-    let request = state.request.request;
-    for attempt in std::mem::take(&mut state.attempts) {
-        cancel(request, &attempt, actions);
-    }
-    withdraw_asks(&mut state, actions);
-}
-
-fn cancel(request: RequestId, attempt: &Attempt, actions: &mut Vec<DispatchAction>) {
-    actions.push(DispatchAction::Cancel {
-        request,
-        attempt: attempt.id,
-    });
-    let back = ended(
-        &attempt.upstream,
-        attempt.held.grant,
-        GrantOutcome::Cancelled,
-    );
-    actions.push(DispatchAction::Return(back));
-}
-
-pub(super) fn withdraw_asks(state: &mut RequestState, actions: &mut Vec<DispatchAction>) {
-    for ask in std::mem::take(&mut state.asks) {
-        withdraw(&ask.upstream, state.request.request, actions);
-    }
-}
-
-pub(super) fn withdraw(
-    upstream: &UpstreamName,
-    request: RequestId,
-    actions: &mut Vec<DispatchAction>,
-) {
-    actions.push(DispatchAction::Withdraw {
-        upstream: upstream.clone(),
-        request,
-    });
-}
-
-/// Gives a grant back of which nothing was seen.
-pub(super) fn ended(upstream: &UpstreamName, grant: GrantId, outcome: GrantOutcome) -> GrantReturn {
-    GrantReturn {
-        upstream: upstream.clone(),
-        grant,
-        outcome,
-        first_token_ms: None,
-        token_gap_us: None,
-        tokens: 0,
-    }
-}
--- a/crates/decisions/src/dispatch/mod.rs
+++ b/crates/decisions/src/dispatch/mod.rs
@@ -11,6 +11,7 @@
 mod dispatcher;
 mod dump;
 mod end;
+mod release;
 mod request;
 mod settings;
 mod state;
--- /dev/null
+++ b/crates/decisions/src/dispatch/release.rs
@@ -0,0 +1,59 @@
+//! Giving back what a request holds: grants, asks, generations.
+
+use monsoonspread_model::UpstreamName;
+use monsoonspread_model::message::{GrantId, GrantOutcome, GrantReturn, RequestId};
+
+use super::action::DispatchAction;
+use super::attempt::Attempt;
+use super::state::RequestState;
+
+/// Gives back everything that a request still holds.
+pub(super) fn release(mut state: RequestState, actions: &mut Vec<DispatchAction>) {
+    let request = state.request.request;
+    for attempt in std::mem::take(&mut state.attempts) {
+        cancel(request, &attempt, actions);
+    }
+    withdraw_asks(&mut state, actions);
+}
+
+pub(super) fn cancel(request: RequestId, attempt: &Attempt, actions: &mut Vec<DispatchAction>) {
+    actions.push(DispatchAction::Cancel {
+        request,
+        attempt: attempt.id,
+    });
+    let back = ended(
+        &attempt.upstream,
+        attempt.held.grant,
+        GrantOutcome::Cancelled,
+    );
+    actions.push(DispatchAction::Return(back));
+}
+
+pub(super) fn withdraw_asks(state: &mut RequestState, actions: &mut Vec<DispatchAction>) {
+    for ask in std::mem::take(&mut state.asks) {
+        withdraw(&ask.upstream, state.request.request, actions);
+    }
+}
+
+pub(super) fn withdraw(
+    upstream: &UpstreamName,
+    request: RequestId,
+    actions: &mut Vec<DispatchAction>,
+) {
+    actions.push(DispatchAction::Withdraw {
+        upstream: upstream.clone(),
+        request,
+    });
+}
+
+/// Gives a grant back of which nothing was seen.
+pub(super) fn ended(upstream: &UpstreamName, grant: GrantId, outcome: GrantOutcome) -> GrantReturn {
+    GrantReturn {
+        upstream: upstream.clone(),
+        grant,
+        outcome,
+        first_token_ms: None,
+        token_gap_us: None,
+        tokens: 0,
+    }
+}
