--- a/crates/platform/src/engine/vllm_engine.rs
+++ b/crates/borders/src/engine/vllm_engine.rs
@@ -35,7 +35,7 @@
     /// A client of the engine at `address`.
     ///
     /// ```
-    /// # use monsoonspread_platform::engine::VllmEngine;
+    /// # use monsoonspread_borders::engine::VllmEngine;
     /// let engine = VllmEngine::new("127.0.0.1:9200".parse().unwrap());
     /// ```
     pub fn new(address: SocketAddr) -> Self {
@@ -49,7 +49,7 @@
     /// Names the calling instance in every request.
     ///
     /// ```
-    /// # use monsoonspread_platform::engine::VllmEngine;
+    /// # use monsoonspread_borders::engine::VllmEngine;
     /// let client = VllmEngine::new("127.0.0.1:9200".parse().unwrap());
     /// let client = client.with_peer_name("entry-1");
     /// ```
@@ -62,7 +62,7 @@
     /// Sets after how long the answer to a load order counts as lost.
     ///
     /// ```
-    /// # use monsoonspread_platform::engine::VllmEngine;
+    /// # use monsoonspread_borders::engine::VllmEngine;
     /// let engine = VllmEngine::new("127.0.0.1:9200".parse().unwrap());
     /// let engine = engine.with_load_timeout_ms(5_000);
     /// ```
--- a/crates/platform/src/http/http_client.rs
+++ b/crates/borders/src/http/http_client.rs
@@ -30,7 +30,7 @@
     /// A client without open connections.
     ///
     /// ```
-    /// # use monsoonspread_platform::http::HttpClient;
+    /// # use monsoonspread_borders::http::HttpClient;
     /// let client = HttpClient::new();
     /// ```
     pub fn new() -> Self {
@@ -51,7 +51,7 @@
     /// Names the calling instance in every request.
     ///
     /// ```
-    /// # use monsoonspread_platform::http::HttpClient;
+    /// # use monsoonspread_borders::http::HttpClient;
     /// let client = HttpClient::new().with_peer_name("entry-1");
     /// ```
     #[must_use]
@@ -67,7 +67,7 @@
     /// Fails when there is no answer; every status is an answer.
     ///
     /// ```
-    /// # use monsoonspread_platform::http::HttpClient;
+    /// # use monsoonspread_borders::http::HttpClient;
     /// # tokio::runtime::Runtime::new().unwrap().block_on(async {
     /// let nobody = "127.0.0.1:1".parse().unwrap();
     /// assert!(HttpClient::new().get(nobody, "/dump", 1_000).await.is_err());
@@ -84,7 +84,7 @@
     }
 
     /// Starts a request to `path` at `address`, with the headers common to all.
-    pub(crate) fn request(
+    pub fn request(
         &self,
         method: &str,
         address: SocketAddr,
@@ -100,7 +100,7 @@
     }
 
     /// Starts a POST of JSON.
-    pub(crate) fn post_json(&self, address: SocketAddr, path: &str) -> request::Builder {
+    pub fn post_json(&self, address: SocketAddr, path: &str) -> request::Builder {
         self.request("POST", address, path)
             .header(CONTENT_TYPE, "application/json")
     }
@@ -123,7 +123,7 @@
     }
 
     /// Sends a request and waits for its whole answer.
-    pub(crate) async fn send(
+    pub async fn send(
         &self,
         builder: request::Builder,
         body: impl Into<Bytes>,
--- a/crates/platform/src/http/reply.rs
+++ b/crates/borders/src/http/reply.rs
@@ -20,7 +20,7 @@
     /// Whether the answering process says that it did not run the request.
     ///
     /// ```
-    /// # use monsoonspread_platform::http::Reply;
+    /// # use monsoonspread_borders::http::Reply;
     /// let mut reply = Reply {
     ///     status: hyper::StatusCode::SERVICE_UNAVAILABLE,
     ///     headers: hyper::HeaderMap::new(),
@@ -39,7 +39,7 @@
     /// Status and the start of the body, for error messages.
     ///
     /// ```
-    /// # use monsoonspread_platform::http::Reply;
+    /// # use monsoonspread_borders::http::Reply;
     /// let reply = Reply {
     ///     status: hyper::StatusCode::NOT_FOUND,
     ///     headers: hyper::HeaderMap::new(),
--- a/crates/platform/src/instance_list/http_list.rs
+++ b/crates/borders/src/instance_list/http_list.rs
@@ -21,7 +21,7 @@
     /// A client of the list's servers.
     ///
     /// ```
-    /// # use monsoonspread_platform::instance_list::HttpInstanceList;
+    /// # use monsoonspread_borders::instance_list::HttpInstanceList;
     /// let list = HttpInstanceList::new(vec!["127.0.0.1:9000".parse().unwrap()]);
     /// ```
     pub fn new(addresses: Vec<SocketAddr>) -> Self {
@@ -34,7 +34,7 @@
     /// Names the calling instance in every request.
     ///
     /// ```
-    /// # use monsoonspread_platform::instance_list::HttpInstanceList;
+    /// # use monsoonspread_borders::instance_list::HttpInstanceList;
     /// let client = HttpInstanceList::new(vec!["127.0.0.1:9000".parse().unwrap()]);
     /// let client = client.with_peer_name("entry-1");
     /// ```
--- a/crates/platform/src/lib.rs
+++ b/crates/borders/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod engine;
 pub mod http;
 pub mod instance_list;
+pub mod relay;
 pub mod service;
 pub mod store;
 
--- /dev/null
+++ b/crates/borders/src/relay/engine_control.rs
@@ -0,0 +1,28 @@
+//! Orders to engines.
+
+use std::net::SocketAddr;
+
+use async_trait::async_trait;
+use monsoonspread_model::UpstreamName;
+use monsoonspread_model::fleet::{Holdings, Order, OrderAnswer};
+
+/// Orders to engines, in the name of this instance.
+#[async_trait(?Send)]
+pub trait EngineControl {
+    /// Sends an order with the fencing number `fence`.
+    async fn order(
+        &self,
+        upstream: &UpstreamName,
+        address: SocketAddr,
+        fence: u64,
+        order: &Order,
+    ) -> OrderAnswer;
+
+    /// Reads what an engine holds.
+    ///
+    /// # Errors
+    ///
+    /// Says what went wrong.
+    async fn report(&self, upstream: &UpstreamName, address: SocketAddr)
+    -> Result<Holdings, String>;
+}
--- /dev/null
+++ b/crates/borders/src/relay/mod.rs
@@ -0,0 +1,14 @@
+//! Borders of an instance that relays requests on a platform.
+//!
+//! The platform's own names, paths and formats stay behind these traits.
+
+mod dialect;
+mod engine_control;
+mod fleet_store;
+
+pub use dialect::{AnswerHead, BadCallHead, Dialect, UpstreamHead};
+pub use engine_control::EngineControl;
+pub use fleet_store::{
+    ClaimOutcome, ClaimWrite, FleetChange, FleetChanges, FleetMember, FleetStore, FleetStoreError,
+    HolderRecord, LeaseId,
+};
--- a/crates/platform/src/service/http_service.rs
+++ b/crates/borders/src/service/http_service.rs
@@ -24,7 +24,7 @@
     /// A client of the server at `address`.
     ///
     /// ```
-    /// # use monsoonspread_platform::service::HttpService;
+    /// # use monsoonspread_borders::service::HttpService;
     /// let service = HttpService::new("127.0.0.1:9100".parse().unwrap());
     /// ```
     pub fn new(address: SocketAddr) -> Self {
@@ -37,7 +37,7 @@
     /// Names the calling instance in every request.
     ///
     /// ```
-    /// # use monsoonspread_platform::service::HttpService;
+    /// # use monsoonspread_borders::service::HttpService;
     /// let client = HttpService::new("127.0.0.1:9100".parse().unwrap());
     /// let client = client.with_peer_name("entry-1");
     /// ```
--- a/crates/platform/src/store/etcd_gateway.rs
+++ b/crates/borders/src/store/etcd_gateway.rs
@@ -32,7 +32,7 @@
     /// A client of the service's servers.
     ///
     /// ```
-    /// # use monsoonspread_platform::store::EtcdGateway;
+    /// # use monsoonspread_borders::store::EtcdGateway;
     /// let store = EtcdGateway::new(vec!["127.0.0.1:2379".parse().unwrap()]);
     /// ```
     pub fn new(addresses: Vec<SocketAddr>) -> Self {
@@ -46,7 +46,7 @@
     /// Names the calling instance in every request.
     ///
     /// ```
-    /// # use monsoonspread_platform::store::EtcdGateway;
+    /// # use monsoonspread_borders::store::EtcdGateway;
     /// let client = EtcdGateway::new(vec!["127.0.0.1:2379".parse().unwrap()]);
     /// let client = client.with_peer_name("entry-1");
     /// ```
@@ -59,7 +59,7 @@
     /// Sets after how long an answer counts as lost.
     ///
     /// ```
-    /// # use monsoonspread_platform::store::EtcdGateway;
+    /// # use monsoonspread_borders::store::EtcdGateway;
     /// let store = EtcdGateway::new(Vec::new()).with_timeout_ms(500);
     /// ```
     #[must_use]
--- a/crates/ctl/src/command/mod.rs
+++ b/crates/ctl/src/command/mod.rs
@@ -13,9 +13,9 @@
 
 use monsoonspread_model::Bundle;
 use monsoonspread_model::bundle::read_source;
-use monsoonspread_platform::KeyValueStore;
-use monsoonspread_platform::http::HttpClient;
-use monsoonspread_platform::store::EtcdGateway;
+use monsoonspread_borders::KeyValueStore;
+use monsoonspread_borders::http::HttpClient;
+use monsoonspread_borders::store::EtcdGateway;
 
 use crate::cli::{Cli, Command};
 use crate::error::CtlError;
--- a/crates/ctl/src/error.rs
+++ b/crates/ctl/src/error.rs
@@ -5,7 +5,7 @@
 use displaydoc::Display;
 use monsoonspread_model::bundle::BadVerifyKey;
 use monsoonspread_model::toml_check::Findings;
-use monsoonspread_platform::StoreError;
+use monsoonspread_borders::StoreError;
 use thiserror::Error;
 
 use crate::fleet_status::InstanceStatus;
--- a/crates/ctl/src/fleet_status/mod.rs
+++ b/crates/ctl/src/fleet_status/mod.rs
@@ -10,7 +10,7 @@
 use std::time::Duration;
 
 use monsoonspread_model::{BundleVersion, UnixMs};
-use monsoonspread_platform::http::HttpClient;
+use monsoonspread_borders::http::HttpClient;
 use tokio::task::JoinSet;
 
 const POLL_INTERVAL: Duration = Duration::from_millis(100);
--- a/crates/ctl/src/roll_out/bundle_store.rs
+++ b/crates/ctl/src/roll_out/bundle_store.rs
@@ -4,7 +4,7 @@
 
 use monsoonspread_model::bundle::{BundleDelta, Manifest, decode, join};
 use monsoonspread_model::{Bundle, BundleVersion};
-use monsoonspread_platform::{CasOutcome, CreateOutcome, KeyValueStore, StoreError, Stored};
+use monsoonspread_borders::{CasOutcome, CreateOutcome, KeyValueStore, StoreError, Stored};
 
 const POINTER_KEY: &str = "/monsoonspread/bundle/pointer";
 const HISTORY_PREFIX: &str = "/monsoonspread/bundle/history/";
@@ -45,7 +45,7 @@
     ///
     /// ```
     /// # use std::sync::Arc;
-    /// # use monsoonspread_platform::store::EtcdGateway;
+    /// # use monsoonspread_borders::store::EtcdGateway;
     /// # use monsoonspread_ctl::roll_out::BundleStore;
     /// let store = Arc::new(EtcdGateway::new(vec!["127.0.0.1:1".parse().unwrap()]));
     /// let bundles = BundleStore::new(store);
@@ -62,7 +62,7 @@
     ///
     /// ```
     /// # use std::sync::Arc;
-    /// # use monsoonspread_platform::store::EtcdGateway;
+    /// # use monsoonspread_borders::store::EtcdGateway;
     /// # use monsoonspread_ctl::roll_out::BundleStore;
     /// # tokio::runtime::Runtime::new().unwrap().block_on(async {
     /// let store = Arc::new(EtcdGateway::new(vec!["127.0.0.1:1".parse().unwrap()]));
@@ -150,7 +150,7 @@
     ///
     /// ```
     /// # use std::sync::Arc;
-    /// # use monsoonspread_platform::store::EtcdGateway;
+    /// # use monsoonspread_borders::store::EtcdGateway;
     /// # use monsoonspread_ctl::roll_out::BundleStore;
     /// # use ed25519_dalek::SigningKey;
     /// # use monsoonspread_ctl::SignedBundle;
@@ -182,7 +182,7 @@
     ///
     /// ```
     /// # use std::sync::Arc;
-    /// # use monsoonspread_platform::store::EtcdGateway;
+    /// # use monsoonspread_borders::store::EtcdGateway;
     /// # use monsoonspread_ctl::roll_out::BundleStore;
     /// # tokio::runtime::Runtime::new().unwrap().block_on(async {
     /// let store = Arc::new(EtcdGateway::new(vec!["127.0.0.1:1".parse().unwrap()]));
--- a/crates/ctl/src/roll_out/machine.rs
+++ b/crates/ctl/src/roll_out/machine.rs
@@ -6,7 +6,7 @@
 
 use monsoonspread_model::UnixMs;
 use monsoonspread_model::bundle::{BundleDelta, MAX_PART_BYTES, Manifest};
-use monsoonspread_platform::{KeyValueStore, StoreError};
+use monsoonspread_borders::{KeyValueStore, StoreError};
 
 use super::{BundleStore, InForce, RollOutError, RollOutOutcome};
 use crate::signed_bundle::SignedBundle;
@@ -25,7 +25,7 @@
     ///
     /// ```
     /// # use std::sync::Arc;
-    /// # use monsoonspread_platform::store::EtcdGateway;
+    /// # use monsoonspread_borders::store::EtcdGateway;
     /// # use monsoonspread_ctl::RollOut;
     /// # use monsoonspread_model::UnixMs;
     /// let store = Arc::new(EtcdGateway::new(vec!["127.0.0.1:1".parse().unwrap()]));
@@ -46,7 +46,7 @@
     ///
     /// ```
     /// # use std::sync::Arc;
-    /// # use monsoonspread_platform::store::EtcdGateway;
+    /// # use monsoonspread_borders::store::EtcdGateway;
     /// # use monsoonspread_ctl::RollOut;
     /// # use monsoonspread_model::UnixMs;
     /// # use ed25519_dalek::SigningKey;
--- a/crates/ctl/src/roll_out/tests.rs
+++ b/crates/ctl/src/roll_out/tests.rs
@@ -4,7 +4,7 @@
 
 use ed25519_dalek::SigningKey;
 use monsoonspread_model::{Bundle, BundleVersion, UnixMs};
-use monsoonspread_platform::store::EtcdGateway;
+use monsoonspread_borders::store::EtcdGateway;
 use monsoonspread_standin::{Fault, Running, Store, StoreSettings};
 
 use super::{BundleStore, RollOut, RollOutError, RollOutOutcome};
--- a/crates/ctl/tests/common/mod.rs
+++ b/crates/ctl/tests/common/mod.rs
@@ -4,7 +4,7 @@
 use std::sync::Mutex;
 
 use async_trait::async_trait;
-use monsoonspread_platform::{CasOutcome, CreateOutcome, KeyValueStore, StoreError, Stored};
+use monsoonspread_borders::{CasOutcome, CreateOutcome, KeyValueStore, StoreError, Stored};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use tokio::sync::mpsc;
--- /dev/null
+++ b/crates/decisions/src/copies/control.rs
@@ -0,0 +1,238 @@
+//! The state of an engine's copies, and what happens to it.
+
+use std::collections::BTreeMap;
+
+use monsoonspread_model::fleet::{AdapterKey, EngineShape, Holdings, Order};
+use monsoonspread_model::{BaseModelName, UnixMs};
+
+use super::copy::{Copy, CopyStage};
+use super::{AskId, CopyAction, CopyAsk, CopyControlDump, CopyRefusal};
+
+/// Copies on one engine, as the instance that gives its orders knows them.
+#[derive(Debug)]
+pub struct CopyControl {
+    pub(super) shape: EngineShape,
+    pub(super) orders_from: UnixMs,
+    pub(super) may_order: bool,
+    pub(super) accepted: Option<u64>,
+    pub(super) models: Vec<BaseModelName>,
+    pub(super) copies: BTreeMap<AdapterKey, Copy>,
+    pub(super) newest: BTreeMap<AdapterKey, u64>,
+    pub(super) waiting: Vec<CopyAsk>,
+    pub(super) under_way: Option<Order>,
+    pub(super) unanswered: Option<Order>,
+    pub(super) pause_until: UnixMs,
+    pub(super) report_at: UnixMs,
+    pub(super) reading_report: bool,
+    pub(super) model_check_at: UnixMs,
+    pub(super) conflicts: u32,
+    actions: Vec<CopyAction>,
+}
+
+impl CopyControl {
+    /// An engine of which nothing is known; no order is given before `orders_from`.
+    pub fn new(shape: EngineShape, orders_from: UnixMs) -> Self {
+        Self {
+            shape,
+            orders_from,
+            may_order: true,
+            accepted: None,
+            models: Vec::new(),
+            copies: BTreeMap::new(),
+            newest: BTreeMap::new(),
+            waiting: Vec::new(),
+            under_way: None,
+            unanswered: None,
+            pause_until: UnixMs(0),
+            report_at: UnixMs(0),
+            reading_report: false,
+            model_check_at: UnixMs(0),
+            conflicts: 0,
+            actions: Vec::new(),
+        }
+    }
+
+    /// An instance wants to send a request.
+    pub fn on_ask(&mut self, now: UnixMs, ask: CopyAsk) -> Vec<CopyAction> {
+        self.waiting.push(ask);
+        self.advance(now)
+    }
+
+    /// A request is over, or was never sent; `absent` when the engine didn't have the copy.
+    pub fn on_done(&mut self, now: UnixMs, ask: &AskId, absent: bool) -> Vec<CopyAction> {
+        self.waiting.retain(|waiting| waiting.id != *ask);
+        let mut used = None;
+        for (key, copy) in &mut self.copies {
+            if copy.remove_user(ask) && copy.is_present() {
+                used = Some(key.clone());
+            }
+        }
+        if let (true, Some(key)) = (absent, used) {
+            self.copies.remove(&key);
+            self.distrust(now);
+        }
+        self.advance(now)
+    }
+
+    /// Every ask of an instance that is gone ends.
+    pub fn on_instance_gone(&mut self, now: UnixMs, instance: &str) -> Vec<CopyAction> {
+        self.waiting
+            .retain(|ask| ask.id.instance.as_str() != instance);
+        self.advance(now)
+    }
+
+    /// A newer version of an adapter was named.
+    pub fn on_version(&mut self, now: UnixMs, key: &AdapterKey, version: u64) -> Vec<CopyAction> {
+        let newest = self.newest.entry(key.clone()).or_default();
+        *newest = version.max(*newest);
+        self.advance(now)
+    }
+
+    /// The engine started anew and holds nothing that is known.
+    pub fn on_restart(&mut self, now: UnixMs) -> Vec<CopyAction> {
+        self.copies.clear();
+        self.models.clear();
+        self.accepted = None;
+        self.unanswered = None;
+        self.report_at = now;
+        self.advance(now)
+    }
+
+    /// Whether the store lets this instance give orders.
+    pub fn on_may_order(&mut self, now: UnixMs, may_order: bool) -> Vec<CopyAction> {
+        if self.may_order == may_order {
+            return Vec::new();
+        }
+        self.may_order = may_order;
+        self.advance(now)
+    }
+
+    /// A report of the engine was read, or couldn't be.
+    pub fn on_report(&mut self, now: UnixMs, report: Option<Holdings>) -> Vec<CopyAction> {
+        self.reading_report = false;
+        match report {
+            Some(holdings) if self.under_way.is_none() => self.adopt(now, holdings),
+            _ => self.report_at = now + REPORT_RETRY_MS,
+        }
+        self.advance(now)
+    }
+
+    /// Time has passed.
+    pub fn on_tick(&mut self, now: UnixMs) -> Vec<CopyAction> {
+        for copy in self.copies.values_mut() {
+            copy.expire_users(now);
+        }
+        self.advance(now)
+    }
+
+    /// Refuses everything that waits, as the engine is given up.
+    pub fn on_given_up(&mut self, reason: CopyRefusal) -> Vec<CopyAction> {
+        let waiting = std::mem::take(&mut self.waiting);
+        let refuse = |ask: CopyAsk| CopyAction::Refuse {
+            ask: ask.id,
+            reason,
+        };
+        waiting.into_iter().map(refuse).collect()
+    }
+
+    /// Describes the copies.
+    pub fn dump(&self) -> CopyControlDump {
+        let with = |wanted: fn(&Copy) -> bool| {
+            let copies = self.copies.iter().filter(|(_, copy)| wanted(copy));
+            copies.map(|(key, _)| key.clone()).collect()
+        };
+        CopyControlDump {
+            capacity: self.capacity(),
+            accepted_orders: self.accepted,
+            present: with(Copy::is_present),
+            coming: with(Copy::is_coming),
+            going: with(|copy| !copy.is_present() && !copy.is_coming()),
+            waiting: self.waiting.len(),
+            running: self.running(),
+        }
+    }
+
+    /// Adapters that fit beside the base models.
+    pub fn capacity(&self) -> usize {
+        self.shape.adapters_beside(&self.models)
+    }
+
+    /// Requests that run or are about to.
+    pub fn running(&self) -> u32 {
+        self.copies.values().map(|copy| copy.users() as u32).sum()
+    }
+
+    fn adopt(&mut self, now: UnixMs, holdings: Holdings) {
+        let mut former = std::mem::take(&mut self.copies);
+        self.models = holdings.models;
+        for (key, version) in holdings.adapters {
+            let mut copy = former
+                .remove(&key)
+                .unwrap_or_else(|| Copy::new(CopyStage::Present, None, now));
+            copy.stage = CopyStage::Present;
+            copy.version = Some(version);
+            self.copies.insert(key, copy);
+        }
+        for key in holdings.coming {
+            let stage = CopyStage::Coming {
+                since: now,
+                check_at: now,
+            };
+            let mut copy = former
+                .remove(&key)
+                .unwrap_or_else(|| Copy::new(stage, None, now));
+            copy.stage = stage;
+            self.copies.insert(key, copy);
+        }
+        self.accepted = Some(holdings.accepted_orders);
+        self.conflicts = 0;
+    }
+
+    fn advance(&mut self, now: UnixMs) -> Vec<CopyAction> {
+        self.answer_asks(now);
+        self.next_order(now);
+        std::mem::take(&mut self.actions)
+    }
+
+    pub(super) fn act(&mut self, action: CopyAction) {
+        self.actions.push(action);
+    }
+
+    fn answer_asks(&mut self, now: UnixMs) {
+        let asks = std::mem::take(&mut self.waiting);
+        for ask in asks {
+            if self.is_usable(&ask.key) {
+                self.grant(now, ask);
+            } else if ask.wait_until <= now {
+                self.refuse(ask.id, CopyRefusal::TooLate);
+            } else {
+                self.waiting.push(ask);
+            }
+        }
+    }
+
+    fn is_usable(&self, key: &AdapterKey) -> bool {
+        if key.adapter.is_none() {
+            return self.models.contains(&key.model);
+        }
+        self.copies.get(key).is_some_and(Copy::is_present)
+    }
+
+    fn grant(&mut self, now: UnixMs, ask: CopyAsk) {
+        if let Some(copy) = self.copies.get_mut(&ask.key) {
+            copy.add_user(now, ask.id.clone(), ask.ends_by);
+        }
+        let running = self.running();
+        self.act(CopyAction::Grant {
+            ask: ask.id,
+            running,
+        });
+    }
+
+    pub(super) fn refuse(&mut self, ask: AskId, reason: CopyRefusal) {
+        self.act(CopyAction::Refuse { ask, reason });
+    }
+}
+
+/// Pause after a report that could not be read or used, in milliseconds.
+const REPORT_RETRY_MS: u64 = 300;
--- /dev/null
+++ b/crates/decisions/src/copies/orders.rs
@@ -0,0 +1,288 @@
+//! Which order an engine gets next, and what its answer means.
+
+use monsoonspread_model::UnixMs;
+use monsoonspread_model::fleet::{AdapterKey, Order, OrderAnswer, OrderKind};
+
+use super::control::CopyControl;
+use super::copy::{Copy, CopyStage};
+use super::{CopyAction, CopyRefusal};
+
+/// Copies that come to one engine at a time.
+///
+/// Four may, but the loads of all engines share one way from the weight store: more at once
+/// make each slower without bringing more.
+const MAX_COMING: usize = 3;
+/// First question after an adapter, in milliseconds: one from the engine's memory takes 25.
+const FIRST_CHECK_MS: u64 = 25;
+/// Between further questions, in milliseconds: a tenth of a load from the weight store.
+const CHECK_EVERY_MS: u64 = 25;
+/// Between questions after a base model, in milliseconds.
+const MODEL_CHECK_EVERY_MS: u64 = 150;
+/// Pause after a conflict, in milliseconds: about one request that an unload waits for.
+const CONFLICT_PAUSE_MS: u64 = 40;
+/// Conflicts in a row after which a report is read.
+const CONFLICTS_TO_REPORT: u32 = 3;
+/// Age that a report's values may have, in milliseconds, with allowance.
+const REPORT_LAG_MS: u64 = 500;
+/// Pause before an order that got no answer is repeated, in milliseconds.
+const REPEAT_PAUSE_MS: u64 = 50;
+/// Pause before a copy that the engine rejects is tried again, in milliseconds.
+const REJECTED_PAUSE_MS: u64 = 500;
+
+impl CopyControl {
+    /// The engine answered the order that was under way.
+    pub fn on_order_answer(&mut self, now: UnixMs, answer: OrderAnswer) -> Vec<CopyAction> {
+        let Some(order) = self.under_way.take() else {
+            return self.on_tick(now);
+        };
+        match answer {
+            OrderAnswer::Accepted => self.on_accepted(now, &order),
+            OrderAnswer::Holds => self.on_holds(now, &order),
+            OrderAnswer::Conflict => self.on_conflict(now, order),
+            OrderAnswer::Unknown => self.on_unknown(now, &order),
+            OrderAnswer::Rejected => self.on_rejected(now),
+            OrderAnswer::NotSent | OrderAnswer::Unanswered => {
+                self.pause_until = now + REPEAT_PAUSE_MS;
+                self.unanswered = Some(order);
+            }
+        }
+        self.on_tick(now)
+    }
+
+    fn on_accepted(&mut self, now: UnixMs, order: &Order) {
+        self.conflicts = 0;
+        let first = !self.is_awaited(order);
+        if first {
+            self.accepted = Some(order.accepted_before + 1);
+        }
+        if order.key.adapter.is_none() {
+            self.model_check_at = now + MODEL_CHECK_EVERY_MS;
+            return;
+        }
+        let Some(copy) = self.copies.get_mut(&order.key) else {
+            return;
+        };
+        copy.stage = match (order.kind, copy.stage) {
+            (OrderKind::Unload, _) => CopyStage::Going {
+                accepted: true,
+                check_at: now + CONFLICT_PAUSE_MS,
+            },
+            (OrderKind::Load, CopyStage::Coming { since, .. }) if !first => CopyStage::Coming {
+                since,
+                check_at: now + CHECK_EVERY_MS,
+            },
+            (OrderKind::Load, _) => CopyStage::Coming {
+                since: now,
+                check_at: now + FIRST_CHECK_MS,
+            },
+        };
+    }
+
+    /// Whether an order of this kind was accepted before, and this one only asks again.
+    fn is_awaited(&self, order: &Order) -> bool {
+        let stage = self.copies.get(&order.key).map(|copy| copy.stage);
+        match order.kind {
+            OrderKind::Load => matches!(stage, Some(CopyStage::Coming { since, .. }) if since > UnixMs(0)),
+            OrderKind::Unload => false,
+        }
+    }
+
+    fn on_holds(&mut self, now: UnixMs, order: &Order) {
+        self.conflicts = 0;
+        if order.key.adapter.is_none() {
+            if !self.models.contains(&order.key.model) {
+                self.models.push(order.key.model.clone());
+            }
+            return;
+        }
+        match order.kind {
+            OrderKind::Load => {
+                let newest = self.newest.get(&order.key).copied();
+                if let Some(copy) = self.copies.get_mut(&order.key) {
+                    copy.stage = CopyStage::Present;
+                    copy.version = newest.or(copy.version);
+                    copy.used_at = copy.used_at.max(now);
+                }
+            }
+            OrderKind::Unload => {
+                let removed = self.copies.remove(&order.key).map(|copy| copy.stage);
+                let was_accepted =
+                    matches!(removed, Some(CopyStage::Going { accepted: true, .. }));
+                self.accepted = Some(order.accepted_before + u64::from(!was_accepted));
+            }
+        }
+    }
+
+    fn on_conflict(&mut self, now: UnixMs, order: Order) {
+        self.conflicts += 1;
+        self.pause_until = now + CONFLICT_PAUSE_MS;
+        let waits_for_unload = self.copies.values().any(|copy| {
+            matches!(copy.stage, CopyStage::Going { .. })
+        });
+        let was_unanswered = self.unanswered.take().is_some();
+        if was_unanswered || (!waits_for_unload && self.conflicts >= CONFLICTS_TO_REPORT) {
+            self.distrust(now);
+        }
+        self.undo_unsent(&order);
+    }
+
+    /// A copy that was about to be ordered for the first time isn't on its way.
+    fn undo_unsent(&mut self, order: &Order) {
+        let stage = self.copies.get(&order.key).map(|copy| copy.stage);
+        if let Some(CopyStage::Coming { since: UnixMs(0), .. }) = stage {
+            self.copies.remove(&order.key);
+        }
+    }
+
+    fn on_unknown(&mut self, now: UnixMs, order: &Order) {
+        self.copies.remove(&order.key);
+        if !self.models.contains(&order.key.model) {
+            self.distrust(now);
+            return;
+        }
+        let waiting = std::mem::take(&mut self.waiting);
+        for ask in waiting {
+            if ask.key == order.key {
+                self.refuse(ask.id, CopyRefusal::Unknown);
+            } else {
+                self.waiting.push(ask);
+            }
+        }
+    }
+
+    fn on_rejected(&mut self, now: UnixMs) {
+        self.distrust(now);
+        self.pause_until = now + REJECTED_PAUSE_MS;
+    }
+
+    /// Gives no order before a report that is newer than all that was done.
+    pub(super) fn distrust(&mut self, now: UnixMs) {
+        self.accepted = None;
+        self.report_at = now + REPORT_LAG_MS;
+    }
+
+    /// Starts the next order if one may be given now.
+    pub(super) fn next_order(&mut self, now: UnixMs) {
+        if self.under_way.is_some() || self.reading_report {
+            return;
+        }
+        let Some(accepted) = self.accepted else {
+            self.read_report(now);
+            return;
+        };
+        if !self.may_order || now < self.orders_from || now < self.pause_until {
+            return;
+        }
+        if let Some(order) = self.unanswered.clone() {
+            self.send(order);
+            return;
+        }
+        let next = self
+            .missing_model(now)
+            .or_else(|| self.due_check(now))
+            .or_else(|| self.outdated(now))
+            .or_else(|| self.wanted_load(now));
+        if let Some((kind, key)) = next {
+            self.send(Order {
+                kind,
+                key,
+                accepted_before: accepted,
+            });
+        }
+    }
+
+    fn read_report(&mut self, now: UnixMs) {
+        if now < self.report_at {
+            return;
+        }
+        self.reading_report = true;
+        self.act(CopyAction::ReadReport);
+    }
+
+    fn send(&mut self, order: Order) {
+        self.under_way = Some(order.clone());
+        self.act(CopyAction::Order(order));
+    }
+
+    /// An engine that restarted has no base model: it gets the one that is waited for.
+    fn missing_model(&mut self, now: UnixMs) -> Option<(OrderKind, AdapterKey)> {
+        if !self.models.is_empty() {
+            return None;
+        }
+        let asked = self.waiting.first().map(|ask| &ask.key.model);
+        let first = self.shape.models.first().map(|model| &model.name);
+        let model = asked.or(first)?.clone();
+        if now < self.model_check_at {
+            return None;
+        }
+        self.model_check_at = now + MODEL_CHECK_EVERY_MS;
+        Some((OrderKind::Load, AdapterKey { model, adapter: None }))
+    }
+
+    fn due_check(&self, now: UnixMs) -> Option<(OrderKind, AdapterKey)> {
+        self.copies.iter().find_map(|(key, copy)| match copy.stage {
+            CopyStage::Coming { check_at, .. } if check_at <= now => {
+                Some((OrderKind::Load, key.clone()))
+            }
+            CopyStage::Going { check_at, .. } if check_at <= now => {
+                Some((OrderKind::Unload, key.clone()))
+            }
+            _ => None,
+        })
+    }
+
+    fn outdated(&mut self, now: UnixMs) -> Option<(OrderKind, AdapterKey)> {
+        let newest = &self.newest;
+        let (key, copy) = self.copies.iter_mut().find(|(key, copy)| {
+            let named = newest.get(*key).copied();
+            copy.is_present() && named.is_some() && copy.version.unwrap_or(1) < named.unwrap_or(0)
+        })?;
+        copy.stage = CopyStage::Coming {
+            since: UnixMs(0),
+            check_at: now,
+        };
+        Some((OrderKind::Load, key.clone()))
+    }
+
+    fn wanted_load(&mut self, now: UnixMs) -> Option<(OrderKind, AdapterKey)> {
+        let coming = self.copies.values().filter(|copy| copy.is_coming()).count();
+        if coming >= MAX_COMING || self.models.is_empty() {
+            return None;
+        }
+        let wanted = self.most_wanted()?;
+        if self.copies.len() < self.capacity() {
+            let stage = CopyStage::Coming {
+                since: UnixMs(0),
+                check_at: now + CHECK_EVERY_MS,
+            };
+            self.copies
+                .insert(wanted.clone(), Copy::new(stage, None, now));
+            return Some((OrderKind::Load, wanted));
+        }
+        let victim = self.least_used(now)?;
+        if let Some(copy) = self.copies.get_mut(&victim) {
+            copy.stage = CopyStage::Going {
+                accepted: false,
+                check_at: now,
+            };
+        }
+        Some((OrderKind::Unload, victim))
+    }
+
+    /// The adapter of the most urgent ask that nothing is done for yet.
+    fn most_wanted(&self) -> Option<AdapterKey> {
+        self.waiting
+            .iter()
+            .filter(|ask| ask.key.adapter.is_some() && !self.copies.contains_key(&ask.key))
+            .min_by_key(|ask| (ask.rank, ask.wait_until))
+            .map(|ask| ask.key.clone())
+    }
+
+    fn least_used(&self, now: UnixMs) -> Option<AdapterKey> {
+        self.copies
+            .iter()
+            .filter(|(_, copy)| copy.is_present() && copy.is_idle())
+            .min_by(|a, b| a.1.uses(now).total_cmp(&b.1.uses(now)))
+            .map(|(key, _)| key.clone())
+    }
+}
--- /dev/null
+++ b/crates/decisions/src/holders/tests.rs
@@ -0,0 +1,66 @@
+use monsoonspread_model::UnixMs;
+
+use super::{CONFIRMED_FOR_MS, Confirmation, HolderPlan};
+
+const GAP_MS: u64 = 3_000;
+
+fn plan(own: &str, complete: bool) -> HolderPlan {
+    let mut plan = HolderPlan::new(own.into(), GAP_MS);
+    for (name, zone) in [("a1", "a"), ("a2", "a"), ("b1", "b")] {
+        plan.on_member(name.into(), zone.into());
+    }
+    for (name, zone) in [("u1", "a"), ("u2", "a"), ("u3", "a"), ("u4", "b")] {
+        plan.on_engine(UnixMs(0), &name.into(), &zone.into(), complete);
+    }
+    plan
+}
+
+fn claimed(plan: &HolderPlan, now: u64) -> Vec<String> {
+    let claims = plan.claims(UnixMs(now), |_| false);
+    claims.iter().map(|claim| claim.upstream.to_string()).collect()
+}
+
+#[test]
+fn each_engine_is_claimed_by_one_instance_of_its_zone() {
+    assert_eq!(claimed(&plan("a1", true), 1), ["u1", "u3"]);
+    assert_eq!(claimed(&plan("a2", true), 1), ["u2"]);
+    assert_eq!(claimed(&plan("b1", true), 1), ["u4"]);
+}
+
+#[test]
+fn the_next_instance_claims_what_the_first_leaves() {
+    assert!(claimed(&plan("b1", true), 2_500).len() > 1);
+}
+
+/// A former holder that was never told stops before its successor begins.
+#[test]
+fn orders_of_two_holders_are_apart_by_the_gap() {
+    let mut former = Confirmation::default();
+    let vanished_at = 10_000;
+    former.on_renewed(UnixMs(vanished_at));
+    let mut plan = plan("b1", true);
+    plan.on_holder(UnixMs(0), &"u4".into(), "a1".into(), false, 7);
+    assert!(claimed(&plan, 1).is_empty());
+    plan.on_holder_gone(UnixMs(vanished_at), &"u4".into());
+    let claims = plan.claims(UnixMs(vanished_at), |name| name.as_str() != "u4");
+    let begins_at = claims[0].orders_from;
+    let last_order = (0..begins_at.0).rev().find(|at| former.holds(UnixMs(*at)));
+    assert!(begins_at.ms_since(UnixMs(last_order.expect("it held"))) >= GAP_MS);
+}
+
+#[test]
+fn an_instance_that_restarts_goes_on_with_what_it_held() {
+    let mut plan = plan("b1", false);
+    plan.on_holder(UnixMs(0), &"u4".into(), "b1".into(), true, 7);
+    plan.on_holder(UnixMs(0), &"u1".into(), "b1".into(), false, 8);
+    let claims = plan.claims(UnixMs(1), |_| false);
+    let at_once: Vec<_> = claims.iter().filter(|c| c.orders_from == UnixMs(0)).collect();
+    assert_eq!(at_once.len(), 2);
+    assert_eq!((at_once[0].expected_revision, at_once[1].expected_revision), (8, 7));
+}
+
+#[test]
+fn an_engine_whose_past_is_unknown_counts_as_held_until_now() {
+    let claims = plan("b1", false).claims(UnixMs(1), |_| false);
+    assert!(claims[0].orders_from >= UnixMs(CONFIRMED_FOR_MS + GAP_MS));
+}
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -5,12 +5,17 @@
 
 pub mod bundle_spread;
 pub mod claims;
+pub mod copies;
 pub mod dispatch;
+pub mod event_cut;
+pub mod holders;
+pub mod load_choice;
 pub mod membership;
 pub mod owner;
 pub mod ownership;
 pub mod placement;
 pub mod quarantine;
 pub mod retry_budget;
+pub mod route_table;
 pub mod service_route;
 pub mod straggler;
--- /dev/null
+++ b/crates/decisions/src/route_table/mod.rs
@@ -0,0 +1,68 @@
+//! Which route a request belongs to, and which service it goes to.
+
+#[cfg(test)]
+mod tests;
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use monsoonspread_model::ServiceName;
+use monsoonspread_model::fleet::{Route, RoutingConfig};
+use xxhash_rust::xxh3::xxh3_64;
+
+/// The routes of one version of the configuration, by host and prefix.
+#[derive(Debug)]
+pub struct RouteTable {
+    config: RoutingConfig,
+    by_host: HashMap<String, Vec<Arc<Route>>>,
+}
+
+impl RouteTable {
+    /// Sorts the routes of `config`.
+    pub fn new(config: RoutingConfig) -> Self {
+        let mut by_host: HashMap<String, Vec<Arc<Route>>> = HashMap::new();
+        for route in &config.routes {
+            let host = route.host.to_ascii_lowercase();
+            by_host.entry(host).or_default().push(Arc::new(route.clone()));
+        }
+        for routes in by_host.values_mut() {
+            routes.sort_by_key(|route| std::cmp::Reverse(route.path_prefix.len()));
+        }
+        Self { config, by_host }
+    }
+
+    /// The configuration that the table was made from.
+    pub fn config(&self) -> &RoutingConfig {
+        &self.config
+    }
+
+    /// The route of `host` with the longest prefix that begins `path`.
+    ///
+    /// A port in `host` is ignored.
+    pub fn find(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
+        let name = host.rsplit_once(':').map_or(host, |(name, _)| name);
+        let routes = self.by_host.get(&name.to_ascii_lowercase())?;
+        routes
+            .iter()
+            .find(|route| path.starts_with(&route.path_prefix))
+    }
+}
+
+/// The service that `route` sends a request to, by the weights of its targets.
+///
+/// The same request id always gets the same service.
+pub fn pick_service<'a>(route: &'a Route, request_id: &str) -> Option<&'a ServiceName> {
+    let total: u64 = route.targets.iter().map(|t| u64::from(t.weight)).sum();
+    if total == 0 {
+        return route.targets.first().map(|target| &target.service);
+    }
+    let mut left = xxh3_64(request_id.as_bytes()) % total;
+    for target in &route.targets {
+        let weight = u64::from(target.weight);
+        if left < weight {
+            return Some(&target.service);
+        }
+        left -= weight;
+    }
+    None
+}
--- a/crates/demo/src/region/mod.rs
+++ b/crates/demo/src/region/mod.rs
@@ -17,7 +17,7 @@
 use monsoonspread_model::{
     Bundle, BundleVersion, InstanceKind, InstanceState, ListedInstance, UnixMs, ZoneName,
 };
-use monsoonspread_platform::store::EtcdGateway;
+use monsoonspread_borders::store::EtcdGateway;
 use monsoonspread_standin::{
     Engine, Instances, InstancesSettings, Running, Service, Store, StoreSettings, Weights,
 };
--- a/crates/entry/src/controller/bundle/controller.rs
+++ b/crates/entry/src/controller/bundle/controller.rs
@@ -6,7 +6,7 @@
 
 use monsoonspread_decisions::bundle_spread::{BundleAction, BundleSpread, BundleSpreadSettings};
 use monsoonspread_model::{Bundle, InstanceName, UnixMs};
-use monsoonspread_platform::KeyValueStore;
+use monsoonspread_borders::KeyValueStore;
 use tokio::sync::{mpsc, watch};
 use tokio::time::{MissedTickBehavior, interval};
 
--- a/crates/entry/src/controller/bundle/pointer.rs
+++ b/crates/entry/src/controller/bundle/pointer.rs
@@ -5,7 +5,7 @@
 
 use monsoonspread_model::InstanceName;
 use monsoonspread_model::bundle::Manifest;
-use monsoonspread_platform::{KeyValueStore, Stored};
+use monsoonspread_borders::{KeyValueStore, Stored};
 use tokio::sync::watch;
 use tokio::time::sleep;
 
--- a/crates/entry/src/controller/dispatch/actions.rs
+++ b/crates/entry/src/controller/dispatch/actions.rs
@@ -8,7 +8,7 @@
 };
 use monsoonspread_model::message::{CrashNotice, GrantRequest, MeshMessage, RequestId};
 use monsoonspread_model::{CopyName, InstanceName, Refusal, UnixMs, UpstreamName};
-use monsoonspread_platform::GenerateRequest;
+use monsoonspread_borders::GenerateRequest;
 use tokio::sync::oneshot;
 
 use super::command::DispatchCommand;
--- a/crates/entry/src/controller/owner/orders.rs
+++ b/crates/entry/src/controller/owner/orders.rs
@@ -5,7 +5,7 @@
 
 use monsoonspread_decisions::owner::OrderFailure;
 use monsoonspread_model::{CopyName, Epoch, UpstreamName};
-use monsoonspread_platform::{Engine, OrderError};
+use monsoonspread_borders::{Engine, OrderError};
 use tokio::time::timeout;
 
 use super::OwnerCommand;
--- a/crates/entry/src/controller/ownership/controller.rs
+++ b/crates/entry/src/controller/ownership/controller.rs
@@ -10,7 +10,7 @@
 };
 use monsoonspread_model::message::{Handover, MeshMessage};
 use monsoonspread_model::{Epoch, InstanceName, OwnershipTable, UnixMs, UpstreamName, ZoneName};
-use monsoonspread_platform::KeyValueStore;
+use monsoonspread_borders::KeyValueStore;
 use rand::seq::IndexedRandom;
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::{MissedTickBehavior, interval};
--- a/crates/entry/src/controller/ownership/tests.rs
+++ b/crates/entry/src/controller/ownership/tests.rs
@@ -1,6 +1,6 @@
 //! What is read from the key-value service.
 
-use monsoonspread_platform::{CasOutcome, Stored};
+use monsoonspread_borders::{CasOutcome, Stored};
 
 use super::store_calls::{decode, write_result};
 
--- a/crates/entry/src/controller/service/call.rs
+++ b/crates/entry/src/controller/service/call.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use monsoonspread_model::bundle::CallEntry;
 use monsoonspread_model::{CallerName, Refusal, RefusalReason, ServiceName, UnixMs};
-use monsoonspread_platform::KeyValueStore;
+use monsoonspread_borders::KeyValueStore;
 use tokio::sync::{oneshot, watch};
 use tokio_util::task::TaskTracker;
 
--- a/crates/entry/src/controller/service/claim_batches.rs
+++ b/crates/entry/src/controller/service/claim_batches.rs
@@ -8,7 +8,7 @@
     BatchAction, BatchSettings, ClaimBatcher, ClaimKey, ClaimRecord, ClaimToken, CreateResult,
 };
 use monsoonspread_model::UnixMs;
-use monsoonspread_platform::{CreateOutcome, KeyValueStore, StoreError};
+use monsoonspread_borders::{CreateOutcome, KeyValueStore, StoreError};
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::sleep;
 
--- a/crates/entry/src/controller/service/keyed.rs
+++ b/crates/entry/src/controller/service/keyed.rs
@@ -9,7 +9,7 @@
     RunResult, body_digest,
 };
 use monsoonspread_model::{Refusal, UnixMs};
-use monsoonspread_platform::{CasOutcome, StoreError, Stored};
+use monsoonspread_borders::{CasOutcome, StoreError, Stored};
 use tokio::sync::oneshot;
 use tokio::time::sleep;
 
--- a/crates/entry/src/directory/engine_row.rs
+++ b/crates/entry/src/directory/engine_row.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use monsoonspread_model::{InstanceState, ListedInstance, UpstreamName};
-use monsoonspread_platform::Engine;
+use monsoonspread_borders::Engine;
 
 /// A listed engine with its client.
 #[derive(Clone)]
--- a/crates/entry/src/directory/service_row.rs
+++ b/crates/entry/src/directory/service_row.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use monsoonspread_model::{InstanceState, ListedInstance, UpstreamName};
-use monsoonspread_platform::Service;
+use monsoonspread_borders::Service;
 
 /// A listed server of a plain service with its client.
 #[derive(Clone)]
--- a/crates/entry/src/platform/clients.rs
+++ b/crates/entry/src/platform/clients.rs
@@ -4,11 +4,11 @@
 use std::sync::Arc;
 
 use monsoonspread_model::ListedInstance;
-use monsoonspread_platform::engine::VllmEngine;
-use monsoonspread_platform::instance_list::HttpInstanceList;
-use monsoonspread_platform::service::HttpService;
-use monsoonspread_platform::store::EtcdGateway;
-use monsoonspread_platform::{Engine, InstanceList, KeyValueStore, Service};
+use monsoonspread_borders::engine::VllmEngine;
+use monsoonspread_borders::instance_list::HttpInstanceList;
+use monsoonspread_borders::service::HttpService;
+use monsoonspread_borders::store::EtcdGateway;
+use monsoonspread_borders::{Engine, InstanceList, KeyValueStore, Service};
 
 use super::{EngineFactory, ServiceFactory};
 use crate::settings::Settings;
--- a/crates/entry/src/platform/mod.rs
+++ b/crates/entry/src/platform/mod.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 
 use monsoonspread_model::ListedInstance;
-use monsoonspread_platform::{Engine, InstanceList, KeyValueStore, Service};
+use monsoonspread_borders::{Engine, InstanceList, KeyValueStore, Service};
 
 pub use clients::HttpClients;
 
--- a/crates/entry/tests/wrong_echo.rs
+++ b/crates/entry/tests/wrong_echo.rs
@@ -7,8 +7,8 @@
 use async_trait::async_trait;
 use monsoonspread_entry::{EngineFactory, Entry, Platform};
 use monsoonspread_model::{BundleVersion, CopyName, Epoch, ListedInstance, LoadReport};
-use monsoonspread_platform::engine::VllmEngine;
-use monsoonspread_platform::{
+use monsoonspread_borders::engine::VllmEngine;
+use monsoonspread_borders::{
     Engine, EngineError, GenerateRequest, Generation, GenerationEvent, OrderError,
 };
 use support::*;
--- a/crates/load/src/fleet/entries.rs
+++ b/crates/load/src/fleet/entries.rs
@@ -11,7 +11,7 @@
 use monsoonspread_model::{
     Bundle, BundleVersion, InstanceKind, InstanceState, ListedInstance, UnixMs, ZoneName,
 };
-use monsoonspread_platform::store::EtcdGateway;
+use monsoonspread_borders::store::EtcdGateway;
 use monsoonspread_standin::{Instances, InstancesSettings, Running, Store, StoreSettings};
 use serde_json::Value;
 
--- /dev/null
+++ b/crates/model/src/fleet/mod.rs
@@ -0,0 +1,15 @@
+//! What the platform tells of routes and upstreams, in the words of this project.
+
+mod adapter_key;
+mod call_head;
+mod order;
+mod route;
+mod routing_config;
+mod upstream_record;
+
+pub use adapter_key::AdapterKey;
+pub use call_head::{CallHead, PromptPart};
+pub use order::{Order, OrderAnswer, OrderKind};
+pub use route::{RepeatRule, Route, RouteTarget};
+pub use routing_config::{BaseModel, ClientLimits, EngineShape, RelayService, RoutingConfig};
+pub use upstream_record::{Holdings, UpstreamRecord, UpstreamStage};
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod bundle;
 pub mod copy_name;
 pub mod epoch;
+pub mod fleet;
 pub mod listed_instance;
 pub mod load_report;
 pub mod message;
--- /dev/null
+++ b/crates/relay/src/call/answer.rs
@@ -0,0 +1,132 @@
+//! What follows the end of an answer.
+
+use std::rc::Rc;
+
+use monsoonspread_model::{UnixMs, UpstreamName};
+
+use crate::connection::PooledSender;
+use crate::event::{Line, kind};
+use crate::holding::AskGuard;
+use crate::shared::Shared;
+
+/// How a call to a server of a plain service is accounted for.
+pub(super) struct ServiceSlot {
+    pub(super) server: UpstreamName,
+    pub(super) repeatable: bool,
+    pub(super) sent_at: UnixMs,
+}
+
+/// Gives back what an answer holds, when it is complete or dropped, and logs its end.
+pub(super) struct AnswerEnd {
+    shared: Rc<Shared>,
+    request_id: String,
+    route: String,
+    upstream: UpstreamName,
+    arrived_at: UnixMs,
+    first_byte_at: Option<UnixMs>,
+    status: u16,
+    outcome: &'static str,
+    sender: Option<(PooledSender, Option<u64>)>,
+    slot: Option<ServiceSlot>,
+    guard: Option<AskGuard>,
+}
+
+impl AnswerEnd {
+    /// The end of the answer with `status` to the request `request_id`.
+    pub(super) fn new(
+        shared: &Rc<Shared>,
+        request: &super::request::RelayRequest,
+        upstream: &UpstreamName,
+        status: u16,
+    ) -> Self {
+        Self {
+            shared: Rc::clone(shared),
+            request_id: request.head.request_id.clone(),
+            route: request.route.name.clone(),
+            upstream: upstream.clone(),
+            arrived_at: request.arrived_at,
+            first_byte_at: None,
+            status,
+            outcome: "left",
+            sender: None,
+            slot: None,
+            guard: None,
+        }
+    }
+
+    /// The connection, given back once the answer is complete; `None` when it closes.
+    pub(super) fn with_sender(mut self, sender: PooledSender, keep_alive_ms: Option<u64>) -> Self {
+        self.sender = Some((sender, keep_alive_ms));
+        self
+    }
+
+    /// The call as its service's router counts it.
+    pub(super) fn with_slot(mut self, slot: Option<ServiceSlot>) -> Self {
+        self.slot = slot;
+        self
+    }
+
+    /// The grant.
+    pub(super) fn with_guard(mut self, guard: Option<AskGuard>) -> Self {
+        self.guard = guard;
+        self
+    }
+
+    /// Bytes of the body came.
+    pub(super) fn on_bytes(&mut self) {
+        if self.first_byte_at.is_none() {
+            self.first_byte_at = Some(self.shared.now());
+        }
+    }
+
+    /// The answer is complete.
+    pub(super) fn on_complete(&mut self) {
+        if self.outcome == "complete" {
+            return;
+        }
+        self.outcome = "complete";
+        if let Some((sender, keep_alive_ms)) = self.sender.take() {
+            sender.give_back(keep_alive_ms);
+        }
+        self.guard = None;
+        if let Some(slot) = self.slot.take() {
+            let now = self.shared.now();
+            let latency_ms = now.ms_since(slot.sent_at);
+            let mut router = self.shared.router.borrow_mut();
+            router.on_end(now, &slot.server, slot.repeatable, Some(latency_ms));
+        }
+    }
+
+    /// The answer broke.
+    pub(super) fn on_broken(&mut self, outcome: &'static str) {
+        self.outcome = outcome;
+    }
+}
+
+impl Drop for AnswerEnd {
+    fn drop(&mut self) {
+        let now = self.shared.now();
+        if let Some(slot) = self.slot.take() {
+            // A client that left says nothing of the server.
+            let latency_ms = (self.outcome == "left").then(|| now.ms_since(slot.sent_at));
+            let mut router = self.shared.router.borrow_mut();
+            router.on_end(now, &slot.server, slot.repeatable, latency_ms);
+        }
+        let ms = now.ms_since(self.arrived_at);
+        let first_ms = self.first_byte_at.map(|at| at.ms_since(self.arrived_at));
+        self.shared.metrics.count("answers", self.outcome);
+        self.shared.metrics.time("answer", ms);
+        if let Some(first_ms) = first_ms {
+            self.shared.metrics.time("first_byte", first_ms);
+        }
+        Line::new(if self.outcome == "left" { &kind::CALL_LEFT } else { &kind::CALL_ENDED })
+            .field("id", &self.request_id)
+            .field("route", &self.route)
+            .field("upstream", &self.upstream)
+            .field("status", self.status)
+            .field("outcome", self.outcome)
+            .field("first_ms", first_ms.unwrap_or(0))
+            .field("ms", ms)
+            .log();
+    }
+}
--- /dev/null
+++ b/crates/relay/src/call/attempt.rs
@@ -0,0 +1,149 @@
+//! One attempt at one upstream.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::{Request, Response};
+use monsoonspread_borders::relay::{AnswerHead, UpstreamHead};
+use monsoonspread_model::UnixMs;
+use monsoonspread_model::fleet::UpstreamRecord;
+
+use super::request::RelayRequest;
+use crate::connection::{PooledSender, SendFailure};
+use crate::event::{Line, kind};
+use crate::shared::Shared;
+
+/// How an attempt ended.
+pub(super) enum Attempt {
+    /// The upstream answered this request.
+    Answered {
+        response: Response<Incoming>,
+        answer: AnswerHead,
+        sender: PooledSender,
+    },
+    /// The upstream surely didn't run it and never will.
+    NotRun {
+        /// It lacks what the request runs on, or another upstream has its address.
+        misdirected: bool,
+    },
+    /// The upstream may have run it.
+    Unknown,
+    /// No answer came in time.
+    TooLate,
+}
+
+/// What an attempt adds to the request.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct AttemptOptions {
+    pub(super) rank: Option<u8>,
+    pub(super) adapter_version: Option<u64>,
+    pub(super) resume_after: Option<u64>,
+    /// When the attempt is given up.
+    pub(super) give_up_at: UnixMs,
+}
+
+/// Sends `request` to `upstream` and waits for the head of the answer.
+pub(super) async fn attempt(
+    shared: &Rc<Shared>,
+    request: &RelayRequest,
+    upstream: &UpstreamRecord,
+    options: AttemptOptions,
+) -> Attempt {
+    let wait_ms = options.give_up_at.ms_since(shared.now());
+    let sent = tokio::time::timeout(
+        Duration::from_millis(wait_ms),
+        exchange(shared, request, upstream, options),
+    );
+    let outcome = match sent.await {
+        Err(_) => Attempt::TooLate,
+        Ok(Err(SendFailure::NotSent(why))) => {
+            log_failure(request, upstream, "not sent", &why);
+            return Attempt::NotRun { misdirected: false };
+        }
+        Ok(Err(SendFailure::AnswerLost(why))) => {
+            log_failure(request, upstream, "answer lost", &why);
+            return Attempt::Unknown;
+        }
+        Ok(Ok((response, sender))) => judge(shared, request, response, sender),
+    };
+    match &outcome {
+        Attempt::Answered { .. } => {}
+        Attempt::NotRun { misdirected: true } => log_failure(request, upstream, "misdirected", ""),
+        Attempt::NotRun { .. } => log_failure(request, upstream, "not run", ""),
+        Attempt::Unknown => log_failure(request, upstream, "not its answer", ""),
+        Attempt::TooLate => log_failure(request, upstream, "too late", ""),
+    }
+    outcome
+}
+
+async fn exchange(
+    shared: &Shared,
+    request: &RelayRequest,
+    upstream: &UpstreamRecord,
+    options: AttemptOptions,
+) -> Result<(Response<Incoming>, PooledSender), SendFailure> {
+    let repeatable = request.route.repeat.may_run_again();
+    let mut sender = shared.pool.take(upstream.address, repeatable).await?;
+    let message = message(shared, request, upstream, options)
+        .map_err(|error| SendFailure::NotSent(error.to_string()))?;
+    let response = sender.sender.send(message).await?;
+    Ok((response, sender))
+}
+
+fn message(
+    shared: &Shared,
+    request: &RelayRequest,
+    upstream: &UpstreamRecord,
+    options: AttemptOptions,
+) -> Result<Request<Full<bytes::Bytes>>, hyper::http::Error> {
+    let path = request.uri.path_and_query().map_or("/", |path| path.as_str());
+    let mut message = Request::builder()
+        .method(request.method.clone())
+        .uri(path)
+        .body(Full::new(request.body.clone()))?;
+    let mut headers = request.headers.clone();
+    let head = UpstreamHead {
+        upstream: &upstream.name,
+        remaining_ms: request.deadline.ms_since(shared.now()),
+        rank: options.rank,
+        adapter_version: options.adapter_version,
+        resume_after: options.resume_after.or(request.head.resume_after),
+    };
+    shared.borders.dialect.write_call(&mut headers, &head);
+    *message.headers_mut() = headers;
+    Ok(message)
+}
+
+fn judge(
+    shared: &Shared,
+    request: &RelayRequest,
+    response: Response<Incoming>,
+    sender: PooledSender,
+) -> Attempt {
+    let status = response.status();
+    let dialect = &shared.borders.dialect;
+    let answer = dialect.read_answer(status, response.headers(), &request.head.request_id);
+    if !answer.id_matches || (status.is_success() && !answer.signed) {
+        return Attempt::Unknown;
+    }
+    if answer.not_run {
+        let misdirected = answer.misdirected;
+        return Attempt::NotRun { misdirected };
+    }
+    Attempt::Answered {
+        response,
+        answer,
+        sender,
+    }
+}
+
+fn log_failure(request: &RelayRequest, upstream: &UpstreamRecord, outcome: &str, why: &str) {
+    Line::new(&kind::ATTEMPT_FAILED)
+        .field("id", &request.head.request_id)
+        .field("upstream", &upstream.name)
+        .field("outcome", outcome)
+        .field("error", why)
+        .log();
+}
--- /dev/null
+++ b/crates/relay/src/call/body.rs
@@ -0,0 +1,127 @@
+//! The body of an answer to a client.
+
+use std::pin::Pin;
+use std::task::{Context, Poll, ready};
+
+use bytes::Bytes;
+use displaydoc::Display;
+use futures_util::Stream;
+use hyper::body::{Body, Frame, Incoming, SizeHint};
+use thiserror::Error;
+use tokio::time::{Instant, Sleep};
+
+use super::answer::AnswerEnd;
+
+/// Why an answer ends early; the client sees its connection closed.
+#[derive(Clone, Debug, Display, Error)]
+pub enum BodyError {
+    /// the upstream broke off: {0}
+    Upstream(String),
+    /// the answer was not complete in time
+    TooLate,
+}
+
+type EventStream = Pin<Box<dyn Stream<Item = Result<Bytes, BodyError>>>>;
+
+/// The body of an answer to a client.
+pub enum RelayBody {
+    /// Known bytes.
+    Whole(Option<Bytes>),
+    /// An upstream's bytes as they come.
+    Passed(Box<PassedBody>),
+    /// Events of one upstream, and of others that go on after it.
+    Events(EventStream),
+}
+
+/// An upstream's bytes as they come.
+pub struct PassedBody {
+    incoming: Incoming,
+    ends_by: Pin<Box<Sleep>>,
+    end: AnswerEnd,
+}
+
+impl RelayBody {
+    /// Known bytes.
+    pub(super) fn whole(bytes: Bytes) -> Self {
+        Self::Whole(Some(bytes).filter(|bytes| !bytes.is_empty()))
+    }
+
+    /// An upstream's bytes as they come, until `ends_by`.
+    pub(super) fn passed(incoming: Incoming, ends_by: Instant, mut end: AnswerEnd) -> Self {
+        if incoming.is_end_stream() {
+            end.on_complete();
+        }
+        Self::Passed(Box::new(PassedBody {
+            incoming,
+            ends_by: Box::pin(tokio::time::sleep_until(ends_by)),
+            end,
+        }))
+    }
+}
+
+impl PassedBody {
+    fn poll(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        let frame = match Pin::new(&mut self.incoming).poll_frame(cx) {
+            Poll::Ready(frame) => frame,
+            Poll::Pending => {
+                ready!(self.ends_by.as_mut().poll(cx));
+                self.end.on_broken("deadline");
+                return Poll::Ready(Some(Err(BodyError::TooLate)));
+            }
+        };
+        match frame {
+            Some(Ok(frame)) => {
+                self.end.on_bytes();
+                if self.incoming.is_end_stream() {
+                    self.end.on_complete();
+                }
+                Poll::Ready(Some(Ok(frame)))
+            }
+            Some(Err(error)) => {
+                self.end.on_broken("upstream broke off");
+                Poll::Ready(Some(Err(BodyError::Upstream(error.to_string()))))
+            }
+            None => {
+                self.end.on_complete();
+                Poll::Ready(None)
+            }
+        }
+    }
+}
+
+impl Body for RelayBody {
+    type Data = Bytes;
+    type Error = BodyError;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        match self.get_mut() {
+            Self::Whole(bytes) => Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes)))),
+            Self::Passed(passed) => passed.poll(cx),
+            Self::Events(events) => {
+                let next = ready!(events.as_mut().poll_next(cx));
+                Poll::Ready(next.map(|event| event.map(Frame::data)))
+            }
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        match self {
+            Self::Whole(bytes) => bytes.is_none(),
+            Self::Passed(passed) => passed.incoming.is_end_stream(),
+            Self::Events(_) => false,
+        }
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match self {
+            Self::Whole(bytes) => {
+                SizeHint::with_exact(bytes.as_ref().map_or(0, |bytes| bytes.len() as u64))
+            }
+            Self::Passed(passed) => passed.incoming.size_hint(),
+            Self::Events(_) => SizeHint::default(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/relay/src/call/handler.rs
@@ -0,0 +1,68 @@
+//! What happens to a request.
+
+use std::rc::Rc;
+
+use hyper::body::Incoming;
+use hyper::header::{CONNECTION, HOST, HeaderValue};
+use hyper::{Request, Response, StatusCode};
+use monsoonspread_decisions::route_table::pick_service;
+
+use super::client_body::{BodyFailure, read_body};
+use super::request::RelayRequest;
+use super::{RelayBody, model_call, refusal, service_call};
+use crate::event::{Line, kind};
+use crate::shared::Shared;
+
+/// When a client comes back to an instance that knows no configuration yet, in milliseconds.
+const NO_CONFIG_RETRY_MS: u64 = 500;
+
+/// Answers a request of a client.
+pub async fn handle(shared: Rc<Shared>, request: Request<Incoming>) -> Response<RelayBody> {
+    let mut response = route(&shared, request).await;
+    if shared.is_stopping() {
+        let close = HeaderValue::from_static("close");
+        response.headers_mut().insert(CONNECTION, close);
+    }
+    response
+}
+
+async fn route(shared: &Rc<Shared>, request: Request<Incoming>) -> Response<RelayBody> {
+    let arrived_at = shared.now();
+    let routes = shared.fleet.borrow().routes().cloned();
+    let Some(routes) = routes else {
+        return refusal::not_run(NO_CONFIG_RETRY_MS);
+    };
+    let (parts, body) = request.into_parts();
+    let host = parts.headers.get(HOST).and_then(|host| host.to_str().ok());
+    let host = host.or(parts.uri.host()).unwrap_or("");
+    let Some(route) = routes.find(host, parts.uri.path()).cloned() else {
+        shared.metrics.count("calls", "no_route");
+        return refusal::plain(StatusCode::NOT_FOUND);
+    };
+    let head = match shared.borders.dialect.read_call(&parts.headers) {
+        Ok(head) => head,
+        Err(error) => {
+            Line::new(&kind::CALL_REFUSED)
+                .field("route", &route.name)
+                .field("error", error)
+                .log();
+            return refusal::plain(StatusCode::BAD_REQUEST);
+        }
+    };
+    let body = match read_body(body, routes.config().limits.max_body_bytes).await {
+        Ok(body) => body,
+        Err(BodyFailure::TooLong) => return refusal::plain(StatusCode::PAYLOAD_TOO_LARGE),
+        Err(BodyFailure::BrokenOff) => return refusal::plain(StatusCode::BAD_REQUEST),
+    };
+    let Some(service) = pick_service(&route, &head.request_id).cloned() else {
+        return refusal::not_run(NO_CONFIG_RETRY_MS);
+    };
+    let engine = routes.config().service(&service).is_some_and(|s| s.engine.is_some());
+    let request = RelayRequest::new(parts, body, head, route, service, arrived_at);
+    shared.retries.borrow_mut().earn();
+    if engine {
+        model_call::relay(shared, request).await
+    } else {
+        service_call::relay(shared, request).await
+    }
+}
--- /dev/null
+++ b/crates/relay/src/call/request.rs
@@ -0,0 +1,53 @@
+//! A request that was read whole.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use hyper::http::request::Parts;
+use hyper::{HeaderMap, Method, Uri};
+use monsoonspread_model::UnixMs;
+use monsoonspread_model::fleet::{CallHead, Route};
+use monsoonspread_model::ServiceName;
+
+/// A request that was read whole.
+#[derive(Clone, Debug)]
+pub(super) struct RelayRequest {
+    pub(super) method: Method,
+    pub(super) uri: Uri,
+    /// The client's headers, without those of its connection.
+    pub(super) headers: HeaderMap,
+    pub(super) body: Bytes,
+    pub(super) head: CallHead,
+    pub(super) route: Arc<Route>,
+    pub(super) service: ServiceName,
+    pub(super) arrived_at: UnixMs,
+    /// When the client or the route gives it up.
+    pub(super) deadline: UnixMs,
+}
+
+impl RelayRequest {
+    /// The request of `parts` on `route`.
+    pub(super) fn new(
+        parts: Parts,
+        body: Bytes,
+        head: CallHead,
+        route: Arc<Route>,
+        service: ServiceName,
+        arrived_at: UnixMs,
+    ) -> Self {
+        let timeout_ms = route.timeout_ms.min(head.remaining_ms.unwrap_or(u64::MAX));
+        let mut headers = parts.headers;
+        super::headers::remove_hop_headers(&mut headers);
+        Self {
+            method: parts.method,
+            uri: parts.uri,
+            headers,
+            body,
+            head,
+            route,
+            service,
+            arrived_at,
+            deadline: arrived_at + timeout_ms,
+        }
+    }
+}
--- /dev/null
+++ b/crates/relay/src/call/service_call.rs
@@ -0,0 +1,130 @@
+//! A request to a plain service.
+
+use std::rc::Rc;
+
+use hyper::{Response, StatusCode};
+use monsoonspread_model::UnixMs;
+use monsoonspread_model::UpstreamName;
+
+use super::answer::{AnswerEnd, ServiceSlot};
+use super::attempt::{Attempt, AttemptOptions, attempt};
+use super::request::RelayRequest;
+use super::{RelayBody, model_call, refusal};
+use crate::event::{Line, kind};
+use crate::shared::Shared;
+
+/// When a client comes back after no server took its request, in milliseconds: what a full
+/// queue of a server takes.
+const RETRY_MS: u64 = 300;
+/// Servers that a request is offered to before it is refused.
+const MAX_OFFERS: usize = 4;
+/// Objectives that a repeatable call waits at one server while it may go to another.
+const PATIENCE_OBJECTIVES: u64 = 2;
+
+/// Sends the request to a server of its service and passes the answer on.
+pub(super) async fn relay(shared: &Rc<Shared>, request: RelayRequest) -> Response<RelayBody> {
+    let repeatable = request.route.repeat.may_run_again();
+    let mut tried: Vec<UpstreamName> = Vec::new();
+    let mut runs = 0;
+    for offer in 0..MAX_OFFERS {
+        if offer > 0 && !shared.retries.borrow_mut().spend() {
+            break;
+        }
+        let Some((record, slot)) = pick(shared, &request, repeatable, &tried) else {
+            break;
+        };
+        tried.push(record.name.clone());
+        let may_run_again = repeatable && runs + 1 < request.route.max_attempts;
+        let options = AttemptOptions {
+            rank: None,
+            adapter_version: None,
+            resume_after: None,
+            give_up_at: give_up_at(shared.now(), &request, may_run_again),
+        };
+        match attempt(shared, &request, &record, options).await {
+            Attempt::Answered {
+                response,
+                answer,
+                sender,
+            } => {
+                runs += 1;
+                let failed = response.status().is_server_error();
+                if failed && may_run_again && shared.retries.borrow().tokens() >= 1.0 {
+                    drop(response);
+                    end(shared, slot, None);
+                    continue;
+                }
+                let end = AnswerEnd::new(shared, &request, &record.name, response.status().into())
+                    .with_slot(Some(slot));
+                return model_call::pass_on(shared, &request, response, answer, sender, end);
+            }
+            Attempt::NotRun { .. } => end(shared, slot, None),
+            Attempt::Unknown | Attempt::TooLate => {
+                runs += 1;
+                end(shared, slot, None);
+                if !may_run_again || shared.now() >= request.deadline {
+                    return failed(shared, &request);
+                }
+            }
+        }
+    }
+    if runs > 0 {
+        return failed(shared, &request);
+    }
+    refused(shared, &request)
+}
+
+fn pick(
+    shared: &Shared,
+    request: &RelayRequest,
+    repeatable: bool,
+    tried: &[UpstreamName],
+) -> Option<(monsoonspread_model::fleet::UpstreamRecord, ServiceSlot)> {
+    let now = shared.now();
+    let mut router = shared.router.borrow_mut();
+    let server = router.pick(now, &request.service, repeatable, tried).ok()?;
+    let Some(record) = shared.fleet.borrow().upstream(&server).cloned() else {
+        router.on_end(now, &server, repeatable, None);
+        return None;
+    };
+    let slot = ServiceSlot {
+        server,
+        repeatable,
+        sent_at: now,
+    };
+    Some((record, slot))
+}
+
+fn give_up_at(now: UnixMs, request: &RelayRequest, may_run_again: bool) -> UnixMs {
+    if !may_run_again {
+        return request.deadline;
+    }
+    let patience_ms = request.route.objective_ms * PATIENCE_OBJECTIVES;
+    request.deadline.min(now + patience_ms)
+}
+
+fn end(shared: &Shared, slot: ServiceSlot, latency_ms: Option<u64>) {
+    let mut router = shared.router.borrow_mut();
+    router.on_end(shared.now(), &slot.server, slot.repeatable, latency_ms);
+}
+
+fn failed(shared: &Shared, request: &RelayRequest) -> Response<RelayBody> {
+    let status = if shared.now() >= request.deadline {
+        StatusCode::GATEWAY_TIMEOUT
+    } else {
+        StatusCode::BAD_GATEWAY
+    };
+    model_call::log_end(shared, request, "failed", status);
+    refusal::plain(status)
+}
+
+fn refused(shared: &Shared, request: &RelayRequest) -> Response<RelayBody> {
+    shared.metrics.count("calls", "refused");
+    Line::new(&kind::CALL_REFUSED)
+        .field("id", &request.head.request_id)
+        .field("route", &request.route.name)
+        .field("reason", "no server took it")
+        .field("retry_ms", RETRY_MS)
+        .log();
+    refusal::not_run(RETRY_MS)
+}
--- /dev/null
+++ b/crates/relay/src/connection/pool.rs
@@ -0,0 +1,121 @@
+//! Idle connections to upstreams.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use monsoonspread_model::UnixMs;
+
+use super::{SendFailure, UpstreamSender};
+use crate::clock::SteadyClock;
+
+/// Idle connections kept to one upstream.
+///
+/// More than run at once in a calm minute; a burst opens its own.
+const MAX_IDLE: usize = 16;
+/// How long an upstream that doesn't say keeps an idle connection, in milliseconds.
+const DEFAULT_KEEP_ALIVE_MS: u64 = 4_000;
+/// Taken off what an upstream says, in milliseconds: a request may be on its way for so long.
+const KEEP_ALIVE_MARGIN_MS: u64 = 500;
+/// Oldest idle connection for work that may not be repeated, in milliseconds.
+///
+/// An upstream may drop an idle connection unseen; one that was used a moment ago is safe.
+const FRESH_MS: u64 = 1_000;
+
+struct Idle {
+    sender: UpstreamSender,
+    since: UnixMs,
+    until: UnixMs,
+}
+
+/// Idle connections to upstreams.
+#[derive(Clone)]
+pub struct Pool {
+    clock: SteadyClock,
+    idle: Rc<RefCell<HashMap<SocketAddr, Vec<Idle>>>>,
+}
+
+impl Pool {
+    /// A pool without connections.
+    pub fn new(clock: SteadyClock) -> Self {
+        Self {
+            clock,
+            idle: Rc::default(),
+        }
+    }
+
+    /// Takes the connection that was used last, or opens one.
+    ///
+    /// # Errors
+    ///
+    /// Fails as not sent when there is no connection in time.
+    pub async fn take(
+        &self,
+        address: SocketAddr,
+        repeatable: bool,
+    ) -> Result<PooledSender, SendFailure> {
+        let sender = match self.take_idle(address, repeatable) {
+            Some(sender) => sender,
+            None => UpstreamSender::connect(address).await?,
+        };
+        Ok(PooledSender {
+            pool: self.clone(),
+            address,
+            sender,
+        })
+    }
+
+    /// Closes what has been idle for too long.
+    pub fn sweep(&self) {
+        let now = self.clock.now();
+        let mut idle = self.idle.borrow_mut();
+        for senders in idle.values_mut() {
+            senders.retain(|idle| now < idle.until && idle.sender.is_ready());
+        }
+        idle.retain(|_, senders| !senders.is_empty());
+    }
+
+    fn take_idle(&self, address: SocketAddr, repeatable: bool) -> Option<UpstreamSender> {
+        let now = self.clock.now();
+        let mut idle = self.idle.borrow_mut();
+        let senders = idle.get_mut(&address)?;
+        while let Some(idle) = senders.pop() {
+            let fresh = repeatable || now.ms_since(idle.since) < FRESH_MS;
+            if now < idle.until && fresh && idle.sender.is_ready() {
+                return Some(idle.sender);
+            }
+        }
+        None
+    }
+
+    fn put(&self, address: SocketAddr, sender: UpstreamSender, keep_alive_ms: Option<u64>) {
+        let now = self.clock.now();
+        let kept_ms = keep_alive_ms.unwrap_or(DEFAULT_KEEP_ALIVE_MS);
+        let until = now + kept_ms.saturating_sub(KEEP_ALIVE_MARGIN_MS);
+        let mut idle = self.idle.borrow_mut();
+        let senders = idle.entry(address).or_default();
+        if senders.len() < MAX_IDLE {
+            senders.push(Idle {
+                sender,
+                since: now,
+                until,
+            });
+        }
+    }
+}
+
+/// A connection that goes back to its pool after a whole answer.
+pub struct PooledSender {
+    pool: Pool,
+    address: SocketAddr,
+    /// The connection.
+    pub sender: UpstreamSender,
+}
+
+impl PooledSender {
+    /// Gives the connection back; `keep_alive_ms` is what the upstream said of it.
+    pub fn give_back(self, keep_alive_ms: Option<u64>) {
+        self.pool.put(self.address, self.sender, keep_alive_ms);
+    }
+}
--- /dev/null
+++ b/crates/relay/src/connection/sender.rs
@@ -0,0 +1,84 @@
+//! One connection to an upstream.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use displaydoc::Display;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::client::conn::http1::{SendRequest, handshake};
+use hyper::{Request, Response};
+use hyper_util::rt::TokioIo;
+use thiserror::Error;
+use tokio::net::TcpStream;
+
+/// Time to connect, in milliseconds: a connection takes one, and a lost packet is sent again
+/// after 200 to 1,000.
+const CONNECT_TIMEOUT_MS: u64 = 400;
+
+/// Why a request got no answer.
+#[derive(Debug, Display, Error)]
+pub enum SendFailure {
+    /// the request was not sent: {0}
+    NotSent(String),
+    /// the request may have arrived but its answer was lost: {0}
+    AnswerLost(String),
+}
+
+/// One connection to an upstream, for one request at a time.
+#[derive(Debug)]
+pub struct UpstreamSender {
+    sender: SendRequest<Full<Bytes>>,
+}
+
+impl UpstreamSender {
+    /// Connects to an upstream.
+    ///
+    /// # Errors
+    ///
+    /// Fails as not sent when there is no connection in time.
+    pub async fn connect(address: SocketAddr) -> Result<Self, SendFailure> {
+        let timeout = Duration::from_millis(CONNECT_TIMEOUT_MS);
+        let stream = tokio::time::timeout(timeout, TcpStream::connect(address))
+            .await
+            .map_err(|_| SendFailure::NotSent(format!("no connection to {address} in time")))?
+            .map_err(|error| SendFailure::NotSent(error.to_string()))?;
+        stream
+            .set_nodelay(true)
+            .map_err(|error| SendFailure::NotSent(error.to_string()))?;
+        let (sender, connection) = handshake(TokioIo::new(stream))
+            .await
+            .map_err(|error| SendFailure::NotSent(error.to_string()))?;
+        tokio::task::spawn_local(async move {
+            // What goes wrong here is told to the request on this connection.
+            let _ = connection.await;
+        });
+        Ok(Self { sender })
+    }
+
+    /// Whether a request may be sent now.
+    pub fn is_ready(&self) -> bool {
+        self.sender.is_ready()
+    }
+
+    /// Sends a request and waits for the head of its answer.
+    ///
+    /// # Errors
+    ///
+    /// Tells whether the request can have arrived.
+    pub async fn send(
+        &mut self,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Response<Incoming>, SendFailure> {
+        self.sender.try_send_request(request).await.map_err(|mut failed| {
+            let never_written = failed.take_message().is_some();
+            let why = failed.into_error().to_string();
+            if never_written {
+                SendFailure::NotSent(why)
+            } else {
+                SendFailure::AnswerLost(why)
+            }
+        })
+    }
+}
--- /dev/null
+++ b/crates/relay/src/fleet/view.rs
@@ -0,0 +1,238 @@
+//! What is known of the operators' configuration, upstreams and instances.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use monsoonspread_borders::relay::{FleetChange, FleetChanges};
+use monsoonspread_decisions::route_table::RouteTable;
+use monsoonspread_model::fleet::{AdapterKey, UpstreamRecord, UpstreamStage};
+use monsoonspread_model::{InstanceName, ServiceName, UnixMs, UpstreamName};
+
+use super::FleetEvent;
+use crate::event::{Line, kind};
+
+/// How long an upstream whose entry lapsed beside an outage of the store is used on, in
+/// milliseconds: entries of live ones are back about two seconds after its return.
+const LAPSED_MS: u64 = 1_900;
+
+/// An upstream that is listed, or was a moment ago.
+#[derive(Clone, Debug)]
+pub struct KnownUpstream {
+    /// What it says of itself.
+    pub record: UpstreamRecord,
+    /// Its entry lapsed; it counts as gone from then on.
+    pub lapses_at: Option<UnixMs>,
+}
+
+/// What is known of the operators' configuration, upstreams and instances.
+#[derive(Debug, Default)]
+pub struct FleetView {
+    routes: Option<Rc<RouteTable>>,
+    upstreams: BTreeMap<UpstreamName, KnownUpstream>,
+    members: BTreeMap<InstanceName, SocketAddr>,
+    holders: BTreeMap<UpstreamName, u64>,
+    versions: BTreeMap<AdapterKey, (u64, UnixMs)>,
+}
+
+impl FleetView {
+    /// Routes in force; `None` before the first configuration.
+    pub fn routes(&self) -> Option<&Rc<RouteTable>> {
+        self.routes.as_ref()
+    }
+
+    /// An upstream.
+    pub fn upstream(&self, name: &UpstreamName) -> Option<&UpstreamRecord> {
+        self.upstreams.get(name).map(|known| &known.record)
+    }
+
+    /// Upstreams of `service` that take new work.
+    pub fn ready<'a>(
+        &'a self,
+        service: &'a ServiceName,
+    ) -> impl Iterator<Item = &'a UpstreamRecord> {
+        let records = self.upstreams.values().map(|known| &known.record);
+        records.filter(move |up| up.service == *service && up.stage == UpstreamStage::Ready)
+    }
+
+    /// Every upstream that takes new work.
+    pub fn all_ready(&self) -> impl Iterator<Item = &UpstreamRecord> {
+        let records = self.upstreams.values().map(|known| &known.record);
+        records.filter(|record| record.stage == UpstreamStage::Ready)
+    }
+
+    /// Where another instance listens.
+    pub fn member(&self, name: &InstanceName) -> Option<SocketAddr> {
+        self.members.get(name).copied()
+    }
+
+    /// The newest version of an adapter, and when it was named.
+    pub fn version(&self, key: &AdapterKey) -> Option<(u64, UnixMs)> {
+        self.versions.get(key).copied()
+    }
+
+    /// Every adapter version that was named.
+    pub fn versions(&self) -> impl Iterator<Item = (&AdapterKey, u64)> {
+        self.versions.iter().map(|(key, (version, _))| (key, *version))
+    }
+
+    /// Whether an upstream is an engine by the configuration in force.
+    pub fn is_engine(&self, service: &ServiceName) -> bool {
+        let routes = self.routes.as_ref();
+        let service = routes.and_then(|routes| routes.config().service(service));
+        service.is_some_and(|service| service.engine.is_some())
+    }
+
+    /// Takes everything there is; what is missing is gone.
+    pub fn on_snapshot(
+        &mut self,
+        now: UnixMs,
+        snapshot: &FleetChanges,
+        complete: bool,
+    ) -> Vec<FleetEvent> {
+        let mut events = self.missing_from(now, snapshot);
+        for change in &snapshot.changes {
+            events.extend(self.on_change(now, change.clone(), complete, false));
+        }
+        events
+    }
+
+    /// Takes one change; `unsettled` while entries may lapse because of the store.
+    pub fn on_change(
+        &mut self,
+        now: UnixMs,
+        change: FleetChange,
+        complete: bool,
+        unsettled: bool,
+    ) -> Option<FleetEvent> {
+        match change {
+            FleetChange::Routing(config) => {
+                let current = self.routes.as_ref().map(|routes| routes.config().version);
+                if current.is_some_and(|current| config.version <= current) {
+                    return None;
+                }
+                Line::new(&kind::CONFIG_IN_FORCE)
+                    .field("version", config.version)
+                    .field("routes", config.routes.len())
+                    .log();
+                self.routes = Some(Rc::new(RouteTable::new(*config)));
+                Some(FleetEvent::Routing)
+            }
+            FleetChange::Upstream(record) => Some(self.on_upstream(record, complete)),
+            FleetChange::UpstreamGone(name) if unsettled => {
+                self.lapse(now, &name);
+                None
+            }
+            FleetChange::UpstreamGone(name) => self.remove(&name),
+            FleetChange::Version(key, version) => {
+                let newer = self.versions.get(&key).is_none_or(|(known, _)| *known < version);
+                if !newer {
+                    return None;
+                }
+                self.versions.insert(key.clone(), (version, now));
+                Line::new(&kind::VERSION_NAMED)
+                    .field("adapter", &key)
+                    .field("version", version)
+                    .log();
+                Some(FleetEvent::Version(key, version))
+            }
+            FleetChange::Member(member) => {
+                self.members.insert(member.name.clone(), member.peer_address);
+                Some(FleetEvent::Member(member.name, member.zone))
+            }
+            FleetChange::MemberGone(name) => {
+                self.members.remove(&name);
+                Some(FleetEvent::MemberGone(name))
+            }
+            FleetChange::Holder(record) => {
+                self.holders.insert(record.upstream.clone(), record.fence);
+                Some(FleetEvent::Holder(record))
+            }
+            FleetChange::HolderGone(name) => {
+                self.holders.remove(&name);
+                Some(FleetEvent::HolderGone(name))
+            }
+            FleetChange::Unreadable { key, problem } => {
+                Line::new(&kind::ENTRY_UNREADABLE)
+                    .field("key", key)
+                    .field("problem", problem)
+                    .log();
+                None
+            }
+        }
+    }
+
+    /// Upstreams whose entries lapsed and did not come back.
+    pub fn on_tick(&mut self, now: UnixMs) -> Vec<FleetEvent> {
+        let lapsed: Vec<UpstreamName> = self
+            .upstreams
+            .iter()
+            .filter(|(_, known)| known.lapses_at.is_some_and(|at| at <= now))
+            .map(|(name, _)| name.clone())
+            .collect();
+        lapsed.iter().filter_map(|name| self.remove(name)).collect()
+    }
+
+    fn on_upstream(&mut self, record: UpstreamRecord, complete: bool) -> FleetEvent {
+        let known = self.upstreams.get(&record.name);
+        let restarted = known.is_some_and(|k| k.record.started_unix_ms != record.started_unix_ms);
+        let changed = known.is_none_or(|known| known.record.stage != record.stage);
+        if restarted || changed {
+            Line::new(&kind::UPSTREAM_LISTED)
+                .field("upstream", &record.name)
+                .field("address", record.address)
+                .field("stage", format!("{:?}", record.stage))
+                .field("restarted", restarted)
+                .log();
+        }
+        let known = KnownUpstream {
+            record: record.clone(),
+            lapses_at: None,
+        };
+        self.upstreams.insert(record.name.clone(), known);
+        FleetEvent::Upstream {
+            record,
+            restarted,
+            complete,
+        }
+    }
+
+    fn lapse(&mut self, now: UnixMs, name: &UpstreamName) {
+        if let Some(known) = self.upstreams.get_mut(name) {
+            known.lapses_at = known.lapses_at.or(Some(now + LAPSED_MS));
+        }
+    }
+
+    fn remove(&mut self, name: &UpstreamName) -> Option<FleetEvent> {
+        self.upstreams.remove(name)?;
+        Line::new(&kind::UPSTREAM_GONE).field("upstream", name).log();
+        Some(FleetEvent::UpstreamGone(name.clone()))
+    }
+
+    fn missing_from(&mut self, now: UnixMs, snapshot: &FleetChanges) -> Vec<FleetEvent> {
+        let mut upstreams: Vec<UpstreamName> = self.upstreams.keys().cloned().collect();
+        let mut members: Vec<InstanceName> = self.members.keys().cloned().collect();
+        let mut holders: Vec<UpstreamName> = self.holders.keys().cloned().collect();
+        for change in &snapshot.changes {
+            match change {
+                FleetChange::Upstream(record) => upstreams.retain(|name| *name != record.name),
+                FleetChange::Member(member) => members.retain(|name| *name != member.name),
+                FleetChange::Holder(record) => holders.retain(|name| *name != record.upstream),
+                _ => {}
+            }
+        }
+        for name in &upstreams {
+            self.lapse(now, name);
+        }
+        for name in &members {
+            self.members.remove(name);
+        }
+        for name in &holders {
+            self.holders.remove(name);
+        }
+        let members = members.into_iter().map(FleetEvent::MemberGone);
+        members
+            .chain(holders.into_iter().map(FleetEvent::HolderGone))
+            .collect()
+    }
+}
--- /dev/null
+++ b/crates/relay/src/holding/ask_guard.rs
@@ -0,0 +1,60 @@
+//! An ask that ends when it is dropped.
+
+use std::rc::Rc;
+
+use monsoonspread_decisions::copies::AskId;
+use monsoonspread_model::{InstanceName, UpstreamName};
+
+use crate::peers::PeerRequest;
+use crate::shared::Shared;
+
+/// An ask that ends when it is dropped, however its request went.
+pub struct AskGuard {
+    shared: Rc<Shared>,
+    holder: InstanceName,
+    upstream: UpstreamName,
+    number: u64,
+    absent: bool,
+}
+
+impl AskGuard {
+    pub(super) fn new(
+        shared: &Rc<Shared>,
+        holder: &InstanceName,
+        upstream: &UpstreamName,
+        number: u64,
+    ) -> Self {
+        Self {
+            shared: Rc::clone(shared),
+            holder: holder.clone(),
+            upstream: upstream.clone(),
+            number,
+            absent: false,
+        }
+    }
+
+    /// The engine didn't have the copy.
+    pub fn on_absent(&mut self) {
+        self.absent = true;
+    }
+}
+
+impl Drop for AskGuard {
+    fn drop(&mut self) {
+        let (number, absent) = (self.number, self.absent);
+        if self.holder == self.shared.settings.instance {
+            let ask = AskId {
+                instance: self.holder.clone(),
+                number,
+            };
+            self.shared.holding.on_done(&self.shared, &self.upstream, &ask, absent);
+            return;
+        }
+        let done = PeerRequest::Done {
+            number,
+            upstream: self.upstream.clone(),
+            absent,
+        };
+        self.shared.peers.tell(&self.holder, done);
+    }
+}
--- /dev/null
+++ b/crates/relay/src/holding/controller.rs
@@ -0,0 +1,415 @@
+//! Delivers events to the state of the engines held, and carries out its actions.
+
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, HashMap};
+use std::rc::Rc;
+
+use monsoonspread_borders::relay::{ClaimOutcome, ClaimWrite, LeaseId};
+use monsoonspread_decisions::copies::{
+    AskId, CopyAction, CopyAsk, CopyControl, CopyControlDump, CopyRefusal,
+};
+use monsoonspread_decisions::holders::{Confirmation, HolderPlan, PlannedClaim};
+use monsoonspread_model::fleet::Order;
+use monsoonspread_model::{InstanceName, UpstreamName};
+use tokio::sync::oneshot;
+
+use super::engine::HeldEngine;
+use crate::event::{Line, kind};
+use crate::fleet::FleetEvent;
+use crate::peers::{AskFailure, PeerReply};
+use crate::shared::Shared;
+
+/// Records that one write of the store takes.
+const CLAIMS_AT_ONCE: usize = 16;
+
+type LocalAnswer = oneshot::Sender<Result<u32, AskFailure>>;
+
+/// The engines that this instance gives orders to.
+pub struct Holding {
+    plan: RefCell<HolderPlan>,
+    engines: RefCell<BTreeMap<UpstreamName, HeldEngine>>,
+    pub(super) confirmation: RefCell<Confirmation>,
+    pub(super) lease: Cell<Option<LeaseId>>,
+    local: RefCell<HashMap<u64, LocalAnswer>>,
+    numbers: Cell<u64>,
+    may_order: Cell<bool>,
+}
+
+impl Holding {
+    /// No engines are held.
+    pub fn new(own: InstanceName, order_gap_ms: u64) -> Self {
+        Self {
+            plan: RefCell::new(HolderPlan::new(own, order_gap_ms)),
+            engines: RefCell::default(),
+            confirmation: RefCell::default(),
+            lease: Cell::new(None),
+            local: RefCell::default(),
+            numbers: Cell::new(0),
+            may_order: Cell::new(false),
+        }
+    }
+
+    /// Who holds an engine, as far as is known.
+    pub fn holder(&self, upstream: &UpstreamName) -> Option<InstanceName> {
+        self.plan.borrow().holder(upstream).cloned()
+    }
+
+    /// Instances that share the load.
+    pub fn members(&self) -> usize {
+        self.plan.borrow().members().max(1)
+    }
+
+    /// Describes the engines held.
+    pub fn dump(&self) -> BTreeMap<UpstreamName, CopyControlDump> {
+        let engines = self.engines.borrow();
+        let dumps = engines.iter();
+        dumps.map(|(name, engine)| (name.clone(), engine.control.dump())).collect()
+    }
+
+    pub(super) fn next_number(&self) -> u64 {
+        self.numbers.set(self.numbers.get() + 1);
+        self.numbers.get()
+    }
+
+    pub(super) fn await_local(&self, number: u64, answer: LocalAnswer) {
+        self.local.borrow_mut().insert(number, answer);
+    }
+
+    pub(super) fn forget_local(&self, number: u64) {
+        self.local.borrow_mut().remove(&number);
+    }
+
+    /// The store told of something new.
+    pub fn on_fleet(&self, shared: &Rc<Shared>, event: &FleetEvent) {
+        let now = shared.now();
+        let mut plan = self.plan.borrow_mut();
+        match event {
+            FleetEvent::Upstream {
+                record,
+                restarted,
+                complete,
+            } => {
+                if shared.fleet.borrow().is_engine(&record.service) {
+                    plan.on_engine(now, &record.name, &record.zone, *complete);
+                }
+                drop(plan);
+                if *restarted {
+                    self.with(shared, &record.name, |engine| {
+                        engine.address = record.address;
+                        engine.control.on_restart(now)
+                    });
+                }
+            }
+            FleetEvent::UpstreamGone(name) => {
+                plan.on_engine_gone(name);
+                drop(plan);
+                self.give_up(shared, name, CopyRefusal::Leaving);
+            }
+            FleetEvent::Member(name, zone) => plan.on_member(name.clone(), zone.clone()),
+            FleetEvent::MemberGone(name) => {
+                plan.on_member_gone(name);
+                drop(plan);
+                self.each(shared, |engine| engine.control.on_instance_gone(now, name.as_str()));
+            }
+            FleetEvent::Holder(record) => {
+                let holder = record.holder.clone();
+                plan.on_holder(now, &record.upstream, holder, record.stopped, record.fence);
+                drop(plan);
+                if record.holder != shared.settings.instance || record.stopped {
+                    self.give_up(shared, &record.upstream, CopyRefusal::NotHolder);
+                }
+            }
+            FleetEvent::HolderGone(name) => {
+                plan.on_holder_gone(now, name);
+                drop(plan);
+                self.give_up(shared, name, CopyRefusal::NotHolder);
+            }
+            FleetEvent::Version(key, version) => {
+                drop(plan);
+                self.each(shared, |engine| engine.control.on_version(now, key, *version));
+            }
+            FleetEvent::Routing => {
+                let fleet = shared.fleet.borrow();
+                for record in fleet.all_ready().filter(|up| fleet.is_engine(&up.service)) {
+                    // Engines can be told from other upstreams only now.
+                    plan.on_engine(now, &record.name, &record.zone, shared.settings.bootstrap);
+                }
+            }
+        }
+    }
+
+    /// An instance asks for a copy.
+    pub fn on_ask(&self, shared: &Rc<Shared>, upstream: &UpstreamName, ask: CopyAsk) {
+        let id = ask.id.clone();
+        let now = shared.now();
+        let held = self.with(shared, upstream, |engine| engine.control.on_ask(now, ask));
+        if !held {
+            self.answer(shared, id, Err(CopyRefusal::NotHolder));
+        }
+    }
+
+    /// A request is over or was never sent.
+    pub fn on_done(&self, shared: &Rc<Shared>, upstream: &UpstreamName, ask: &AskId, absent: bool) {
+        let now = shared.now();
+        self.with(shared, upstream, |engine| engine.control.on_done(now, ask, absent));
+    }
+
+    /// Time has passed.
+    pub fn on_tick(&self, shared: &Rc<Shared>) {
+        let now = shared.now();
+        let may_order = self.confirmation.borrow().holds(now);
+        if self.may_order.replace(may_order) && !may_order {
+            Line::new(&kind::ORDERS_PAUSED).log();
+        }
+        self.each(shared, |engine| {
+            let mut actions = engine.control.on_may_order(now, may_order);
+            actions.extend(engine.control.on_tick(now));
+            actions
+        });
+    }
+
+    /// Claims the engines that the plan gives to this instance.
+    pub async fn claim(&self, shared: &Rc<Shared>) {
+        let Some(lease) = self.lease.get() else {
+            return;
+        };
+        let is_held = |name: &UpstreamName| self.engines.borrow().contains_key(name);
+        let planned = self.plan.borrow().claims(shared.now(), is_held);
+        for claims in planned.chunks(CLAIMS_AT_ONCE) {
+            let writes: Vec<ClaimWrite> = claims.iter().map(|c| write(shared, c)).collect();
+            match shared.borders.store.claim(lease, &writes).await {
+                Ok(ClaimOutcome::Written(fence)) => self.adopt(shared, claims, fence),
+                Ok(outcome) => {
+                    Line::new(&kind::CLAIM_FAILED)
+                        .field("outcome", format!("{outcome:?}"))
+                        .log();
+                }
+                Err(error) => Line::new(&kind::CLAIM_FAILED).field("outcome", error).log(),
+            }
+        }
+    }
+
+    /// Writes that this instance gives no more orders.
+    pub async fn release(&self, shared: &Rc<Shared>) {
+        let held: Vec<(UpstreamName, u64)> = {
+            let engines = self.engines.borrow();
+            engines.iter().map(|(name, engine)| (name.clone(), engine.fence)).collect()
+        };
+        for (name, _) in &held {
+            self.give_up(shared, name, CopyRefusal::NotHolder);
+        }
+        let Some(lease) = self.lease.get() else {
+            return;
+        };
+        for part in held.chunks(CLAIMS_AT_ONCE) {
+            let writes: Vec<ClaimWrite> = part
+                .iter()
+                .map(|(name, fence)| ClaimWrite {
+                    upstream: name.clone(),
+                    expected_revision: *fence,
+                    holder: shared.settings.instance.clone(),
+                    stopped: true,
+                })
+                .collect();
+            if let Err(error) = shared.borders.store.claim(lease, &writes).await {
+                Line::new(&kind::CLAIM_FAILED).field("outcome", error).log();
+            }
+        }
+    }
+
+    /// The lease ended: nothing is held any more.
+    pub(super) fn drop_all(&self, shared: &Rc<Shared>) {
+        let names: Vec<UpstreamName> = self.engines.borrow().keys().cloned().collect();
+        for name in names {
+            self.give_up(shared, &name, CopyRefusal::NotHolder);
+        }
+    }
+
+    fn adopt(&self, shared: &Rc<Shared>, claims: &[PlannedClaim], fence: u64) {
+        let now = shared.now();
+        for claim in claims {
+            let name = &claim.upstream;
+            let own = shared.settings.instance.clone();
+            self.plan.borrow_mut().on_holder(now, name, own, false, fence);
+            let Some((address, shape)) = shared.engine_shape(name) else {
+                continue;
+            };
+            Line::new(&kind::HELD)
+                .field("upstream", name)
+                .field("fence", fence)
+                .field("orders_in_ms", claim.orders_from.ms_since(now))
+                .log();
+            let mut control = CopyControl::new(shape, claim.orders_from);
+            for (key, version) in shared.fleet.borrow().versions() {
+                control.on_version(now, key, version);
+            }
+            let engine = HeldEngine {
+                control,
+                address,
+                fence,
+            };
+            self.engines.borrow_mut().insert(name.clone(), engine);
+        }
+    }
+
+    fn give_up(&self, shared: &Rc<Shared>, name: &UpstreamName, reason: CopyRefusal) {
+        let Some(mut engine) = self.engines.borrow_mut().remove(name) else {
+            return;
+        };
+        Line::new(&kind::HELD_NO_MORE)
+            .field("upstream", name)
+            .field("fence", engine.fence)
+            .log();
+        let actions = engine.control.on_given_up(reason);
+        self.perform(shared, name, actions);
+    }
+
+    fn each(
+        &self,
+        shared: &Rc<Shared>,
+        mut event: impl FnMut(&mut HeldEngine) -> Vec<CopyAction>,
+    ) {
+        let mut all = Vec::new();
+        for (name, engine) in self.engines.borrow_mut().iter_mut() {
+            let actions = event(engine);
+            if !actions.is_empty() {
+                all.push((name.clone(), actions));
+            }
+        }
+        for (name, actions) in all {
+            self.perform(shared, &name, actions);
+        }
+    }
+
+    /// Delivers an event to an engine; false when it is not held.
+    fn with(
+        &self,
+        shared: &Rc<Shared>,
+        name: &UpstreamName,
+        event: impl FnOnce(&mut HeldEngine) -> Vec<CopyAction>,
+    ) -> bool {
+        let actions = match self.engines.borrow_mut().get_mut(name) {
+            Some(engine) => event(engine),
+            None => return false,
+        };
+        self.perform(shared, name, actions);
+        true
+    }
+
+    fn perform(&self, shared: &Rc<Shared>, name: &UpstreamName, actions: Vec<CopyAction>) {
+        for action in actions {
+            match action {
+                CopyAction::Grant { ask, running } => self.answer(shared, ask, Ok(running)),
+                CopyAction::Refuse { ask, reason } => self.answer(shared, ask, Err(reason)),
+                CopyAction::Order(order) => {
+                    let (shared, name) = (Rc::clone(shared), name.clone());
+                    tokio::task::spawn_local(send_order(shared, name, order));
+                }
+                CopyAction::ReadReport => {
+                    let (shared, name) = (Rc::clone(shared), name.clone());
+                    tokio::task::spawn_local(read_report(shared, name));
+                }
+            }
+        }
+    }
+
+    fn answer(&self, shared: &Shared, ask: AskId, answer: Result<u32, CopyRefusal>) {
+        if ask.instance == shared.settings.instance {
+            if let Some(waiting) = self.local.borrow_mut().remove(&ask.number) {
+                // The request has left meanwhile; its guard ends the ask.
+                let _ = waiting.send(answer.map_err(AskFailure::Refused));
+            }
+            return;
+        }
+        let number = ask.number;
+        let reply = match answer {
+            Ok(running) => PeerReply::Granted { number, running },
+            Err(reason) => PeerReply::Refused { number, reason },
+        };
+        shared.incoming.reply(&ask.instance, reply);
+    }
+
+    fn target(&self, name: &UpstreamName) -> Option<(std::net::SocketAddr, u64)> {
+        let engines = self.engines.borrow();
+        engines.get(name).map(|engine| (engine.address, engine.fence))
+    }
+}
+
+fn write(shared: &Shared, claim: &PlannedClaim) -> ClaimWrite {
+    ClaimWrite {
+        upstream: claim.upstream.clone(),
+        expected_revision: claim.expected_revision,
+        holder: shared.settings.instance.clone(),
+        stopped: false,
+    }
+}
+
+async fn send_order(shared: Rc<Shared>, name: UpstreamName, order: Order) {
+    let holding = &shared.holding;
+    let Some((address, fence)) = holding.target(&name) else {
+        return;
+    };
+    if !holding.confirmation.borrow().holds(shared.now()) {
+        let now = shared.now();
+        let not_sent = monsoonspread_model::fleet::OrderAnswer::NotSent;
+        holding.with(&shared, &name, |engine| engine.control.on_order_answer(now, not_sent));
+        return;
+    }
+    let answer = shared.borders.engines.order(&name, address, fence, &order).await;
+    shared.metrics.count("orders", order_outcome(answer));
+    log::debug!("order {order:?} at {name}: {answer:?}");
+    if !matches!(
+        answer,
+        monsoonspread_model::fleet::OrderAnswer::Accepted
+            | monsoonspread_model::fleet::OrderAnswer::Holds
+    ) {
+        Line::new(&kind::ORDER_ANSWERED)
+            .field("upstream", &name)
+            .field("order", format!("{:?}", order.kind))
+            .field("adapter", &order.key)
+            .field("accepted_before", order.accepted_before)
+            .field("answer", format!("{answer:?}"))
+            .log();
+    }
+    let now = shared.now();
+    holding.with(&shared, &name, |engine| {
+        if engine.fence != fence {
+            return Vec::new();
+        }
+        engine.control.on_order_answer(now, answer)
+    });
+}
+
+fn order_outcome(answer: monsoonspread_model::fleet::OrderAnswer) -> &'static str {
+    use monsoonspread_model::fleet::OrderAnswer;
+    match answer {
+        OrderAnswer::Accepted => "accepted",
+        OrderAnswer::Holds => "holds",
+        OrderAnswer::Conflict => "conflict",
+        OrderAnswer::Unknown => "unknown",
+        OrderAnswer::Rejected => "rejected",
+        OrderAnswer::NotSent => "not_sent",
+        OrderAnswer::Unanswered => "unanswered",
+    }
+}
+
+async fn read_report(shared: Rc<Shared>, name: UpstreamName) {
+    let holding = &shared.holding;
+    let Some((address, _)) = holding.target(&name) else {
+        return;
+    };
+    let report = shared.borders.engines.report(&name, address).await;
+    match &report {
+        Ok(holdings) => Line::new(&kind::REPORT_READ)
+            .field("upstream", &name)
+            .field("adapters", holdings.adapters.len())
+            .field("accepted", holdings.accepted_orders)
+            .log(),
+        Err(error) => Line::new(&kind::REPORT_FAILED)
+            .field("upstream", &name)
+            .field("error", error)
+            .log(),
+    }
+    let now = shared.now();
+    holding.with(&shared, &name, |engine| engine.control.on_report(now, report.ok()));
+}
--- /dev/null
+++ b/crates/relay/src/holding/lease.rs
@@ -0,0 +1,68 @@
+//! The lease under which this instance is announced and holds engines.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use monsoonspread_borders::relay::{FleetMember, FleetStoreError, LeaseId};
+use monsoonspread_decisions::holders::CONFIRMED_FOR_MS;
+
+use crate::event::{Line, kind};
+use crate::shared::Shared;
+
+/// How often the lease is renewed, in milliseconds: three renewals may be lost.
+const RENEW_MS: u64 = 2_000;
+/// Pause after a call that failed, in milliseconds.
+const RETRY_MS: u64 = 300;
+
+/// Keeps the lease and the announcement for good.
+pub async fn keep_lease(shared: Rc<Shared>) {
+    loop {
+        if let Some(lease) = open(&shared).await {
+            renew(&shared, lease).await;
+            shared.holding.lease.set(None);
+            shared.holding.confirmation.borrow_mut().on_lost();
+            shared.holding.drop_all(&shared);
+            Line::new(&kind::LEASE_LOST).field("lease", lease.0).log();
+        }
+        tokio::time::sleep(Duration::from_millis(RETRY_MS)).await;
+    }
+}
+
+async fn open(shared: &Rc<Shared>) -> Option<LeaseId> {
+    let sent_at = shared.now();
+    let store = &shared.borders.store;
+    let lease = store.open_lease(CONFIRMED_FOR_MS).await.ok()?;
+    announce(shared, lease).await.ok()?;
+    Line::new(&kind::LEASE_OPENED).field("lease", lease.0).log();
+    shared.holding.lease.set(Some(lease));
+    shared.holding.confirmation.borrow_mut().on_renewed(sent_at);
+    Some(lease)
+}
+
+async fn announce(shared: &Shared, lease: LeaseId) -> Result<(), FleetStoreError> {
+    if shared.is_stopping() {
+        return Ok(());
+    }
+    let member = FleetMember {
+        name: shared.settings.instance.clone(),
+        zone: shared.settings.zone.clone(),
+        peer_address: shared.settings.listen.peers,
+    };
+    shared.borders.store.announce(lease, &member).await
+}
+
+/// Renews the lease until the store says that it has ended.
+async fn renew(shared: &Rc<Shared>, lease: LeaseId) {
+    loop {
+        tokio::time::sleep(Duration::from_millis(RENEW_MS)).await;
+        let sent_at = shared.now();
+        match shared.borders.store.renew_lease(lease).await {
+            Ok(()) => shared.holding.confirmation.borrow_mut().on_renewed(sent_at),
+            Err(FleetStoreError::LeaseEnded) => return,
+            Err(error) => log::debug!("the lease was not renewed: {error}"),
+        }
+        if shared.take_unannounced() && announce(shared, lease).await.is_err() {
+            shared.set_unannounced();
+        }
+    }
+}
--- /dev/null
+++ b/crates/relay/src/holding/mod.rs
@@ -0,0 +1,12 @@
+//! The engines that this instance gives orders to, and asks to other holders.
+
+mod ask_guard;
+mod asks;
+mod controller;
+mod engine;
+mod lease;
+
+pub use ask_guard::AskGuard;
+pub use asks::Ask;
+pub use controller::Holding;
+pub use lease::keep_lease;
--- /dev/null
+++ b/crates/relay/src/http/mod.rs
@@ -0,0 +1,7 @@
+//! Listeners for clients and for the platform.
+
+mod clients;
+mod metrics;
+
+pub use clients::{Connections, serve_clients};
+pub use metrics::serve_metrics;
--- /dev/null
+++ b/crates/relay/src/lib.rs
@@ -0,0 +1,25 @@
+//! The process that relays requests to upstreams, behind any platform's borders.
+//!
+//! One thread runs everything. Decisions are the state machines of `monsoonspread-decisions`;
+//! this crate delivers their events and carries out their actions.
+
+pub mod clock;
+pub mod event;
+pub mod settings;
+
+mod borders;
+mod call;
+mod connection;
+mod error;
+mod fleet;
+mod holding;
+mod http;
+mod metrics;
+mod peers;
+mod run;
+mod shared;
+
+pub use borders::Borders;
+pub use error::RunError;
+pub use run::run;
+pub use settings::RelaySettings;
--- /dev/null
+++ b/crates/relay/src/peers/incoming.rs
@@ -0,0 +1,95 @@
+//! Connections from other instances.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use futures_util::StreamExt;
+use monsoonspread_model::InstanceName;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
+use tokio::time::{Instant, interval, sleep_until};
+
+use super::frame::{ALIVE_EVERY_MS, Frames, SILENT_MS, decode, frames, send_all};
+use super::message::{PeerReply, PeerRequest};
+
+/// What is done with requests of other instances.
+pub trait PeerHandler {
+    /// A request of `instance` arrived.
+    fn on_request(&self, instance: &InstanceName, request: PeerRequest);
+}
+
+/// Ways back to the instances that are connected.
+#[derive(Clone, Default)]
+pub struct Incoming {
+    replies: Rc<RefCell<HashMap<InstanceName, UnboundedSender<PeerReply>>>>,
+}
+
+impl Incoming {
+    /// Sends `reply` to `instance`, if it is connected; otherwise it asks anew.
+    pub fn reply(&self, instance: &InstanceName, reply: PeerReply) {
+        if let Some(queue) = self.replies.borrow().get(instance) {
+            // The connection is being closed: its instance asks anew.
+            let _ = queue.send(reply);
+        }
+    }
+}
+
+/// Accepts connections of other instances for good.
+pub async fn accept_peers(listener: TcpListener, incoming: Incoming, handler: Rc<dyn PeerHandler>) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            continue;
+        };
+        let (incoming, handler) = (incoming.clone(), Rc::clone(&handler));
+        tokio::task::spawn_local(serve(stream, incoming, handler));
+    }
+}
+
+async fn serve(stream: TcpStream, incoming: Incoming, handler: Rc<dyn PeerHandler>) {
+    // Without it a reply waits for the next packet; the connection works all the same.
+    let _ = stream.set_nodelay(true);
+    let mut frames = frames(stream);
+    let first = tokio::time::timeout(Duration::from_millis(SILENT_MS), frames.next()).await;
+    let Ok(Some(Ok(bytes))) = first else {
+        return;
+    };
+    let Some(PeerRequest::Hello(instance)) = decode(&bytes) else {
+        return;
+    };
+    let (queue, replies) = unbounded_channel();
+    incoming.replies.borrow_mut().insert(instance.clone(), queue.clone());
+    carry(frames, replies, &instance, handler.as_ref()).await;
+    let mut open = incoming.replies.borrow_mut();
+    if open.get(&instance).is_some_and(|newest| newest.same_channel(&queue)) {
+        open.remove(&instance);
+    }
+}
+
+async fn carry(
+    mut frames: Frames,
+    mut replies: UnboundedReceiver<PeerReply>,
+    instance: &InstanceName,
+    handler: &dyn PeerHandler,
+) {
+    let mut alive = interval(Duration::from_millis(ALIVE_EVERY_MS));
+    let mut silent_at = Instant::now() + Duration::from_millis(SILENT_MS);
+    loop {
+        tokio::select! {
+            frame = frames.next() => {
+                let Some(Ok(bytes)) = frame else { return };
+                silent_at = Instant::now() + Duration::from_millis(SILENT_MS);
+                let Some(request) = decode(&bytes) else { return };
+                handler.on_request(instance, request);
+            }
+            Some(reply) = replies.recv() => {
+                if send_all(&mut frames, &reply, &mut replies).await.is_none() { return }
+            }
+            _ = alive.tick() => {
+                if send_all(&mut frames, &PeerReply::Alive, &mut replies).await.is_none() { return }
+            }
+            () = sleep_until(silent_at) => return,
+        }
+    }
+}
--- /dev/null
+++ b/crates/relay/src/peers/message.rs
@@ -0,0 +1,66 @@
+//! What instances tell each other.
+
+use monsoonspread_decisions::copies::CopyRefusal;
+use monsoonspread_model::fleet::AdapterKey;
+use monsoonspread_model::{InstanceName, UpstreamName};
+use serde::{Deserialize, Serialize};
+
+/// An ask for a copy. Times are spans, as instances' clocks differ.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct PeerAsk {
+    /// Number of the ask.
+    pub number: u64,
+    /// The engine.
+    pub upstream: UpstreamName,
+    /// What the request runs on.
+    pub key: AdapterKey,
+    /// Rank of the request, 0 first.
+    pub rank: u32,
+    /// How long the instance waits for the copy, in milliseconds.
+    pub wait_ms: u64,
+    /// How long the request may take at the most, in milliseconds.
+    pub lasts_ms: u64,
+}
+
+/// What an instance tells a holder.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub enum PeerRequest {
+    /// Who speaks; the first message.
+    Hello(InstanceName),
+    /// An ask.
+    Ask(PeerAsk),
+    /// A request is over or was never sent.
+    Done {
+        /// Number of the ask.
+        number: u64,
+        /// The engine.
+        upstream: UpstreamName,
+        /// The engine didn't have the copy.
+        absent: bool,
+    },
+    /// A sign of life.
+    Alive,
+}
+
+/// What a holder answers.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub enum PeerReply {
+    /// The ask arrived; its answer follows.
+    Heard(u64),
+    /// The copy is there.
+    Granted {
+        /// Number of the ask.
+        number: u64,
+        /// Requests that run on the engine or are about to.
+        running: u32,
+    },
+    /// The copy isn't there.
+    Refused {
+        /// Number of the ask.
+        number: u64,
+        /// Why.
+        reason: CopyRefusal,
+    },
+    /// A sign of life.
+    Alive,
+}
--- /dev/null
+++ b/crates/relay/src/run.rs
@@ -0,0 +1,156 @@
+//! Start, run and stop of the process.
+
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::net::TcpListener;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::task::{LocalSet, spawn_local};
+use tokio::time::{Instant, interval, sleep, sleep_until};
+
+use crate::borders::Borders;
+use crate::error::RunError;
+use crate::event::{Line, kind, start_logging};
+use crate::fleet::watch_store;
+use crate::holding::keep_lease;
+use crate::http::{Connections, serve_clients, serve_metrics};
+use crate::peers::accept_peers;
+use crate::settings::RelaySettings;
+use crate::shared::{HeldEngines, Shared};
+
+/// How often engines and lapsed entries are looked after, in milliseconds: the least time in
+/// which a copy arrives.
+const TICK_MS: u64 = 25;
+/// How often engines without a holder are claimed, in milliseconds.
+const CLAIM_MS: u64 = 250;
+/// Time for all instances of a region to announce themselves at a start, in milliseconds.
+const SETTLE_MS: u64 = 1_200;
+/// How often idle connections are swept, in milliseconds.
+const SWEEP_MS: u64 = 1_000;
+/// Time until the platform sends no more clients after readiness fails, in milliseconds: it
+/// asks once a second and acts on the second miss.
+const UNREADY_MS: u64 = 2_500;
+/// Left of the grace for the last records and for the end itself, in milliseconds.
+const STOP_MARGIN_MS: u64 = 700;
+/// How often a stopping process looks whether it is done, in milliseconds.
+const STOP_CHECK_MS: u64 = 50;
+
+/// Runs the process until it is told to stop.
+///
+/// # Errors
+///
+/// Fails when an address can't be listened on.
+pub fn run(path: &Path, settings: RelaySettings, borders: Borders) -> Result<(), RunError> {
+    start_logging();
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .map_err(RunError::Runtime)?;
+    let shared = Rc::new(Shared::new(settings, borders));
+    LocalSet::new().block_on(&runtime, serve(path.to_owned(), shared))
+}
+
+async fn serve(path: PathBuf, shared: Rc<Shared>) -> Result<(), RunError> {
+    let listen = shared.settings.listen.clone();
+    let connections = Connections::new();
+    let platform = Connections::new();
+    let callers = bind(listen.callers).await?;
+    let readiness = bind(listen.readiness).await?;
+    let peers = bind(listen.peers).await?;
+    spawn_local(serve_clients(callers, Rc::clone(&shared), connections.clone()));
+    spawn_local(serve_clients(readiness, Rc::clone(&shared), platform));
+    let handler = Rc::new(HeldEngines(Rc::clone(&shared)));
+    spawn_local(accept_peers(peers, shared.incoming.clone(), handler));
+    if let Some(address) = listen.metrics {
+        spawn_local(serve_metrics(bind(address).await?, Rc::clone(&shared)));
+    }
+    spawn_local(watch_store(Rc::clone(&shared)));
+    spawn_local(keep_lease(Rc::clone(&shared)));
+    spawn_local(claim_engines(Rc::clone(&shared)));
+    spawn_local(tick(Rc::clone(&shared)));
+    spawn_local(reread_settings(path, Rc::clone(&shared)));
+    Line::new(&kind::STARTED)
+        .field("instance", &shared.settings.instance)
+        .field("zone", &shared.settings.zone)
+        .field("callers", listen.callers)
+        .field("peers", listen.peers)
+        .field("bootstrap", shared.settings.bootstrap)
+        .log();
+    stop(&shared, &connections).await;
+    Ok(())
+}
+
+async fn bind(address: SocketAddr) -> Result<TcpListener, RunError> {
+    TcpListener::bind(address)
+        .await
+        .map_err(|error| RunError::Listen(address, error))
+}
+
+async fn tick(shared: Rc<Shared>) {
+    let mut ticks = interval(Duration::from_millis(TICK_MS));
+    ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    let mut sweep_at = shared.now();
+    loop {
+        ticks.tick().await;
+        shared.on_tick();
+        let now = shared.now();
+        if now >= sweep_at {
+            sweep_at = now + SWEEP_MS;
+            shared.pool.sweep();
+        }
+    }
+}
+
+async fn claim_engines(shared: Rc<Shared>) {
+    sleep(Duration::from_millis(SETTLE_MS)).await;
+    loop {
+        if !shared.is_stopping() {
+            shared.holding.claim(&shared).await;
+        }
+        sleep(Duration::from_millis(CLAIM_MS)).await;
+    }
+}
+
+/// Reads the settings again when told to; addresses change only with a restart.
+async fn reread_settings(path: PathBuf, shared: Rc<Shared>) {
+    let Ok(mut hangups) = signal(SignalKind::hangup()) else {
+        return;
+    };
+    while hangups.recv().await.is_some() {
+        match RelaySettings::read(&path) {
+            Ok(settings) => Line::new(&kind::SETTINGS_READ)
+                .field("changed", settings != shared.settings)
+                .log(),
+            Err(error) => Line::new(&kind::SETTINGS_WRONG).field("error", error).log(),
+        }
+    }
+}
+
+/// Waits for the signal to stop, and then for the requests in flight.
+async fn stop(shared: &Rc<Shared>, connections: &Connections) {
+    let Ok(mut terminate) = signal(SignalKind::terminate()) else {
+        std::future::pending::<()>().await;
+        return;
+    };
+    terminate.recv().await;
+    shared.on_stop();
+    let grace = Duration::from_secs_f64(shared.settings.bounds.stop_grace_s);
+    let ends_by = Instant::now() + grace - Duration::from_millis(STOP_MARGIN_MS);
+    Line::new(&kind::STOP_BEGUN).field("connections", connections.open()).log();
+    if let Err(error) = shared.borders.store.withdraw(&shared.settings.instance).await {
+        log::debug!("the announcement was not withdrawn: {error}");
+    }
+    sleep(Duration::from_millis(UNREADY_MS)).await;
+    connections.close_idle();
+    while connections.open() > 0 && Instant::now() < ends_by {
+        sleep(Duration::from_millis(STOP_CHECK_MS)).await;
+    }
+    // Nothing waits for the store for longer than the grace lasts.
+    tokio::select! {
+        () = shared.holding.release(shared) => {}
+        () = sleep_until(ends_by + Duration::from_millis(STOP_MARGIN_MS / 2)) => {}
+    }
+    Line::new(&kind::STOPPED).field("instance", &shared.settings.instance).log();
+}
--- /dev/null
+++ b/crates/relay/src/shared.rs
@@ -0,0 +1,225 @@
+//! State that the tasks of the process share.
+
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use monsoonspread_borders::relay::{FleetChange, FleetChanges};
+use monsoonspread_decisions::copies::{AskId, CopyAsk};
+use monsoonspread_decisions::load_choice::LoadChoice;
+use monsoonspread_decisions::placement::{CandidateUpstream, Placement, PlacementSettings};
+use monsoonspread_decisions::retry_budget::RetryBudget;
+use monsoonspread_decisions::service_route::{ServiceRouter, ServiceServer};
+use monsoonspread_model::fleet::EngineShape;
+use monsoonspread_model::{InstanceName, UnixMs, UpstreamName};
+
+use crate::borders::Borders;
+use crate::clock::SteadyClock;
+use crate::connection::Pool;
+use crate::fleet::{FleetEvent, FleetView};
+use crate::holding::Holding;
+use crate::metrics::Metrics;
+use crate::peers::{Incoming, PeerHandler, PeerLinks, PeerReply, PeerRequest};
+use crate::settings::RelaySettings;
+
+/// Seed of the choice among servers; any will do, as instances need not agree.
+const ROUTER_SEED: u64 = 1;
+/// Share of the retries of all instances that one instance keeps back, as requests are spread
+/// unevenly over them.
+const RETRY_MARGIN: f64 = 0.7;
+
+/// State that the tasks of the process share.
+pub struct Shared {
+    /// Settings at the start.
+    pub settings: RelaySettings,
+    /// The platform.
+    pub borders: Borders,
+    /// The clock.
+    pub clock: SteadyClock,
+    /// What is known of the fleet.
+    pub fleet: RefCell<FleetView>,
+    /// Engines held, and asks.
+    pub holding: Holding,
+    /// Connections to other instances.
+    pub peers: PeerLinks,
+    /// Connections from other instances.
+    pub incoming: Incoming,
+    /// Connections to upstreams.
+    pub pool: Pool,
+    /// Which engines may serve an adapter.
+    pub placement: RefCell<Placement>,
+    /// Which of them is least loaded.
+    pub loads: RefCell<LoadChoice>,
+    /// Servers of plain services.
+    pub router: RefCell<ServiceRouter>,
+    /// Further attempts.
+    pub retries: RefCell<RetryBudget>,
+    /// Counters and latencies.
+    pub metrics: Metrics,
+    stopping: Cell<bool>,
+    unannounced: Cell<bool>,
+}
+
+impl Shared {
+    /// The state of a process that knows nothing yet.
+    pub fn new(settings: RelaySettings, borders: Borders) -> Self {
+        let clock = SteadyClock::start();
+        let (own, zone) = (settings.instance.clone(), settings.zone.clone());
+        let bounds = settings.bounds;
+        Self {
+            borders,
+            clock,
+            fleet: RefCell::default(),
+            holding: Holding::new(own.clone(), bounds.order_gap_ms),
+            peers: PeerLinks::new(own),
+            incoming: Incoming::default(),
+            pool: Pool::new(clock),
+            placement: RefCell::new(Placement::new(zone.clone(), PlacementSettings::default())),
+            loads: RefCell::default(),
+            router: RefCell::new(ServiceRouter::new(zone, ROUTER_SEED)),
+            retries: RefCell::new(RetryBudget::new(
+                bounds.retry_ratio * RETRY_MARGIN,
+                bounds.retry_slack * RETRY_MARGIN,
+            )),
+            metrics: Metrics::default(),
+            stopping: Cell::new(false),
+            unannounced: Cell::new(false),
+            settings,
+        }
+    }
+
+    /// The time now.
+    pub fn now(&self) -> UnixMs {
+        self.clock.now()
+    }
+
+    /// Whether a planned stop has begun.
+    pub fn is_stopping(&self) -> bool {
+        self.stopping.get()
+    }
+
+    /// A planned stop begins.
+    pub fn on_stop(&self) {
+        self.stopping.set(true);
+    }
+
+    /// Whether the announcement has to be written anew.
+    pub fn take_unannounced(&self) -> bool {
+        self.unannounced.take()
+    }
+
+    /// The announcement has to be written anew.
+    pub fn set_unannounced(&self) {
+        self.unannounced.set(true);
+    }
+
+    /// Whether requests can be served.
+    pub fn is_ready(&self) -> bool {
+        !self.is_stopping() && self.fleet.borrow().routes().is_some()
+    }
+
+    /// Address and shape of an engine that is listed.
+    pub fn engine_shape(&self, name: &UpstreamName) -> Option<(SocketAddr, EngineShape)> {
+        let fleet = self.fleet.borrow();
+        let record = fleet.upstream(name)?;
+        let service = fleet.routes()?.config().service(&record.service)?;
+        Some((record.address, service.engine.clone()?))
+    }
+
+    /// Everything was read from the store.
+    pub fn on_snapshot(self: &Rc<Self>, snapshot: &FleetChanges, complete: bool) {
+        let now = self.now();
+        let events = self.fleet.borrow_mut().on_snapshot(now, snapshot, complete);
+        self.on_events(&events);
+    }
+
+    /// Something changed in the store; `unsettled` while entries may lapse because of it.
+    pub fn on_change(self: &Rc<Self>, change: FleetChange, unsettled: bool) {
+        let now = self.now();
+        let event = self.fleet.borrow_mut().on_change(now, change, true, unsettled);
+        self.on_events(event.as_slice());
+    }
+
+    /// Time has passed.
+    pub fn on_tick(self: &Rc<Self>) {
+        let events = self.fleet.borrow_mut().on_tick(self.now());
+        self.on_events(&events);
+        self.holding.on_tick(self);
+    }
+
+    fn on_events(self: &Rc<Self>, events: &[FleetEvent]) {
+        for event in events {
+            self.holding.on_fleet(self, event);
+            if matches!(event, FleetEvent::MemberGone(name) if *name == self.settings.instance) {
+                self.set_unannounced();
+            }
+        }
+        if !events.is_empty() {
+            self.refresh_choices();
+        }
+    }
+
+    /// Tells the choices which upstreams there are.
+    fn refresh_choices(&self) {
+        let fleet = self.fleet.borrow();
+        let (engines, servers): (Vec<_>, Vec<_>) = fleet
+            .all_ready()
+            .partition(|record| fleet.is_engine(&record.service));
+        let candidates = engines.iter().map(|record| CandidateUpstream {
+            name: record.name.clone(),
+            zone: record.zone.clone(),
+            weight: 1.0,
+        });
+        let servers: Vec<ServiceServer> = servers
+            .iter()
+            .map(|record| ServiceServer {
+                name: record.name.clone(),
+                service: record.service.clone(),
+                zone: record.zone.clone(),
+            })
+            .collect();
+        let mut placement = self.placement.borrow_mut();
+        placement.on_upstreams(candidates.collect());
+        placement.on_sharing_instances(self.holding.members());
+        self.loads.borrow_mut().retain(|name| fleet.upstream(name).is_some());
+        self.router.borrow_mut().on_servers(&servers);
+    }
+}
+
+/// Passes requests of other instances on to the engines held.
+pub struct HeldEngines(pub Rc<Shared>);
+
+impl PeerHandler for HeldEngines {
+    fn on_request(&self, instance: &InstanceName, request: PeerRequest) {
+        let shared = &self.0;
+        match request {
+            PeerRequest::Hello(_) | PeerRequest::Alive => {}
+            PeerRequest::Ask(ask) => {
+                let now = shared.now();
+                shared.incoming.reply(instance, PeerReply::Heard(ask.number));
+                let copy_ask = CopyAsk {
+                    id: AskId {
+                        instance: instance.clone(),
+                        number: ask.number,
+                    },
+                    key: ask.key,
+                    rank: ask.rank,
+                    wait_until: now + ask.wait_ms,
+                    ends_by: now + ask.lasts_ms,
+                };
+                shared.holding.on_ask(shared, &ask.upstream, copy_ask);
+            }
+            PeerRequest::Done {
+                number,
+                upstream,
+                absent,
+            } => {
+                let ask = AskId {
+                    instance: instance.clone(),
+                    number,
+                };
+                shared.holding.on_done(shared, &upstream, &ask, absent);
+            }
+        }
+    }
+}
--- a/crates/standin/tests/store.rs
+++ b/crates/standin/tests/store.rs
@@ -1,7 +1,7 @@
 //! The client of the key-value service against its stand-in.
 
-use monsoonspread_platform::store::EtcdGateway;
-use monsoonspread_platform::{CasOutcome, CreateOutcome, KeyValueStore, StoreError};
+use monsoonspread_borders::store::EtcdGateway;
+use monsoonspread_borders::{CasOutcome, CreateOutcome, KeyValueStore, StoreError};
 use monsoonspread_standin::{Fault, Running, Store, StoreSettings};
 
 const KEY: &str = "/monsoonspread/bundle/pointer";
