--- a/crates/borders/src/http/http_client.rs
+++ b/crates/borders/src/http/http_client.rs
@@ -84,12 +84,7 @@
     }
 
     /// Starts a request to `path` at `address`, with the headers common to all.
-    pub fn request(
-        &self,
-        method: &str,
-        address: SocketAddr,
-        path: &str,
-    ) -> request::Builder {
+    pub fn request(&self, method: &str, address: SocketAddr, path: &str) -> request::Builder {
         let builder = Request::builder()
             .method(method)
             .uri(format!("http://{address}{path}"));
--- a/crates/borders/src/relay/engine_control.rs
+++ b/crates/borders/src/relay/engine_control.rs
@@ -23,6 +23,9 @@
     /// # Errors
     ///
     /// Says what went wrong.
-    async fn report(&self, upstream: &UpstreamName, address: SocketAddr)
-    -> Result<Holdings, String>;
+    async fn report(
+        &self,
+        upstream: &UpstreamName,
+        address: SocketAddr,
+    ) -> Result<Holdings, String>;
 }
--- a/crates/borders/src/relay/fleet_store.rs
+++ b/crates/borders/src/relay/fleet_store.rs
@@ -4,7 +4,7 @@
 
 use async_trait::async_trait;
 use displaydoc::Display;
-use monsoonspread_model::fleet::{AdapterKey, RoutingConfig, UpstreamRecord};
+use monsoonspread_model::fleet::{AdapterKey, HolderActivity, RoutingConfig, UpstreamRecord};
 use monsoonspread_model::{InstanceName, UpstreamName, ZoneName};
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
@@ -31,8 +31,8 @@
     pub upstream: UpstreamName,
     /// The holder.
     pub holder: InstanceName,
-    /// It gave the engine up and gives no more orders.
-    pub stopped: bool,
+    /// What it does.
+    pub activity: HolderActivity,
     /// Revision of the record: the fencing number of its orders.
     pub fence: u64,
 }
@@ -83,8 +83,8 @@
     pub expected_revision: u64,
     /// The holder.
     pub holder: InstanceName,
-    /// It gives the engine up; the record then outlasts the lease.
-    pub stopped: bool,
+    /// What it does; the record of one that stopped outlasts the lease.
+    pub activity: HolderActivity,
 }
 
 /// How a claim ended.
--- a/crates/ctl/src/command/bundle.rs
+++ b/crates/ctl/src/command/bundle.rs
@@ -2,9 +2,9 @@
 
 use std::path::{Path, PathBuf};
 
+use monsoonspread_borders::StoreError;
 use monsoonspread_model::bundle::{Manifest, Verifier, write_source};
 use monsoonspread_model::{Bundle, BundleVersion, UnixMs};
-use monsoonspread_borders::StoreError;
 use serde_json::json;
 
 use super::output::{Output, print_text};
--- a/crates/ctl/src/command/mod.rs
+++ b/crates/ctl/src/command/mod.rs
@@ -11,11 +11,11 @@
 use std::path::Path;
 use std::sync::Arc;
 
-use monsoonspread_model::Bundle;
-use monsoonspread_model::bundle::read_source;
 use monsoonspread_borders::KeyValueStore;
 use monsoonspread_borders::http::HttpClient;
 use monsoonspread_borders::store::EtcdGateway;
+use monsoonspread_model::Bundle;
+use monsoonspread_model::bundle::read_source;
 
 use crate::cli::{Cli, Command};
 use crate::error::CtlError;
--- a/crates/ctl/src/error.rs
+++ b/crates/ctl/src/error.rs
@@ -3,9 +3,9 @@
 use std::path::PathBuf;
 
 use displaydoc::Display;
+use monsoonspread_borders::StoreError;
 use monsoonspread_model::bundle::BadVerifyKey;
 use monsoonspread_model::toml_check::Findings;
-use monsoonspread_borders::StoreError;
 use thiserror::Error;
 
 use crate::fleet_status::InstanceStatus;
--- a/crates/ctl/src/fleet_status/mod.rs
+++ b/crates/ctl/src/fleet_status/mod.rs
@@ -9,8 +9,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use monsoonspread_model::{BundleVersion, UnixMs};
 use monsoonspread_borders::http::HttpClient;
+use monsoonspread_model::{BundleVersion, UnixMs};
 use tokio::task::JoinSet;
 
 const POLL_INTERVAL: Duration = Duration::from_millis(100);
--- a/crates/ctl/src/roll_out/bundle_store.rs
+++ b/crates/ctl/src/roll_out/bundle_store.rs
@@ -2,9 +2,9 @@
 
 use std::sync::Arc;
 
+use monsoonspread_borders::{CasOutcome, CreateOutcome, KeyValueStore, StoreError, Stored};
 use monsoonspread_model::bundle::{BundleDelta, Manifest, decode, join};
 use monsoonspread_model::{Bundle, BundleVersion};
-use monsoonspread_borders::{CasOutcome, CreateOutcome, KeyValueStore, StoreError, Stored};
 
 const POINTER_KEY: &str = "/monsoonspread/bundle/pointer";
 const HISTORY_PREFIX: &str = "/monsoonspread/bundle/history/";
--- a/crates/ctl/src/roll_out/machine.rs
+++ b/crates/ctl/src/roll_out/machine.rs
@@ -4,9 +4,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use monsoonspread_borders::{KeyValueStore, StoreError};
 use monsoonspread_model::UnixMs;
 use monsoonspread_model::bundle::{BundleDelta, MAX_PART_BYTES, Manifest};
-use monsoonspread_borders::{KeyValueStore, StoreError};
 
 use super::{BundleStore, InForce, RollOutError, RollOutOutcome};
 use crate::signed_bundle::SignedBundle;
--- a/crates/ctl/src/roll_out/tests.rs
+++ b/crates/ctl/src/roll_out/tests.rs
@@ -3,8 +3,8 @@
 use std::sync::Arc;
 
 use ed25519_dalek::SigningKey;
-use monsoonspread_model::{Bundle, BundleVersion, UnixMs};
 use monsoonspread_borders::store::EtcdGateway;
+use monsoonspread_model::{Bundle, BundleVersion, UnixMs};
 use monsoonspread_standin::{Fault, Running, Store, StoreSettings};
 
 use super::{BundleStore, RollOut, RollOutError, RollOutOutcome};
--- a/crates/decisions/src/copies/control.rs
+++ b/crates/decisions/src/copies/control.rs
@@ -12,7 +12,6 @@
 #[derive(Debug)]
 pub struct CopyControl {
     pub(super) shape: EngineShape,
-    pub(super) orders_from: UnixMs,
     pub(super) may_order: bool,
     pub(super) accepted: Option<u64>,
     pub(super) models: Vec<BaseModelName>,
@@ -30,12 +29,11 @@
 }
 
 impl CopyControl {
-    /// An engine of which nothing is known; no order is given before `orders_from`.
-    pub fn new(shape: EngineShape, orders_from: UnixMs) -> Self {
+    /// An engine of which nothing is known; no order is given before it may.
+    pub fn new(shape: EngineShape) -> Self {
         Self {
             shape,
-            orders_from,
-            may_order: true,
+            may_order: false,
             accepted: None,
             models: Vec::new(),
             copies: BTreeMap::new(),
@@ -52,6 +50,13 @@
         }
     }
 
+    /// Versions that were named before.
+    #[must_use]
+    pub fn with_versions(mut self, newest: BTreeMap<AdapterKey, u64>) -> Self {
+        self.newest = newest;
+        self
+    }
+
     /// An instance wants to send a request.
     pub fn on_ask(&mut self, now: UnixMs, ask: CopyAsk) -> Vec<CopyAction> {
         self.waiting.push(ask);
@@ -174,10 +179,7 @@
             self.copies.insert(key, copy);
         }
         for key in holdings.coming {
-            let stage = CopyStage::Coming {
-                since: now,
-                check_at: now,
-            };
+            let stage = CopyStage::Coming { check_at: now };
             let mut copy = former
                 .remove(&key)
                 .unwrap_or_else(|| Copy::new(stage, None, now));
--- a/crates/decisions/src/copies/copy.rs
+++ b/crates/decisions/src/copies/copy.rs
@@ -15,8 +15,10 @@
 /// How far a copy is.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(super) enum CopyStage {
-    /// Ordered; ask the engine again at this time.
-    Coming { since: UnixMs, check_at: UnixMs },
+    /// The order is not answered yet; it replaces an older version that the engine holds.
+    Ordered { replaces: bool },
+    /// The engine accepted the order; ask it again at this time.
+    Coming { check_at: UnixMs },
     /// Requests may be sent.
     Present,
     /// To be removed; it makes room only once the engine says so.
@@ -49,7 +51,10 @@
     }
 
     pub(super) fn is_coming(&self) -> bool {
-        matches!(self.stage, CopyStage::Coming { .. })
+        matches!(
+            self.stage,
+            CopyStage::Ordered { .. } | CopyStage::Coming { .. }
+        )
     }
 
     pub(super) fn is_idle(&self) -> bool {
--- a/crates/decisions/src/copies/orders.rs
+++ b/crates/decisions/src/copies/orders.rs
@@ -35,10 +35,11 @@
         let Some(order) = self.under_way.take() else {
             return self.on_tick(now);
         };
+        let repeated = self.unanswered.take().is_some();
         match answer {
             OrderAnswer::Accepted => self.on_accepted(now, &order),
             OrderAnswer::Holds => self.on_holds(now, &order),
-            OrderAnswer::Conflict => self.on_conflict(now, order),
+            OrderAnswer::Conflict => self.on_conflict(now, &order, repeated),
             OrderAnswer::Unknown => self.on_unknown(now, &order),
             OrderAnswer::Rejected => self.on_rejected(now),
             OrderAnswer::NotSent | OrderAnswer::Unanswered => {
@@ -51,7 +52,7 @@
 
     fn on_accepted(&mut self, now: UnixMs, order: &Order) {
         self.conflicts = 0;
-        let first = !self.is_awaited(order);
+        let first = !self.is_question(order);
         if first {
             self.accepted = Some(order.accepted_before + 1);
         }
@@ -62,29 +63,24 @@
         let Some(copy) = self.copies.get_mut(&order.key) else {
             return;
         };
-        copy.stage = match (order.kind, copy.stage) {
-            (OrderKind::Unload, _) => CopyStage::Going {
+        copy.stage = match order.kind {
+            OrderKind::Unload => CopyStage::Going {
                 accepted: true,
                 check_at: now + CONFLICT_PAUSE_MS,
             },
-            (OrderKind::Load, CopyStage::Coming { since, .. }) if !first => CopyStage::Coming {
-                since,
-                check_at: now + CHECK_EVERY_MS,
-            },
-            (OrderKind::Load, _) => CopyStage::Coming {
-                since: now,
+            OrderKind::Load if first => CopyStage::Coming {
                 check_at: now + FIRST_CHECK_MS,
             },
+            OrderKind::Load => CopyStage::Coming {
+                check_at: now + CHECK_EVERY_MS,
+            },
         };
     }
 
-    /// Whether an order of this kind was accepted before, and this one only asks again.
-    fn is_awaited(&self, order: &Order) -> bool {
+    /// Whether an order only asks after one that was accepted before.
+    fn is_question(&self, order: &Order) -> bool {
         let stage = self.copies.get(&order.key).map(|copy| copy.stage);
-        match order.kind {
-            OrderKind::Load => matches!(stage, Some(CopyStage::Coming { since, .. }) if since > UnixMs(0)),
-            OrderKind::Unload => false,
-        }
+        order.kind == OrderKind::Load && matches!(stage, Some(CopyStage::Coming { .. }))
     }
 
     fn on_holds(&mut self, now: UnixMs, order: &Order) {
@@ -97,40 +93,46 @@
         }
         match order.kind {
             OrderKind::Load => {
-                let newest = self.newest.get(&order.key).copied();
                 if let Some(copy) = self.copies.get_mut(&order.key) {
                     copy.stage = CopyStage::Present;
-                    copy.version = newest.or(copy.version);
+                    copy.version = order.version.or(copy.version);
                     copy.used_at = copy.used_at.max(now);
                 }
             }
             OrderKind::Unload => {
                 let removed = self.copies.remove(&order.key).map(|copy| copy.stage);
-                let was_accepted =
-                    matches!(removed, Some(CopyStage::Going { accepted: true, .. }));
+                let was_accepted = matches!(removed, Some(CopyStage::Going { accepted: true, .. }));
                 self.accepted = Some(order.accepted_before + u64::from(!was_accepted));
             }
         }
     }
 
-    fn on_conflict(&mut self, now: UnixMs, order: Order) {
+    fn on_conflict(&mut self, now: UnixMs, order: &Order, repeated: bool) {
         self.conflicts += 1;
         self.pause_until = now + CONFLICT_PAUSE_MS;
-        let waits_for_unload = self.copies.values().any(|copy| {
-            matches!(copy.stage, CopyStage::Going { .. })
-        });
-        let was_unanswered = self.unanswered.take().is_some();
-        if was_unanswered || (!waits_for_unload && self.conflicts >= CONFLICTS_TO_REPORT) {
+        let waits_for_unload = self
+            .copies
+            .values()
+            .any(|copy| matches!(copy.stage, CopyStage::Going { .. }));
+        if repeated || (!waits_for_unload && self.conflicts >= CONFLICTS_TO_REPORT) {
             self.distrust(now);
         }
-        self.undo_unsent(&order);
+        self.undo_ordered(order);
     }
 
-    /// A copy that was about to be ordered for the first time isn't on its way.
-    fn undo_unsent(&mut self, order: &Order) {
+    /// The engine doesn't do what was ordered: it holds what it held.
+    fn undo_ordered(&mut self, order: &Order) {
         let stage = self.copies.get(&order.key).map(|copy| copy.stage);
-        if let Some(CopyStage::Coming { since: UnixMs(0), .. }) = stage {
-            self.copies.remove(&order.key);
+        match stage {
+            Some(CopyStage::Ordered { replaces: true }) => {
+                if let Some(copy) = self.copies.get_mut(&order.key) {
+                    copy.stage = CopyStage::Present;
+                }
+            }
+            Some(CopyStage::Ordered { replaces: false }) => {
+                self.copies.remove(&order.key);
+            }
+            _ => {}
         }
     }
 
@@ -170,7 +172,7 @@
             self.read_report(now);
             return;
         };
-        if !self.may_order || now < self.orders_from || now < self.pause_until {
+        if !self.may_order || now < self.pause_until {
             return;
         }
         if let Some(order) = self.unanswered.clone() {
@@ -180,11 +182,13 @@
         let next = self
             .missing_model(now)
             .or_else(|| self.due_check(now))
-            .or_else(|| self.outdated(now))
+            .or_else(|| self.outdated())
             .or_else(|| self.wanted_load(now));
         if let Some((kind, key)) = next {
+            let version = self.newest.get(&key).copied();
             self.send(Order {
                 kind,
+                version: version.filter(|_| kind == OrderKind::Load),
                 key,
                 accepted_before: accepted,
             });
@@ -216,12 +220,18 @@
             return None;
         }
         self.model_check_at = now + MODEL_CHECK_EVERY_MS;
-        Some((OrderKind::Load, AdapterKey { model, adapter: None }))
+        Some((
+            OrderKind::Load,
+            AdapterKey {
+                model,
+                adapter: None,
+            },
+        ))
     }
 
     fn due_check(&self, now: UnixMs) -> Option<(OrderKind, AdapterKey)> {
         self.copies.iter().find_map(|(key, copy)| match copy.stage {
-            CopyStage::Coming { check_at, .. } if check_at <= now => {
+            CopyStage::Coming { check_at } if check_at <= now => {
                 Some((OrderKind::Load, key.clone()))
             }
             CopyStage::Going { check_at, .. } if check_at <= now => {
@@ -231,16 +241,13 @@
         })
     }
 
-    fn outdated(&mut self, now: UnixMs) -> Option<(OrderKind, AdapterKey)> {
+    fn outdated(&mut self) -> Option<(OrderKind, AdapterKey)> {
         let newest = &self.newest;
         let (key, copy) = self.copies.iter_mut().find(|(key, copy)| {
             let named = newest.get(*key).copied();
             copy.is_present() && named.is_some() && copy.version.unwrap_or(1) < named.unwrap_or(0)
         })?;
-        copy.stage = CopyStage::Coming {
-            since: UnixMs(0),
-            check_at: now,
-        };
+        copy.stage = CopyStage::Ordered { replaces: true };
         Some((OrderKind::Load, key.clone()))
     }
 
@@ -251,10 +258,7 @@
         }
         let wanted = self.most_wanted()?;
         if self.copies.len() < self.capacity() {
-            let stage = CopyStage::Coming {
-                since: UnixMs(0),
-                check_at: now + CHECK_EVERY_MS,
-            };
+            let stage = CopyStage::Ordered { replaces: false };
             self.copies
                 .insert(wanted.clone(), Copy::new(stage, None, now));
             return Some((OrderKind::Load, wanted));
--- /dev/null
+++ b/crates/decisions/src/copies/tests/engine.rs
@@ -0,0 +1,96 @@
+//! An engine as far as orders go.
+
+use std::collections::BTreeMap;
+
+use monsoonspread_model::UnixMs;
+use monsoonspread_model::fleet::{AdapterKey, Holdings, Order, OrderAnswer, OrderKind};
+
+/// Time of a load, in milliseconds.
+const LOAD_MS: u64 = 250;
+
+/// An engine that crashes when it is made to hold more than it can.
+#[derive(Debug, Default)]
+pub struct FakeEngine {
+    pub slots: usize,
+    pub held: BTreeMap<AdapterKey, u64>,
+    pub newest: BTreeMap<AdapterKey, u64>,
+    pub coming: BTreeMap<AdapterKey, UnixMs>,
+    pub accepted: u64,
+    pub crashed: bool,
+    pub loads: usize,
+}
+
+impl FakeEngine {
+    pub fn new(slots: usize) -> Self {
+        Self {
+            slots,
+            ..Self::default()
+        }
+    }
+
+    pub fn on_time(&mut self, now: UnixMs) {
+        let arrived: Vec<AdapterKey> = self
+            .coming
+            .iter()
+            .filter(|(_, at)| **at <= now)
+            .map(|(key, _)| key.clone())
+            .collect();
+        for key in arrived {
+            self.coming.remove(&key);
+            let version = self.newest_of(&key);
+            self.held.insert(key, version);
+        }
+    }
+
+    pub fn on_order(&mut self, now: UnixMs, order: &Order) -> OrderAnswer {
+        self.on_time(now);
+        if order.accepted_before != self.accepted {
+            return OrderAnswer::Conflict;
+        }
+        match order.kind {
+            OrderKind::Load => self.load(now, &order.key, order.version),
+            OrderKind::Unload => self.unload(&order.key),
+        }
+    }
+
+    pub fn report(&self) -> Holdings {
+        Holdings {
+            models: vec!["base".into()],
+            adapters: self.held.clone(),
+            coming: self.coming.keys().cloned().collect(),
+            accepted_orders: self.accepted,
+        }
+    }
+
+    fn newest_of(&self, key: &AdapterKey) -> u64 {
+        self.newest.get(key).copied().unwrap_or(1)
+    }
+
+    fn load(&mut self, now: UnixMs, key: &AdapterKey, version: Option<u64>) -> OrderAnswer {
+        let wanted = version.unwrap_or_else(|| self.newest_of(key));
+        if self.coming.contains_key(key) {
+            return OrderAnswer::Accepted;
+        }
+        if self.held.get(key) == Some(&wanted) {
+            return OrderAnswer::Holds;
+        }
+        self.accepted += 1;
+        self.loads += 1;
+        self.coming.insert(key.clone(), now + LOAD_MS);
+        let added = self
+            .coming
+            .keys()
+            .filter(|key| !self.held.contains_key(*key));
+        if self.held.len() + added.count() > self.slots {
+            self.crashed = true;
+        }
+        OrderAnswer::Accepted
+    }
+
+    fn unload(&mut self, key: &AdapterKey) -> OrderAnswer {
+        if self.held.remove(key).is_some() {
+            self.accepted += 1;
+        }
+        OrderAnswer::Holds
+    }
+}
--- /dev/null
+++ b/crates/decisions/src/copies/tests/mod.rs
@@ -0,0 +1,4 @@
+mod engine;
+mod orders;
+mod random_runs;
+mod world;
--- /dev/null
+++ b/crates/decisions/src/copies/tests/world.rs
@@ -0,0 +1,148 @@
+//! A copy control and an engine, with a network between them that tests bend.
+
+use monsoonspread_model::UnixMs;
+use monsoonspread_model::fleet::{AdapterKey, BaseModel, EngineShape, Order, OrderAnswer};
+
+use super::engine::FakeEngine;
+use crate::copies::{AskId, CopyAction, CopyAsk, CopyControl, CopyRefusal};
+
+/// What happens to an order.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Fate {
+    Answered,
+    /// Carried out, the answer lost.
+    AnswerLost,
+    /// Carried out so much later, and unanswered.
+    Late(u64),
+}
+
+pub struct World {
+    pub control: CopyControl,
+    pub engine: FakeEngine,
+    pub now: UnixMs,
+    pub granted: Vec<u64>,
+    pub refused: Vec<(u64, CopyRefusal)>,
+    pub fates: Box<dyn FnMut() -> Fate>,
+    pub orders: usize,
+    late: Vec<(UnixMs, Order)>,
+}
+
+impl World {
+    pub fn new(slots: usize) -> Self {
+        let base = BaseModel {
+            name: "base".into(),
+            size_mb: 0.0,
+            adapter_size_mb: 0.0,
+        };
+        let shape = EngineShape {
+            batch_places: 8,
+            kv_tokens: 1_000,
+            adapter_slots: slots as u32,
+            weights_mb: 0.0,
+            models: vec![base],
+        };
+        let mut control = CopyControl::new(shape);
+        control.may_order = true;
+        Self {
+            control,
+            engine: FakeEngine::new(slots),
+            now: UnixMs(1_000),
+            granted: Vec::new(),
+            refused: Vec::new(),
+            fates: Box::new(|| Fate::Answered),
+            orders: 0,
+            late: Vec::new(),
+        }
+    }
+
+    pub fn key(adapter: u64) -> AdapterKey {
+        AdapterKey::new("base", Some(&format!("a{adapter}")))
+    }
+
+    pub fn id(number: u64) -> AskId {
+        AskId {
+            instance: "entry-1".into(),
+            number,
+        }
+    }
+
+    pub fn ask(&mut self, number: u64, adapter: u64) {
+        let ask = CopyAsk {
+            id: Self::id(number),
+            key: Self::key(adapter),
+            rank: 0,
+            wait_until: self.now + 60_000,
+            ends_by: self.now + 90_000,
+        };
+        let actions = self.control.on_ask(self.now, ask);
+        self.carry_out(actions);
+    }
+
+    pub fn done(&mut self, number: u64) {
+        let actions = self.control.on_done(self.now, &Self::id(number), false);
+        self.carry_out(actions);
+    }
+
+    pub fn name_version(&mut self, adapter: u64, version: u64) {
+        self.engine.newest.insert(Self::key(adapter), version);
+        let actions = self
+            .control
+            .on_version(self.now, &Self::key(adapter), version);
+        self.carry_out(actions);
+    }
+
+    /// Lets time pass in steps of 5 ms.
+    pub fn run_ms(&mut self, ms: u64) {
+        let end = self.now + ms;
+        while self.now < end {
+            self.now = self.now + 5;
+            self.engine.on_time(self.now);
+            self.deliver_late();
+            let actions = self.control.on_tick(self.now);
+            self.carry_out(actions);
+        }
+    }
+
+    fn deliver_late(&mut self) {
+        let now = self.now;
+        let (due, later): (Vec<_>, Vec<_>) = self.late.drain(..).partition(|(at, _)| *at <= now);
+        self.late = later;
+        for (_, order) in due {
+            self.engine.on_order(now, &order);
+        }
+    }
+
+    fn carry_out(&mut self, actions: Vec<CopyAction>) {
+        for action in actions {
+            match action {
+                CopyAction::Grant { ask, .. } => self.granted.push(ask.number),
+                CopyAction::Refuse { ask, reason } => self.refused.push((ask.number, reason)),
+                CopyAction::ReadReport => {
+                    let report = self.engine.report();
+                    let actions = self.control.on_report(self.now, Some(report));
+                    self.carry_out(actions);
+                }
+                CopyAction::Order(order) => {
+                    self.orders += 1;
+                    let answer = self.order(order);
+                    let actions = self.control.on_order_answer(self.now, answer);
+                    self.carry_out(actions);
+                }
+            }
+        }
+    }
+
+    fn order(&mut self, order: Order) -> OrderAnswer {
+        match (self.fates)() {
+            Fate::Answered => self.engine.on_order(self.now, &order),
+            Fate::AnswerLost => {
+                self.engine.on_order(self.now, &order);
+                OrderAnswer::Unanswered
+            }
+            Fate::Late(ms) => {
+                self.late.push((self.now + ms, order));
+                OrderAnswer::Unanswered
+            }
+        }
+    }
+}
--- a/crates/decisions/src/event_cut/mod.rs
+++ b/crates/decisions/src/event_cut/mod.rs
@@ -63,6 +63,9 @@
 
 fn last_id(events: &[u8]) -> Option<u64> {
     let text = std::str::from_utf8(events).ok()?;
-    let ids = text.lines().rev().filter_map(|line| line.strip_prefix("id:"));
+    let ids = text
+        .lines()
+        .rev()
+        .filter_map(|line| line.strip_prefix("id:"));
     ids.map(str::trim).find_map(|id| id.parse().ok())
 }
--- a/crates/decisions/src/event_cut/tests.rs
+++ b/crates/decisions/src/event_cut/tests.rs
@@ -6,7 +6,10 @@
     let whole = &stream[..stream.len() - b"id: 4\ndata".len()];
     for size in 1..stream.len() {
         let mut cut = EventCut::new();
-        let passed: Vec<u8> = stream.chunks(size).flat_map(|part| cut.push(part)).collect();
+        let passed: Vec<u8> = stream
+            .chunks(size)
+            .flat_map(|part| cut.push(part))
+            .collect();
         assert_eq!(passed, whole, "in pieces of {size} bytes");
         assert_eq!(cut.last_id(), Some(3));
         assert_eq!(cut.take_rest(), b"id: 4\ndata");
--- a/crates/decisions/src/holders/plan.rs
+++ b/crates/decisions/src/holders/plan.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 
+use monsoonspread_model::fleet::HolderActivity;
 use monsoonspread_model::{InstanceName, UnixMs, UpstreamName, ZoneName};
 
 use super::Standing;
@@ -92,17 +93,22 @@
         now: UnixMs,
         name: &UpstreamName,
         holder: InstanceName,
-        stopped: bool,
+        activity: HolderActivity,
         revision: u64,
     ) {
-        let standing = if stopped {
-            Standing::Stopped {
+        let since = now;
+        let standing = match activity {
+            HolderActivity::Stopped => Standing::Stopped {
                 holder,
                 revision,
-                since: now,
-            }
-        } else {
-            Standing::Held { holder, revision }
+                since,
+            },
+            HolderActivity::Orders | HolderActivity::Waits => Standing::Held {
+                holder,
+                revision,
+                waiting: activity == HolderActivity::Waits,
+                since,
+            },
         };
         let engine = self.engines.entry(name.clone()).or_insert_with(|| Engine {
             zone: ZoneName::from(""),
@@ -142,14 +148,13 @@
         let mut load = self.held_counts();
         let mut claims = Vec::new();
         for (name, engine) in self.engines.iter().filter(|(_, engine)| engine.listed) {
-            let Some(free_since) = engine.standing.free_since(&self.own) else {
-                continue;
-            };
             if held(name) {
                 continue;
             }
-            let own_before = free_since == UnixMs(0);
-            if own_before || self.is_own_turn(now, engine, free_since, &mut load) {
+            let free_since = engine.standing.free_since();
+            let is_turn =
+                free_since.is_some_and(|since| self.is_own_turn(now, engine, since, &mut load));
+            if is_turn || engine.standing.is_of(&self.own) {
                 claims.push(PlannedClaim {
                     upstream: name.clone(),
                     expected_revision: engine.standing.revision(),
@@ -192,10 +197,18 @@
     }
 
     /// Instances of the engine's zone first, and among them those that hold least.
-    fn claimers(&self, zone: &ZoneName, load: &BTreeMap<InstanceName, usize>) -> Vec<&InstanceName> {
+    fn claimers(
+        &self,
+        zone: &ZoneName,
+        load: &BTreeMap<InstanceName, usize>,
+    ) -> Vec<&InstanceName> {
         let mut order: Vec<(&InstanceName, &ZoneName)> = self.members.iter().collect();
         order.sort_by_key(|(name, own_zone)| {
-            (*own_zone != zone, load.get(*name).copied().unwrap_or(0), *name)
+            (
+                *own_zone != zone,
+                load.get(*name).copied().unwrap_or(0),
+                *name,
+            )
         });
         order.into_iter().map(|(name, _)| name).collect()
     }
--- a/crates/decisions/src/holders/standing.rs
+++ b/crates/decisions/src/holders/standing.rs
@@ -26,6 +26,10 @@
         holder: InstanceName,
         /// Revision of the record.
         revision: u64,
+        /// It has given no order yet, as it waits for a former holder to stop.
+        waiting: bool,
+        /// When this was seen.
+        since: UnixMs,
     },
     /// The last one gave it up.
     Stopped {
@@ -44,12 +48,18 @@
 }
 
 impl Standing {
-    /// Since when `own` may claim the engine; `None` while it is held.
-    pub(super) fn free_since(&self, own: &InstanceName) -> Option<UnixMs> {
+    /// Whether an earlier process of `own` held the engine last.
+    pub(super) fn is_of(&self, own: &InstanceName) -> bool {
+        match self {
+            Self::Held { holder, .. } | Self::Stopped { holder, .. } => holder == own,
+            Self::NeverHeld { .. } | Self::Vanished { .. } => false,
+        }
+    }
+
+    /// Since when any instance may claim the engine; `None` while it is held.
+    pub(super) fn free_since(&self) -> Option<UnixMs> {
         match self {
-            Self::Held { holder, .. } if holder == own => Some(UnixMs(0)),
             Self::Held { .. } => None,
-            Self::Stopped { holder, .. } if holder == own => Some(UnixMs(0)),
             Self::Stopped { since, .. } => Some(*since + RETURN_MS),
             Self::NeverHeld { since } | Self::Vanished { since } => Some(*since),
         }
@@ -70,12 +80,16 @@
     pub(super) fn orders_from(&self, own: &InstanceName, order_gap_ms: u64) -> UnixMs {
         match self {
             Self::NeverHeld { .. } => UnixMs(0),
+            Self::Held {
+                holder,
+                waiting: true,
+                since,
+                ..
+            } if holder == own => *since + CONFIRMED_FOR_MS + order_gap_ms + IN_TRANSIT_MS,
             Self::Held { holder, .. } | Self::Stopped { holder, .. } if holder == own => UnixMs(0),
             Self::Held { .. } => UnixMs(u64::MAX),
             Self::Stopped { since, .. } => *since + order_gap_ms + IN_TRANSIT_MS,
-            Self::Vanished { since } => {
-                *since + CONFIRMED_FOR_MS + order_gap_ms + IN_TRANSIT_MS
-            }
+            Self::Vanished { since } => *since + CONFIRMED_FOR_MS + order_gap_ms + IN_TRANSIT_MS,
         }
     }
 }
--- a/crates/decisions/src/holders/tests.rs
+++ b/crates/decisions/src/holders/tests.rs
@@ -1,4 +1,5 @@
 use monsoonspread_model::UnixMs;
+use monsoonspread_model::fleet::HolderActivity::{Orders, Stopped, Waits};
 
 use super::{CONFIRMED_FOR_MS, Confirmation, HolderPlan};
 
@@ -17,7 +18,10 @@
 
 fn claimed(plan: &HolderPlan, now: u64) -> Vec<String> {
     let claims = plan.claims(UnixMs(now), |_| false);
-    claims.iter().map(|claim| claim.upstream.to_string()).collect()
+    claims
+        .iter()
+        .map(|claim| claim.upstream.to_string())
+        .collect()
 }
 
 #[test]
@@ -39,7 +43,7 @@
     let vanished_at = 10_000;
     former.on_renewed(UnixMs(vanished_at));
     let mut plan = plan("b1", true);
-    plan.on_holder(UnixMs(0), &"u4".into(), "a1".into(), false, 7);
+    plan.on_holder(UnixMs(0), &"u4".into(), "a1".into(), Orders, 7);
     assert!(claimed(&plan, 1).is_empty());
     plan.on_holder_gone(UnixMs(vanished_at), &"u4".into());
     let claims = plan.claims(UnixMs(vanished_at), |name| name.as_str() != "u4");
@@ -51,12 +55,18 @@
 #[test]
 fn an_instance_that_restarts_goes_on_with_what_it_held() {
     let mut plan = plan("b1", false);
-    plan.on_holder(UnixMs(0), &"u4".into(), "b1".into(), true, 7);
-    plan.on_holder(UnixMs(0), &"u1".into(), "b1".into(), false, 8);
+    plan.on_holder(UnixMs(0), &"u4".into(), "b1".into(), Stopped, 7);
+    plan.on_holder(UnixMs(0), &"u1".into(), "b1".into(), Orders, 8);
     let claims = plan.claims(UnixMs(1), |_| false);
-    let at_once: Vec<_> = claims.iter().filter(|c| c.orders_from == UnixMs(0)).collect();
+    let at_once: Vec<_> = claims
+        .iter()
+        .filter(|c| c.orders_from == UnixMs(0))
+        .collect();
     assert_eq!(at_once.len(), 2);
-    assert_eq!((at_once[0].expected_revision, at_once[1].expected_revision), (8, 7));
+    assert_eq!(
+        (at_once[0].expected_revision, at_once[1].expected_revision),
+        (8, 7)
+    );
 }
 
 #[test]
@@ -64,3 +74,12 @@
     let claims = plan("b1", false).claims(UnixMs(1), |_| false);
     assert!(claims[0].orders_from >= UnixMs(CONFIRMED_FOR_MS + GAP_MS));
 }
+
+/// A process that was killed while it waited went on at once when it was back.
+#[test]
+fn a_wait_for_a_former_holder_outlasts_a_restart() {
+    let mut plan = plan("b1", false);
+    plan.on_holder(UnixMs(0), &"u4".into(), "b1".into(), Waits, 7);
+    let claims = plan.claims(UnixMs(1), |name| name.as_str() != "u4");
+    assert!(claims[0].orders_from >= UnixMs(CONFIRMED_FOR_MS + GAP_MS));
+}
--- a/crates/decisions/src/retry_budget/mod.rs
+++ b/crates/decisions/src/retry_budget/mod.rs
@@ -30,6 +30,12 @@
         }
     }
 
+    /// Changes how many further attempts may be made at once.
+    pub fn set_max_tokens(&mut self, max_tokens: f64) {
+        self.max_tokens = max_tokens;
+        self.tokens = self.tokens.min(max_tokens);
+    }
+
     /// Counts a first attempt.
     pub fn earn(&mut self) {
         self.tokens = (self.tokens + self.earned_per_request).min(self.max_tokens);
--- a/crates/decisions/src/route_table/mod.rs
+++ b/crates/decisions/src/route_table/mod.rs
@@ -23,7 +23,10 @@
         let mut by_host: HashMap<String, Vec<Arc<Route>>> = HashMap::new();
         for route in &config.routes {
             let host = route.host.to_ascii_lowercase();
-            by_host.entry(host).or_default().push(Arc::new(route.clone()));
+            by_host
+                .entry(host)
+                .or_default()
+                .push(Arc::new(route.clone()));
         }
         for routes in by_host.values_mut() {
             routes.sort_by_key(|route| std::cmp::Reverse(route.path_prefix.len()));
--- a/crates/demo/src/region/mod.rs
+++ b/crates/demo/src/region/mod.rs
@@ -10,6 +10,7 @@
 use std::time::Duration;
 
 use ed25519_dalek::SigningKey;
+use monsoonspread_borders::store::EtcdGateway;
 use monsoonspread_ctl::{RollOut, SignedBundle};
 use monsoonspread_entry::settings::{LoadBudget, MeshKey};
 use monsoonspread_entry::{Entry, Platform, Settings};
@@ -17,7 +18,6 @@
 use monsoonspread_model::{
     Bundle, BundleVersion, InstanceKind, InstanceState, ListedInstance, UnixMs, ZoneName,
 };
-use monsoonspread_borders::store::EtcdGateway;
 use monsoonspread_standin::{
     Engine, Instances, InstancesSettings, Running, Service, Store, StoreSettings, Weights,
 };
--- a/crates/demo/src/roll_out.rs
+++ b/crates/demo/src/roll_out.rs
@@ -2,9 +2,9 @@
 
 use displaydoc::Display;
 use ed25519_dalek::SigningKey;
+use monsoonspread_borders::{CasOutcome, KeyValueStore, StoreError};
 use monsoonspread_model::Bundle;
 use monsoonspread_model::bundle::{Manifest, encode, split};
-use monsoonspread_borders::{CasOutcome, KeyValueStore, StoreError};
 use thiserror::Error;
 
 /// Key of the manifest in force.
--- a/crates/entry/src/controller/bundle/controller.rs
+++ b/crates/entry/src/controller/bundle/controller.rs
@@ -4,9 +4,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use monsoonspread_borders::KeyValueStore;
 use monsoonspread_decisions::bundle_spread::{BundleAction, BundleSpread, BundleSpreadSettings};
 use monsoonspread_model::{Bundle, InstanceName, UnixMs};
-use monsoonspread_borders::KeyValueStore;
 use tokio::sync::{mpsc, watch};
 use tokio::time::{MissedTickBehavior, interval};
 
--- a/crates/entry/src/controller/bundle/pointer.rs
+++ b/crates/entry/src/controller/bundle/pointer.rs
@@ -3,9 +3,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use monsoonspread_borders::{KeyValueStore, Stored};
 use monsoonspread_model::InstanceName;
 use monsoonspread_model::bundle::Manifest;
-use monsoonspread_borders::{KeyValueStore, Stored};
 use tokio::sync::watch;
 use tokio::time::sleep;
 
--- a/crates/entry/src/controller/bundle/store_calls.rs
+++ b/crates/entry/src/controller/bundle/store_calls.rs
@@ -2,9 +2,9 @@
 
 use std::sync::Arc;
 
+use monsoonspread_borders::{KeyValueStore, StoreError};
 use monsoonspread_model::BundleVersion;
 use monsoonspread_model::bundle::{BundleDelta, Manifest, join};
-use monsoonspread_borders::{KeyValueStore, StoreError};
 
 use super::BundleCommand;
 use crate::controller::Mailbox;
--- a/crates/entry/src/controller/dispatch/actions.rs
+++ b/crates/entry/src/controller/dispatch/actions.rs
@@ -3,12 +3,12 @@
 use std::collections::VecDeque;
 use std::sync::Arc;
 
+use monsoonspread_borders::GenerateRequest;
 use monsoonspread_decisions::dispatch::{
     AttemptEnd, AttemptId, DispatchAction, DispatchEvent, EndKind,
 };
 use monsoonspread_model::message::{CrashNotice, GrantRequest, MeshMessage, RequestId};
 use monsoonspread_model::{CopyName, InstanceName, Refusal, UnixMs, UpstreamName};
-use monsoonspread_borders::GenerateRequest;
 use tokio::sync::oneshot;
 
 use super::command::DispatchCommand;
--- a/crates/entry/src/controller/dispatch/generation.rs
+++ b/crates/entry/src/controller/dispatch/generation.rs
@@ -3,10 +3,10 @@
 use std::sync::Arc;
 use std::time::Instant;
 
+use monsoonspread_borders::{Engine, EngineError, GenerateRequest, GenerationEvent};
 use monsoonspread_decisions::dispatch::{AttemptEnd, AttemptId, EndKind};
 use monsoonspread_model::message::RequestId;
 use monsoonspread_model::{CopyName, UpstreamName};
-use monsoonspread_borders::{Engine, EngineError, GenerateRequest, GenerationEvent};
 use serde_json::{Value, json};
 use tokio::sync::{mpsc, oneshot};
 
--- a/crates/entry/src/controller/owner/orders.rs
+++ b/crates/entry/src/controller/owner/orders.rs
@@ -3,9 +3,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use monsoonspread_borders::{Engine, OrderError};
 use monsoonspread_decisions::owner::OrderFailure;
 use monsoonspread_model::{CopyName, Epoch, UpstreamName};
-use monsoonspread_borders::{Engine, OrderError};
 use tokio::time::timeout;
 
 use super::OwnerCommand;
--- a/crates/entry/src/controller/ownership/controller.rs
+++ b/crates/entry/src/controller/ownership/controller.rs
@@ -4,13 +4,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use monsoonspread_borders::KeyValueStore;
 use monsoonspread_decisions::owner::OwnOrigin;
 use monsoonspread_decisions::ownership::{
     OwnKind, Ownership, OwnershipAction, OwnershipSettings, TableDirectory, TableSource,
 };
 use monsoonspread_model::message::{Handover, MeshMessage};
 use monsoonspread_model::{Epoch, InstanceName, OwnershipTable, UnixMs, UpstreamName, ZoneName};
-use monsoonspread_borders::KeyValueStore;
 use rand::seq::IndexedRandom;
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::{MissedTickBehavior, interval};
--- a/crates/entry/src/controller/ownership/store_calls.rs
+++ b/crates/entry/src/controller/ownership/store_calls.rs
@@ -2,9 +2,9 @@
 
 use std::sync::Arc;
 
+use monsoonspread_borders::{CasOutcome, KeyValueStore, StoreError, Stored};
 use monsoonspread_decisions::ownership::WriteResult;
 use monsoonspread_model::{OwnershipTable, ZoneName};
-use monsoonspread_borders::{CasOutcome, KeyValueStore, StoreError, Stored};
 
 use super::OwnershipCommand;
 use super::command::StoredTable;
--- a/crates/entry/src/controller/service/call.rs
+++ b/crates/entry/src/controller/service/call.rs
@@ -3,9 +3,9 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
+use monsoonspread_borders::KeyValueStore;
 use monsoonspread_model::bundle::CallEntry;
 use monsoonspread_model::{CallerName, Refusal, RefusalReason, ServiceName, UnixMs};
-use monsoonspread_borders::KeyValueStore;
 use tokio::sync::{oneshot, watch};
 use tokio_util::task::TaskTracker;
 
--- a/crates/entry/src/controller/service/claim_batches.rs
+++ b/crates/entry/src/controller/service/claim_batches.rs
@@ -4,11 +4,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use monsoonspread_borders::{CreateOutcome, KeyValueStore, StoreError};
 use monsoonspread_decisions::claims::{
     BatchAction, BatchSettings, ClaimBatcher, ClaimKey, ClaimRecord, ClaimToken, CreateResult,
 };
 use monsoonspread_model::UnixMs;
-use monsoonspread_borders::{CreateOutcome, KeyValueStore, StoreError};
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::sleep;
 
--- a/crates/entry/src/controller/service/keyed.rs
+++ b/crates/entry/src/controller/service/keyed.rs
@@ -4,12 +4,12 @@
 use std::pin::pin;
 use std::time::Duration;
 
+use monsoonspread_borders::{CasOutcome, StoreError, Stored};
 use monsoonspread_decisions::claims::{
     Claim, ClaimAction, ClaimAnswer, ClaimKey, ClaimRecord, ClaimToken, CreateResult, OutcomeWrite,
     RunResult, body_digest,
 };
 use monsoonspread_model::{Refusal, UnixMs};
-use monsoonspread_borders::{CasOutcome, StoreError, Stored};
 use tokio::sync::oneshot;
 use tokio::time::sleep;
 
--- a/crates/entry/src/controller/service/tests.rs
+++ b/crates/entry/src/controller/service/tests.rs
@@ -2,9 +2,9 @@
 
 use std::sync::Arc;
 
+use monsoonspread_borders::store::EtcdGateway;
 use monsoonspread_model::bundle::CallEntry;
 use monsoonspread_model::{RefusalReason, UnixMs};
-use monsoonspread_borders::store::EtcdGateway;
 use tokio::sync::watch;
 use tokio_util::task::TaskTracker;
 
--- a/crates/entry/src/controller/service/unkeyed.rs
+++ b/crates/entry/src/controller/service/unkeyed.rs
@@ -2,9 +2,9 @@
 
 use std::sync::Arc;
 
+use monsoonspread_borders::{Service, ServiceError, ServiceReply};
 use monsoonspread_decisions::service_route::{CallAction, CallResult, ServiceCall};
 use monsoonspread_model::{Refusal, RefusalReason, UnixMs, UpstreamName};
-use monsoonspread_borders::{Service, ServiceError, ServiceReply};
 
 use super::call::{CallAnswer, CallRequest, ServiceCalls};
 use super::{RouteCommand, RoutedCall};
--- a/crates/entry/src/directory/engine_row.rs
+++ b/crates/entry/src/directory/engine_row.rs
@@ -3,8 +3,8 @@
 use std::fmt;
 use std::sync::Arc;
 
-use monsoonspread_model::{InstanceState, ListedInstance, UpstreamName};
 use monsoonspread_borders::Engine;
+use monsoonspread_model::{InstanceState, ListedInstance, UpstreamName};
 
 /// A listed engine with its client.
 #[derive(Clone)]
--- a/crates/entry/src/directory/service_row.rs
+++ b/crates/entry/src/directory/service_row.rs
@@ -3,8 +3,8 @@
 use std::fmt;
 use std::sync::Arc;
 
-use monsoonspread_model::{InstanceState, ListedInstance, UpstreamName};
 use monsoonspread_borders::Service;
+use monsoonspread_model::{InstanceState, ListedInstance, UpstreamName};
 
 /// A listed server of a plain service with its client.
 #[derive(Clone)]
--- a/crates/entry/src/platform/clients.rs
+++ b/crates/entry/src/platform/clients.rs
@@ -3,12 +3,12 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use monsoonspread_model::ListedInstance;
 use monsoonspread_borders::engine::VllmEngine;
 use monsoonspread_borders::instance_list::HttpInstanceList;
 use monsoonspread_borders::service::HttpService;
 use monsoonspread_borders::store::EtcdGateway;
 use monsoonspread_borders::{Engine, InstanceList, KeyValueStore, Service};
+use monsoonspread_model::ListedInstance;
 
 use super::{EngineFactory, ServiceFactory};
 use crate::settings::Settings;
--- a/crates/entry/src/platform/mod.rs
+++ b/crates/entry/src/platform/mod.rs
@@ -4,8 +4,8 @@
 
 use std::sync::Arc;
 
-use monsoonspread_model::ListedInstance;
 use monsoonspread_borders::{Engine, InstanceList, KeyValueStore, Service};
+use monsoonspread_model::ListedInstance;
 
 pub use clients::HttpClients;
 
--- a/crates/entry/tests/wrong_echo.rs
+++ b/crates/entry/tests/wrong_echo.rs
@@ -5,12 +5,12 @@
 use std::sync::Arc;
 
 use async_trait::async_trait;
-use monsoonspread_entry::{EngineFactory, Entry, Platform};
-use monsoonspread_model::{BundleVersion, CopyName, Epoch, ListedInstance, LoadReport};
 use monsoonspread_borders::engine::VllmEngine;
 use monsoonspread_borders::{
     Engine, EngineError, GenerateRequest, Generation, GenerationEvent, OrderError,
 };
+use monsoonspread_entry::{EngineFactory, Entry, Platform};
+use monsoonspread_model::{BundleVersion, CopyName, Epoch, ListedInstance, LoadReport};
 use support::*;
 use tokio::sync::mpsc;
 
--- a/crates/load/src/fleet/entries.rs
+++ b/crates/load/src/fleet/entries.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use ed25519_dalek::SigningKey;
+use monsoonspread_borders::store::EtcdGateway;
 use monsoonspread_ctl::{RollOut, SignedBundle};
 use monsoonspread_entry::settings::{LoadBudget, MeshKey};
 use monsoonspread_entry::{Entry, Platform, Settings};
@@ -11,7 +12,6 @@
 use monsoonspread_model::{
     Bundle, BundleVersion, InstanceKind, InstanceState, ListedInstance, UnixMs, ZoneName,
 };
-use monsoonspread_borders::store::EtcdGateway;
 use monsoonspread_standin::{Instances, InstancesSettings, Running, Store, StoreSettings};
 use serde_json::Value;
 
--- a/crates/model/src/fleet/mod.rs
+++ b/crates/model/src/fleet/mod.rs
@@ -2,6 +2,7 @@
 
 mod adapter_key;
 mod call_head;
+mod holder_activity;
 mod order;
 mod route;
 mod routing_config;
@@ -9,6 +10,7 @@
 
 pub use adapter_key::AdapterKey;
 pub use call_head::{CallHead, PromptPart};
+pub use holder_activity::HolderActivity;
 pub use order::{Order, OrderAnswer, OrderKind};
 pub use route::{RepeatRule, Route, RouteTarget};
 pub use routing_config::{BaseModel, ClientLimits, EngineShape, RelayService, RoutingConfig};
--- a/crates/model/src/fleet/order.rs
+++ b/crates/model/src/fleet/order.rs
@@ -5,7 +5,7 @@
 /// What an order does.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum OrderKind {
-    /// Bring a copy, or replace it by the newest version.
+    /// Bring a copy, or replace it by another version.
     Load,
     /// Remove a copy.
     Unload,
@@ -18,6 +18,8 @@
     pub kind: OrderKind,
     /// What it is about.
     pub key: AdapterKey,
+    /// The version of the adapter to bring; `None` for the newest.
+    pub version: Option<u64>,
     /// Orders that the engine must have accepted before.
     pub accepted_before: u64,
 }
--- a/crates/model/src/fleet/routing_config.rs
+++ b/crates/model/src/fleet/routing_config.rs
@@ -46,7 +46,10 @@
     /// assert_eq!(shape.adapters_beside(&["base".into()]), 2);
     /// ```
     pub fn adapters_beside(&self, held: &[BaseModelName]) -> usize {
-        let models = self.models.iter().filter(|model| held.contains(&model.name));
+        let models = self
+            .models
+            .iter()
+            .filter(|model| held.contains(&model.name));
         let (mut free_mb, mut adapter_mb) = (self.weights_mb, 0.0_f64);
         for model in models {
             free_mb -= model.size_mb;
--- a/crates/relay/src/call/answer.rs
+++ b/crates/relay/src/call/answer.rs
@@ -119,14 +119,18 @@
         if let Some(first_ms) = first_ms {
             self.shared.metrics.time("first_byte", first_ms);
         }
-        Line::new(if self.outcome == "left" { &kind::CALL_LEFT } else { &kind::CALL_ENDED })
-            .field("id", &self.request_id)
-            .field("route", &self.route)
-            .field("upstream", &self.upstream)
-            .field("status", self.status)
-            .field("outcome", self.outcome)
-            .field("first_ms", first_ms.unwrap_or(0))
-            .field("ms", ms)
-            .log();
+        Line::new(if self.outcome == "left" {
+            &kind::CALL_LEFT
+        } else {
+            &kind::CALL_ENDED
+        })
+        .field("id", &self.request_id)
+        .field("route", &self.route)
+        .field("upstream", &self.upstream)
+        .field("status", self.status)
+        .field("outcome", self.outcome)
+        .field("first_ms", first_ms.unwrap_or(0))
+        .field("ms", ms)
+        .log();
     }
 }
--- a/crates/relay/src/call/attempt.rs
+++ b/crates/relay/src/call/attempt.rs
@@ -98,7 +98,10 @@
     upstream: &UpstreamRecord,
     options: AttemptOptions,
 ) -> Result<Request<Full<bytes::Bytes>>, hyper::http::Error> {
-    let path = request.uri.path_and_query().map_or("/", |path| path.as_str());
+    let path = request
+        .uri
+        .path_and_query()
+        .map_or("/", |path| path.as_str());
     let mut message = Request::builder()
         .method(request.method.clone())
         .uri(path)
--- a/crates/relay/src/call/handler.rs
+++ b/crates/relay/src/call/handler.rs
@@ -57,9 +57,12 @@
     let Some(service) = pick_service(&route, &head.request_id).cloned() else {
         return refusal::not_run(NO_CONFIG_RETRY_MS);
     };
-    let engine = routes.config().service(&service).is_some_and(|s| s.engine.is_some());
+    let engine = routes
+        .config()
+        .service(&service)
+        .is_some_and(|s| s.engine.is_some());
     let request = RelayRequest::new(parts, body, head, route, service, arrived_at);
-    shared.retries.borrow_mut().earn();
+    shared.retries.earn(&request.service);
     if engine {
         model_call::relay(shared, request).await
     } else {
--- a/crates/relay/src/call/model_call.rs
+++ b/crates/relay/src/call/model_call.rs
@@ -58,7 +58,7 @@
                 continue;
             }
         };
-        if sent && !shared.retries.borrow_mut().spend() {
+        if sent && !shared.retries.spend(&request.service) {
             break;
         }
         sent = true;
@@ -80,10 +80,16 @@
         record.is_some_and(|record| record.service == request.service)
     };
     let (mut names, copies) = match &key.adapter {
-        Some(adapter) => (placement.candidates(now, adapter), placement.copies(now, adapter)),
+        Some(adapter) => (
+            placement.candidates(now, adapter),
+            placement.copies(now, adapter),
+        ),
         // Every engine has the base model.
         None => {
-            let names: Vec<_> = fleet.ready(&request.service).map(|up| up.name.clone()).collect();
+            let names: Vec<_> = fleet
+                .ready(&request.service)
+                .map(|up| up.name.clone())
+                .collect();
             let copies = names.len();
             (names, copies)
         }
@@ -111,7 +117,10 @@
         ends_by: request.deadline,
     };
     let (guard, running) = shared.holding.ask(shared, &ask).await?;
-    shared.loads.borrow_mut().on_running(shared.now(), &record.name, running);
+    shared
+        .loads
+        .borrow_mut()
+        .on_running(shared.now(), &record.name, running);
     Ok(Some(guard))
 }
 
@@ -122,7 +131,10 @@
     failure: AskFailure,
 ) {
     if failure == AskFailure::Silent {
-        shared.loads.borrow_mut().on_holder_silent(shared.now(), upstream);
+        shared
+            .loads
+            .borrow_mut()
+            .on_holder_silent(shared.now(), upstream);
     }
     Line::new(&kind::ASK_FAILED)
         .field("id", &request.head.request_id)
@@ -160,12 +172,18 @@
                 guard.on_absent();
             }
             if !misdirected {
-                shared.loads.borrow_mut().on_failed(shared.now(), &record.name);
+                shared
+                    .loads
+                    .borrow_mut()
+                    .on_failed(shared.now(), &record.name);
             }
             None
         }
         Attempt::Unknown => {
-            shared.loads.borrow_mut().on_failed(shared.now(), &record.name);
+            shared
+                .loads
+                .borrow_mut()
+                .on_failed(shared.now(), &record.name);
             log_end(shared, request, "answer lost", StatusCode::BAD_GATEWAY);
             Some(refusal::plain(StatusCode::BAD_GATEWAY))
         }
--- a/crates/relay/src/call/request.rs
+++ b/crates/relay/src/call/request.rs
@@ -5,9 +5,9 @@
 use bytes::Bytes;
 use hyper::http::request::Parts;
 use hyper::{HeaderMap, Method, Uri};
+use monsoonspread_model::ServiceName;
 use monsoonspread_model::UnixMs;
 use monsoonspread_model::fleet::{CallHead, Route};
-use monsoonspread_model::ServiceName;
 
 /// A request that was read whole.
 #[derive(Clone, Debug)]
--- a/crates/relay/src/call/service_call.rs
+++ b/crates/relay/src/call/service_call.rs
@@ -27,7 +27,7 @@
     let mut tried: Vec<UpstreamName> = Vec::new();
     let mut runs = 0;
     for offer in 0..MAX_OFFERS {
-        if offer > 0 && !shared.retries.borrow_mut().spend() {
+        if offer > 0 && !shared.retries.spend(&request.service) {
             break;
         }
         let Some((record, slot)) = pick(shared, &request, repeatable, &tried) else {
@@ -49,7 +49,7 @@
             } => {
                 runs += 1;
                 let failed = response.status().is_server_error();
-                if failed && may_run_again && shared.retries.borrow().tokens() >= 1.0 {
+                if failed && may_run_again && shared.retries.has_one(&request.service) {
                     drop(response);
                     end(shared, slot, None);
                     continue;
--- a/crates/relay/src/connection/sender.rs
+++ b/crates/relay/src/connection/sender.rs
@@ -71,14 +71,17 @@
         &mut self,
         request: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, SendFailure> {
-        self.sender.try_send_request(request).await.map_err(|mut failed| {
-            let never_written = failed.take_message().is_some();
-            let why = failed.into_error().to_string();
-            if never_written {
-                SendFailure::NotSent(why)
-            } else {
-                SendFailure::AnswerLost(why)
-            }
-        })
+        self.sender
+            .try_send_request(request)
+            .await
+            .map_err(|mut failed| {
+                let never_written = failed.take_message().is_some();
+                let why = failed.into_error().to_string();
+                if never_written {
+                    SendFailure::NotSent(why)
+                } else {
+                    SendFailure::AnswerLost(why)
+                }
+            })
     }
 }
--- a/crates/relay/src/event/catalogue.rs
+++ b/crates/relay/src/event/catalogue.rs
@@ -77,7 +77,8 @@
 /// assert!(catalogue_markdown().contains("| MR1001 |"));
 /// ```
 pub fn catalogue_markdown() -> String {
-    let mut text = String::from("| number | level | event | meaning |\n| --- | --- | --- | --- |\n");
+    let mut text =
+        String::from("| number | level | event | meaning |\n| --- | --- | --- | --- |\n");
     for kind in CATALOGUE {
         let EventKind {
             number,
--- a/crates/relay/src/event/output.rs
+++ b/crates/relay/src/event/output.rs
@@ -1,9 +1,9 @@
 //! Standard output that never makes the process wait.
 
 use std::io::{self, Write};
+use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::mpsc::{Receiver, SyncSender, sync_channel};
-use std::sync::Arc;
 
 use env_logger::{Env, Target};
 
--- a/crates/relay/src/fleet/view.rs
+++ b/crates/relay/src/fleet/view.rs
@@ -73,7 +73,9 @@
 
     /// Every adapter version that was named.
     pub fn versions(&self) -> impl Iterator<Item = (&AdapterKey, u64)> {
-        self.versions.iter().map(|(key, (version, _))| (key, *version))
+        self.versions
+            .iter()
+            .map(|(key, (version, _))| (key, *version))
     }
 
     /// Whether an upstream is an engine by the configuration in force.
@@ -125,7 +127,10 @@
             }
             FleetChange::UpstreamGone(name) => self.remove(&name),
             FleetChange::Version(key, version) => {
-                let newer = self.versions.get(&key).is_none_or(|(known, _)| *known < version);
+                let newer = self
+                    .versions
+                    .get(&key)
+                    .is_none_or(|(known, _)| *known < version);
                 if !newer {
                     return None;
                 }
@@ -137,7 +142,8 @@
                 Some(FleetEvent::Version(key, version))
             }
             FleetChange::Member(member) => {
-                self.members.insert(member.name.clone(), member.peer_address);
+                self.members
+                    .insert(member.name.clone(), member.peer_address);
                 Some(FleetEvent::Member(member.name, member.zone))
             }
             FleetChange::MemberGone(name) => {
@@ -205,7 +211,9 @@
 
     fn remove(&mut self, name: &UpstreamName) -> Option<FleetEvent> {
         self.upstreams.remove(name)?;
-        Line::new(&kind::UPSTREAM_GONE).field("upstream", name).log();
+        Line::new(&kind::UPSTREAM_GONE)
+            .field("upstream", name)
+            .log();
         Some(FleetEvent::UpstreamGone(name.clone()))
     }
 
--- a/crates/relay/src/holding/ask_guard.rs
+++ b/crates/relay/src/holding/ask_guard.rs
@@ -47,7 +47,9 @@
                 instance: self.holder.clone(),
                 number,
             };
-            self.shared.holding.on_done(&self.shared, &self.upstream, &ask, absent);
+            self.shared
+                .holding
+                .on_done(&self.shared, &self.upstream, &ask, absent);
             return;
         }
         let done = PeerRequest::Done {
--- a/crates/relay/src/holding/asks.rs
+++ b/crates/relay/src/holding/asks.rs
@@ -34,11 +34,7 @@
     /// Asks the holder of an engine for a copy.
     ///
     /// Returns the guard of the grant with the requests that run on the engine.
-    pub async fn ask(
-        &self,
-        shared: &Rc<Shared>,
-        ask: &Ask,
-    ) -> Result<(AskGuard, u32), AskFailure> {
+    pub async fn ask(&self, shared: &Rc<Shared>, ask: &Ask) -> Result<(AskGuard, u32), AskFailure> {
         let Some(holder) = self.holder(&ask.upstream) else {
             return Err(AskFailure::Refused(CopyRefusal::NotHolder));
         };
--- a/crates/relay/src/holding/controller.rs
+++ b/crates/relay/src/holding/controller.rs
@@ -9,8 +9,8 @@
     AskId, CopyAction, CopyAsk, CopyControl, CopyControlDump, CopyRefusal,
 };
 use monsoonspread_decisions::holders::{Confirmation, HolderPlan, PlannedClaim};
-use monsoonspread_model::fleet::Order;
-use monsoonspread_model::{InstanceName, UpstreamName};
+use monsoonspread_model::fleet::{HolderActivity, Order, OrderAnswer};
+use monsoonspread_model::{InstanceName, UnixMs, UpstreamName};
 use tokio::sync::oneshot;
 
 use super::engine::HeldEngine;
@@ -63,7 +63,9 @@
     pub fn dump(&self) -> BTreeMap<UpstreamName, CopyControlDump> {
         let engines = self.engines.borrow();
         let dumps = engines.iter();
-        dumps.map(|(name, engine)| (name.clone(), engine.control.dump())).collect()
+        dumps
+            .map(|(name, engine)| (name.clone(), engine.control.dump()))
+            .collect()
     }
 
     pub(super) fn next_number(&self) -> u64 {
@@ -109,13 +111,15 @@
             FleetEvent::MemberGone(name) => {
                 plan.on_member_gone(name);
                 drop(plan);
-                self.each(shared, |engine| engine.control.on_instance_gone(now, name.as_str()));
+                self.each(shared, |engine| {
+                    engine.control.on_instance_gone(now, name.as_str())
+                });
             }
             FleetEvent::Holder(record) => {
                 let holder = record.holder.clone();
-                plan.on_holder(now, &record.upstream, holder, record.stopped, record.fence);
+                plan.on_holder(now, &record.upstream, holder, record.activity, record.fence);
                 drop(plan);
-                if record.holder != shared.settings.instance || record.stopped {
+                if record.holder != shared.settings.instance {
                     self.give_up(shared, &record.upstream, CopyRefusal::NotHolder);
                 }
             }
@@ -126,7 +130,9 @@
             }
             FleetEvent::Version(key, version) => {
                 drop(plan);
-                self.each(shared, |engine| engine.control.on_version(now, key, *version));
+                self.each(shared, |engine| {
+                    engine.control.on_version(now, key, *version)
+                });
             }
             FleetEvent::Routing => {
                 let fleet = shared.fleet.borrow();
@@ -151,7 +157,9 @@
     /// A request is over or was never sent.
     pub fn on_done(&self, shared: &Rc<Shared>, upstream: &UpstreamName, ask: &AskId, absent: bool) {
         let now = shared.now();
-        self.with(shared, upstream, |engine| engine.control.on_done(now, ask, absent));
+        self.with(shared, upstream, |engine| {
+            engine.control.on_done(now, ask, absent)
+        });
     }
 
     /// Time has passed.
@@ -162,6 +170,7 @@
             Line::new(&kind::ORDERS_PAUSED).log();
         }
         self.each(shared, |engine| {
+            let may_order = may_order && engine.waits_until.is_none();
             let mut actions = engine.control.on_may_order(now, may_order);
             actions.extend(engine.control.on_tick(now));
             actions
@@ -176,24 +185,73 @@
         let is_held = |name: &UpstreamName| self.engines.borrow().contains_key(name);
         let planned = self.plan.borrow().claims(shared.now(), is_held);
         for claims in planned.chunks(CLAIMS_AT_ONCE) {
-            let writes: Vec<ClaimWrite> = claims.iter().map(|c| write(shared, c)).collect();
-            match shared.borders.store.claim(lease, &writes).await {
-                Ok(ClaimOutcome::Written(fence)) => self.adopt(shared, claims, fence),
-                Ok(outcome) => {
-                    Line::new(&kind::CLAIM_FAILED)
-                        .field("outcome", format!("{outcome:?}"))
-                        .log();
+            let now = shared.now();
+            let writes: Vec<ClaimWrite> = claims
+                .iter()
+                .map(|claim| ClaimWrite {
+                    upstream: claim.upstream.clone(),
+                    expected_revision: claim.expected_revision,
+                    holder: shared.settings.instance.clone(),
+                    activity: activity(claim.orders_from, now),
+                })
+                .collect();
+            if let Some(fence) = write(shared, lease, &writes).await {
+                self.adopt(shared, claims, now, fence);
+            }
+        }
+        self.end_waits(shared, lease).await;
+    }
+
+    /// Records that this instance gives orders from now on where it waited long enough.
+    async fn end_waits(&self, shared: &Rc<Shared>, lease: LeaseId) {
+        let now = shared.now();
+        let is_over = |engine: &HeldEngine| engine.waits_until.is_some_and(|until| until <= now);
+        let over: Vec<(UpstreamName, u64)> = {
+            let engines = self.engines.borrow();
+            let over = engines.iter().filter(|(_, engine)| is_over(engine));
+            over.map(|(name, engine)| (name.clone(), engine.fence))
+                .collect()
+        };
+        for part in over.chunks(CLAIMS_AT_ONCE) {
+            let writes = self.records(shared, part, HolderActivity::Orders);
+            let Some(fence) = write(shared, lease, &writes).await else {
+                continue;
+            };
+            let mut engines = self.engines.borrow_mut();
+            for (name, former) in part {
+                if let Some(engine) = engines.get_mut(name)
+                    && engine.fence == *former
+                {
+                    engine.fence = fence;
+                    engine.waits_until = None;
                 }
-                Err(error) => Line::new(&kind::CLAIM_FAILED).field("outcome", error).log(),
             }
         }
     }
 
+    fn records(
+        &self,
+        shared: &Shared,
+        held: &[(UpstreamName, u64)],
+        activity: HolderActivity,
+    ) -> Vec<ClaimWrite> {
+        let records = held.iter().map(|(name, fence)| ClaimWrite {
+            upstream: name.clone(),
+            expected_revision: *fence,
+            holder: shared.settings.instance.clone(),
+            activity,
+        });
+        records.collect()
+    }
+
     /// Writes that this instance gives no more orders.
     pub async fn release(&self, shared: &Rc<Shared>) {
         let held: Vec<(UpstreamName, u64)> = {
             let engines = self.engines.borrow();
-            engines.iter().map(|(name, engine)| (name.clone(), engine.fence)).collect()
+            engines
+                .iter()
+                .map(|(name, engine)| (name.clone(), engine.fence))
+                .collect()
         };
         for (name, _) in &held {
             self.give_up(shared, name, CopyRefusal::NotHolder);
@@ -202,18 +260,8 @@
             return;
         };
         for part in held.chunks(CLAIMS_AT_ONCE) {
-            let writes: Vec<ClaimWrite> = part
-                .iter()
-                .map(|(name, fence)| ClaimWrite {
-                    upstream: name.clone(),
-                    expected_revision: *fence,
-                    holder: shared.settings.instance.clone(),
-                    stopped: true,
-                })
-                .collect();
-            if let Err(error) = shared.borders.store.claim(lease, &writes).await {
-                Line::new(&kind::CLAIM_FAILED).field("outcome", error).log();
-            }
+            let writes = self.records(shared, part, HolderActivity::Stopped);
+            write(shared, lease, &writes).await;
         }
     }
 
@@ -225,12 +273,16 @@
         }
     }
 
-    fn adopt(&self, shared: &Rc<Shared>, claims: &[PlannedClaim], fence: u64) {
+    /// Takes over what was claimed; `written_at` is when the claims were written.
+    fn adopt(&self, shared: &Rc<Shared>, claims: &[PlannedClaim], written_at: UnixMs, fence: u64) {
         let now = shared.now();
         for claim in claims {
             let name = &claim.upstream;
             let own = shared.settings.instance.clone();
-            self.plan.borrow_mut().on_holder(now, name, own, false, fence);
+            let activity = activity(claim.orders_from, written_at);
+            self.plan
+                .borrow_mut()
+                .on_holder(now, name, own, activity, fence);
             let Some((address, shape)) = shared.engine_shape(name) else {
                 continue;
             };
@@ -239,14 +291,17 @@
                 .field("fence", fence)
                 .field("orders_in_ms", claim.orders_from.ms_since(now))
                 .log();
-            let mut control = CopyControl::new(shape, claim.orders_from);
-            for (key, version) in shared.fleet.borrow().versions() {
-                control.on_version(now, key, version);
-            }
+            let fleet = shared.fleet.borrow();
+            let versions = fleet
+                .versions()
+                .map(|(key, version)| (key.clone(), version));
+            let control = CopyControl::new(shape).with_versions(versions.collect());
+            let waits = activity == HolderActivity::Waits;
             let engine = HeldEngine {
                 control,
                 address,
                 fence,
+                waits_until: waits.then_some(claim.orders_from),
             };
             self.engines.borrow_mut().insert(name.clone(), engine);
         }
@@ -264,11 +319,7 @@
         self.perform(shared, name, actions);
     }
 
-    fn each(
-        &self,
-        shared: &Rc<Shared>,
-        mut event: impl FnMut(&mut HeldEngine) -> Vec<CopyAction>,
-    ) {
+    fn each(&self, shared: &Rc<Shared>, mut event: impl FnMut(&mut HeldEngine) -> Vec<CopyAction>) {
         let mut all = Vec::new();
         for (name, engine) in self.engines.borrow_mut().iter_mut() {
             let actions = event(engine);
@@ -331,19 +382,35 @@
 
     fn target(&self, name: &UpstreamName) -> Option<(std::net::SocketAddr, u64)> {
         let engines = self.engines.borrow();
-        engines.get(name).map(|engine| (engine.address, engine.fence))
+        engines
+            .get(name)
+            .map(|engine| (engine.address, engine.fence))
     }
 }
 
-fn write(shared: &Shared, claim: &PlannedClaim) -> ClaimWrite {
-    ClaimWrite {
-        upstream: claim.upstream.clone(),
-        expected_revision: claim.expected_revision,
-        holder: shared.settings.instance.clone(),
-        stopped: false,
+/// What a holder does at first that may give orders from `orders_from` on.
+fn activity(orders_from: UnixMs, now: UnixMs) -> HolderActivity {
+    if orders_from <= now {
+        HolderActivity::Orders
+    } else {
+        HolderActivity::Waits
     }
 }
 
+/// Writes holder records; returns their revision.
+async fn write(shared: &Shared, lease: LeaseId, writes: &[ClaimWrite]) -> Option<u64> {
+    let outcome = match shared.borders.store.claim(lease, writes).await {
+        Ok(ClaimOutcome::Written(revision)) => return Some(revision),
+        Ok(outcome) => format!("{outcome:?}"),
+        Err(error) => error.to_string(),
+    };
+    Line::new(&kind::CLAIM_FAILED)
+        .field("engines", writes.len())
+        .field("outcome", outcome)
+        .log();
+    None
+}
+
 async fn send_order(shared: Rc<Shared>, name: UpstreamName, order: Order) {
     let holding = &shared.holding;
     let Some((address, fence)) = holding.target(&name) else {
@@ -351,18 +418,19 @@
     };
     if !holding.confirmation.borrow().holds(shared.now()) {
         let now = shared.now();
-        let not_sent = monsoonspread_model::fleet::OrderAnswer::NotSent;
-        holding.with(&shared, &name, |engine| engine.control.on_order_answer(now, not_sent));
+        holding.with(&shared, &name, |engine| {
+            engine.control.on_order_answer(now, OrderAnswer::NotSent)
+        });
         return;
     }
-    let answer = shared.borders.engines.order(&name, address, fence, &order).await;
+    let answer = shared
+        .borders
+        .engines
+        .order(&name, address, fence, &order)
+        .await;
     shared.metrics.count("orders", order_outcome(answer));
     log::debug!("order {order:?} at {name}: {answer:?}");
-    if !matches!(
-        answer,
-        monsoonspread_model::fleet::OrderAnswer::Accepted
-            | monsoonspread_model::fleet::OrderAnswer::Holds
-    ) {
+    if !matches!(answer, OrderAnswer::Accepted | OrderAnswer::Holds) {
         Line::new(&kind::ORDER_ANSWERED)
             .field("upstream", &name)
             .field("order", format!("{:?}", order.kind))
@@ -380,8 +448,7 @@
     });
 }
 
-fn order_outcome(answer: monsoonspread_model::fleet::OrderAnswer) -> &'static str {
-    use monsoonspread_model::fleet::OrderAnswer;
+fn order_outcome(answer: OrderAnswer) -> &'static str {
     match answer {
         OrderAnswer::Accepted => "accepted",
         OrderAnswer::Holds => "holds",
@@ -411,5 +478,7 @@
             .log(),
     }
     let now = shared.now();
-    holding.with(&shared, &name, |engine| engine.control.on_report(now, report.ok()));
+    holding.with(&shared, &name, |engine| {
+        engine.control.on_report(now, report.ok())
+    });
 }
--- a/crates/relay/src/http/clients.rs
+++ b/crates/relay/src/http/clients.rs
@@ -92,7 +92,11 @@
     shared: Rc<Shared>,
     request: Request<Incoming>,
 ) -> Result<Response<RelayBody>, Infallible> {
-    if shared.borders.dialect.is_readiness(request.method(), request.uri()) {
+    if shared
+        .borders
+        .dialect
+        .is_readiness(request.method(), request.uri())
+    {
         return Ok(readiness(&shared));
     }
     Ok(handle(shared, request).await)
--- a/crates/relay/src/http/metrics.rs
+++ b/crates/relay/src/http/metrics.rs
@@ -39,7 +39,11 @@
         "/dump" => serde_json::to_string_pretty(&shared.holding.dump()).ok(),
         _ => None,
     };
-    let status = if text.is_some() { StatusCode::OK } else { StatusCode::NOT_FOUND };
+    let status = if text.is_some() {
+        StatusCode::OK
+    } else {
+        StatusCode::NOT_FOUND
+    };
     let mut response = Response::new(Full::new(Bytes::from(text.unwrap_or_default())));
     *response.status_mut() = status;
     Ok(response)
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -16,6 +16,7 @@
 mod http;
 mod metrics;
 mod peers;
+mod retries;
 mod run;
 mod shared;
 
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -23,7 +23,11 @@
 impl Metrics {
     /// Counts one event `name` that ended as `outcome`.
     pub fn count(&self, name: &'static str, outcome: &'static str) {
-        *self.counters.borrow_mut().entry((name, outcome)).or_default() += 1;
+        *self
+            .counters
+            .borrow_mut()
+            .entry((name, outcome))
+            .or_default() += 1;
     }
 
     /// Records a latency.
@@ -44,12 +48,18 @@
     pub fn text(&self) -> String {
         let mut text = String::new();
         for ((name, outcome), count) in self.counters.borrow().iter() {
-            let _ = writeln!(text, "monsoonspread_{name}_total{{outcome=\"{outcome}\"}} {count}");
+            let _ = writeln!(
+                text,
+                "monsoonspread_{name}_total{{outcome=\"{outcome}\"}} {count}"
+            );
         }
         for (name, histogram) in self.latencies.borrow().iter() {
             for quantile in QUANTILES {
                 let ms = histogram.value_at_quantile(quantile);
-                let _ = writeln!(text, "monsoonspread_{name}_ms{{quantile=\"{quantile}\"}} {ms}");
+                let _ = writeln!(
+                    text,
+                    "monsoonspread_{name}_ms{{quantile=\"{quantile}\"}} {ms}"
+                );
             }
             let _ = writeln!(text, "monsoonspread_{name}_ms_count {}", histogram.len());
         }
--- a/crates/relay/src/peers/incoming.rs
+++ b/crates/relay/src/peers/incoming.rs
@@ -59,10 +59,16 @@
         return;
     };
     let (queue, replies) = unbounded_channel();
-    incoming.replies.borrow_mut().insert(instance.clone(), queue.clone());
+    incoming
+        .replies
+        .borrow_mut()
+        .insert(instance.clone(), queue.clone());
     carry(frames, replies, &instance, handler.as_ref()).await;
     let mut open = incoming.replies.borrow_mut();
-    if open.get(&instance).is_some_and(|newest| newest.same_channel(&queue)) {
+    if open
+        .get(&instance)
+        .is_some_and(|newest| newest.same_channel(&queue))
+    {
         open.remove(&instance);
     }
 }
--- a/crates/relay/src/peers/link.rs
+++ b/crates/relay/src/peers/link.rs
@@ -145,7 +145,10 @@
         carry(frames(stream), own, &mut requests, &waiting).await;
     }
     requests.close();
-    Line::new(&kind::PEER_LOST).field("peer", &peer).field("address", address).log();
+    Line::new(&kind::PEER_LOST)
+        .field("peer", &peer)
+        .field("address", address)
+        .log();
     waiting.borrow_mut().clear();
 }
 
@@ -157,7 +160,10 @@
 ) {
     let mut alive = interval(Duration::from_millis(ALIVE_EVERY_MS));
     let mut silent_at = Instant::now() + Duration::from_millis(SILENT_MS);
-    if send_all(&mut frames, &PeerRequest::Hello(own), requests).await.is_none() {
+    if send_all(&mut frames, &PeerRequest::Hello(own), requests)
+        .await
+        .is_none()
+    {
         return;
     }
     loop {
--- /dev/null
+++ b/crates/relay/src/retries.rs
@@ -0,0 +1,69 @@
+//! Further attempts, by service.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+
+use monsoonspread_decisions::retry_budget::RetryBudget;
+use monsoonspread_model::ServiceName;
+
+/// Share of its part that an instance uses, as the window of the operators' bound slides and
+/// the requests before its start may have earned what is spent in it.
+const MARGIN: f64 = 0.6;
+
+/// This instance's part of the further attempts that each service may get.
+#[derive(Debug)]
+pub struct RetryBudgets {
+    ratio: f64,
+    slack: f64,
+    instances: Cell<usize>,
+    budgets: RefCell<HashMap<ServiceName, RetryBudget>>,
+}
+
+impl RetryBudgets {
+    /// `ratio` further attempts for each request, and `slack` over all instances.
+    pub fn new(ratio: f64, slack: f64) -> Self {
+        Self {
+            ratio: ratio * MARGIN,
+            slack: slack * MARGIN,
+            instances: Cell::new(1),
+            budgets: RefCell::default(),
+        }
+    }
+
+    /// How many instances share the budgets.
+    pub fn on_instances(&self, instances: usize) {
+        self.instances.set(instances.max(1));
+        for budget in self.budgets.borrow_mut().values_mut() {
+            budget.set_max_tokens(self.max_tokens());
+        }
+    }
+
+    /// Counts a request.
+    pub fn earn(&self, service: &ServiceName) {
+        self.with(service, RetryBudget::earn);
+    }
+
+    /// Takes a further attempt; false when none is left.
+    pub fn spend(&self, service: &ServiceName) -> bool {
+        self.with(service, RetryBudget::spend)
+    }
+
+    /// Whether a further attempt is left.
+    pub fn has_one(&self, service: &ServiceName) -> bool {
+        self.with(service, |budget| budget.tokens() >= 1.0)
+    }
+
+    fn max_tokens(&self) -> f64 {
+        (self.slack / self.instances.get() as f64).max(1.0)
+    }
+
+    fn with<T>(&self, service: &ServiceName, act: impl FnOnce(&mut RetryBudget) -> T) -> T {
+        let mut budgets = self.budgets.borrow_mut();
+        if !budgets.contains_key(service) {
+            let budget = RetryBudget::new(self.ratio, self.max_tokens());
+            budgets.insert(service.clone(), budget);
+        }
+        // Inserted above.
+        act(budgets.get_mut(service).expect("the service has a budget"))
+    }
+}
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -59,7 +59,11 @@
     let callers = bind(listen.callers).await?;
     let readiness = bind(listen.readiness).await?;
     let peers = bind(listen.peers).await?;
-    spawn_local(serve_clients(callers, Rc::clone(&shared), connections.clone()));
+    spawn_local(serve_clients(
+        callers,
+        Rc::clone(&shared),
+        connections.clone(),
+    ));
     spawn_local(serve_clients(readiness, Rc::clone(&shared), platform));
     let handler = Rc::new(HeldEngines(Rc::clone(&shared)));
     spawn_local(accept_peers(peers, shared.incoming.clone(), handler));
@@ -138,8 +142,15 @@
     shared.on_stop();
     let grace = Duration::from_secs_f64(shared.settings.bounds.stop_grace_s);
     let ends_by = Instant::now() + grace - Duration::from_millis(STOP_MARGIN_MS);
-    Line::new(&kind::STOP_BEGUN).field("connections", connections.open()).log();
-    if let Err(error) = shared.borders.store.withdraw(&shared.settings.instance).await {
+    Line::new(&kind::STOP_BEGUN)
+        .field("connections", connections.open())
+        .log();
+    if let Err(error) = shared
+        .borders
+        .store
+        .withdraw(&shared.settings.instance)
+        .await
+    {
         log::debug!("the announcement was not withdrawn: {error}");
     }
     sleep(Duration::from_millis(UNREADY_MS)).await;
@@ -152,5 +163,7 @@
         () = shared.holding.release(shared) => {}
         () = sleep_until(ends_by + Duration::from_millis(STOP_MARGIN_MS / 2)) => {}
     }
-    Line::new(&kind::STOPPED).field("instance", &shared.settings.instance).log();
+    Line::new(&kind::STOPPED)
+        .field("instance", &shared.settings.instance)
+        .log();
 }
--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -8,7 +8,6 @@
 use monsoonspread_decisions::copies::{AskId, CopyAsk};
 use monsoonspread_decisions::load_choice::LoadChoice;
 use monsoonspread_decisions::placement::{CandidateUpstream, Placement, PlacementSettings};
-use monsoonspread_decisions::retry_budget::RetryBudget;
 use monsoonspread_decisions::service_route::{ServiceRouter, ServiceServer};
 use monsoonspread_model::fleet::EngineShape;
 use monsoonspread_model::{InstanceName, UnixMs, UpstreamName};
@@ -20,13 +19,11 @@
 use crate::holding::Holding;
 use crate::metrics::Metrics;
 use crate::peers::{Incoming, PeerHandler, PeerLinks, PeerReply, PeerRequest};
+use crate::retries::RetryBudgets;
 use crate::settings::RelaySettings;
 
 /// Seed of the choice among servers; any will do, as instances need not agree.
 const ROUTER_SEED: u64 = 1;
-/// Share of the retries of all instances that one instance keeps back, as requests are spread
-/// unevenly over them.
-const RETRY_MARGIN: f64 = 0.7;
 
 /// State that the tasks of the process share.
 pub struct Shared {
@@ -53,7 +50,7 @@
     /// Servers of plain services.
     pub router: RefCell<ServiceRouter>,
     /// Further attempts.
-    pub retries: RefCell<RetryBudget>,
+    pub retries: RetryBudgets,
     /// Counters and latencies.
     pub metrics: Metrics,
     stopping: Cell<bool>,
@@ -77,10 +74,7 @@
             placement: RefCell::new(Placement::new(zone.clone(), PlacementSettings::default())),
             loads: RefCell::default(),
             router: RefCell::new(ServiceRouter::new(zone, ROUTER_SEED)),
-            retries: RefCell::new(RetryBudget::new(
-                bounds.retry_ratio * RETRY_MARGIN,
-                bounds.retry_slack * RETRY_MARGIN,
-            )),
+            retries: RetryBudgets::new(bounds.retry_ratio, bounds.retry_slack),
             metrics: Metrics::default(),
             stopping: Cell::new(false),
             unannounced: Cell::new(false),
@@ -136,7 +130,10 @@
     /// Something changed in the store; `unsettled` while entries may lapse because of it.
     pub fn on_change(self: &Rc<Self>, change: FleetChange, unsettled: bool) {
         let now = self.now();
-        let event = self.fleet.borrow_mut().on_change(now, change, true, unsettled);
+        let event = self
+            .fleet
+            .borrow_mut()
+            .on_change(now, change, true, unsettled);
         self.on_events(event.as_slice());
     }
 
@@ -181,7 +178,10 @@
         let mut placement = self.placement.borrow_mut();
         placement.on_upstreams(candidates.collect());
         placement.on_sharing_instances(self.holding.members());
-        self.loads.borrow_mut().retain(|name| fleet.upstream(name).is_some());
+        self.retries.on_instances(self.holding.members());
+        self.loads
+            .borrow_mut()
+            .retain(|name| fleet.upstream(name).is_some());
         self.router.borrow_mut().on_servers(&servers);
     }
 }
@@ -196,7 +196,9 @@
             PeerRequest::Hello(_) | PeerRequest::Alive => {}
             PeerRequest::Ask(ask) => {
                 let now = shared.now();
-                shared.incoming.reply(instance, PeerReply::Heard(ask.number));
+                shared
+                    .incoming
+                    .reply(instance, PeerReply::Heard(ask.number));
                 let copy_ask = CopyAsk {
                     id: AskId {
                         instance: instance.clone(),
--- a/crates/standin/tests/common/mod.rs
+++ b/crates/standin/tests/common/mod.rs
@@ -2,9 +2,9 @@
 
 use std::sync::Arc;
 
-use monsoonspread_model::{AdapterRef, CopyName, Epoch};
 use monsoonspread_borders::engine::VllmEngine;
 use monsoonspread_borders::{Engine as _, GenerateRequest, Generation, GenerationEvent};
+use monsoonspread_model::{AdapterRef, CopyName, Epoch};
 use monsoonspread_standin::{Engine, EngineSettings, Running, Weights, WeightsSettings};
 use serde_json::json;
 
--- a/crates/standin/tests/engine.rs
+++ b/crates/standin/tests/engine.rs
@@ -3,9 +3,9 @@
 mod common;
 
 use common::{copy, engine, load, request, text_of};
-use monsoonspread_model::Epoch;
 use monsoonspread_borders::engine::VllmEngine;
 use monsoonspread_borders::{Engine as _, EngineError, GenerationEvent, OrderError};
+use monsoonspread_model::Epoch;
 use monsoonspread_standin::{EngineSettings, Fault};
 
 #[tokio::test]
--- a/crates/standin/tests/service.rs
+++ b/crates/standin/tests/service.rs
@@ -1,9 +1,9 @@
 //! The clients of plain services and of the instance list against their stand-ins.
 
-use monsoonspread_model::{InstanceKind, InstanceState, ListedInstance};
 use monsoonspread_borders::instance_list::HttpInstanceList;
 use monsoonspread_borders::service::HttpService;
 use monsoonspread_borders::{InstanceList as _, Service as _, ServiceError};
+use monsoonspread_model::{InstanceKind, InstanceState, ListedInstance};
 use monsoonspread_standin::{
     Fault, Instances, InstancesSettings, Running, Service, ServiceSettings,
 };
