--- a/crates/relay/src/call/answer.rs
+++ b/crates/relay/src/call/answer.rs
@@ -16,6 +16,14 @@
     pub(super) sent_at: UnixMs,
 }
 
+/// Leave to send a request to an engine.
+pub(super) struct Grant {
+    /// `None` where no holder was asked.
+    pub(super) guard: Option<AskGuard>,
+    /// Requests that ran on the engine or were about to.
+    pub(super) running: u32,
+}
+
 /// Gives back what an answer holds, when it is complete or dropped, and logs its end.
 pub(super) struct AnswerEnd {
     shared: Rc<Shared>,
@@ -24,11 +32,15 @@
     upstream: UpstreamName,
     arrived_at: UnixMs,
     first_byte_at: Option<UnixMs>,
+    last_byte_at: UnixMs,
+    longest_pause_ms: u64,
     status: u16,
     outcome: &'static str,
     sender: Option<(PooledSender, Option<u64>)>,
     slot: Option<ServiceSlot>,
     guard: Option<AskGuard>,
+    granted_ms: u64,
+    running: u32,
 }
 
 impl AnswerEnd {
@@ -46,11 +58,15 @@
             upstream: upstream.clone(),
             arrived_at: request.arrived_at,
             first_byte_at: None,
+            last_byte_at: UnixMs(0),
+            longest_pause_ms: 0,
             status,
             outcome: "left",
             sender: None,
             slot: None,
             guard: None,
+            granted_ms: 0,
+            running: 0,
         }
     }
 
@@ -66,17 +82,24 @@
         self
     }
 
-    /// The grant.
-    pub(super) fn with_guard(mut self, guard: Option<AskGuard>) -> Self {
-        self.guard = guard;
+    /// The grant, when it came and how many requests ran on the engine then.
+    pub(super) fn with_grant(mut self, grant: Grant, granted_ms: u64) -> Self {
+        self.guard = grant.guard;
+        self.running = grant.running;
+        self.granted_ms = granted_ms;
         self
     }
 
     /// Bytes of the body came.
     pub(super) fn on_bytes(&mut self) {
+        let now = self.shared.now();
         if self.first_byte_at.is_none() {
-            self.first_byte_at = Some(self.shared.now());
+            self.first_byte_at = Some(now);
+        } else {
+            let pause_ms = now.ms_since(self.last_byte_at);
+            self.longest_pause_ms = self.longest_pause_ms.max(pause_ms);
         }
+        self.last_byte_at = now;
     }
 
     /// The answer is complete.
@@ -129,7 +152,10 @@
         .field("upstream", &self.upstream)
         .field("status", self.status)
         .field("outcome", self.outcome)
+        .field("granted_ms", self.granted_ms)
+        .field("running", self.running)
         .field("first_ms", first_ms.unwrap_or(0))
+        .field("pause_ms", self.longest_pause_ms)
         .field("ms", ms)
         .log();
     }
--- a/crates/relay/src/call/handler.rs
+++ b/crates/relay/src/call/handler.rs
@@ -16,6 +16,9 @@
 /// When a client comes back to an instance that knows no configuration yet, in milliseconds.
 const NO_CONFIG_RETRY_MS: u64 = 500;
 
+/// When a client comes back to another instance, in milliseconds: at once.
+const STOPPING_RETRY_MS: u64 = 0;
+
 /// Answers a request of a client.
 pub async fn handle(shared: Rc<Shared>, request: Request<Incoming>) -> Response<RelayBody> {
     let mut response = route(&shared, request).await;
@@ -28,6 +31,10 @@
 
 async fn route(shared: &Rc<Shared>, request: Request<Incoming>) -> Response<RelayBody> {
     let arrived_at = shared.now();
+    if shared.takes_no_more() {
+        shared.metrics.count("calls", "stopping");
+        return refusal::not_run(STOPPING_RETRY_MS);
+    }
     let routes = shared.fleet.borrow().routes().cloned();
     let Some(routes) = routes else {
         return refusal::not_run(NO_CONFIG_RETRY_MS);
--- a/crates/relay/src/call/model_call.rs
+++ b/crates/relay/src/call/model_call.rs
@@ -10,13 +10,13 @@
 use monsoonspread_model::fleet::{AdapterKey, UpstreamRecord};
 use tokio::time::Instant;
 
-use super::answer::AnswerEnd;
+use super::answer::{AnswerEnd, Grant};
 use super::attempt::{Attempt, AttemptOptions, attempt};
 use super::request::RelayRequest;
 use super::{RelayBody, refusal};
 use crate::connection::PooledSender;
 use crate::event::{Line, kind};
-use crate::holding::{Ask, AskGuard};
+use crate::holding::Ask;
 use crate::peers::AskFailure;
 use crate::shared::Shared;
 
@@ -51,8 +51,8 @@
         let Some(record) = shared.fleet.borrow().upstream(&upstream).cloned() else {
             continue;
         };
-        let guard = match ask(shared, &request, &record, &key).await {
-            Ok(guard) => guard,
+        let grant = match ask(shared, &request, &record, &key).await {
+            Ok(grant) => grant,
             Err(failure) => {
                 on_ask_failed(shared, &request, &upstream, failure);
                 continue;
@@ -63,7 +63,7 @@
         }
         sent = true;
         shared.loads.borrow_mut().on_sent(shared.now(), &upstream);
-        if let Some(response) = offer(shared, &request, &record, &key, guard).await {
+        if let Some(response) = offer(shared, &request, &record, &key, grant).await {
             return response;
         }
     }
@@ -104,9 +104,12 @@
     request: &RelayRequest,
     record: &UpstreamRecord,
     key: &AdapterKey,
-) -> Result<Option<AskGuard>, AskFailure> {
+) -> Result<Grant, AskFailure> {
     if key.adapter.is_none() || shared.loads.borrow().is_silent(shared.now(), &record.name) {
-        return Ok(None);
+        return Ok(Grant {
+            guard: None,
+            running: 0,
+        });
     }
     let patience_ms = request.route.objective_ms * WAIT_PERCENT / 100;
     let ask = Ask {
@@ -121,7 +124,10 @@
         .loads
         .borrow_mut()
         .on_running(shared.now(), &record.name, running);
-    Ok(Some(guard))
+    Ok(Grant {
+        guard: Some(guard),
+        running,
+    })
 }
 
 fn on_ask_failed(
@@ -149,8 +155,9 @@
     request: &RelayRequest,
     record: &UpstreamRecord,
     key: &AdapterKey,
-    mut guard: Option<AskGuard>,
+    mut grant: Grant,
 ) -> Option<Response<RelayBody>> {
+    let granted_ms = shared.now().ms_since(request.arrived_at);
     let options = AttemptOptions {
         rank: Some(engine_rank(request)),
         adapter_version: checked_version(shared, key),
@@ -164,11 +171,11 @@
             sender,
         } => {
             let end = AnswerEnd::new(shared, request, &record.name, response.status().into())
-                .with_guard(guard);
+                .with_grant(grant, granted_ms);
             Some(pass_on(shared, request, response, answer, sender, end))
         }
         Attempt::NotRun { misdirected } => {
-            if let (true, Some(guard)) = (misdirected, guard.as_mut()) {
+            if let (true, Some(guard)) = (misdirected, grant.guard.as_mut()) {
                 guard.on_absent();
             }
             if !misdirected {
--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -25,6 +25,12 @@
 /// Seed of the choice among servers; any will do, as instances need not agree.
 const ROUTER_SEED: u64 = 1;
 
+/// How long a stopping process takes requests, in milliseconds.
+///
+/// The platform sends no more clients after two to three seconds; the longest requests need
+/// what is left of the time until the process is killed.
+const LAST_REQUEST_MS: u64 = 2_700;
+
 /// State that the tasks of the process share.
 pub struct Shared {
     /// Settings at the start.
@@ -53,7 +59,7 @@
     pub retries: RetryBudgets,
     /// Counters and latencies.
     pub metrics: Metrics,
-    stopping: Cell<bool>,
+    stopping_since: Cell<Option<UnixMs>>,
     unannounced: Cell<bool>,
 }
 
@@ -76,7 +82,7 @@
             router: RefCell::new(ServiceRouter::new(zone, ROUTER_SEED)),
             retries: RetryBudgets::new(bounds.retry_ratio, bounds.retry_slack),
             metrics: Metrics::default(),
-            stopping: Cell::new(false),
+            stopping_since: Cell::new(None),
             unannounced: Cell::new(false),
             settings,
         }
@@ -89,12 +95,18 @@
 
     /// Whether a planned stop has begun.
     pub fn is_stopping(&self) -> bool {
-        self.stopping.get()
+        self.stopping_since.get().is_some()
+    }
+
+    /// Whether a planned stop has gone so far that a new request might be cut.
+    pub fn takes_no_more(&self) -> bool {
+        let since = self.stopping_since.get();
+        since.is_some_and(|since| self.now() >= since + LAST_REQUEST_MS)
     }
 
     /// A planned stop begins.
     pub fn on_stop(&self) {
-        self.stopping.set(true);
+        self.stopping_since.set(Some(self.now()));
     }
 
     /// Whether the announcement has to be written anew.
