--- a/crates/decisions/src/load_choice/mod.rs
+++ b/crates/decisions/src/load_choice/mod.rs
@@ -17,9 +17,16 @@
 const FAILED_MS: u64 = 2_000;
 /// How long an engine is tried last while its holder doesn't answer, in milliseconds.
 const HOLDER_SILENT_MS: u64 = 1_000;
-/// Age at which what a holder said of an engine's load has lost half of its weight, in
+/// Age at which what was said of an engine's load has lost half of its weight, in
 /// milliseconds: a short request's time.
 const LOAD_HALF_LIFE_MS: f64 = 700.0;
+/// Weight of one engine's load in the moving mean over all.
+const MEAN_WEIGHT: f64 = 0.05;
+/// Requests by which an engine with a copy may be busier than one without before a further
+/// copy is made: a load costs about half of a short answer's worth.
+const SPARE_COST: f64 = 8.0;
+/// Requests that an engine in trouble counts for.
+const TROUBLE_COST: f64 = 1_000.0;
 
 #[derive(Clone, Copy, Debug, Default)]
 struct View {
@@ -33,6 +40,7 @@
 #[derive(Debug, Default)]
 pub struct LoadChoice {
     views: BTreeMap<UpstreamName, View>,
+    mean_running: f64,
 }
 
 impl LoadChoice {
@@ -41,8 +49,9 @@
         Self::default()
     }
 
-    /// A holder told how many requests run on an engine.
+    /// A holder or an engine told how many requests run there.
     pub fn on_running(&mut self, now: UnixMs, upstream: &UpstreamName, running: u32) {
+        self.mean_running += MEAN_WEIGHT * (f64::from(running) - self.mean_running);
         let view = self.views.entry(upstream.clone()).or_default();
         view.running = f64::from(running);
         view.seen_at = now;
@@ -50,8 +59,9 @@
 
     /// This instance is about to send a request to an engine.
     pub fn on_sent(&mut self, now: UnixMs, upstream: &UpstreamName) {
+        let running = self.running(now, upstream) + 1.0;
         let view = self.views.entry(upstream.clone()).or_default();
-        view.running = decayed(now, view) + 1.0;
+        view.running = running;
         view.seen_at = now;
     }
 
@@ -78,33 +88,49 @@
         self.views.retain(|name, _| is_live(name));
     }
 
-    /// Sorts the first `copies` of `candidates` by load; engines in trouble go last.
+    /// Sorts `candidates` by what one more request costs there; the first `copies` are meant to
+    /// hold a copy.
     ///
     /// ```
     /// # use monsoonspread_decisions::load_choice::LoadChoice;
     /// # use monsoonspread_model::UnixMs;
     /// let mut loads = LoadChoice::new();
-    /// loads.on_running(UnixMs(0), &"busy".into(), 9);
+    /// loads.on_running(UnixMs(0), &"busy".into(), 4);
+    /// loads.on_running(UnixMs(0), &"idle".into(), 0);
+    /// loads.on_running(UnixMs(0), &"spare".into(), 0);
     /// let mut candidates = vec!["busy".into(), "idle".into(), "spare".into()];
     /// loads.sort(UnixMs(0), &mut candidates, 2);
     /// assert_eq!(candidates, ["idle".into(), "busy".into(), "spare".into()]);
     /// ```
-    pub fn sort(&self, now: UnixMs, candidates: &mut [UpstreamName], copies: usize) {
-        let copies = copies.min(candidates.len());
-        let load = |name: &UpstreamName| self.views.get(name).map_or(0.0, |v| decayed(now, v));
-        candidates[..copies].sort_by(|a, b| load(a).total_cmp(&load(b)));
-        candidates.sort_by_key(|name| self.trouble(now, name));
+    pub fn sort(&self, now: UnixMs, candidates: &mut Vec<UpstreamName>, copies: usize) {
+        let mut costs: Vec<(f64, UpstreamName)> = std::mem::take(candidates)
+            .into_iter()
+            .enumerate()
+            .map(|(rank, name)| {
+                let spare = if rank < copies { 0.0 } else { SPARE_COST };
+                (self.running(now, &name) + spare + self.trouble(now, &name), name)
+            })
+            .collect();
+        costs.sort_by(|a, b| a.0.total_cmp(&b.0));
+        candidates.extend(costs.into_iter().map(|(_, name)| name));
     }
 
-    fn trouble(&self, now: UnixMs, upstream: &UpstreamName) -> u8 {
+    /// Requests that run on an engine; what was said of it fades into the mean over all.
+    fn running(&self, now: UnixMs, upstream: &UpstreamName) -> f64 {
         let Some(view) = self.views.get(upstream) else {
-            return 0;
+            return self.mean_running;
         };
-        u8::from(now < view.failed_until) * 2 + u8::from(now < view.silent_until)
+        let age_ms = now.ms_since(view.seen_at) as f64;
+        let kept = 0.5_f64.powf(age_ms / LOAD_HALF_LIFE_MS);
+        self.mean_running + kept * (view.running - self.mean_running)
     }
-}
 
-fn decayed(now: UnixMs, view: &View) -> f64 {
-    let age_ms = now.ms_since(view.seen_at) as f64;
-    view.running * 0.5_f64.powf(age_ms / LOAD_HALF_LIFE_MS)
+    fn trouble(&self, now: UnixMs, upstream: &UpstreamName) -> f64 {
+        let Some(view) = self.views.get(upstream) else {
+            return 0.0;
+        };
+        let failed = f64::from(u8::from(now < view.failed_until));
+        let silent = f64::from(u8::from(now < view.silent_until));
+        TROUBLE_COST * (2.0 * failed + silent)
+    }
 }
--- a/crates/relay/src/call/model_call.rs
+++ b/crates/relay/src/call/model_call.rs
@@ -170,6 +170,10 @@
             answer,
             sender,
         } => {
+            if let Some((running, queued)) = answer.load {
+                let mut loads = shared.loads.borrow_mut();
+                loads.on_running(shared.now(), &record.name, running + queued);
+            }
             let end = AnswerEnd::new(shared, request, &record.name, response.status().into())
                 .with_grant(grant, granted_ms);
             Some(pass_on(shared, request, response, answer, sender, end))
--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -22,6 +22,18 @@
 use crate::retries::RetryBudgets;
 use crate::settings::RelaySettings;
 
+/// How copies follow demand.
+///
+/// A copy of a busy adapter costs one load, after which the load of all engines can be levelled
+/// with its requests; a copy for each two requests a second and on all engines at the most
+/// served most on the users' days.
+const PLACEMENT: PlacementSettings = PlacementSettings {
+    requests_per_copy_per_s: 2.5,
+    max_copies: 64,
+    spare_candidates: 2,
+    demand_half_life_ms: 3_000,
+    demand_capacity: 1_024,
+};
 /// Seed of the choice among servers; any will do, as instances need not agree.
 const ROUTER_SEED: u64 = 1;
 
@@ -77,7 +89,7 @@
             peers: PeerLinks::new(own),
             incoming: Incoming::default(),
             pool: Pool::new(clock),
-            placement: RefCell::new(Placement::new(zone.clone(), PlacementSettings::default())),
+            placement: RefCell::new(Placement::new(zone.clone(), PLACEMENT)),
             loads: RefCell::default(),
             router: RefCell::new(ServiceRouter::new(zone, ROUTER_SEED)),
             retries: RetryBudgets::new(bounds.retry_ratio, bounds.retry_slack),
