--- a/crates/borders/src/relay/dialect.rs
+++ b/crates/borders/src/relay/dialect.rs
@@ -46,8 +46,19 @@
     pub keep_alive_ms: Option<u64>,
     /// The upstream closes the connection.
     pub closes: bool,
-    /// Requests that run, and that wait, at the upstream.
-    pub load: Option<(u32, u32)>,
+    /// How busy the upstream is.
+    pub load: Option<ServerLoad>,
+}
+
+/// How busy an upstream says it is.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct ServerLoad {
+    /// Requests that run.
+    pub running: u32,
+    /// Requests that wait.
+    pub waiting: u32,
+    /// How long work takes at this moment, in percent of the usual time.
+    pub slowness_percent: u32,
 }
 
 /// How requests and answers say what they say.
--- a/crates/borders/src/relay/mod.rs
+++ b/crates/borders/src/relay/mod.rs
@@ -6,7 +6,7 @@
 mod engine_control;
 mod fleet_store;
 
-pub use dialect::{AnswerHead, BadCallHead, Dialect, UpstreamHead};
+pub use dialect::{AnswerHead, BadCallHead, Dialect, ServerLoad, UpstreamHead};
 pub use engine_control::EngineControl;
 pub use fleet_store::{
     ClaimOutcome, ClaimWrite, FleetChange, FleetChanges, FleetMember, FleetStore, FleetStoreError,
--- a/crates/decisions/src/copies/ask.rs
+++ b/crates/decisions/src/copies/ask.rs
@@ -23,6 +23,8 @@
     pub key: AdapterKey,
     /// Rank of the request, 0 first.
     pub rank: u32,
+    /// Length of its prompt.
+    pub prompt_tokens: u32,
     /// When the instance stops waiting for the copy.
     pub wait_until: UnixMs,
     /// When the request is surely over.
@@ -34,6 +36,14 @@
 pub enum CopyRefusal {
     /// every adapter slot is in use
     NoRoom,
+    /// no orders are given now, as the store has not confirmed the holder
+    OrdersPaused,
+    /// other copies are brought first
+    Queued,
+    /// what the engine holds is not known
+    Unread,
+    /// the engine reads other prompts first
+    Busy,
     /// this instance gives the engine no orders now
     NotHolder,
     /// the copy did not come in time
--- a/crates/decisions/src/copies/control.rs
+++ b/crates/decisions/src/copies/control.rs
@@ -6,6 +6,7 @@
 use monsoonspread_model::{BaseModelName, UnixMs};
 
 use super::copy::{Copy, CopyStage};
+use super::unread_prompts::UnreadPrompts;
 use super::{AskId, CopyAction, CopyAsk, CopyControlDump, CopyRefusal};
 
 /// Copies on one engine, as the instance that gives its orders knows them.
@@ -25,6 +26,7 @@
     pub(super) reading_report: bool,
     pub(super) model_check_at: UnixMs,
     pub(super) conflicts: u32,
+    prompts: UnreadPrompts,
     actions: Vec<CopyAction>,
 }
 
@@ -46,6 +48,7 @@
             reading_report: false,
             model_check_at: UnixMs(0),
             conflicts: 0,
+            prompts: UnreadPrompts::default(),
             actions: Vec::new(),
         }
     }
@@ -66,6 +69,7 @@
     /// A request is over, or was never sent; `absent` when the engine didn't have the copy.
     pub fn on_done(&mut self, now: UnixMs, ask: &AskId, absent: bool) -> Vec<CopyAction> {
         self.waiting.retain(|waiting| waiting.id != *ask);
+        self.prompts.on_read(ask);
         let mut used = None;
         for (key, copy) in &mut self.copies {
             if copy.remove_user(ask) && copy.is_present() {
@@ -79,6 +83,14 @@
         self.advance(now)
     }
 
+    /// The first event of a request came.
+    pub fn on_started(&mut self, now: UnixMs, ask: &AskId) -> Vec<CopyAction> {
+        if !self.prompts.on_read(ask) {
+            return Vec::new();
+        }
+        self.advance(now)
+    }
+
     /// Every ask of an instance that is gone ends.
     pub fn on_instance_gone(&mut self, now: UnixMs, instance: &str) -> Vec<CopyAction> {
         self.waiting
@@ -203,16 +215,38 @@
     fn answer_asks(&mut self, now: UnixMs) {
         let asks = std::mem::take(&mut self.waiting);
         for ask in asks {
-            if self.is_usable(&ask.key) {
+            if self.is_usable(&ask.key) && self.prompts.admit(now, ask.prompt_tokens) {
+                self.prompts.on_sent(now, &ask);
                 self.grant(now, ask);
             } else if ask.wait_until <= now {
-                self.refuse(ask.id, CopyRefusal::TooLate);
+                let reason = self.why_late(&ask.key);
+                self.refuse(ask.id, reason);
             } else {
                 self.waiting.push(ask);
             }
         }
     }
 
+    fn why_late(&self, key: &AdapterKey) -> CopyRefusal {
+        if self.is_usable(key) {
+            return CopyRefusal::Busy;
+        }
+        if self.copies.contains_key(key) {
+            return CopyRefusal::TooLate;
+        }
+        if self.accepted.is_none() {
+            return CopyRefusal::Unread;
+        }
+        if !self.may_order {
+            return CopyRefusal::OrdersPaused;
+        }
+        let movable = |copy: &Copy| !copy.is_present() || copy.is_idle();
+        if self.copies.len() >= self.capacity() && !self.copies.values().any(movable) {
+            return CopyRefusal::NoRoom;
+        }
+        CopyRefusal::Queued
+    }
+
     fn is_usable(&self, key: &AdapterKey) -> bool {
         if key.adapter.is_none() {
             return self.models.contains(&key.model);
@@ -224,7 +258,7 @@
         if let Some(copy) = self.copies.get_mut(&ask.key) {
             copy.add_user(now, ask.id.clone(), ask.ends_by);
         }
-        let running = self.running();
+        let running = self.running() + WAITING_WEIGHT * self.waiting.len() as u32;
         self.act(CopyAction::Grant {
             ask: ask.id,
             running,
@@ -236,5 +270,7 @@
     }
 }
 
+/// Running requests that a waiting one counts for when instances compare engines.
+const WAITING_WEIGHT: u32 = 2;
 /// Pause after a report that could not be read or used, in milliseconds.
 const REPORT_RETRY_MS: u64 = 300;
--- a/crates/decisions/src/copies/mod.rs
+++ b/crates/decisions/src/copies/mod.rs
@@ -22,6 +22,7 @@
 mod copy;
 mod dump;
 mod orders;
+mod unread_prompts;
 #[cfg(test)]
 mod tests;
 
--- a/crates/decisions/src/copies/tests/world.rs
+++ b/crates/decisions/src/copies/tests/world.rs
@@ -71,6 +71,7 @@
             id: Self::id(number),
             key: Self::key(adapter),
             rank: 0,
+            prompt_tokens: 0,
             wait_until: self.now + 60_000,
             ends_by: self.now + 90_000,
         };
--- /dev/null
+++ b/crates/decisions/src/copies/unread_prompts.rs
@@ -0,0 +1,59 @@
+//! Prompts that an engine has not read yet.
+//!
+//! An engine reads prompts between the tokens of running requests. Prompts that are read in the
+//! same step make every running stream pause, the longer the slower the engine is at that
+//! moment. Those beyond a few wait at the holder, where the most urgent one goes first.
+
+use std::collections::BTreeMap;
+
+use monsoonspread_model::UnixMs;
+
+use super::{AskId, CopyAsk};
+
+/// Tokens of unread prompts at one engine.
+///
+/// Two prompts of usual length: while one is read the next is on its way.
+const MAX_UNREAD_TOKENS: u32 = 2_800;
+/// Most tokens that a prompt counts for: an engine reads longer ones in several steps.
+const MAX_COUNTED_TOKENS: u32 = 1_000;
+/// How long a prompt counts at the most, in milliseconds: its instance may not tell.
+const MAX_UNREAD_MS: u64 = 1_500;
+
+#[derive(Clone, Copy, Debug)]
+struct Unread {
+    tokens: u32,
+    until: UnixMs,
+}
+
+/// Prompts that an engine has not read yet.
+#[derive(Clone, Debug, Default)]
+pub(super) struct UnreadPrompts {
+    prompts: BTreeMap<AskId, Unread>,
+}
+
+impl UnreadPrompts {
+    /// Whether a prompt may be sent now.
+    pub(super) fn admit(&mut self, now: UnixMs, tokens: u32) -> bool {
+        self.prompts.retain(|_, unread| unread.until > now);
+        let unread: u32 = self.prompts.values().map(|unread| unread.tokens).sum();
+        unread == 0 || unread + counted(tokens) <= MAX_UNREAD_TOKENS
+    }
+
+    /// The prompt of `ask` is sent.
+    pub(super) fn on_sent(&mut self, now: UnixMs, ask: &CopyAsk) {
+        let unread = Unread {
+            tokens: counted(ask.prompt_tokens),
+            until: now + MAX_UNREAD_MS,
+        };
+        self.prompts.insert(ask.id.clone(), unread);
+    }
+
+    /// The prompt of `ask` was read, or never will be; false when that was known.
+    pub(super) fn on_read(&mut self, ask: &AskId) -> bool {
+        self.prompts.remove(ask).is_some()
+    }
+}
+
+fn counted(tokens: u32) -> u32 {
+    tokens.min(MAX_COUNTED_TOKENS)
+}
--- a/crates/relay/src/call/answer.rs
+++ b/crates/relay/src/call/answer.rs
@@ -41,6 +41,8 @@
     guard: Option<AskGuard>,
     granted_ms: u64,
     running: u32,
+    tokens: u32,
+    load: Option<monsoonspread_borders::relay::ServerLoad>,
 }
 
 impl AnswerEnd {
@@ -67,6 +69,8 @@
             guard: None,
             granted_ms: 0,
             running: 0,
+            tokens: 0,
+            load: None,
         }
     }
 
@@ -90,11 +94,20 @@
         self
     }
 
+    pub(super) fn with_tokens(mut self, tokens: u32, load: Option<monsoonspread_borders::relay::ServerLoad>) -> Self {
+        self.tokens = tokens;
+        self.load = load;
+        self
+    }
+
     /// Bytes of the body came.
     pub(super) fn on_bytes(&mut self) {
         let now = self.shared.now();
         if self.first_byte_at.is_none() {
             self.first_byte_at = Some(now);
+            if let Some(guard) = &self.guard {
+                guard.on_started();
+            }
         } else {
             let pause_ms = now.ms_since(self.last_byte_at);
             self.longest_pause_ms = self.longest_pause_ms.max(pause_ms);
@@ -154,6 +167,8 @@
         .field("outcome", self.outcome)
         .field("granted_ms", self.granted_ms)
         .field("running", self.running)
+        .field("tokens", self.tokens)
+        .field("load", format!("{:?}", self.load))
         .field("first_ms", first_ms.unwrap_or(0))
         .field("pause_ms", self.longest_pause_ms)
         .field("ms", ms)
--- a/crates/relay/src/call/model_call.rs
+++ b/crates/relay/src/call/model_call.rs
@@ -116,6 +116,7 @@
         upstream: record.name.clone(),
         key: key.clone(),
         rank: request.route.rank,
+        prompt_tokens: request.head.prompt_tokens,
         wait_until: request.deadline.min(shared.now() + patience_ms),
         ends_by: request.deadline,
     };
@@ -170,12 +171,8 @@
             answer,
             sender,
         } => {
-            if let Some((running, queued)) = answer.load {
-                let mut loads = shared.loads.borrow_mut();
-                loads.on_running(shared.now(), &record.name, running + queued);
-            }
             let end = AnswerEnd::new(shared, request, &record.name, response.status().into())
-                .with_grant(grant, granted_ms);
+                .with_grant(grant, granted_ms).with_tokens(request.head.prompt_tokens, answer.load);
             Some(pass_on(shared, request, response, answer, sender, end))
         }
         Attempt::NotRun { misdirected } => {
--- a/crates/relay/src/holding/ask_guard.rs
+++ b/crates/relay/src/holding/ask_guard.rs
@@ -33,6 +33,23 @@
         }
     }
 
+    /// The first event of the request came.
+    pub fn on_started(&self) {
+        let number = self.number;
+        if self.holder == self.shared.settings.instance {
+            let ask = AskId {
+                instance: self.holder.clone(),
+                number,
+            };
+            let holding = &self.shared.holding;
+            holding.on_started(&self.shared, &self.upstream, &ask);
+            return;
+        }
+        let upstream = self.upstream.clone();
+        let started = PeerRequest::Started { number, upstream };
+        self.shared.peers.tell(&self.holder, started);
+    }
+
     /// The engine didn't have the copy.
     pub fn on_absent(&mut self) {
         self.absent = true;
--- a/crates/relay/src/holding/asks.rs
+++ b/crates/relay/src/holding/asks.rs
@@ -24,6 +24,8 @@
     pub key: AdapterKey,
     /// Its rank, 0 first.
     pub rank: u32,
+    /// Length of its prompt.
+    pub prompt_tokens: u32,
     /// When the request stops waiting for the copy.
     pub wait_until: UnixMs,
     /// When the request is surely over.
@@ -52,6 +54,7 @@
                 upstream: ask.upstream.clone(),
                 key: ask.key.clone(),
                 rank: ask.rank,
+                prompt_tokens: ask.prompt_tokens,
                 wait_ms: ask.wait_until.ms_since(now),
                 lasts_ms: ask.ends_by.ms_since(now),
             };
@@ -76,6 +79,7 @@
             id,
             key: ask.key.clone(),
             rank: ask.rank,
+            prompt_tokens: ask.prompt_tokens,
             wait_until: ask.wait_until,
             ends_by: ask.ends_by,
         };
--- a/crates/relay/src/holding/controller.rs
+++ b/crates/relay/src/holding/controller.rs
@@ -154,6 +154,14 @@
         }
     }
 
+    /// The first event of a request came.
+    pub fn on_started(&self, shared: &Rc<Shared>, upstream: &UpstreamName, ask: &AskId) {
+        let now = shared.now();
+        self.with(shared, upstream, |engine| {
+            engine.control.on_started(now, ask)
+        });
+    }
+
     /// A request is over or was never sent.
     pub fn on_done(&self, shared: &Rc<Shared>, upstream: &UpstreamName, ask: &AskId, absent: bool) {
         let now = shared.now();
--- a/crates/relay/src/peers/message.rs
+++ b/crates/relay/src/peers/message.rs
@@ -16,6 +16,8 @@
     pub key: AdapterKey,
     /// Rank of the request, 0 first.
     pub rank: u32,
+    /// Length of its prompt.
+    pub prompt_tokens: u32,
     /// How long the instance waits for the copy, in milliseconds.
     pub wait_ms: u64,
     /// How long the request may take at the most, in milliseconds.
@@ -29,6 +31,13 @@
     Hello(InstanceName),
     /// An ask.
     Ask(PeerAsk),
+    /// The first event of a request came.
+    Started {
+        /// Number of the ask.
+        number: u64,
+        /// The engine.
+        upstream: UpstreamName,
+    },
     /// A request is over or was never sent.
     Done {
         /// Number of the ask.
--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -230,11 +230,19 @@
                     },
                     key: ask.key,
                     rank: ask.rank,
+                    prompt_tokens: ask.prompt_tokens,
                     wait_until: now + ask.wait_ms,
                     ends_by: now + ask.lasts_ms,
                 };
                 shared.holding.on_ask(shared, &ask.upstream, copy_ask);
             }
+            PeerRequest::Started { number, upstream } => {
+                let ask = AskId {
+                    instance: instance.clone(),
+                    number,
+                };
+                shared.holding.on_started(shared, &upstream, &ask);
+            }
             PeerRequest::Done {
                 number,
                 upstream,
