--- a/crates/decisions/src/copies/ask.rs
+++ b/crates/decisions/src/copies/ask.rs
@@ -25,6 +25,8 @@
     pub rank: u32,
     /// Length of its prompt.
     pub prompt_tokens: u32,
+    /// It waits for a copy behind others; else it would rather be refused at once.
+    pub patient: bool,
     /// When the instance stops waiting for the copy.
     pub wait_until: UnixMs,
     /// When the request is surely over.
--- a/crates/decisions/src/copies/control.rs
+++ b/crates/decisions/src/copies/control.rs
@@ -1,6 +1,6 @@
 //! The state of an engine's copies, and what happens to it.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use monsoonspread_model::fleet::{AdapterKey, EngineShape, Holdings, Order};
 use monsoonspread_model::{BaseModelName, UnixMs};
@@ -62,6 +62,10 @@
 
     /// An instance wants to send a request.
     pub fn on_ask(&mut self, now: UnixMs, ask: CopyAsk) -> Vec<CopyAction> {
+        if let Some(reason) = self.hopeless(now, &ask) {
+            self.refuse(ask.id, reason);
+            return self.advance(now);
+        }
         self.waiting.push(ask);
         self.advance(now)
     }
@@ -227,6 +231,27 @@
         }
     }
 
+    /// Why an ask is refused before it waits.
+    fn hopeless(&self, now: UnixMs, ask: &CopyAsk) -> Option<CopyRefusal> {
+        if self.copies.contains_key(&ask.key) || ask.key.adapter.is_none() {
+            return None;
+        }
+        match self.why_late(&ask.key) {
+            CopyRefusal::Unread if now >= self.report_at => None,
+            reason @ (CopyRefusal::OrdersPaused | CopyRefusal::Unread) => Some(reason),
+            reason @ CopyRefusal::NoRoom if !ask.patient => Some(reason),
+            reason if !ask.patient && self.loads_waiting() >= MAX_QUEUED_LOADS => Some(reason),
+            _ => None,
+        }
+    }
+
+    /// Adapters that are waited for and not on their way.
+    fn loads_waiting(&self) -> usize {
+        let waiting = self.waiting.iter().map(|ask| &ask.key);
+        let missing = waiting.filter(|key| !self.copies.contains_key(*key));
+        missing.collect::<BTreeSet<_>>().len()
+    }
+
     fn why_late(&self, key: &AdapterKey) -> CopyRefusal {
         if self.is_usable(key) {
             return CopyRefusal::Busy;
@@ -270,6 +295,9 @@
     }
 }
 
+/// Loads that an impatient ask may wait behind: with those on their way they take about as long
+/// as a short request's objective.
+const MAX_QUEUED_LOADS: usize = 3;
 /// Running requests that a waiting one counts for when instances compare engines.
 const WAITING_WEIGHT: u32 = 2;
 /// Pause after a report that could not be read or used, in milliseconds.
--- a/crates/decisions/src/copies/mod.rs
+++ b/crates/decisions/src/copies/mod.rs
@@ -21,6 +21,7 @@
 mod control;
 mod copy;
 mod dump;
+mod known_copies;
 mod orders;
 mod unread_prompts;
 #[cfg(test)]
@@ -29,4 +30,5 @@
 pub use action::CopyAction;
 pub use ask::{AskId, CopyAsk, CopyRefusal};
 pub use control::CopyControl;
+pub use known_copies::KnownCopies;
 pub use dump::CopyControlDump;
--- a/crates/decisions/src/copies/tests/world.rs
+++ b/crates/decisions/src/copies/tests/world.rs
@@ -72,6 +72,7 @@
             key: Self::key(adapter),
             rank: 0,
             prompt_tokens: 0,
+            patient: true,
             wait_until: self.now + 60_000,
             ends_by: self.now + 90_000,
         };
--- a/crates/decisions/src/holders/plan.rs
+++ b/crates/decisions/src/holders/plan.rs
@@ -70,7 +70,10 @@
         let standing = if complete {
             Standing::NeverHeld { since: now }
         } else {
-            Standing::Vanished { since: now }
+            Standing::Vanished {
+                since: now,
+                expired: false,
+            }
         };
         let engine = Engine {
             zone: zone.clone(),
@@ -113,17 +116,23 @@
         let engine = self.engines.entry(name.clone()).or_insert_with(|| Engine {
             zone: ZoneName::from(""),
             listed: false,
-            standing: Standing::Vanished { since: now },
+            standing: Standing::Vanished {
+                since: now,
+                expired: false,
+            },
         });
         if engine.standing.revision() < revision {
             engine.standing = standing;
         }
     }
 
-    /// An engine's holder record vanished.
-    pub fn on_holder_gone(&mut self, now: UnixMs, name: &UpstreamName) {
+    /// An engine's holder record vanished; `expired` when its lease surely ran out.
+    pub fn on_holder_gone(&mut self, now: UnixMs, name: &UpstreamName, expired: bool) {
         if let Some(engine) = self.engines.get_mut(name) {
-            engine.standing = Standing::Vanished { since: now };
+            engine.standing = Standing::Vanished {
+                since: now,
+                expired,
+            };
         }
     }
 
@@ -142,9 +151,14 @@
 
     /// The claims that this instance should write now.
     ///
-    /// A record of its own that an earlier process left is taken over at once; `held` tells
-    /// which ones belong to this process.
-    pub fn claims(&self, now: UnixMs, held: impl Fn(&UpstreamName) -> bool) -> Vec<PlannedClaim> {
+    /// A record of its own that an earlier process left is taken over at once; others only when
+    /// the instances are `known`. `held` tells which engines belong to this process.
+    pub fn claims(
+        &self,
+        now: UnixMs,
+        known: bool,
+        held: impl Fn(&UpstreamName) -> bool,
+    ) -> Vec<PlannedClaim> {
         let mut load = self.held_counts();
         let mut claims = Vec::new();
         for (name, engine) in self.engines.iter().filter(|(_, engine)| engine.listed) {
@@ -154,7 +168,7 @@
             let free_since = engine.standing.free_since();
             let is_turn =
                 free_since.is_some_and(|since| self.is_own_turn(now, engine, since, &mut load));
-            if is_turn || engine.standing.is_of(&self.own) {
+            if (is_turn && known) || engine.standing.is_of(&self.own) {
                 claims.push(PlannedClaim {
                     upstream: name.clone(),
                     expected_revision: engine.standing.revision(),
--- a/crates/decisions/src/holders/standing.rs
+++ b/crates/decisions/src/holders/standing.rs
@@ -44,6 +44,8 @@
     Vanished {
         /// When this was seen.
         since: UnixMs,
+        /// The store answered all the while, so that the holder's lease ran out.
+        expired: bool,
     },
 }
 
@@ -61,7 +63,7 @@
         match self {
             Self::Held { .. } => None,
             Self::Stopped { since, .. } => Some(*since + RETURN_MS),
-            Self::NeverHeld { since } | Self::Vanished { since } => Some(*since),
+            Self::NeverHeld { since } | Self::Vanished { since, .. } => Some(*since),
         }
     }
 
@@ -75,8 +77,8 @@
 
     /// When `own` may give its first order after a claim.
     ///
-    /// A holder that stopped gives no more orders; one whose record vanished goes on until its
-    /// confirmation ends. Orders of two holders are `order_gap_ms` apart.
+    /// A holder that stopped gives no more orders, nor does one whose lease ran out; one whose
+    /// record vanished otherwise goes on until its confirmation ends. Orders of two holders are `order_gap_ms` apart.
     pub(super) fn orders_from(&self, own: &InstanceName, order_gap_ms: u64) -> UnixMs {
         match self {
             Self::NeverHeld { .. } => UnixMs(0),
@@ -89,7 +91,12 @@
             Self::Held { holder, .. } | Self::Stopped { holder, .. } if holder == own => UnixMs(0),
             Self::Held { .. } => UnixMs(u64::MAX),
             Self::Stopped { since, .. } => *since + order_gap_ms + IN_TRANSIT_MS,
-            Self::Vanished { since } => *since + CONFIRMED_FOR_MS + order_gap_ms + IN_TRANSIT_MS,
+            // The lease lasts no shorter than the confirmation.
+            Self::Vanished {
+                since,
+                expired: true,
+            } => *since + order_gap_ms + IN_TRANSIT_MS,
+            Self::Vanished { since, .. } => *since + CONFIRMED_FOR_MS + order_gap_ms + IN_TRANSIT_MS,
         }
     }
 }
--- a/crates/decisions/src/holders/tests.rs
+++ b/crates/decisions/src/holders/tests.rs
@@ -17,7 +17,7 @@
 }
 
 fn claimed(plan: &HolderPlan, now: u64) -> Vec<String> {
-    let claims = plan.claims(UnixMs(now), |_| false);
+    let claims = plan.claims(UnixMs(now), true, |_| false);
     claims
         .iter()
         .map(|claim| claim.upstream.to_string())
@@ -45,8 +45,8 @@
     let mut plan = plan("b1", true);
     plan.on_holder(UnixMs(0), &"u4".into(), "a1".into(), Orders, 7);
     assert!(claimed(&plan, 1).is_empty());
-    plan.on_holder_gone(UnixMs(vanished_at), &"u4".into());
-    let claims = plan.claims(UnixMs(vanished_at), |name| name.as_str() != "u4");
+    plan.on_holder_gone(UnixMs(vanished_at), &"u4".into(), false);
+    let claims = plan.claims(UnixMs(vanished_at), true, |name| name.as_str() != "u4");
     let begins_at = claims[0].orders_from;
     let last_order = (0..begins_at.0).rev().find(|at| former.holds(UnixMs(*at)));
     assert!(begins_at.ms_since(UnixMs(last_order.expect("it held"))) >= GAP_MS);
@@ -57,7 +57,7 @@
     let mut plan = plan("b1", false);
     plan.on_holder(UnixMs(0), &"u4".into(), "b1".into(), Stopped, 7);
     plan.on_holder(UnixMs(0), &"u1".into(), "b1".into(), Orders, 8);
-    let claims = plan.claims(UnixMs(1), |_| false);
+    let claims = plan.claims(UnixMs(1), true, |_| false);
     let at_once: Vec<_> = claims
         .iter()
         .filter(|c| c.orders_from == UnixMs(0))
@@ -71,7 +71,7 @@
 
 #[test]
 fn an_engine_whose_past_is_unknown_counts_as_held_until_now() {
-    let claims = plan("b1", false).claims(UnixMs(1), |_| false);
+    let claims = plan("b1", false).claims(UnixMs(1), true, |_| false);
     assert!(claims[0].orders_from >= UnixMs(CONFIRMED_FOR_MS + GAP_MS));
 }
 
@@ -80,6 +80,22 @@
 fn a_wait_for_a_former_holder_outlasts_a_restart() {
     let mut plan = plan("b1", false);
     plan.on_holder(UnixMs(0), &"u4".into(), "b1".into(), Waits, 7);
-    let claims = plan.claims(UnixMs(1), |name| name.as_str() != "u4");
+    let claims = plan.claims(UnixMs(1), true, |name| name.as_str() != "u4");
     assert!(claims[0].orders_from >= UnixMs(CONFIRMED_FOR_MS + GAP_MS));
 }
+
+/// A lease that ran out while the store answered tells that its holder has stopped.
+#[test]
+fn the_wait_is_short_after_a_lease_ran_out() {
+    let renewed_at = 10_000;
+    let mut former = Confirmation::default();
+    former.on_renewed(UnixMs(renewed_at));
+    let expired_at = UnixMs(renewed_at + CONFIRMED_FOR_MS);
+    assert!(!former.holds(expired_at));
+    let mut plan = plan("b1", true);
+    plan.on_holder(UnixMs(0), &"u4".into(), "a1".into(), Orders, 7);
+    plan.on_holder_gone(expired_at, &"u4".into(), true);
+    let claims = plan.claims(expired_at, true, |name| name.as_str() != "u4");
+    let wait_ms = claims[0].orders_from.ms_since(expired_at);
+    assert!((GAP_MS..GAP_MS + 1_000).contains(&wait_ms));
+}
--- a/crates/relay/src/fleet/changes.rs
+++ b/crates/relay/src/fleet/changes.rs
@@ -28,6 +28,6 @@
     MemberGone(InstanceName),
     /// An engine's holder was recorded.
     Holder(HolderRecord),
-    /// An engine's holder record vanished.
-    HolderGone(UpstreamName),
+    /// An engine's holder record vanished; true when its lease surely ran out.
+    HolderGone(UpstreamName, bool),
 }
--- a/crates/relay/src/fleet/mod.rs
+++ b/crates/relay/src/fleet/mod.rs
@@ -5,5 +5,5 @@
 mod watcher;
 
 pub use changes::FleetEvent;
-pub use view::FleetView;
+pub use view::{FleetView, StoreReach};
 pub use watcher::watch_store;
--- a/crates/relay/src/fleet/view.rs
+++ b/crates/relay/src/fleet/view.rs
@@ -16,6 +16,15 @@
 /// milliseconds: entries of live ones are back about two seconds after its return.
 const LAPSED_MS: u64 = 1_900;
 
+/// How well the store was reached lately.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct StoreReach {
+    /// Entries may have lapsed because of the store.
+    pub is_unsettled: bool,
+    /// Every call was answered for as long as a lease lasts.
+    pub is_steady: bool,
+}
+
 /// An upstream that is listed, or was a moment ago.
 #[derive(Clone, Debug)]
 pub struct KnownUpstream {
@@ -94,18 +103,18 @@
     ) -> Vec<FleetEvent> {
         let mut events = self.missing_from(now, snapshot);
         for change in &snapshot.changes {
-            events.extend(self.on_change(now, change.clone(), complete, false));
+            events.extend(self.on_change(now, change.clone(), complete, StoreReach::default()));
         }
         events
     }
 
-    /// Takes one change; `unsettled` while entries may lapse because of the store.
+    /// Takes one change; `complete` when no earlier change can have been missed.
     pub fn on_change(
         &mut self,
         now: UnixMs,
         change: FleetChange,
         complete: bool,
-        unsettled: bool,
+        reach: StoreReach,
     ) -> Option<FleetEvent> {
         match change {
             FleetChange::Routing(config) => {
@@ -121,7 +130,7 @@
                 Some(FleetEvent::Routing)
             }
             FleetChange::Upstream(record) => Some(self.on_upstream(record, complete)),
-            FleetChange::UpstreamGone(name) if unsettled => {
+            FleetChange::UpstreamGone(name) if reach.is_unsettled => {
                 self.lapse(now, &name);
                 None
             }
@@ -156,7 +165,7 @@
             }
             FleetChange::HolderGone(name) => {
                 self.holders.remove(&name);
-                Some(FleetEvent::HolderGone(name))
+                Some(FleetEvent::HolderGone(name, reach.is_steady))
             }
             FleetChange::Unreadable { key, problem } => {
                 Line::new(&kind::ENTRY_UNREADABLE)
@@ -240,7 +249,7 @@
         }
         let members = members.into_iter().map(FleetEvent::MemberGone);
         members
-            .chain(holders.into_iter().map(FleetEvent::HolderGone))
+            .chain(holders.into_iter().map(|name| FleetEvent::HolderGone(name, false)))
             .collect()
     }
 }
--- a/crates/relay/src/fleet/watcher.rs
+++ b/crates/relay/src/fleet/watcher.rs
@@ -4,11 +4,14 @@
 use std::time::Duration;
 
 use monsoonspread_borders::relay::{FleetChanges, FleetStoreError};
+use monsoonspread_decisions::holders::CONFIRMED_FOR_MS;
 use monsoonspread_model::UnixMs;
 
 use crate::event::{Line, kind};
 use crate::shared::Shared;
 
+use super::StoreReach;
+
 /// Longest wait of one watch, in milliseconds: short enough that a connection that fell silent
 /// is noticed within the time for a change of the configuration and its outer bound.
 const WATCH_MS: u64 = 2_000;
@@ -48,10 +51,10 @@
                 revision: up_to,
             }) => {
                 trouble.on_answer();
-                let unsettled = trouble.is_unsettled(shared.now());
+                let reach = trouble.reach(shared.now());
                 let any = !changes.is_empty();
                 for change in changes {
-                    shared.on_change(change, unsettled);
+                    shared.on_change(change, reach);
                 }
                 revision = up_to.max(revision);
                 if any {
@@ -75,6 +78,7 @@
 struct Trouble {
     lost: bool,
     unsettled_until: UnixMs,
+    steady_from: UnixMs,
 }
 
 impl Trouble {
@@ -86,12 +90,16 @@
 
     fn on_failure(&mut self, now: UnixMs, error: &FleetStoreError) {
         self.unsettled_until = now + UNSETTLED_MS;
+        self.steady_from = now + CONFIRMED_FOR_MS;
         if !std::mem::replace(&mut self.lost, true) {
             Line::new(&kind::STORE_LOST).field("error", error).log();
         }
     }
 
-    fn is_unsettled(&self, now: UnixMs) -> bool {
-        now < self.unsettled_until
+    fn reach(&self, now: UnixMs) -> StoreReach {
+        StoreReach {
+            is_unsettled: now < self.unsettled_until,
+            is_steady: now >= self.steady_from,
+        }
     }
 }
--- a/crates/relay/src/holding/asks.rs
+++ b/crates/relay/src/holding/asks.rs
@@ -26,6 +26,8 @@
     pub rank: u32,
     /// Length of its prompt.
     pub prompt_tokens: u32,
+    /// It waits for a copy behind others.
+    pub patient: bool,
     /// When the request stops waiting for the copy.
     pub wait_until: UnixMs,
     /// When the request is surely over.
@@ -55,6 +57,7 @@
                 key: ask.key.clone(),
                 rank: ask.rank,
                 prompt_tokens: ask.prompt_tokens,
+                patient: ask.patient,
                 wait_ms: ask.wait_until.ms_since(now),
                 lasts_ms: ask.ends_by.ms_since(now),
             };
@@ -80,6 +83,7 @@
             key: ask.key.clone(),
             rank: ask.rank,
             prompt_tokens: ask.prompt_tokens,
+            patient: ask.patient,
             wait_until: ask.wait_until,
             ends_by: ask.ends_by,
         };
--- a/crates/relay/src/holding/controller.rs
+++ b/crates/relay/src/holding/controller.rs
@@ -9,7 +9,7 @@
     AskId, CopyAction, CopyAsk, CopyControl, CopyControlDump, CopyRefusal,
 };
 use monsoonspread_decisions::holders::{Confirmation, HolderPlan, PlannedClaim};
-use monsoonspread_model::fleet::{HolderActivity, Order, OrderAnswer};
+use monsoonspread_model::fleet::{HolderActivity, Order, OrderAnswer, UpstreamStage};
 use monsoonspread_model::{InstanceName, UnixMs, UpstreamName};
 use tokio::sync::oneshot;
 
@@ -95,6 +95,10 @@
                     plan.on_engine(now, &record.name, &record.zone, *complete);
                 }
                 drop(plan);
+                if record.stage == UpstreamStage::Leaving {
+                    self.plan.borrow_mut().on_engine_gone(&record.name);
+                    self.give_up(shared, &record.name, CopyRefusal::Leaving);
+                }
                 if *restarted {
                     self.with(shared, &record.name, |engine| {
                         engine.address = record.address;
@@ -123,8 +127,8 @@
                     self.give_up(shared, &record.upstream, CopyRefusal::NotHolder);
                 }
             }
-            FleetEvent::HolderGone(name) => {
-                plan.on_holder_gone(now, name);
+            FleetEvent::HolderGone(name, expired) => {
+                plan.on_holder_gone(now, name, *expired);
                 drop(plan);
                 self.give_up(shared, name, CopyRefusal::NotHolder);
             }
@@ -186,12 +190,14 @@
     }
 
     /// Claims the engines that the plan gives to this instance.
-    pub async fn claim(&self, shared: &Rc<Shared>) {
+    ///
+    /// Until all instances are `known`, only those that an earlier process held.
+    pub async fn claim(&self, shared: &Rc<Shared>, known: bool) {
         let Some(lease) = self.lease.get() else {
             return;
         };
         let is_held = |name: &UpstreamName| self.engines.borrow().contains_key(name);
-        let planned = self.plan.borrow().claims(shared.now(), is_held);
+        let planned = self.plan.borrow().claims(shared.now(), known, is_held);
         for claims in planned.chunks(CLAIMS_AT_ONCE) {
             let now = shared.now();
             let writes: Vec<ClaimWrite> = claims
--- a/crates/relay/src/peers/link.rs
+++ b/crates/relay/src/peers/link.rs
@@ -33,6 +33,17 @@
     Silent,
 }
 
+impl AskFailure {
+    /// Whether it says nothing of the engine, as the holder decides on nothing now.
+    pub fn is_of_holder(self) -> bool {
+        matches!(
+            self,
+            Self::Silent
+                | Self::Refused(CopyRefusal::NotHolder | CopyRefusal::Unread)
+        )
+    }
+}
+
 type Answer = Result<u32, AskFailure>;
 
 struct Waiting {
--- a/crates/relay/src/peers/message.rs
+++ b/crates/relay/src/peers/message.rs
@@ -18,6 +18,8 @@
     pub rank: u32,
     /// Length of its prompt.
     pub prompt_tokens: u32,
+    /// It waits for a copy behind others.
+    pub patient: bool,
     /// How long the instance waits for the copy, in milliseconds.
     pub wait_ms: u64,
     /// How long the request may take at the most, in milliseconds.
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -24,7 +24,7 @@
 /// which a copy arrives.
 const TICK_MS: u64 = 25;
 /// How often engines without a holder are claimed, in milliseconds.
-const CLAIM_MS: u64 = 250;
+const CLAIM_MS: u64 = 200;
 /// Time for all instances of a region to announce themselves at a start, in milliseconds.
 const SETTLE_MS: u64 = 1_200;
 /// How often idle connections are swept, in milliseconds.
@@ -108,10 +108,11 @@
 }
 
 async fn claim_engines(shared: Rc<Shared>) {
-    sleep(Duration::from_millis(SETTLE_MS)).await;
+    let known_from = shared.now() + SETTLE_MS;
     loop {
         if !shared.is_stopping() {
-            shared.holding.claim(&shared).await;
+            let known = shared.now() >= known_from;
+            shared.holding.claim(&shared, known).await;
         }
         sleep(Duration::from_millis(CLAIM_MS)).await;
     }
--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -5,17 +5,17 @@
 use std::rc::Rc;
 
 use monsoonspread_borders::relay::{FleetChange, FleetChanges};
-use monsoonspread_decisions::copies::{AskId, CopyAsk};
+use monsoonspread_decisions::copies::{AskId, CopyAsk, KnownCopies};
 use monsoonspread_decisions::load_choice::LoadChoice;
 use monsoonspread_decisions::placement::{CandidateUpstream, Placement, PlacementSettings};
 use monsoonspread_decisions::service_route::{ServiceRouter, ServiceServer};
-use monsoonspread_model::fleet::EngineShape;
+use monsoonspread_model::fleet::{EngineShape, UpstreamRecord};
 use monsoonspread_model::{InstanceName, UnixMs, UpstreamName};
 
 use crate::borders::Borders;
 use crate::clock::SteadyClock;
 use crate::connection::Pool;
-use crate::fleet::{FleetEvent, FleetView};
+use crate::fleet::{FleetEvent, FleetView, StoreReach};
 use crate::holding::Holding;
 use crate::metrics::Metrics;
 use crate::peers::{Incoming, PeerHandler, PeerLinks, PeerReply, PeerRequest};
@@ -65,6 +65,8 @@
     pub placement: RefCell<Placement>,
     /// Which of them is least loaded.
     pub loads: RefCell<LoadChoice>,
+    /// Copies for use without their holder.
+    pub known_copies: RefCell<KnownCopies>,
     /// Servers of plain services.
     pub router: RefCell<ServiceRouter>,
     /// Further attempts.
@@ -91,6 +93,7 @@
             pool: Pool::new(clock),
             placement: RefCell::new(Placement::new(zone.clone(), PLACEMENT)),
             loads: RefCell::default(),
+            known_copies: RefCell::default(),
             router: RefCell::new(ServiceRouter::new(zone, ROUTER_SEED)),
             retries: RetryBudgets::new(bounds.retry_ratio, bounds.retry_slack),
             metrics: Metrics::default(),
@@ -151,13 +154,13 @@
         self.on_events(&events);
     }
 
-    /// Something changed in the store; `unsettled` while entries may lapse because of it.
-    pub fn on_change(self: &Rc<Self>, change: FleetChange, unsettled: bool) {
+    /// Something changed in the store.
+    pub fn on_change(self: &Rc<Self>, change: FleetChange, reach: StoreReach) {
         let now = self.now();
         let event = self
             .fleet
             .borrow_mut()
-            .on_change(now, change, true, unsettled);
+            .on_change(now, change, true, reach);
         self.on_events(event.as_slice());
     }
 
@@ -171,6 +174,15 @@
     fn on_events(self: &Rc<Self>, events: &[FleetEvent]) {
         for event in events {
             self.holding.on_fleet(self, event);
+            if let FleetEvent::UpstreamGone(name)
+            | FleetEvent::Upstream {
+                record: UpstreamRecord { name, .. },
+                restarted: true,
+                ..
+            } = event
+            {
+                self.known_copies.borrow_mut().on_engine_gone(name);
+            }
             if matches!(event, FleetEvent::MemberGone(name) if *name == self.settings.instance) {
                 self.set_unannounced();
             }
@@ -231,6 +243,7 @@
                     key: ask.key,
                     rank: ask.rank,
                     prompt_tokens: ask.prompt_tokens,
+                    patient: ask.patient,
                     wait_until: now + ask.wait_ms,
                     ends_by: now + ask.lasts_ms,
                 };
