End a rejected unload in a report

Cause: conflicts were not counted towards a report while any unload was under way, the rejected one itself included, so that it was repeated for good.

--- a/crates/decisions/src/copies/orders.rs
+++ b/crates/decisions/src/copies/orders.rs
@@ -22,6 +22,8 @@
 const CONFLICT_PAUSE_MS: u64 = 40;
 /// Conflicts in a row after which a report is read.
 const CONFLICTS_TO_REPORT: u32 = 3;
+/// The same while an unload that was accepted waits for its requests: two seconds of them.
+const CONFLICTS_WHILE_UNLOADING: u32 = 50;
 /// Age that a report's values may have, in milliseconds, with allowance.
 const REPORT_LAG_MS: u64 = 500;
 /// Pause before an order that got no answer is repeated, in milliseconds.
@@ -113,8 +115,13 @@
         let waits_for_unload = self
             .copies
             .values()
-            .any(|copy| matches!(copy.stage, CopyStage::Going { .. }));
-        if repeated || (!waits_for_unload && self.conflicts >= CONFLICTS_TO_REPORT) {
+            .any(|copy| matches!(copy.stage, CopyStage::Going { accepted: true, .. }));
+        let most = if waits_for_unload {
+            CONFLICTS_WHILE_UNLOADING
+        } else {
+            CONFLICTS_TO_REPORT
+        };
+        if repeated || self.conflicts >= most {
             self.distrust(now);
         }
         self.undo_ordered(order);
--- a/crates/decisions/src/copies/tests/orders.rs
+++ b/crates/decisions/src/copies/tests/orders.rs
@@ -85,3 +85,16 @@
     world.run_ms(600);
     assert_eq!(world.granted, [1, 3]);
 }
+
+/// An unload that the engine rejected was repeated for good (seed 184 of the random runs).
+#[test]
+fn a_rejected_unload_ends_in_a_report() {
+    let mut world = World::new(1);
+    world.ask(1, 1);
+    world.run_ms(400);
+    world.done(1);
+    world.engine.accepted += 1;
+    world.ask(2, 2);
+    world.run_ms(2_000);
+    assert_eq!(world.granted, [1, 2]);
+}
