Serve those first that are in time, and pace the watches

Asks that would miss their objective anyway wait behind those that meet it. A watch that brought entries of no use was repeated without a pause; now one starts every half second at the most.

--- a/crates/decisions/src/copies/ask.rs
+++ b/crates/decisions/src/copies/ask.rs
@@ -27,6 +27,8 @@
     pub prompt_tokens: u32,
     /// It waits for a copy behind others; else it would rather be refused at once.
     pub patient: bool,
+    /// The request meets its objective when it is sent until then.
+    pub in_time_until: UnixMs,
     /// When the instance stops waiting for the copy.
     pub wait_until: UnixMs,
     /// When the request is surely over.
--- a/crates/decisions/src/copies/control.rs
+++ b/crates/decisions/src/copies/control.rs
@@ -217,7 +217,9 @@
     }
 
     fn answer_asks(&mut self, now: UnixMs) {
-        let asks = std::mem::take(&mut self.waiting);
+        let mut asks = std::mem::take(&mut self.waiting);
+        // Those that are late anyway take no place of one that isn't.
+        asks.sort_by_key(|ask| (ask.in_time_until < now, ask.rank));
         for ask in asks {
             if self.is_usable(&ask.key) && self.prompts.admit(now, ask.prompt_tokens) {
                 self.prompts.on_sent(now, &ask);
--- a/crates/decisions/src/copies/tests/world.rs
+++ b/crates/decisions/src/copies/tests/world.rs
@@ -73,6 +73,7 @@
             rank: 0,
             prompt_tokens: 0,
             patient: true,
+            in_time_until: self.now + 30_000,
             wait_until: self.now + 60_000,
             ends_by: self.now + 90_000,
         };
--- a/crates/relay/src/call/model_call.rs
+++ b/crates/relay/src/call/model_call.rs
@@ -170,6 +170,7 @@
             prompt_tokens: self.request.head.prompt_tokens,
             objective_ms: self.request.route.objective_ms,
             patient,
+            arrived_at: self.request.arrived_at,
             deadline: self.request.deadline,
         };
         ask_for_copy(&self.shared, &wish).await
--- a/crates/relay/src/connection/pool.rs
+++ b/crates/relay/src/connection/pool.rs
@@ -17,7 +17,7 @@
 /// How long an upstream that doesn't say keeps an idle connection, in milliseconds.
 const DEFAULT_KEEP_ALIVE_MS: u64 = 4_000;
 /// Taken off what an upstream says, in milliseconds: a request may be on its way for so long.
-const KEEP_ALIVE_MARGIN_MS: u64 = 500;
+const KEEP_ALIVE_MARGIN_MS: u64 = 100;
 /// Oldest idle connection for work that may not be repeated, in milliseconds.
 ///
 /// An upstream may drop an idle connection unseen; one that was used a moment ago is safe.
--- a/crates/relay/src/fleet/watcher.rs
+++ b/crates/relay/src/fleet/watcher.rs
@@ -7,6 +7,8 @@
 use monsoonspread_decisions::holders::CONFIRMED_FOR_MS;
 use monsoonspread_model::UnixMs;
 
+use tokio::time::Instant;
+
 use crate::event::{Line, kind};
 use crate::shared::Shared;
 
@@ -15,9 +17,9 @@
 /// Longest wait of one watch, in milliseconds: short enough that a connection that fell silent
 /// is noticed within the time for a change of the configuration and its outer bound.
 const WATCH_MS: u64 = 2_000;
-/// Pause after a watch that brought changes, in milliseconds, so that changes that come
-/// together are read with one call. Changes have two seconds to be in force.
-const GATHER_MS: u64 = 250;
+/// Least time from one watch to the next, in milliseconds, so that changes that come together
+/// are read with one call. Changes have two seconds to be in force.
+const GATHER_MS: u64 = 500;
 /// Pause after a call that failed, in milliseconds.
 const RETRY_MS: u64 = 300;
 /// After a failed call, entries may lapse because of the store for so long, in milliseconds.
@@ -45,6 +47,7 @@
 
 async fn follow(shared: &Rc<Shared>, mut revision: u64, trouble: &mut Trouble) {
     loop {
+        let asked_at = Instant::now();
         match shared.borders.store.changes_after(revision, WATCH_MS).await {
             Ok(FleetChanges {
                 changes,
@@ -52,14 +55,11 @@
             }) => {
                 trouble.on_answer();
                 let reach = trouble.reach(shared.now());
-                let any = !changes.is_empty();
                 for change in changes {
                     shared.on_change(change, reach);
                 }
                 revision = up_to.max(revision);
-                if any {
-                    tokio::time::sleep(Duration::from_millis(GATHER_MS)).await;
-                }
+                tokio::time::sleep_until(asked_at + Duration::from_millis(GATHER_MS)).await;
             }
             Err(FleetStoreError::HistoryGone(after)) => {
                 Line::new(&kind::HISTORY_GONE).field("after", after).log();
--- a/crates/relay/src/holding/asks.rs
+++ b/crates/relay/src/holding/asks.rs
@@ -28,6 +28,8 @@
     pub prompt_tokens: u32,
     /// It waits for a copy behind others.
     pub patient: bool,
+    /// The request meets its objective when it is sent until then.
+    pub in_time_until: UnixMs,
     /// When the request stops waiting for the copy.
     pub wait_until: UnixMs,
     /// When the request is surely over.
@@ -58,6 +60,7 @@
                 rank: ask.rank,
                 prompt_tokens: ask.prompt_tokens,
                 patient: ask.patient,
+                in_time_ms: ask.in_time_until.ms_since(now),
                 wait_ms: ask.wait_until.ms_since(now),
                 lasts_ms: ask.ends_by.ms_since(now),
             };
@@ -84,6 +87,7 @@
             rank: ask.rank,
             prompt_tokens: ask.prompt_tokens,
             patient: ask.patient,
+            in_time_until: ask.in_time_until,
             wait_until: ask.wait_until,
             ends_by: ask.ends_by,
         };
--- a/crates/relay/src/holding/wish.rs
+++ b/crates/relay/src/holding/wish.rs
@@ -15,6 +15,10 @@
 /// One that starts later is late anyway, but may find a copy nowhere else.
 const WAIT_PERCENT: u64 = 150;
 
+/// Time from the leave to send a request to its first event on an engine that is not idle, in
+/// milliseconds.
+const READ_MS: u64 = 200;
+
 /// A request's wish for a copy on one engine.
 #[derive(Clone, Copy, Debug)]
 pub struct CopyWish<'a> {
@@ -30,6 +34,8 @@
     pub objective_ms: u64,
     /// It waits for a copy behind others.
     pub patient: bool,
+    /// When it arrived.
+    pub arrived_at: UnixMs,
     /// When it is surely over.
     pub deadline: UnixMs,
 }
@@ -54,6 +60,7 @@
         rank: wish.rank,
         prompt_tokens: wish.prompt_tokens,
         patient: wish.patient,
+        in_time_until: wish.arrived_at + wish.objective_ms.saturating_sub(READ_MS),
         wait_until: wish
             .deadline
             .min(now + wish.objective_ms * WAIT_PERCENT / 100),
--- a/crates/relay/src/peers/message.rs
+++ b/crates/relay/src/peers/message.rs
@@ -20,6 +20,8 @@
     pub prompt_tokens: u32,
     /// It waits for a copy behind others.
     pub patient: bool,
+    /// How long the request may wait and still meet its objective, in milliseconds.
+    pub in_time_ms: u64,
     /// How long the instance waits for the copy, in milliseconds.
     pub wait_ms: u64,
     /// How long the request may take at the most, in milliseconds.
--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -241,6 +241,7 @@
                     rank: ask.rank,
                     prompt_tokens: ask.prompt_tokens,
                     patient: ask.patient,
+                    in_time_until: now + ask.in_time_ms,
                     wait_until: now + ask.wait_ms,
                     ends_by: now + ask.lasts_ms,
                 };
