--- a/crates/relay/src/call/attempt.rs
+++ b/crates/relay/src/call/attempt.rs
@@ -15,14 +15,17 @@
 use crate::event::{Line, kind};
 use crate::shared::Shared;
 
+/// An upstream's answer, of which the head has come.
+pub(super) struct Answered {
+    pub(super) response: Response<Incoming>,
+    pub(super) answer: AnswerHead,
+    pub(super) sender: PooledSender,
+}
+
 /// How an attempt ended.
 pub(super) enum Attempt {
     /// The upstream answered this request.
-    Answered {
-        response: Response<Incoming>,
-        answer: AnswerHead,
-        sender: PooledSender,
-    },
+    Answered(Box<Answered>),
     /// The upstream surely didn't run it and never will.
     NotRun {
         /// It lacks what the request runs on, or another upstream has its address.
@@ -69,7 +72,7 @@
         Ok(Ok((response, sender))) => judge(shared, request, response, sender),
     };
     match &outcome {
-        Attempt::Answered { .. } => {}
+        Attempt::Answered(_) => {}
         Attempt::NotRun { misdirected: true } => log_failure(request, upstream, "misdirected", ""),
         Attempt::NotRun { .. } => log_failure(request, upstream, "not run", ""),
         Attempt::Unknown => log_failure(request, upstream, "not its answer", ""),
@@ -135,11 +138,11 @@
         let misdirected = answer.misdirected;
         return Attempt::NotRun { misdirected };
     }
-    Attempt::Answered {
+    Attempt::Answered(Box::new(Answered {
         response,
         answer,
         sender,
-    }
+    }))
 }
 
 fn log_failure(request: &RelayRequest, upstream: &UpstreamRecord, outcome: &str, why: &str) {
--- a/crates/relay/src/call/mod.rs
+++ b/crates/relay/src/call/mod.rs
@@ -12,6 +12,7 @@
 mod refusal;
 mod request;
 mod resume;
+mod run;
 mod service_call;
 
 pub use answer::Grant;
--- a/crates/relay/src/call/model_call.rs
+++ b/crates/relay/src/call/model_call.rs
@@ -2,9 +2,7 @@
 
 use std::rc::Rc;
 
-use hyper::body::Incoming;
 use hyper::{Response, StatusCode};
-use monsoonspread_borders::relay::AnswerHead;
 use monsoonspread_model::UpstreamName;
 use monsoonspread_model::fleet::{AdapterKey, UpstreamRecord, UpstreamStage};
 
@@ -13,8 +11,8 @@
 use super::candidates::candidates;
 use super::pass_on::{log_end, pass_on};
 use super::request::RelayRequest;
+use super::run::Run;
 use super::{RelayBody, refusal, resume};
-use crate::connection::PooledSender;
 use crate::event::{Line, kind};
 use crate::holding::{CopyWish, ask_for_copy};
 use crate::peers::AskFailure;
@@ -42,7 +40,7 @@
     }
     let mut call = ModelCall::new(shared, Rc::new(request), key);
     match call.next_engine(None).await {
-        Some(run) if call.is_resumable() && run.response.status().is_success() => {
+        Some(run) if call.is_resumable() && run.answered.response.status().is_success() => {
             resume::resumable(call, run)
         }
         Some(run) => pass_on(&call.shared, &call.request, run),
@@ -50,14 +48,6 @@
     }
 }
 
-/// An engine's answer to a request.
-pub(super) struct Run {
-    pub(super) response: Response<Incoming>,
-    pub(super) answer: AnswerHead,
-    pub(super) sender: PooledSender,
-    pub(super) end: AnswerEnd,
-}
-
 /// A request on its way from engine to engine.
 pub(super) struct ModelCall {
     pub(super) shared: Rc<Shared>,
@@ -191,13 +181,9 @@
             give_up_at: request.deadline,
         };
         match attempt(&shared, &request, record, options).await {
-            Attempt::Answered {
-                response,
-                answer,
-                sender,
-            } => {
+            Attempt::Answered(answered) => {
                 self.runs += 1;
-                let status = response.status();
+                let status = answered.response.status();
                 if status.is_server_error() && self.may_run_again() {
                     self.on_failed(record);
                     return Offer::Next;
@@ -206,9 +192,7 @@
                 let end = AnswerEnd::new(&shared, &request, &record.name, status.into())
                     .with_grant(grant, granted_ms);
                 Offer::Ran(Box::new(Run {
-                    response,
-                    answer,
-                    sender,
+                    answered: *answered,
                     end,
                 }))
             }
--- a/crates/relay/src/call/pass_on.rs
+++ b/crates/relay/src/call/pass_on.rs
@@ -7,8 +7,8 @@
 use tokio::time::Instant;
 
 use super::RelayBody;
-use super::model_call::Run;
 use super::request::RelayRequest;
+use super::run::Run;
 use crate::event::{Line, kind};
 use crate::shared::Shared;
 
@@ -22,12 +22,7 @@
     run: Run,
 ) -> Response<RelayBody> {
     let ends_by = ends_by(shared, request);
-    let (mut head, body) = run.response.into_parts();
-    let end = if run.answer.closes {
-        run.end
-    } else {
-        run.end.with_sender(run.sender, run.answer.keep_alive_ms)
-    };
+    let (mut head, body, end) = run.split();
     super::headers::remove_hop_headers(&mut head.headers);
     Response::from_parts(head, RelayBody::passed(body, ends_by, end))
 }
--- a/crates/relay/src/call/resume.rs
+++ b/crates/relay/src/call/resume.rs
@@ -12,8 +12,9 @@
 use super::RelayBody;
 use super::answer::AnswerEnd;
 use super::body::BodyError;
-use super::model_call::{ModelCall, Run};
+use super::model_call::ModelCall;
 use super::pass_on::ends_by;
+use super::run::Run;
 
 /// Passes on whole events, and those of the next engine after a break.
 ///
@@ -42,12 +43,7 @@
 
 impl Source {
     fn new(run: Run) -> (hyper::http::response::Parts, Self) {
-        let (head, body) = run.response.into_parts();
-        let end = if run.answer.closes {
-            run.end
-        } else {
-            run.end.with_sender(run.sender, run.answer.keep_alive_ms)
-        };
+        let (head, body, end) = run.split();
         (head, Self { body, end })
     }
 }
@@ -107,7 +103,7 @@
         }
         let resume_after = self.cut.last_id().or(self.call.request.head.resume_after);
         let run = self.call.next_engine(resume_after).await;
-        match run.filter(|run| run.response.status().is_success()) {
+        match run.filter(|run| run.answered.response.status().is_success()) {
             Some(run) => {
                 self.source = Some(Source::new(run).1);
                 Ok(())
--- a/crates/relay/src/call/service_call.rs
+++ b/crates/relay/src/call/service_call.rs
@@ -8,9 +8,9 @@
 
 use super::answer::{AnswerEnd, ServiceSlot};
 use super::attempt::{Attempt, AttemptOptions, attempt};
-use super::model_call::Run;
 use super::pass_on::{log_end, pass_on};
 use super::request::RelayRequest;
+use super::run::Run;
 use super::{RelayBody, refusal};
 use crate::event::{Line, kind};
 use crate::shared::Shared;
@@ -44,24 +44,19 @@
             give_up_at: give_up_at(shared.now(), &request, may_run_again),
         };
         match attempt(shared, &request, &record, options).await {
-            Attempt::Answered {
-                response,
-                answer,
-                sender,
-            } => {
+            Attempt::Answered(answered) => {
                 runs += 1;
-                let failed = response.status().is_server_error();
+                let status = answered.response.status();
+                let failed = status.is_server_error();
                 if failed && may_run_again && shared.retries.has_one(&request.service) {
-                    drop(response);
+                    drop(answered);
                     end(shared, slot, None);
                     continue;
                 }
-                let end = AnswerEnd::new(shared, &request, &record.name, response.status().into())
+                let end = AnswerEnd::new(shared, &request, &record.name, status.into())
                     .with_slot(Some(slot));
                 let run = Run {
-                    response,
-                    answer,
-                    sender,
+                    answered: *answered,
                     end,
                 };
                 return pass_on(shared, &request, run);
--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -24,11 +24,11 @@
 
 /// How copies follow demand.
 ///
-/// A copy of a busy adapter costs one load, after which the load of all engines can be levelled
-/// with its requests; a copy for each two requests a second and on all engines at the most
-/// served most on the users' days.
+/// A copy of a busy adapter costs one load, after which its requests level the load of all
+/// engines. A copy for each four requests a second served more on the users' days than one for
+/// each 2.5, and six no more.
 const PLACEMENT: PlacementSettings = PlacementSettings {
-    requests_per_copy_per_s: 2.5,
+    requests_per_copy_per_s: 4.0,
     max_copies: 64,
     spare_candidates: 2,
     demand_half_life_ms: 3_000,
