--- a/crates/relay/src/holding/wish.rs
+++ b/crates/relay/src/holding/wish.rs
@@ -10,10 +10,11 @@
 use crate::peers::AskFailure;
 use crate::shared::Shared;
 
-/// Part of its objective that a request waits for a copy, in percent.
+/// Part of its objective that a request waits for copies, at all engines together, in percent.
 ///
-/// One that starts later is late anyway, but may find a copy nowhere else.
-const WAIT_PERCENT: u64 = 150;
+/// One that starts later is late anyway, but may find a copy nowhere else; clients leave a
+/// stream that has not begun after four times its objective.
+const WAIT_PERCENT: u64 = 250;
 
 /// Time from the leave to send a request to its first event on an engine that is not idle, in
 /// milliseconds.
@@ -61,9 +62,7 @@
         prompt_tokens: wish.prompt_tokens,
         patient: wish.patient,
         in_time_until: wish.arrived_at + wish.objective_ms.saturating_sub(READ_MS),
-        wait_until: wish
-            .deadline
-            .min(now + wish.objective_ms * WAIT_PERCENT / 100),
+        wait_until: wait_until(now, wish),
         ends_by: wish.deadline,
     };
     match shared.holding.ask(shared, &ask).await {
@@ -89,6 +88,12 @@
     }
 }
 
+/// When the request stops waiting: at once when it waited long enough elsewhere.
+fn wait_until(now: UnixMs, wish: &CopyWish<'_>) -> UnixMs {
+    let at_most = wish.arrived_at + wish.objective_ms * WAIT_PERCENT / 100;
+    wish.deadline.min(at_most).max(now)
+}
+
 const UNASKED: Grant = Grant {
     guard: None,
     running: 0,
--- a/crates/relay/src/peers/link.rs
+++ b/crates/relay/src/peers/link.rs
@@ -124,7 +124,7 @@
 
 async fn wait_for(answered: oneshot::Receiver<Answer>, heard: &Cell<bool>, wait_ms: u64) -> Answer {
     tokio::pin!(answered);
-    let first = Duration::from_millis(HEARD_TIMEOUT_MS.min(wait_ms));
+    let first = Duration::from_millis(HEARD_TIMEOUT_MS);
     if let Ok(answer) = timeout(first, &mut answered).await {
         return answer.unwrap_or(Err(AskFailure::Silent));
     }
