--- /dev/null
+++ b/crates/relay/src/holding/calls.rs
@@ -0,0 +1,83 @@
+//! Orders and reports on their way.
+
+use std::rc::Rc;
+
+use monsoonspread_model::UpstreamName;
+use monsoonspread_model::fleet::{Order, OrderAnswer};
+
+use crate::event::{Line, kind};
+use crate::shared::Shared;
+
+/// Sends an order and delivers its answer.
+pub(super) async fn send_order(shared: Rc<Shared>, name: UpstreamName, order: Order) {
+    let holding = &shared.holding;
+    let Some((address, fence)) = holding.target(&name) else {
+        return;
+    };
+    if !holding.confirmation.borrow().holds(shared.now()) {
+        let now = shared.now();
+        holding.with(&shared, &name, |engine| {
+            engine.control.on_order_answer(now, OrderAnswer::NotSent)
+        });
+        return;
+    }
+    let answer = shared
+        .borders
+        .engines
+        .order(&name, address, fence, &order)
+        .await;
+    shared.metrics.count("orders", order_outcome(answer));
+    log::debug!("order {order:?} at {name}: {answer:?}");
+    if !matches!(answer, OrderAnswer::Accepted | OrderAnswer::Holds) {
+        Line::new(&kind::ORDER_ANSWERED)
+            .field("upstream", &name)
+            .field("order", format!("{:?}", order.kind))
+            .field("adapter", &order.key)
+            .field("accepted_before", order.accepted_before)
+            .field("answer", format!("{answer:?}"))
+            .log();
+    }
+    let now = shared.now();
+    holding.with(&shared, &name, |engine| {
+        if engine.fence != fence {
+            return Vec::new();
+        }
+        engine.control.on_order_answer(now, answer)
+    });
+}
+
+fn order_outcome(answer: OrderAnswer) -> &'static str {
+    match answer {
+        OrderAnswer::Accepted => "accepted",
+        OrderAnswer::Holds => "holds",
+        OrderAnswer::Conflict => "conflict",
+        OrderAnswer::Unknown => "unknown",
+        OrderAnswer::Rejected => "rejected",
+        OrderAnswer::NotSent => "not_sent",
+        OrderAnswer::Unanswered => "unanswered",
+    }
+}
+
+/// Reads what an engine holds and delivers it.
+pub(super) async fn read_report(shared: Rc<Shared>, name: UpstreamName) {
+    let holding = &shared.holding;
+    let Some((address, _)) = holding.target(&name) else {
+        return;
+    };
+    let report = shared.borders.engines.report(&name, address).await;
+    match &report {
+        Ok(holdings) => Line::new(&kind::REPORT_READ)
+            .field("upstream", &name)
+            .field("adapters", holdings.adapters.len())
+            .field("accepted", holdings.accepted_orders)
+            .log(),
+        Err(error) => Line::new(&kind::REPORT_FAILED)
+            .field("upstream", &name)
+            .field("error", error)
+            .log(),
+    }
+    let now = shared.now();
+    holding.with(&shared, &name, |engine| {
+        engine.control.on_report(now, report.ok())
+    });
+}
--- a/crates/relay/src/holding/controller.rs
+++ b/crates/relay/src/holding/controller.rs
@@ -4,30 +4,26 @@
 use std::collections::{BTreeMap, HashMap};
 use std::rc::Rc;
 
-use monsoonspread_borders::relay::{ClaimOutcome, ClaimWrite, LeaseId};
-use monsoonspread_decisions::copies::{
-    AskId, CopyAction, CopyAsk, CopyControl, CopyControlDump, CopyRefusal,
-};
-use monsoonspread_decisions::holders::{Confirmation, HolderPlan, PlannedClaim};
-use monsoonspread_model::fleet::{HolderActivity, Order, OrderAnswer, UpstreamStage};
-use monsoonspread_model::{InstanceName, UnixMs, UpstreamName};
+use monsoonspread_borders::relay::LeaseId;
+use monsoonspread_decisions::copies::{AskId, CopyAction, CopyAsk, CopyControlDump, CopyRefusal};
+use monsoonspread_decisions::holders::{Confirmation, HolderPlan};
+use monsoonspread_model::fleet::UpstreamStage;
+use monsoonspread_model::{InstanceName, UpstreamName};
 use tokio::sync::oneshot;
 
+use super::calls::{read_report, send_order};
 use super::engine::HeldEngine;
 use crate::event::{Line, kind};
 use crate::fleet::FleetEvent;
 use crate::peers::{AskFailure, PeerReply};
 use crate::shared::Shared;
 
-/// Records that one write of the store takes.
-const CLAIMS_AT_ONCE: usize = 16;
-
 type LocalAnswer = oneshot::Sender<Result<u32, AskFailure>>;
 
 /// The engines that this instance gives orders to.
 pub struct Holding {
-    plan: RefCell<HolderPlan>,
-    engines: RefCell<BTreeMap<UpstreamName, HeldEngine>>,
+    pub(super) plan: RefCell<HolderPlan>,
+    pub(super) engines: RefCell<BTreeMap<UpstreamName, HeldEngine>>,
     pub(super) confirmation: RefCell<Confirmation>,
     pub(super) lease: Cell<Option<LeaseId>>,
     local: RefCell<HashMap<u64, LocalAnswer>>,
@@ -189,96 +185,6 @@
         });
     }
 
-    /// Claims the engines that the plan gives to this instance.
-    ///
-    /// Until all instances are `known`, only those that an earlier process held.
-    pub async fn claim(&self, shared: &Rc<Shared>, known: bool) {
-        let Some(lease) = self.lease.get() else {
-            return;
-        };
-        let is_held = |name: &UpstreamName| self.engines.borrow().contains_key(name);
-        let planned = self.plan.borrow().claims(shared.now(), known, is_held);
-        for claims in planned.chunks(CLAIMS_AT_ONCE) {
-            let now = shared.now();
-            let writes: Vec<ClaimWrite> = claims
-                .iter()
-                .map(|claim| ClaimWrite {
-                    upstream: claim.upstream.clone(),
-                    expected_revision: claim.expected_revision,
-                    holder: shared.settings.instance.clone(),
-                    activity: activity(claim.orders_from, now),
-                })
-                .collect();
-            if let Some(fence) = write(shared, lease, &writes).await {
-                self.adopt(shared, claims, now, fence);
-            }
-        }
-        self.end_waits(shared, lease).await;
-    }
-
-    /// Records that this instance gives orders from now on where it waited long enough.
-    async fn end_waits(&self, shared: &Rc<Shared>, lease: LeaseId) {
-        let now = shared.now();
-        let is_over = |engine: &HeldEngine| engine.waits_until.is_some_and(|until| until <= now);
-        let over: Vec<(UpstreamName, u64)> = {
-            let engines = self.engines.borrow();
-            let over = engines.iter().filter(|(_, engine)| is_over(engine));
-            over.map(|(name, engine)| (name.clone(), engine.fence))
-                .collect()
-        };
-        for part in over.chunks(CLAIMS_AT_ONCE) {
-            let writes = self.records(shared, part, HolderActivity::Orders);
-            let Some(fence) = write(shared, lease, &writes).await else {
-                continue;
-            };
-            let mut engines = self.engines.borrow_mut();
-            for (name, former) in part {
-                if let Some(engine) = engines.get_mut(name)
-                    && engine.fence == *former
-                {
-                    engine.fence = fence;
-                    engine.waits_until = None;
-                }
-            }
-        }
-    }
-
-    fn records(
-        &self,
-        shared: &Shared,
-        held: &[(UpstreamName, u64)],
-        activity: HolderActivity,
-    ) -> Vec<ClaimWrite> {
-        let records = held.iter().map(|(name, fence)| ClaimWrite {
-            upstream: name.clone(),
-            expected_revision: *fence,
-            holder: shared.settings.instance.clone(),
-            activity,
-        });
-        records.collect()
-    }
-
-    /// Writes that this instance gives no more orders.
-    pub async fn release(&self, shared: &Rc<Shared>) {
-        let held: Vec<(UpstreamName, u64)> = {
-            let engines = self.engines.borrow();
-            engines
-                .iter()
-                .map(|(name, engine)| (name.clone(), engine.fence))
-                .collect()
-        };
-        for (name, _) in &held {
-            self.give_up(shared, name, CopyRefusal::NotHolder);
-        }
-        let Some(lease) = self.lease.get() else {
-            return;
-        };
-        for part in held.chunks(CLAIMS_AT_ONCE) {
-            let writes = self.records(shared, part, HolderActivity::Stopped);
-            write(shared, lease, &writes).await;
-        }
-    }
-
     /// The lease ended: nothing is held any more.
     pub(super) fn drop_all(&self, shared: &Rc<Shared>) {
         let names: Vec<UpstreamName> = self.engines.borrow().keys().cloned().collect();
@@ -287,41 +193,7 @@
         }
     }
 
-    /// Takes over what was claimed; `written_at` is when the claims were written.
-    fn adopt(&self, shared: &Rc<Shared>, claims: &[PlannedClaim], written_at: UnixMs, fence: u64) {
-        let now = shared.now();
-        for claim in claims {
-            let name = &claim.upstream;
-            let own = shared.settings.instance.clone();
-            let activity = activity(claim.orders_from, written_at);
-            self.plan
-                .borrow_mut()
-                .on_holder(now, name, own, activity, fence);
-            let Some((address, shape)) = shared.engine_shape(name) else {
-                continue;
-            };
-            Line::new(&kind::HELD)
-                .field("upstream", name)
-                .field("fence", fence)
-                .field("orders_in_ms", claim.orders_from.ms_since(now))
-                .log();
-            let fleet = shared.fleet.borrow();
-            let versions = fleet
-                .versions()
-                .map(|(key, version)| (key.clone(), version));
-            let control = CopyControl::new(shape).with_versions(versions.collect());
-            let waits = activity == HolderActivity::Waits;
-            let engine = HeldEngine {
-                control,
-                address,
-                fence,
-                waits_until: waits.then_some(claim.orders_from),
-            };
-            self.engines.borrow_mut().insert(name.clone(), engine);
-        }
-    }
-
-    fn give_up(&self, shared: &Rc<Shared>, name: &UpstreamName, reason: CopyRefusal) {
+    pub(super) fn give_up(&self, shared: &Rc<Shared>, name: &UpstreamName, reason: CopyRefusal) {
         let Some(mut engine) = self.engines.borrow_mut().remove(name) else {
             return;
         };
@@ -347,7 +219,7 @@
     }
 
     /// Delivers an event to an engine; false when it is not held.
-    fn with(
+    pub(super) fn with(
         &self,
         shared: &Rc<Shared>,
         name: &UpstreamName,
@@ -394,105 +266,10 @@
         shared.incoming.reply(&ask.instance, reply);
     }
 
-    fn target(&self, name: &UpstreamName) -> Option<(std::net::SocketAddr, u64)> {
+    pub(super) fn target(&self, name: &UpstreamName) -> Option<(std::net::SocketAddr, u64)> {
         let engines = self.engines.borrow();
         engines
             .get(name)
             .map(|engine| (engine.address, engine.fence))
     }
 }
-
-/// What a holder does at first that may give orders from `orders_from` on.
-fn activity(orders_from: UnixMs, now: UnixMs) -> HolderActivity {
-    if orders_from <= now {
-        HolderActivity::Orders
-    } else {
-        HolderActivity::Waits
-    }
-}
-
-/// Writes holder records; returns their revision.
-async fn write(shared: &Shared, lease: LeaseId, writes: &[ClaimWrite]) -> Option<u64> {
-    let outcome = match shared.borders.store.claim(lease, writes).await {
-        Ok(ClaimOutcome::Written(revision)) => return Some(revision),
-        Ok(outcome) => format!("{outcome:?}"),
-        Err(error) => error.to_string(),
-    };
-    Line::new(&kind::CLAIM_FAILED)
-        .field("engines", writes.len())
-        .field("outcome", outcome)
-        .log();
-    None
-}
-
-async fn send_order(shared: Rc<Shared>, name: UpstreamName, order: Order) {
-    let holding = &shared.holding;
-    let Some((address, fence)) = holding.target(&name) else {
-        return;
-    };
-    if !holding.confirmation.borrow().holds(shared.now()) {
-        let now = shared.now();
-        holding.with(&shared, &name, |engine| {
-            engine.control.on_order_answer(now, OrderAnswer::NotSent)
-        });
-        return;
-    }
-    let answer = shared
-        .borders
-        .engines
-        .order(&name, address, fence, &order)
-        .await;
-    shared.metrics.count("orders", order_outcome(answer));
-    log::debug!("order {order:?} at {name}: {answer:?}");
-    if !matches!(answer, OrderAnswer::Accepted | OrderAnswer::Holds) {
-        Line::new(&kind::ORDER_ANSWERED)
-            .field("upstream", &name)
-            .field("order", format!("{:?}", order.kind))
-            .field("adapter", &order.key)
-            .field("accepted_before", order.accepted_before)
-            .field("answer", format!("{answer:?}"))
-            .log();
-    }
-    let now = shared.now();
-    holding.with(&shared, &name, |engine| {
-        if engine.fence != fence {
-            return Vec::new();
-        }
-        engine.control.on_order_answer(now, answer)
-    });
-}
-
-fn order_outcome(answer: OrderAnswer) -> &'static str {
-    match answer {
-        OrderAnswer::Accepted => "accepted",
-        OrderAnswer::Holds => "holds",
-        OrderAnswer::Conflict => "conflict",
-        OrderAnswer::Unknown => "unknown",
-        OrderAnswer::Rejected => "rejected",
-        OrderAnswer::NotSent => "not_sent",
-        OrderAnswer::Unanswered => "unanswered",
-    }
-}
-
-async fn read_report(shared: Rc<Shared>, name: UpstreamName) {
-    let holding = &shared.holding;
-    let Some((address, _)) = holding.target(&name) else {
-        return;
-    };
-    let report = shared.borders.engines.report(&name, address).await;
-    match &report {
-        Ok(holdings) => Line::new(&kind::REPORT_READ)
-            .field("upstream", &name)
-            .field("adapters", holdings.adapters.len())
-            .field("accepted", holdings.accepted_orders)
-            .log(),
-        Err(error) => Line::new(&kind::REPORT_FAILED)
-            .field("upstream", &name)
-            .field("error", error)
-            .log(),
-    }
-    let now = shared.now();
-    holding.with(&shared, &name, |engine| {
-        engine.control.on_report(now, report.ok())
-    });
-}
--- a/crates/relay/src/holding/mod.rs
+++ b/crates/relay/src/holding/mod.rs
@@ -2,6 +2,8 @@
 
 mod ask_guard;
 mod asks;
+mod calls;
+mod claims;
 mod controller;
 mod engine;
 mod lease;
