--- a/crates/decisions/src/copies/control.rs
+++ b/crates/decisions/src/copies/control.rs
@@ -173,6 +173,11 @@
         }
     }
 
+    /// Orders accepted, and whether requests may use `key`.
+    pub fn progress(&self, key: &AdapterKey) -> (Option<u64>, bool) {
+        (self.accepted, self.is_usable(key))
+    }
+
     /// Adapters that fit beside the base models.
     pub fn capacity(&self) -> usize {
         self.shape.adapters_beside(&self.models)
--- a/crates/relay/src/call/answer.rs
+++ b/crates/relay/src/call/answer.rs
@@ -70,7 +70,7 @@
         }
     }
 
-    /// The connection, given back once the answer is complete; `None` when it closes.
+    /// The connection, given back once the answer is complete.
     pub(super) fn with_sender(mut self, sender: PooledSender, keep_alive_ms: Option<u64>) -> Self {
         self.sender = Some((sender, keep_alive_ms));
         self
--- a/crates/relay/src/event/catalogue.rs
+++ b/crates/relay/src/event/catalogue.rs
@@ -58,7 +58,7 @@
     HELD_NO_MORE = 1304 Info "engine held no more" "This instance gives the engine no more orders.";
     CLAIM_FAILED = 1305 Info "claim failed" "Another instance was faster, or the store didn't answer; it is tried again.";
     ORDERS_PAUSED = 1306 Warn "orders paused" "The store has not confirmed this instance lately, so it gives no orders.";
-    ORDER_ANSWERED = 1401 Info "order answered" "An engine answered an order.";
+    ORDER_ANSWERED = 1401 Info "order answered" "An engine answered an order, and what is believed of the engine changed; or it did not carry it out.";
     REPORT_READ = 1402 Info "report read" "What an engine holds was read.";
     REPORT_FAILED = 1403 Warn "report failed" "An engine's report can't be read; it is tried again.";
     PEER_LOST = 1501 Warn "instance unreachable" "Another instance doesn't answer; its engines are used without asking it.";
--- a/crates/relay/src/holding/calls.rs
+++ b/crates/relay/src/holding/calls.rs
@@ -27,8 +27,19 @@
         .order(&name, address, fence, &order)
         .await;
     shared.metrics.count("orders", order_outcome(answer));
-    log::debug!("order {order:?} at {name}: {answer:?}");
-    if !matches!(answer, OrderAnswer::Accepted | OrderAnswer::Holds) {
+    let now = shared.now();
+    let mut changed = false;
+    holding.with(&shared, &name, |engine| {
+        if engine.fence != fence {
+            return Vec::new();
+        }
+        let before = engine.control.progress(&order.key);
+        let actions = engine.control.on_order_answer(now, answer);
+        changed = engine.control.progress(&order.key) != before;
+        actions
+    });
+    // Questions after a copy that is still on its way change nothing.
+    if changed || !matches!(answer, OrderAnswer::Accepted | OrderAnswer::Holds) {
         Line::new(&kind::ORDER_ANSWERED)
             .field("upstream", &name)
             .field("order", format!("{:?}", order.kind))
@@ -37,13 +48,6 @@
             .field("answer", format!("{answer:?}"))
             .log();
     }
-    let now = shared.now();
-    holding.with(&shared, &name, |engine| {
-        if engine.fence != fence {
-            return Vec::new();
-        }
-        engine.control.on_order_answer(now, answer)
-    });
 }
 
 fn order_outcome(answer: OrderAnswer) -> &'static str {
