Count a rejected copy until a report, and end a doubt only by one

Cause: an engine that rejects a request, as its copy is of an older version than named, was taken not to hold the copy, and the answer to the order under way ended the doubt before the report. The holder then had one slot too many. The new test fails without the mend: the engine holds too much.

--- a/crates/decisions/src/copies/control.rs
+++ b/crates/decisions/src/copies/control.rs
@@ -81,7 +81,9 @@
             }
         }
         if let (true, Some(key)) = (absent, used) {
-            self.copies.remove(&key);
+            if let Some(copy) = self.copies.get_mut(&key) {
+                copy.stage = CopyStage::Doubtful;
+            }
             self.distrust(now);
         }
         self.advance(now)
@@ -240,7 +242,7 @@
 
     /// Why an ask is refused before it waits.
     fn hopeless(&self, now: UnixMs, ask: &CopyAsk) -> Option<CopyRefusal> {
-        if self.copies.contains_key(&ask.key) || ask.key.adapter.is_none() {
+        if self.is_expected(&ask.key) || ask.key.adapter.is_none() {
             return None;
         }
         match self.why_late(&ask.key) {
@@ -263,7 +265,7 @@
         if self.is_usable(key) {
             return CopyRefusal::Busy;
         }
-        if self.copies.contains_key(key) {
+        if self.is_expected(key) {
             return CopyRefusal::TooLate;
         }
         if self.accepted.is_none() {
@@ -279,6 +281,11 @@
         CopyRefusal::Queued
     }
 
+    /// Whether a copy is there, on its way or about to go.
+    fn is_expected(&self, key: &AdapterKey) -> bool {
+        self.copies.get(key).is_some_and(|copy| !copy.is_doubtful())
+    }
+
     fn is_usable(&self, key: &AdapterKey) -> bool {
         if key.adapter.is_none() {
             return self.models.contains(&key.model);
--- a/crates/decisions/src/copies/copy.rs
+++ b/crates/decisions/src/copies/copy.rs
@@ -21,6 +21,8 @@
     Coming { check_at: UnixMs },
     /// Requests may be sent.
     Present,
+    /// The engine rejected a request for it; it counts until a report shows what is there.
+    Doubtful,
     /// To be removed; it makes room only once the engine says so.
     Going { accepted: bool, check_at: UnixMs },
 }
@@ -57,6 +59,10 @@
         )
     }
 
+    pub(super) fn is_doubtful(&self) -> bool {
+        self.stage == CopyStage::Doubtful
+    }
+
     pub(super) fn is_idle(&self) -> bool {
         self.users.is_empty()
     }
--- a/crates/decisions/src/copies/orders.rs
+++ b/crates/decisions/src/copies/orders.rs
@@ -56,14 +56,20 @@
         self.conflicts = 0;
         let first = !self.is_question(order);
         if first {
-            self.accepted = Some(order.accepted_before + 1);
+            self.count_accepted(order.accepted_before + 1);
         }
         if order.key.adapter.is_none() {
             self.model_check_at = now + MODEL_CHECK_EVERY_MS;
             return;
         }
-        let Some(copy) = self.copies.get_mut(&order.key) else {
-            return;
+        let missing = || Copy::new(CopyStage::Ordered { replaces: false }, None, now);
+        // A report that was read meanwhile didn't show it.
+        let copy = match order.kind {
+            OrderKind::Load => self.copies.entry(order.key.clone()).or_insert_with(missing),
+            OrderKind::Unload => match self.copies.get_mut(&order.key) {
+                Some(copy) => copy,
+                None => return,
+            },
         };
         copy.stage = match order.kind {
             OrderKind::Unload => CopyStage::Going {
@@ -79,6 +85,13 @@
         };
     }
 
+    /// Counts an order; while the engine is distrusted only a report does.
+    fn count_accepted(&mut self, accepted: u64) {
+        if self.accepted.is_some() {
+            self.accepted = Some(accepted);
+        }
+    }
+
     /// Whether an order only asks after one that was accepted before.
     fn is_question(&self, order: &Order) -> bool {
         let stage = self.copies.get(&order.key).map(|copy| copy.stage);
@@ -104,7 +117,7 @@
             OrderKind::Unload => {
                 let removed = self.copies.remove(&order.key).map(|copy| copy.stage);
                 let was_accepted = matches!(removed, Some(CopyStage::Going { accepted: true, .. }));
-                self.accepted = Some(order.accepted_before + u64::from(!was_accepted));
+                self.count_accepted(order.accepted_before + u64::from(!was_accepted));
             }
         }
     }
--- a/crates/decisions/src/copies/tests/orders.rs
+++ b/crates/decisions/src/copies/tests/orders.rs
@@ -1,5 +1,5 @@
 use super::world::{Fate, World};
-use crate::copies::CopyRefusal;
+use crate::copies::{CopyAction, CopyRefusal};
 
 #[test]
 fn a_copy_is_brought_once_for_all_that_wait() {
@@ -98,3 +98,51 @@
     world.run_ms(2_000);
     assert_eq!(world.granted, [1, 2]);
 }
+
+/// A copy that the engine rejected in another version made room that wasn't there, as the answer
+/// to the order under way ended the doubt about the engine (LIMIT on the users' bench).
+#[test]
+fn a_rejected_copy_counts_until_a_report() {
+    let mut world = World::new(2);
+    for number in [1, 2] {
+        world.ask(number, number);
+        world.run_ms(400);
+    }
+    world.done(1);
+    world.fates = Box::new(|| Fate::Answered);
+    world.ask_later(3, 3);
+    let waiting = world.take_actions();
+    let actions = world.control.on_done(world.now, &World::id(2), true);
+    assert!(
+        !actions
+            .iter()
+            .any(|action| matches!(action, CopyAction::Order(_)))
+    );
+    world.carry_out(waiting);
+    world.ask(4, 4);
+    world.run_ms(3_000);
+    assert!(!world.engine.crashed, "the engine holds too much");
+    assert_eq!(world.granted[..2], [1, 2]);
+}
+
+/// The order that was repeated after a report was not counted.
+#[test]
+fn an_unanswered_order_counts_after_a_report() {
+    let mut world = World::new(2);
+    for number in [1, 2] {
+        world.ask(number, number);
+        world.run_ms(400);
+    }
+    world.done(1);
+    // The unload is answered, the load that follows is lost on its way.
+    let mut fates = vec![Fate::Answered, Fate::Late(60_000)].into_iter();
+    world.fates = Box::new(move || fates.next().unwrap_or(Fate::Answered));
+    world.ask(3, 3);
+    let actions = world.control.on_done(world.now, &World::id(2), true);
+    world.carry_out(actions);
+    world.ask(4, 4);
+    world.run_ms(3_000);
+    world.ask(5, 5);
+    world.run_ms(3_000);
+    assert!(!world.engine.crashed, "the engine holds too much");
+}
--- a/crates/decisions/src/copies/tests/world.rs
+++ b/crates/decisions/src/copies/tests/world.rs
@@ -25,6 +25,7 @@
     pub fates: Box<dyn FnMut() -> Fate>,
     pub orders: usize,
     late: Vec<(UnixMs, Order)>,
+    kept_back: Vec<CopyAction>,
 }
 
 impl World {
@@ -52,6 +53,7 @@
             fates: Box::new(|| Fate::Answered),
             orders: 0,
             late: Vec::new(),
+            kept_back: Vec::new(),
         }
     }
 
@@ -66,8 +68,8 @@
         }
     }
 
-    pub fn ask(&mut self, number: u64, adapter: u64) {
-        let ask = CopyAsk {
+    fn new_ask(&self, number: u64, adapter: u64) -> CopyAsk {
+        CopyAsk {
             id: Self::id(number),
             key: Self::key(adapter),
             rank: 0,
@@ -76,11 +78,26 @@
             in_time_until: self.now + 30_000,
             wait_until: self.now + 60_000,
             ends_by: self.now + 90_000,
-        };
+        }
+    }
+
+    pub fn ask(&mut self, number: u64, adapter: u64) {
+        let ask = self.new_ask(number, adapter);
         let actions = self.control.on_ask(self.now, ask);
         self.carry_out(actions);
     }
 
+    /// Asks, and keeps back what follows.
+    pub fn ask_later(&mut self, number: u64, adapter: u64) {
+        let ask = self.new_ask(number, adapter);
+        let actions = self.control.on_ask(self.now, ask);
+        self.kept_back.extend(actions);
+    }
+
+    pub fn take_actions(&mut self) -> Vec<CopyAction> {
+        std::mem::take(&mut self.kept_back)
+    }
+
     pub fn done(&mut self, number: u64) {
         let actions = self.control.on_done(self.now, &Self::id(number), false);
         self.carry_out(actions);
@@ -115,7 +132,7 @@
         }
     }
 
-    fn carry_out(&mut self, actions: Vec<CopyAction>) {
+    pub fn carry_out(&mut self, actions: Vec<CopyAction>) {
         for action in actions {
             match action {
                 CopyAction::Grant { ask, .. } => self.granted.push(ask.number),
