Send long shared prompts back to the copy that keeps them

Cause: calib-sheet and memoir requests share 6,300 of 9,200 tokens on the mean, and went to any copy of their adapter; the engines read shared parts again that another had kept. Change: among an adapter's copies one is the home of a shared prompt, by rendezvous hash, and counts for one running request less per 200 shared tokens. Ruled out as the main cause of late long requests: most of their time is the reading of parts that nobody kept.

--- a/crates/decisions/src/load_choice/mod.rs
+++ b/crates/decisions/src/load_choice/mod.rs
@@ -28,6 +28,28 @@
 /// Requests that an engine in trouble counts for.
 const TROUBLE_COST: f64 = 1_000.0;
 
+/// Prompt tokens whose reading costs as much as one more running request: an engine reads them
+/// in about the time that a request adds to the steps of one stream.
+const TOKENS_PER_RUNNING: f64 = 200.0;
+
+/// A part of a prompt that an engine has probably kept.
+#[derive(Clone, Copy, Debug)]
+pub struct KeptPrompt<'a> {
+    /// The engine.
+    pub upstream: &'a UpstreamName,
+    /// Length of the part.
+    pub tokens: u32,
+}
+
+impl KeptPrompt<'_> {
+    fn saved_cost(&self, upstream: &UpstreamName) -> f64 {
+        if self.upstream != upstream {
+            return 0.0;
+        }
+        f64::from(self.tokens) / TOKENS_PER_RUNNING
+    }
+}
+
 #[derive(Clone, Copy, Debug, Default)]
 struct View {
     running: f64,
@@ -89,7 +111,7 @@
     }
 
     /// Sorts `candidates` by what one more request costs there; the first `copies` are meant to
-    /// hold a copy.
+    /// hold a copy, and one may keep a part of the prompt.
     ///
     /// ```
     /// # use monsoonspread_decisions::load_choice::LoadChoice;
@@ -99,19 +121,24 @@
     /// loads.on_running(UnixMs(0), &"idle".into(), 0);
     /// loads.on_running(UnixMs(0), &"spare".into(), 0);
     /// let mut candidates = vec!["busy".into(), "idle".into(), "spare".into()];
-    /// loads.sort(UnixMs(0), &mut candidates, 2);
+    /// loads.sort(UnixMs(0), &mut candidates, 2, None);
     /// assert_eq!(candidates, ["idle".into(), "busy".into(), "spare".into()]);
     /// ```
-    pub fn sort(&self, now: UnixMs, candidates: &mut Vec<UpstreamName>, copies: usize) {
+    pub fn sort(
+        &self,
+        now: UnixMs,
+        candidates: &mut Vec<UpstreamName>,
+        copies: usize,
+        kept: Option<KeptPrompt<'_>>,
+    ) {
         let mut costs: Vec<(f64, UpstreamName)> = std::mem::take(candidates)
             .into_iter()
             .enumerate()
             .map(|(rank, name)| {
                 let spare = if rank < copies { 0.0 } else { SPARE_COST };
-                (
-                    self.running(now, &name) + spare + self.trouble(now, &name),
-                    name,
-                )
+                let saved = kept.map_or(0.0, |kept| kept.saved_cost(&name));
+                let cost = self.running(now, &name) + spare + self.trouble(now, &name);
+                (cost - saved, name)
             })
             .collect();
         costs.sort_by(|a, b| a.0.total_cmp(&b.0));
--- a/crates/decisions/src/placement/candidate.rs
+++ b/crates/decisions/src/placement/candidate.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeSet;
 
+use monsoonspread_model::fleet::SharedPrompt;
 use monsoonspread_model::{AdapterName, UnixMs, UpstreamName, ZoneName};
 
 use super::demand::DemandSketch;
@@ -137,6 +138,21 @@
         chosen.into_iter().map(|up| up.name.clone()).collect()
     }
 
+    /// Which of the engines with a copy of `adapter` is to read a shared prompt, so that its
+    /// next reader finds it kept there.
+    pub fn prompt_home<'a>(
+        &self,
+        adapter: &AdapterName,
+        shared: SharedPrompt,
+        copies: &'a [UpstreamName],
+    ) -> Option<&'a UpstreamName> {
+        let prompt = format!("{adapter}:{:x}", shared.id);
+        let score = |name: &UpstreamName| score(&prompt, name.as_str(), 1.0);
+        copies
+            .iter()
+            .max_by(|a, b| score(a).total_cmp(&score(b)).then_with(|| b.cmp(a)))
+    }
+
     fn ranked(&self, adapter: &AdapterName) -> Vec<&CandidateUpstream> {
         let mut scored: Vec<(f64, &CandidateUpstream)> = self
             .upstreams
--- a/crates/model/src/fleet/call_head.rs
+++ b/crates/model/src/fleet/call_head.rs
@@ -11,6 +11,15 @@
     pub tokens: u32,
 }
 
+/// The leading parts of a prompt that other requests may share.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct SharedPrompt {
+    /// Tells apart shared prompts; the last of the shared parts stands for those before it.
+    pub id: u64,
+    /// Its length.
+    pub tokens: u32,
+}
+
 /// What a request says of itself, besides its route.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct CallHead {
@@ -29,3 +38,25 @@
     /// The last event that the client has of an earlier run.
     pub resume_after: Option<u64>,
 }
+
+impl CallHead {
+    /// The parts of the prompt before the last, which is the request's own.
+    ///
+    /// ```
+    /// use monsoonspread_model::fleet::{CallHead, PromptPart};
+    ///
+    /// let parts = [(7, 800), (9, 400), (11, 250)];
+    /// let head = CallHead {
+    ///     prompt_parts: parts.map(|(id, tokens)| PromptPart { id, tokens }).to_vec(),
+    ///     ..CallHead::default()
+    /// };
+    /// assert_eq!(head.shared_prompt().map(|shared| (shared.id, shared.tokens)), Some((9, 1_200)));
+    /// ```
+    pub fn shared_prompt(&self) -> Option<SharedPrompt> {
+        let (_own, shared) = self.prompt_parts.split_last()?;
+        Some(SharedPrompt {
+            id: shared.last()?.id,
+            tokens: shared.iter().map(|part| part.tokens).sum(),
+        })
+    }
+}
--- a/crates/model/src/fleet/mod.rs
+++ b/crates/model/src/fleet/mod.rs
@@ -9,7 +9,7 @@
 mod upstream_record;
 
 pub use adapter_key::AdapterKey;
-pub use call_head::{CallHead, PromptPart};
+pub use call_head::{CallHead, PromptPart, SharedPrompt};
 pub use holder_activity::HolderActivity;
 pub use order::{Order, OrderAnswer, OrderKind};
 pub use route::{RepeatRule, Route, RouteTarget};
--- a/crates/relay/src/call/candidates.rs
+++ b/crates/relay/src/call/candidates.rs
@@ -1,5 +1,6 @@
 //! Engines that may serve a request.
 
+use monsoonspread_decisions::load_choice::KeptPrompt;
 use monsoonspread_model::UpstreamName;
 use monsoonspread_model::fleet::AdapterKey;
 
@@ -25,6 +26,16 @@
         // Every engine has the base model.
         None => (ready.iter().copied().cloned().collect(), ready.len()),
     };
-    shared.loads.borrow().sort(now, &mut names, copies);
+    let home = request.head.shared_prompt().and_then(|prompt| {
+        let adapter = key.adapter.as_ref()?;
+        let meant = &names[..copies.min(names.len())];
+        let home = placement.prompt_home(adapter, prompt, meant)?;
+        Some((home.clone(), prompt.tokens))
+    });
+    let kept = home.as_ref().map(|(upstream, tokens)| KeptPrompt {
+        upstream,
+        tokens: *tokens,
+    });
+    shared.loads.borrow().sort(now, &mut names, copies, kept);
     names
 }
