Hand a slow engine fewer unread prompts at once

Engines say in their load header how long work takes on their machine now: 100, 130 (some always), 250 or 325 percent. A step that reads 2,048 prompt tokens takes 117 ms, so two of them make a pause at 250 percent for every stream that runs there. Change: the first event's word on slowness goes to the engine's holder with the news that the prompt was read; the limit of unread prompt tokens is divided by it for 500 ms.

--- a/crates/decisions/src/copies/control.rs
+++ b/crates/decisions/src/copies/control.rs
@@ -89,8 +89,16 @@
         self.advance(now)
     }
 
-    /// The first event of a request came.
-    pub fn on_started(&mut self, now: UnixMs, ask: &AskId) -> Vec<CopyAction> {
+    /// The first event of a request came; `slowness_percent` is what the engine said of itself.
+    pub fn on_started(
+        &mut self,
+        now: UnixMs,
+        ask: &AskId,
+        slowness_percent: Option<u32>,
+    ) -> Vec<CopyAction> {
+        if let Some(percent) = slowness_percent {
+            self.prompts.on_slowness(now, percent);
+        }
         if !self.prompts.on_read(ask) {
             return Vec::new();
         }
--- a/crates/decisions/src/copies/tests/mod.rs
+++ b/crates/decisions/src/copies/tests/mod.rs
@@ -1,4 +1,5 @@
 mod engine;
 mod orders;
+mod prompts;
 mod random_runs;
 mod world;
--- a/crates/decisions/src/copies/tests/world.rs
+++ b/crates/decisions/src/copies/tests/world.rs
@@ -87,6 +87,25 @@
         self.carry_out(actions);
     }
 
+    /// Asks for a request with a prompt of so many tokens.
+    pub fn ask_with_prompt(&mut self, number: u64, adapter: u64, prompt_tokens: u32) {
+        let ask = CopyAsk {
+            prompt_tokens,
+            ..self.new_ask(number, adapter)
+        };
+        let actions = self.control.on_ask(self.now, ask);
+        self.carry_out(actions);
+    }
+
+    /// The first event came, from an engine that tells its slowness.
+    pub fn started(&mut self, number: u64, slowness_percent: u32) {
+        let id = Self::id(number);
+        let actions = self
+            .control
+            .on_started(self.now, &id, Some(slowness_percent));
+        self.carry_out(actions);
+    }
+
     /// Asks, and keeps back what follows.
     pub fn ask_later(&mut self, number: u64, adapter: u64) {
         let ask = self.new_ask(number, adapter);
--- a/crates/decisions/src/copies/unread_prompts.rs
+++ b/crates/decisions/src/copies/unread_prompts.rs
@@ -16,6 +16,11 @@
 const MAX_UNREAD_TOKENS: u32 = 2_800;
 /// Most tokens that a prompt counts for: an engine reads longer ones in several steps.
 const MAX_COUNTED_TOKENS: u32 = 1_000;
+/// How long an engine's word on its slowness is believed, in milliseconds: about the time for
+/// which a neighbour on its machine presses.
+const SLOWNESS_MS: u64 = 500;
+/// Slowness of an engine that works as usual, in percent.
+const USUAL_PERCENT: u32 = 100;
 /// How long a prompt counts at the most, in milliseconds: its instance may not tell.
 const MAX_UNREAD_MS: u64 = 1_500;
 
@@ -29,6 +34,8 @@
 #[derive(Clone, Debug, Default)]
 pub(super) struct UnreadPrompts {
     prompts: BTreeMap<AskId, Unread>,
+    slowness_percent: u32,
+    slow_until: UnixMs,
 }
 
 impl UnreadPrompts {
@@ -36,7 +43,13 @@
     pub(super) fn admit(&mut self, now: UnixMs, tokens: u32) -> bool {
         self.prompts.retain(|_, unread| unread.until > now);
         let unread: u32 = self.prompts.values().map(|unread| unread.tokens).sum();
-        unread == 0 || unread + counted(tokens) <= MAX_UNREAD_TOKENS
+        unread == 0 || unread + counted(tokens) <= self.limit(now)
+    }
+
+    /// The engine told how long work takes there now, in percent of the usual time.
+    pub(super) fn on_slowness(&mut self, now: UnixMs, percent: u32) {
+        self.slowness_percent = percent;
+        self.slow_until = now + SLOWNESS_MS;
     }
 
     /// The prompt of `ask` is sent.
@@ -52,6 +65,14 @@
     pub(super) fn on_read(&mut self, ask: &AskId) -> bool {
         self.prompts.remove(ask).is_some()
     }
+
+    /// A slow engine is handed less at once, so that the streams that run there pause no longer.
+    fn limit(&self, now: UnixMs) -> u32 {
+        if now >= self.slow_until || self.slowness_percent <= USUAL_PERCENT {
+            return MAX_UNREAD_TOKENS;
+        }
+        MAX_UNREAD_TOKENS * USUAL_PERCENT / self.slowness_percent
+    }
 }
 
 fn counted(tokens: u32) -> u32 {
--- a/crates/relay/src/call/answer.rs
+++ b/crates/relay/src/call/answer.rs
@@ -41,6 +41,7 @@
     guard: Option<AskGuard>,
     granted_ms: u64,
     running: u32,
+    slowness_percent: Option<u32>,
 }
 
 impl AnswerEnd {
@@ -67,6 +68,7 @@
             guard: None,
             granted_ms: 0,
             running: 0,
+            slowness_percent: None,
         }
     }
 
@@ -90,13 +92,19 @@
         self
     }
 
+    /// How long work took at the upstream when it answered, in percent of the usual time.
+    pub(super) fn with_slowness(mut self, slowness_percent: Option<u32>) -> Self {
+        self.slowness_percent = slowness_percent;
+        self
+    }
+
     /// Bytes of the body came.
     pub(super) fn on_bytes(&mut self) {
         let now = self.shared.now();
         if self.first_byte_at.is_none() {
             self.first_byte_at = Some(now);
             if let Some(guard) = &self.guard {
-                guard.on_started();
+                guard.on_started(self.slowness_percent);
             }
         } else {
             let pause_ms = now.ms_since(self.last_byte_at);
@@ -157,6 +165,7 @@
         .field("outcome", self.outcome)
         .field("granted_ms", self.granted_ms)
         .field("running", self.running)
+        .field("slowness", self.slowness_percent.unwrap_or(0))
         .field("first_ms", first_ms.unwrap_or(0))
         .field("pause_ms", self.longest_pause_ms)
         .field("ms", ms)
--- a/crates/relay/src/call/model_call.rs
+++ b/crates/relay/src/call/model_call.rs
@@ -190,7 +190,8 @@
                 }
                 self.last = Some(record.name.clone());
                 let end = AnswerEnd::new(&shared, &request, &record.name, status.into())
-                    .with_grant(grant, granted_ms);
+                    .with_grant(grant, granted_ms)
+                    .with_slowness(answered.answer.load.map(|load| load.slowness_percent));
                 Offer::Ran(Box::new(Run {
                     answered: *answered,
                     end,
--- a/crates/relay/src/holding/ask_guard.rs
+++ b/crates/relay/src/holding/ask_guard.rs
@@ -34,7 +34,7 @@
     }
 
     /// The first event of the request came.
-    pub fn on_started(&self) {
+    pub fn on_started(&self, slowness_percent: Option<u32>) {
         let number = self.number;
         if self.holder == self.shared.settings.instance {
             let ask = AskId {
@@ -42,11 +42,15 @@
                 number,
             };
             let holding = &self.shared.holding;
-            holding.on_started(&self.shared, &self.upstream, &ask);
+            holding.on_started(&self.shared, &self.upstream, &ask, slowness_percent);
             return;
         }
         let upstream = self.upstream.clone();
-        let started = PeerRequest::Started { number, upstream };
+        let started = PeerRequest::Started {
+            number,
+            upstream,
+            slowness_percent,
+        };
         self.shared.peers.tell(&self.holder, started);
     }
 
--- a/crates/relay/src/holding/controller.rs
+++ b/crates/relay/src/holding/controller.rs
@@ -155,10 +155,16 @@
     }
 
     /// The first event of a request came.
-    pub fn on_started(&self, shared: &Rc<Shared>, upstream: &UpstreamName, ask: &AskId) {
+    pub fn on_started(
+        &self,
+        shared: &Rc<Shared>,
+        upstream: &UpstreamName,
+        ask: &AskId,
+        slowness_percent: Option<u32>,
+    ) {
         let now = shared.now();
         self.with(shared, upstream, |engine| {
-            engine.control.on_started(now, ask)
+            engine.control.on_started(now, ask, slowness_percent)
         });
     }
 
--- a/crates/relay/src/peers/message.rs
+++ b/crates/relay/src/peers/message.rs
@@ -41,6 +41,8 @@
         number: u64,
         /// The engine.
         upstream: UpstreamName,
+        /// How long work takes there, in percent of the usual time, as it said.
+        slowness_percent: Option<u32>,
     },
     /// A request is over or was never sent.
     Done {
--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -247,12 +247,18 @@
                 };
                 shared.holding.on_ask(shared, &ask.upstream, copy_ask);
             }
-            PeerRequest::Started { number, upstream } => {
+            PeerRequest::Started {
+                number,
+                upstream,
+                slowness_percent,
+            } => {
                 let ask = AskId {
                     instance: instance.clone(),
                     number,
                 };
-                shared.holding.on_started(shared, &upstream, &ask);
+                shared
+                    .holding
+                    .on_started(shared, &upstream, &ask, slowness_percent);
             }
             PeerRequest::Done {
                 number,
