Let one instance of a zone follow the store and tell the others

Change: the first instance of a zone by name follows the store; the others hear from it over the connections between instances (each batch of changes that matter, with its revisions, and a sign of life in between), and follow the store themselves when it is silent or declines. A new configuration is not passed on: it is read from the store by each. What servers list as held is no longer kept of their entries: holders read it in reports, and a heartbeat that only changes it is no news.

--- a/crates/borders/src/relay/fleet_store.rs
+++ b/crates/borders/src/relay/fleet_store.rs
@@ -25,7 +25,7 @@
 }
 
 /// Who gives an engine its orders.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct HolderRecord {
     /// The engine.
     pub upstream: UpstreamName,
@@ -38,9 +38,10 @@
 }
 
 /// Something that changed in the store.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub enum FleetChange {
-    /// The operators' configuration.
+    /// The operators' configuration; too long for what instances tell each other.
+    #[serde(skip)]
     Routing(Box<RoutingConfig>),
     /// An upstream appeared or changed.
     Upstream(UpstreamRecord),
@@ -65,11 +66,20 @@
     },
 }
 
+/// A change, and when it was made.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct RevisedChange {
+    /// The store's revision of the change.
+    pub revision: u64,
+    /// What changed.
+    pub change: FleetChange,
+}
+
 /// Changes up to a revision.
 #[derive(Clone, Debug, PartialEq)]
 pub struct FleetChanges {
     /// What changed, in order.
-    pub changes: Vec<FleetChange>,
+    pub changes: Vec<RevisedChange>,
     /// Revision up to which nothing is missing.
     pub revision: u64,
 }
--- a/crates/borders/src/relay/mod.rs
+++ b/crates/borders/src/relay/mod.rs
@@ -10,5 +10,5 @@
 pub use engine_control::EngineControl;
 pub use fleet_store::{
     ClaimOutcome, ClaimWrite, FleetChange, FleetChanges, FleetMember, FleetStore, FleetStoreError,
-    HolderRecord, LeaseId,
+    HolderRecord, LeaseId, RevisedChange,
 };
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod holders;
 pub mod load_choice;
 pub mod membership;
+pub mod news_source;
 pub mod owner;
 pub mod ownership;
 pub mod placement;
--- /dev/null
+++ b/crates/decisions/src/news_source/tests.rs
@@ -0,0 +1,65 @@
+use monsoonspread_model::{InstanceName, UnixMs};
+
+use super::{NewsSource, NewsSpan, NewsUse};
+
+fn names(names: &[&str]) -> Vec<InstanceName> {
+    names.iter().map(|name| (*name).into()).collect()
+}
+
+#[test]
+fn one_instance_of_a_zone_follows_the_store() {
+    let zone = names(&["a-2", "a-1", "a-3"]);
+    let follows: Vec<&InstanceName> = zone
+        .iter()
+        .filter(|own| {
+            let source = NewsSource::new((*own).clone());
+            source.choose(UnixMs(0), zone.iter()).is_none()
+        })
+        .collect();
+    assert_eq!(follows, [&InstanceName::from("a-1")]);
+}
+
+#[test]
+fn a_source_that_failed_is_passed_over_for_a_while() {
+    let zone = names(&["a-1", "a-2", "a-3"]);
+    let mut source = NewsSource::new("a-3".into());
+    source.on_silent(UnixMs(0), "a-1".into());
+    assert_eq!(source.choose(UnixMs(5), zone.iter()), Some(&zone[1]));
+    source.on_silent(UnixMs(5), "a-2".into());
+    assert_eq!(source.choose(UnixMs(6), zone.iter()), None);
+    assert_eq!(source.choose(UnixMs(60_000), zone.iter()), Some(&zone[0]));
+}
+
+/// The source of a source is gone: the next one needs a moment to notice.
+#[test]
+fn a_source_that_declines_is_asked_again_soon() {
+    let zone = names(&["a-1", "a-2", "a-3"]);
+    let mut source = NewsSource::new("a-3".into());
+    source.on_silent(UnixMs(0), "a-1".into());
+    source.on_declined(UnixMs(0), "a-2".into());
+    assert_eq!(source.choose(UnixMs(1_000), zone.iter()), None);
+    assert_eq!(source.choose(UnixMs(2_000), zone.iter()), Some(&zone[1]));
+}
+
+/// An instance that isn't listed yet, or whose own announcement lapsed, hears of it all the same.
+#[test]
+fn an_instance_need_not_be_listed() {
+    let zone = names(&["a-1"]);
+    let source = NewsSource::new("a-0".into());
+    assert_eq!(source.choose(UnixMs(0), zone.iter()), None);
+    let source = NewsSource::new("a-9".into());
+    assert_eq!(source.choose(UnixMs(0), zone.iter()), Some(&zone[0]));
+}
+
+#[test]
+fn news_with_a_gap_or_without_content_are_read_from_the_store() {
+    let span = |after, up_to, is_complete| NewsSpan {
+        after,
+        up_to,
+        is_complete,
+    };
+    assert_eq!(span(5, 8, true).usage(4), NewsUse::Read);
+    assert_eq!(span(5, 8, false).usage(5), NewsUse::Read);
+    assert_eq!(span(5, 8, true).usage(6), NewsUse::Apply);
+    assert_eq!(span(8, 8, true).usage(8), NewsUse::Known);
+}
--- a/crates/model/src/fleet/upstream_record.rs
+++ b/crates/model/src/fleet/upstream_record.rs
@@ -3,12 +3,14 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
+use serde::{Deserialize, Serialize};
+
 use crate::{BaseModelName, ServiceName, UpstreamName, ZoneName};
 
 use super::AdapterKey;
 
 /// Whether an upstream takes new work.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum UpstreamStage {
     /// It serves.
     Ready,
@@ -30,7 +32,7 @@
 }
 
 /// One upstream.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct UpstreamRecord {
     /// Its name, told apart from earlier upstreams at the same address.
     pub name: UpstreamName,
@@ -44,6 +46,4 @@
     pub stage: UpstreamStage,
     /// When it started; it knows nothing of what was before.
     pub started_unix_ms: u64,
-    /// What it held when it wrote this.
-    pub holdings: Holdings,
 }
--- a/crates/relay/src/event/catalogue.rs
+++ b/crates/relay/src/event/catalogue.rs
@@ -48,6 +48,8 @@
     STORE_BACK = 1102 Info "store back" "The store answers again.";
     HISTORY_GONE = 1103 Warn "history gone" "The store dropped changes that were not read; everything is read anew.";
     ENTRY_UNREADABLE = 1104 Warn "entry unreadable" "An entry of the store was passed over.";
+    NEWS_SOURCE = 1105 Info "news source" "From now on this instance hears of changes from `source`: another instance of its zone, or the store itself.";
+    NEWS_LOST = 1106 Warn "news lost" "The source was silent, or doesn't follow the store now; another one is chosen.";
     CONFIG_IN_FORCE = 1201 Info "configuration in force" "A newer configuration decides on requests from now on.";
     UPSTREAM_LISTED = 1202 Info "upstream listed" "An upstream appeared, changed its stage, or started anew.";
     UPSTREAM_GONE = 1203 Info "upstream gone" "An upstream is no longer listed and gets no more requests.";
--- a/crates/relay/src/fleet/view.rs
+++ b/crates/relay/src/fleet/view.rs
@@ -4,10 +4,10 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
-use monsoonspread_borders::relay::{FleetChange, FleetChanges};
+use monsoonspread_borders::relay::{FleetChange, FleetChanges, FleetMember};
 use monsoonspread_decisions::route_table::RouteTable;
 use monsoonspread_model::fleet::{AdapterKey, UpstreamRecord, UpstreamStage};
-use monsoonspread_model::{InstanceName, ServiceName, UnixMs, UpstreamName};
+use monsoonspread_model::{InstanceName, ServiceName, UnixMs, UpstreamName, ZoneName};
 
 use super::FleetEvent;
 use crate::event::{Line, kind};
@@ -39,7 +39,7 @@
 pub struct FleetView {
     routes: Option<Rc<RouteTable>>,
     upstreams: BTreeMap<UpstreamName, KnownUpstream>,
-    members: BTreeMap<InstanceName, SocketAddr>,
+    members: BTreeMap<InstanceName, FleetMember>,
     holders: BTreeMap<UpstreamName, u64>,
     versions: BTreeMap<AdapterKey, (u64, UnixMs)>,
 }
@@ -72,7 +72,15 @@
 
     /// Where another instance listens.
     pub fn member(&self, name: &InstanceName) -> Option<SocketAddr> {
-        self.members.get(name).copied()
+        self.members.get(name).map(|member| member.peer_address)
+    }
+
+    /// Instances of a zone.
+    pub fn members_of<'a>(&'a self, zone: &'a ZoneName) -> impl Iterator<Item = &'a InstanceName> {
+        let members = self.members.values();
+        members
+            .filter(move |member| member.zone == *zone)
+            .map(|member| &member.name)
     }
 
     /// The newest version of an adapter, and when it was named.
@@ -103,7 +111,8 @@
     ) -> Vec<FleetEvent> {
         let mut events = self.missing_from(now, snapshot);
         for change in &snapshot.changes {
-            events.extend(self.on_change(now, change.clone(), complete, StoreReach::default()));
+            let change = change.change.clone();
+            events.extend(self.on_change(now, change, complete, StoreReach::default()));
         }
         events
     }
@@ -129,7 +138,7 @@
                 self.routes = Some(Rc::new(RouteTable::new(*config)));
                 Some(FleetEvent::Routing)
             }
-            FleetChange::Upstream(record) => Some(self.on_upstream(record, complete)),
+            FleetChange::Upstream(record) => self.on_upstream(record, complete),
             FleetChange::UpstreamGone(name) if reach.is_unsettled => {
                 self.lapse(now, &name);
                 None
@@ -151,8 +160,7 @@
                 Some(FleetEvent::Version(key, version))
             }
             FleetChange::Member(member) => {
-                self.members
-                    .insert(member.name.clone(), member.peer_address);
+                self.members.insert(member.name.clone(), member.clone());
                 Some(FleetEvent::Member(member.name, member.zone))
             }
             FleetChange::MemberGone(name) => {
@@ -188,8 +196,12 @@
         lapsed.iter().filter_map(|name| self.remove(name)).collect()
     }
 
-    fn on_upstream(&mut self, record: UpstreamRecord, complete: bool) -> FleetEvent {
+    /// Takes what an upstream says of itself; `None` when it says nothing new.
+    fn on_upstream(&mut self, record: UpstreamRecord, complete: bool) -> Option<FleetEvent> {
         let known = self.upstreams.get(&record.name);
+        if known.is_some_and(|known| known.record == record && known.lapses_at.is_none()) {
+            return None;
+        }
         let restarted = known.is_some_and(|k| k.record.started_unix_ms != record.started_unix_ms);
         let changed = known.is_none_or(|known| known.record.stage != record.stage);
         if restarted || changed {
@@ -205,11 +217,11 @@
             lapses_at: None,
         };
         self.upstreams.insert(record.name.clone(), known);
-        FleetEvent::Upstream {
+        Some(FleetEvent::Upstream {
             record,
             restarted,
             complete,
-        }
+        })
     }
 
     fn lapse(&mut self, now: UnixMs, name: &UpstreamName) {
@@ -231,7 +243,7 @@
         let mut members: Vec<InstanceName> = self.members.keys().cloned().collect();
         let mut holders: Vec<UpstreamName> = self.holders.keys().cloned().collect();
         for change in &snapshot.changes {
-            match change {
+            match &change.change {
                 FleetChange::Upstream(record) => upstreams.retain(|name| *name != record.name),
                 FleetChange::Member(member) => members.retain(|name| *name != member.name),
                 FleetChange::Holder(record) => holders.retain(|name| *name != record.upstream),
--- a/crates/relay/src/fleet/watcher.rs
+++ b/crates/relay/src/fleet/watcher.rs
@@ -3,16 +3,19 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use monsoonspread_borders::relay::{FleetChanges, FleetStoreError};
+use monsoonspread_borders::relay::{FleetChanges, FleetStoreError, RevisedChange};
 use monsoonspread_decisions::holders::CONFIRMED_FOR_MS;
+use monsoonspread_decisions::news_source::NewsUse;
 use monsoonspread_model::UnixMs;
-
-use tokio::time::Instant;
+use tokio::sync::mpsc::UnboundedReceiver;
+use tokio::time::{Instant, sleep, sleep_until};
 
 use crate::event::{Line, kind};
+use crate::peers::{PeerNews, SourcedNews};
 use crate::shared::Shared;
 
 use super::StoreReach;
+use super::source::Source;
 
 /// Longest wait of one watch, in milliseconds: short enough that a connection that fell silent
 /// is noticed within the time for a change of the configuration and its outer bound.
@@ -20,13 +23,16 @@
 /// Least time from one watch to the next, in milliseconds, so that changes that come together
 /// are read with one call. Changes have two seconds to be in force.
 const GATHER_MS: u64 = 500;
+/// Wait of a call for changes that are known to be there, in milliseconds.
+const AT_ONCE_MS: u64 = 1;
 /// Pause after a call that failed, in milliseconds.
 const RETRY_MS: u64 = 300;
 /// After a failed call, entries may lapse because of the store for so long, in milliseconds.
 const UNSETTLED_MS: u64 = 3_000;
 
-/// Follows the store's changes for good.
-pub async fn watch_store(shared: Rc<Shared>) {
+/// Follows the store's changes for good, itself or through another instance of the zone.
+pub async fn watch_store(shared: Rc<Shared>, heard: UnboundedReceiver<SourcedNews>) {
+    let mut source = Source::new(shared.settings.instance.clone(), heard);
     let mut first = true;
     let mut trouble = Trouble::default();
     loop {
@@ -35,44 +41,128 @@
                 trouble.on_answer();
                 let complete = first && shared.settings.bootstrap;
                 first = false;
-                let revision = snapshot.revision;
                 shared.on_snapshot(&snapshot, complete);
-                follow(&shared, revision, &mut trouble).await;
+                let mut known = Known {
+                    shared: &shared,
+                    revision: snapshot.revision,
+                    trouble: &mut trouble,
+                };
+                known.follow(&mut source).await;
             }
             Err(error) => trouble.on_failure(shared.now(), &error),
         }
-        tokio::time::sleep(Duration::from_millis(RETRY_MS)).await;
+        shared.followers.on_no_news(&shared);
+        sleep(Duration::from_millis(RETRY_MS)).await;
     }
 }
 
-async fn follow(shared: &Rc<Shared>, mut revision: u64, trouble: &mut Trouble) {
-    loop {
+/// The store dropped changes that were not read.
+struct HistoryGone;
+
+/// What is known of the store, up to a revision.
+struct Known<'a> {
+    shared: &'a Rc<Shared>,
+    revision: u64,
+    trouble: &'a mut Trouble,
+}
+
+impl Known<'_> {
+    /// Keeps up with the store until it drops changes that were not read.
+    async fn follow(&mut self, source: &mut Source) {
+        loop {
+            let step = match source.choose(self.shared) {
+                None => self.watch().await,
+                Some(named) => {
+                    self.shared.followers.on_no_news(self.shared);
+                    match source.next(self.shared, &named).await {
+                        Some(news) => self.on_news(news).await,
+                        None => Ok(()),
+                    }
+                }
+            };
+            if step.is_err() {
+                return;
+            }
+        }
+    }
+
+    /// One watch of this instance's own.
+    async fn watch(&mut self) -> Result<(), HistoryGone> {
         let asked_at = Instant::now();
-        match shared.borders.store.changes_after(revision, WATCH_MS).await {
-            Ok(FleetChanges {
-                changes,
-                revision: up_to,
-            }) => {
-                trouble.on_answer();
-                let reach = trouble.reach(shared.now());
-                for change in changes {
-                    shared.on_change(change, reach);
+        if let Some((after, changes, reach)) = self.read(WATCH_MS).await? {
+            let span = (after, self.revision);
+            self.shared
+                .followers
+                .on_read(self.shared, span, changes, reach);
+            sleep_until(asked_at + Duration::from_millis(GATHER_MS)).await;
+        } else {
+            self.shared.followers.on_no_news(self.shared);
+        }
+        Ok(())
+    }
+
+    async fn on_news(&mut self, news: PeerNews) -> Result<(), HistoryGone> {
+        match news.span().usage(self.revision) {
+            NewsUse::Known => {}
+            NewsUse::Read => {
+                self.read(AT_ONCE_MS).await?;
+            }
+            NewsUse::Apply => {
+                let own = self.trouble.reach(self.shared.now());
+                let reach = StoreReach {
+                    is_unsettled: own.is_unsettled || news.is_unsettled,
+                    is_steady: own.is_steady && news.is_steady,
+                };
+                let known = self.revision;
+                let changes = news.changes.unwrap_or_default().into_iter();
+                for revised in changes.filter(|revised| revised.revision > known) {
+                    self.shared.on_change(revised.change, reach);
                 }
-                revision = up_to.max(revision);
-                tokio::time::sleep_until(asked_at + Duration::from_millis(GATHER_MS)).await;
+                self.revision = news.up_to;
+            }
+        }
+        Ok(())
+    }
+
+    /// Reads changes from the store; returns those that matter, and after which revision they
+    /// are, or `None` when the store gave no answer.
+    async fn read(&mut self, wait_ms: u64) -> Result<Option<FreshChanges>, HistoryGone> {
+        let after = self.revision;
+        match self
+            .shared
+            .borders
+            .store
+            .changes_after(after, wait_ms)
+            .await
+        {
+            Ok(FleetChanges { changes, revision }) => {
+                self.trouble.on_answer();
+                let reach = self.trouble.reach(self.shared.now());
+                let mut fresh = Vec::new();
+                for revised in changes {
+                    if self.shared.on_change(revised.change.clone(), reach) {
+                        fresh.push(revised);
+                    }
+                }
+                self.revision = revision.max(after);
+                Ok(Some((after, fresh, reach)))
             }
             Err(FleetStoreError::HistoryGone(after)) => {
                 Line::new(&kind::HISTORY_GONE).field("after", after).log();
-                return;
+                Err(HistoryGone)
             }
             Err(error) => {
-                trouble.on_failure(shared.now(), &error);
-                tokio::time::sleep(Duration::from_millis(RETRY_MS)).await;
+                self.trouble.on_failure(self.shared.now(), &error);
+                sleep(Duration::from_millis(RETRY_MS)).await;
+                Ok(None)
             }
         }
     }
 }
 
+/// After which revision changes are, those that matter, and how well the store was reached.
+type FreshChanges = (u64, Vec<RevisedChange>, StoreReach);
+
 /// Whether the store answers, and until when its entries may be incomplete.
 #[derive(Debug, Default)]
 struct Trouble {
--- a/crates/relay/src/peers/frame.rs
+++ b/crates/relay/src/peers/frame.rs
@@ -9,7 +9,7 @@
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
 
 /// Longest message, in bytes: names and figures only.
-const MAX_FRAME_BYTES: usize = 16 * 1024;
+pub const MAX_FRAME_BYTES: usize = 16 * 1024;
 /// How often each end sends a sign of life when it has nothing else to say, in milliseconds.
 pub const ALIVE_EVERY_MS: u64 = 500;
 /// Silence after which a connection counts as dead, in milliseconds: two signs of life that
--- a/crates/relay/src/peers/link.rs
+++ b/crates/relay/src/peers/link.rs
@@ -15,7 +15,7 @@
 use tokio::time::{Instant, interval, sleep_until, timeout};
 
 use super::frame::{ALIVE_EVERY_MS, Frames, SILENT_MS, decode, frames, send_all};
-use super::message::{PeerAsk, PeerReply, PeerRequest};
+use super::message::{PeerAsk, PeerNews, PeerReply, PeerRequest};
 use crate::event::{Line, kind};
 
 /// Time to connect to another instance, in milliseconds.
@@ -62,17 +62,28 @@
 pub struct PeerLinks {
     own: InstanceName,
     links: Rc<RefCell<HashMap<InstanceName, Link>>>,
+    news: UnboundedSender<SourcedNews>,
 }
 
+/// Who told the news; `None` when it has none to tell.
+pub type SourcedNews = (InstanceName, Option<PeerNews>);
+
 impl PeerLinks {
-    /// No connections yet.
-    pub fn new(own: InstanceName) -> Self {
+    /// No connections yet; `news` gets what other instances tell of the store.
+    pub fn new(own: InstanceName, news: UnboundedSender<SourcedNews>) -> Self {
         Self {
             own,
             links: Rc::default(),
+            news,
         }
     }
 
+    /// Asks `peer` for the news of the store, for a while.
+    pub fn follow(&self, peer: &InstanceName, address: SocketAddr) {
+        // A connection that is being closed is opened anew at the next time.
+        let _ = self.link(peer, address).queue.send(PeerRequest::Follow);
+    }
+
     /// Asks `peer` for a copy and waits for its answer.
     pub async fn ask(&self, peer: &InstanceName, address: SocketAddr, ask: PeerAsk) -> Answer {
         let link = self.link(peer, address);
@@ -115,8 +126,12 @@
             waiting: Rc::default(),
         };
         links.insert(peer.clone(), link.clone());
-        let waiting = Rc::clone(&link.waiting);
-        let run = run(self.own.clone(), peer.clone(), address, requests, waiting);
+        let replies = Replies {
+            peer: peer.clone(),
+            waiting: Rc::clone(&link.waiting),
+            news: self.news.clone(),
+        };
+        let run = run(self.own.clone(), address, requests, replies);
         tokio::task::spawn_local(run);
         link
     }
@@ -141,32 +156,32 @@
 
 async fn run(
     own: InstanceName,
-    peer: InstanceName,
     address: SocketAddr,
     mut requests: UnboundedReceiver<PeerRequest>,
-    waiting: Rc<RefCell<HashMap<u64, Waiting>>>,
+    replies: Replies,
 ) {
+    let peer = replies.peer.clone();
     let connect = TcpStream::connect(address);
     let connected = timeout(Duration::from_millis(CONNECT_TIMEOUT_MS), connect).await;
     if let Ok(Ok(stream)) = connected {
         Line::new(&kind::PEER_CONNECTED).field("peer", &peer).log();
         // Without it an ask waits for the next packet; the connection works all the same.
         let _ = stream.set_nodelay(true);
-        carry(frames(stream), own, &mut requests, &waiting).await;
+        carry(frames(stream), own, &mut requests, &replies).await;
     }
     requests.close();
     Line::new(&kind::PEER_LOST)
         .field("peer", &peer)
         .field("address", address)
         .log();
-    waiting.borrow_mut().clear();
+    replies.waiting.borrow_mut().clear();
 }
 
 async fn carry(
     mut frames: Frames,
     own: InstanceName,
     requests: &mut UnboundedReceiver<PeerRequest>,
-    waiting: &RefCell<HashMap<u64, Waiting>>,
+    replies: &Replies,
 ) {
     let mut alive = interval(Duration::from_millis(ALIVE_EVERY_MS));
     let mut silent_at = Instant::now() + Duration::from_millis(SILENT_MS);
@@ -182,7 +197,7 @@
                 let Some(Ok(bytes)) = frame else { return };
                 silent_at = Instant::now() + Duration::from_millis(SILENT_MS);
                 let Some(reply) = decode(&bytes) else { return };
-                on_reply(reply, waiting);
+                replies.on_reply(reply);
             }
             request = requests.recv() => {
                 let Some(request) = request else { return };
@@ -196,21 +211,40 @@
     }
 }
 
-fn on_reply(reply: PeerReply, waiting: &RefCell<HashMap<u64, Waiting>>) {
-    let mut waiting = waiting.borrow_mut();
-    let (number, answer) = match reply {
-        PeerReply::Alive => return,
-        PeerReply::Heard(number) => {
-            if let Some(ask) = waiting.get(&number) {
-                ask.heard.set(true);
+/// What is done with the replies of one instance.
+struct Replies {
+    peer: InstanceName,
+    waiting: Rc<RefCell<HashMap<u64, Waiting>>>,
+    news: UnboundedSender<SourcedNews>,
+}
+
+impl Replies {
+    fn on_reply(&self, reply: PeerReply) {
+        match reply {
+            PeerReply::Alive => {}
+            PeerReply::Heard(number) => {
+                if let Some(ask) = self.waiting.borrow().get(&number) {
+                    ask.heard.set(true);
+                }
             }
-            return;
+            PeerReply::Granted { number, running } => self.on_answer(number, Ok(running)),
+            PeerReply::Refused { number, reason } => {
+                self.on_answer(number, Err(AskFailure::Refused(reason)));
+            }
+            PeerReply::News(news) => self.on_news(Some(news)),
+            PeerReply::NoNews => self.on_news(None),
+        }
+    }
+
+    fn on_answer(&self, number: u64, answer: Answer) {
+        if let Some(ask) = self.waiting.borrow_mut().remove(&number) {
+            // Whoever asked has left; the end of its ask was told already.
+            let _ = ask.answer.send(answer);
         }
-        PeerReply::Granted { number, running } => (number, Ok(running)),
-        PeerReply::Refused { number, reason } => (number, Err(AskFailure::Refused(reason))),
-    };
-    if let Some(ask) = waiting.remove(&number) {
-        // Whoever asked has left; the end of its ask was told already.
-        let _ = ask.answer.send(answer);
+    }
+
+    fn on_news(&self, news: Option<PeerNews>) {
+        // The receiver lives as long as the process.
+        let _ = self.news.send((self.peer.clone(), news));
     }
 }
--- a/crates/relay/src/peers/message.rs
+++ b/crates/relay/src/peers/message.rs
@@ -1,6 +1,8 @@
 //! What instances tell each other.
 
+use monsoonspread_borders::relay::RevisedChange;
 use monsoonspread_decisions::copies::CopyRefusal;
+use monsoonspread_decisions::news_source::NewsSpan;
 use monsoonspread_model::fleet::AdapterKey;
 use monsoonspread_model::{InstanceName, UpstreamName};
 use serde::{Deserialize, Serialize};
@@ -28,7 +30,33 @@
     pub lasts_ms: u64,
 }
 
-/// What an instance tells a holder.
+/// What changed in the store, from an instance that follows it.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct PeerNews {
+    /// Revision after which the changes are.
+    pub after: u64,
+    /// Revision up to which nothing is missing.
+    pub up_to: u64,
+    /// The changes that matter; `None` when they have to be read from the store.
+    pub changes: Option<Vec<RevisedChange>>,
+    /// Entries may have lapsed because of the store.
+    pub is_unsettled: bool,
+    /// The store answered every call for as long as a lease lasts.
+    pub is_steady: bool,
+}
+
+impl PeerNews {
+    /// The news without their content.
+    pub fn span(&self) -> NewsSpan {
+        NewsSpan {
+            after: self.after,
+            up_to: self.up_to,
+            is_complete: self.changes.is_some(),
+        }
+    }
+}
+
+/// What an instance tells a holder, or the source of its news.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub enum PeerRequest {
     /// Who speaks; the first message.
@@ -53,11 +81,13 @@
         /// The engine didn't have the copy.
         absent: bool,
     },
+    /// It wants the news of the store for a while.
+    Follow,
     /// A sign of life.
     Alive,
 }
 
-/// What a holder answers.
+/// What a holder, or a source of news, answers.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub enum PeerReply {
     /// The ask arrived; its answer follows.
@@ -76,6 +106,10 @@
         /// Why.
         reason: CopyRefusal,
     },
+    /// What changed in the store.
+    News(PeerNews),
+    /// This instance doesn't follow the store, or has trouble with it.
+    NoNews,
     /// A sign of life.
     Alive,
 }
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -7,6 +7,7 @@
 
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::mpsc::{UnboundedReceiver, unbounded_channel};
 use tokio::task::{LocalSet, spawn_local};
 use tokio::time::{Instant, interval, sleep, sleep_until};
 
@@ -16,7 +17,7 @@
 use crate::fleet::watch_store;
 use crate::holding::keep_lease;
 use crate::http::{Connections, serve_clients, serve_metrics};
-use crate::peers::accept_peers;
+use crate::peers::{SourcedNews, accept_peers};
 use crate::settings::RelaySettings;
 use crate::shared::{HeldEngines, Shared};
 
@@ -48,11 +49,16 @@
         .enable_all()
         .build()
         .map_err(RunError::Runtime)?;
-    let shared = Rc::new(Shared::new(settings, borders));
-    LocalSet::new().block_on(&runtime, serve(path.to_owned(), shared))
+    let (news, heard) = unbounded_channel();
+    let shared = Rc::new(Shared::new(settings, borders, news));
+    LocalSet::new().block_on(&runtime, serve(path.to_owned(), shared, heard))
 }
 
-async fn serve(path: PathBuf, shared: Rc<Shared>) -> Result<(), RunError> {
+async fn serve(
+    path: PathBuf,
+    shared: Rc<Shared>,
+    heard: UnboundedReceiver<SourcedNews>,
+) -> Result<(), RunError> {
     let listen = shared.settings.listen.clone();
     let connections = Connections::new();
     let platform = Connections::new();
@@ -70,7 +76,7 @@
     if let Some(address) = listen.metrics {
         spawn_local(serve_metrics(bind(address).await?, Rc::clone(&shared)));
     }
-    spawn_local(watch_store(Rc::clone(&shared)));
+    spawn_local(watch_store(Rc::clone(&shared), heard));
     spawn_local(keep_lease(Rc::clone(&shared)));
     spawn_local(claim_engines(Rc::clone(&shared)));
     spawn_local(tick(Rc::clone(&shared)));
--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -11,14 +11,15 @@
 use monsoonspread_decisions::service_route::{ServiceRouter, ServiceServer};
 use monsoonspread_model::fleet::{EngineShape, UpstreamRecord};
 use monsoonspread_model::{InstanceName, UnixMs, UpstreamName};
+use tokio::sync::mpsc::UnboundedSender;
 
 use crate::borders::Borders;
 use crate::clock::SteadyClock;
 use crate::connection::Pool;
-use crate::fleet::{FleetEvent, FleetView, StoreReach};
+use crate::fleet::{FleetEvent, FleetView, Followers, StoreReach};
 use crate::holding::Holding;
 use crate::metrics::Metrics;
-use crate::peers::{Incoming, PeerHandler, PeerLinks, PeerReply, PeerRequest};
+use crate::peers::{Incoming, PeerHandler, PeerLinks, PeerReply, PeerRequest, SourcedNews};
 use crate::retries::RetryBudgets;
 use crate::settings::RelaySettings;
 
@@ -59,6 +60,8 @@
     pub peers: PeerLinks,
     /// Connections from other instances.
     pub incoming: Incoming,
+    /// Instances that hear from this one what changed in the store.
+    pub followers: Followers,
     /// Connections to upstreams.
     pub pool: Pool,
     /// Which engines may serve an adapter.
@@ -79,7 +82,13 @@
 
 impl Shared {
     /// The state of a process that knows nothing yet.
-    pub fn new(settings: RelaySettings, borders: Borders) -> Self {
+    ///
+    /// `news` gets what other instances tell of the store.
+    pub fn new(
+        settings: RelaySettings,
+        borders: Borders,
+        news: UnboundedSender<SourcedNews>,
+    ) -> Self {
         let clock = SteadyClock::start();
         let (own, zone) = (settings.instance.clone(), settings.zone.clone());
         let bounds = settings.bounds;
@@ -88,8 +97,9 @@
             clock,
             fleet: RefCell::default(),
             holding: Holding::new(own.clone(), bounds.order_gap_ms),
-            peers: PeerLinks::new(own),
+            peers: PeerLinks::new(own, news),
             incoming: Incoming::default(),
+            followers: Followers::default(),
             pool: Pool::new(clock),
             placement: RefCell::new(Placement::new(zone.clone(), PLACEMENT)),
             loads: RefCell::default(),
@@ -154,17 +164,19 @@
         self.on_events(&events);
     }
 
-    /// Something changed in the store.
-    pub fn on_change(self: &Rc<Self>, change: FleetChange, reach: StoreReach) {
+    /// Something changed in the store; false when it changes nothing here.
+    pub fn on_change(self: &Rc<Self>, change: FleetChange, reach: StoreReach) -> bool {
         let now = self.now();
         let event = self.fleet.borrow_mut().on_change(now, change, true, reach);
         self.on_events(event.as_slice());
+        event.is_some()
     }
 
     /// Time has passed.
     pub fn on_tick(self: &Rc<Self>) {
         let events = self.fleet.borrow_mut().on_tick(self.now());
         self.on_events(&events);
+        self.followers.on_tick(self);
         self.holding.on_tick(self);
     }
 
@@ -227,6 +239,7 @@
         let shared = &self.0;
         match request {
             PeerRequest::Hello(_) | PeerRequest::Alive => {}
+            PeerRequest::Follow => shared.followers.on_follow(shared, instance),
             PeerRequest::Ask(ask) => {
                 let now = shared.now();
                 shared
