End a source of news whose own view of the store is old

Change: the longest wait of a watch is a quarter of the least bound for changes (drain_ms, config_ms of the settings, new there), and a source whose last answer is older than two fifths of it says that it has no news; silence counts after the same time. Test: a_source_whose_store_is_silent_says_so_in_time (a source without an age fails it).

--- a/crates/decisions/src/news_source/mod.rs
+++ b/crates/decisions/src/news_source/mod.rs
@@ -4,6 +4,8 @@
 //! zone follows it and tells the others. Each of them follows the store itself as soon as that
 //! one falls silent, says that it has trouble, or doesn't follow the store either.
 
+mod pace;
+mod publisher;
 #[cfg(test)]
 mod tests;
 
@@ -11,6 +13,9 @@
 
 use monsoonspread_model::{InstanceName, UnixMs};
 
+pub use pace::Pace;
+pub use publisher::{Notice, Publisher};
+
 /// How long an instance is passed over after it failed as a source, in milliseconds: longer than
 /// most freezes and cuts, so that a source that comes and goes costs no gap each time.
 const PASSED_OVER_MS: u64 = 10_000;
--- a/crates/decisions/src/news_source/tests.rs
+++ b/crates/decisions/src/news_source/tests.rs
@@ -1,6 +1,6 @@
 use monsoonspread_model::{InstanceName, UnixMs};
 
-use super::{NewsSource, NewsSpan, NewsUse};
+use super::{NewsSource, NewsSpan, NewsUse, Notice, Pace, Publisher};
 
 fn names(names: &[&str]) -> Vec<InstanceName> {
     names.iter().map(|name| (*name).into()).collect()
@@ -63,3 +63,49 @@
     assert_eq!(span(5, 8, true).usage(6), NewsUse::Apply);
     assert_eq!(span(8, 8, true).usage(8), NewsUse::Known);
 }
+
+/// The store falls silent for the source alone: its watch hangs, and it must not go on telling
+/// that nothing changes.
+#[test]
+fn a_source_whose_store_is_silent_says_so_in_time() {
+    let change_ms = 2_000;
+    let pace = Pace::new(change_ms);
+    let mut publisher = Publisher::new(pace);
+    publisher.on_read(UnixMs(0));
+    let mut ended_at = None;
+    for now in (0..change_ms).map(UnixMs) {
+        match publisher.notice(now) {
+            None => {}
+            Some(Notice::Alive) => publisher.on_told(now),
+            Some(Notice::NoNews) => {
+                ended_at.get_or_insert(now);
+                publisher.on_lost();
+            }
+        }
+    }
+    let ended_at = ended_at.expect("it says so");
+    // It may freeze just before.
+    assert!(ended_at.0 + pace.silent_ms <= change_ms * 4 / 5);
+}
+
+/// A sign of life that is late once is no silence.
+#[test]
+fn a_source_without_changes_gives_signs_of_life() {
+    let pace = Pace::new(3_000);
+    let mut publisher = Publisher::new(pace);
+    let mut longest_ms = 0;
+    let mut told_at = UnixMs(1_000);
+    publisher.on_read(told_at);
+    for now in (1_000..9_000).map(UnixMs) {
+        if now.0 % pace.gather_ms == 0 {
+            publisher.on_read(now);
+        }
+        if publisher.notice(now) == Some(Notice::Alive) {
+            publisher.on_told(now);
+            longest_ms = longest_ms.max(now.ms_since(told_at));
+            told_at = now;
+        }
+    }
+    assert!(2 * pace.sign_ms < pace.silent_ms);
+    assert_eq!(longest_ms, pace.sign_ms);
+}
--- a/crates/relay/src/fleet/followers.rs
+++ b/crates/relay/src/fleet/followers.rs
@@ -4,6 +4,7 @@
 use std::collections::BTreeMap;
 
 use monsoonspread_borders::relay::{FleetChange, RevisedChange};
+use monsoonspread_decisions::news_source::{Notice, Pace, Publisher};
 use monsoonspread_model::{InstanceName, UnixMs};
 
 use super::StoreReach;
@@ -13,27 +14,34 @@
 /// How long an instance follows after it asked, in milliseconds: three times the pause between
 /// its questions.
 const FOLLOWS_MS: u64 = 3_000;
-/// Longest pause between two messages to a follower, in milliseconds: two may be late before it
-/// counts this instance as silent.
-const NEWS_EVERY_MS: u64 = 400;
 /// Changes that are passed on in one message, by the length of a record of about 200 bytes.
 const MAX_CHANGES: usize = MAX_FRAME_BYTES / 400;
 
 /// Instances that hear from this one what changed in the store.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Followers {
+    publisher: Cell<Publisher>,
     until: RefCell<BTreeMap<InstanceName, UnixMs>>,
-    /// Revision up to which this instance followed the store itself.
-    known: Cell<Option<(u64, StoreReach)>>,
-    told_at: Cell<UnixMs>,
+    /// Revision up to which this instance read the store, and how well it was reached.
+    last_read: Cell<(u64, StoreReach)>,
 }
 
 impl Followers {
+    /// Nobody follows yet.
+    pub fn new(pace: Pace) -> Self {
+        Self {
+            publisher: Cell::new(Publisher::new(pace)),
+            until: RefCell::default(),
+            last_read: Cell::default(),
+        }
+    }
+
     /// An instance wants to hear the news for a while.
     pub fn on_follow(&self, shared: &Shared, instance: &InstanceName) {
-        let until = shared.now() + FOLLOWS_MS;
+        let now = shared.now();
+        let until = now + FOLLOWS_MS;
         self.until.borrow_mut().insert(instance.clone(), until);
-        let reply = self.sign_of_life();
+        let reply = self.sign_of_life(now);
         shared.incoming.reply(instance, reply);
     }
 
@@ -46,7 +54,8 @@
         changes: Vec<RevisedChange>,
         reach: StoreReach,
     ) {
-        self.known.set(Some((up_to, reach)));
+        self.last_read.set((up_to, reach));
+        self.publish(|publisher| publisher.on_read(shared.now()));
         if changes.is_empty() && after == up_to {
             return;
         }
@@ -68,23 +77,32 @@
 
     /// This instance doesn't follow the store, or has trouble with it.
     pub fn on_no_news(&self, shared: &Shared) {
-        if self.known.take().is_some() {
+        if self.publish(Publisher::on_lost) {
             self.tell(shared, PeerReply::NoNews);
         }
     }
 
     /// Time has passed.
     pub fn on_tick(&self, shared: &Shared) {
-        let now = shared.now();
-        if now >= self.told_at.get() + NEWS_EVERY_MS && self.known.get().is_some() {
-            self.tell(shared, self.sign_of_life());
+        match self.publisher.get().notice(shared.now()) {
+            None => {}
+            Some(Notice::Alive) => self.tell(shared, self.sign_of_life(shared.now())),
+            Some(Notice::NoNews) => self.on_no_news(shared),
         }
     }
 
-    fn sign_of_life(&self) -> PeerReply {
-        let Some((revision, reach)) = self.known.get() else {
+    fn publish<T>(&self, step: impl FnOnce(&mut Publisher) -> T) -> T {
+        let mut publisher = self.publisher.get();
+        let outcome = step(&mut publisher);
+        self.publisher.set(publisher);
+        outcome
+    }
+
+    fn sign_of_life(&self, now: UnixMs) -> PeerReply {
+        if !self.publisher.get().is_source(now) {
             return PeerReply::NoNews;
-        };
+        }
+        let (revision, reach) = self.last_read.get();
         PeerReply::News(PeerNews {
             after: revision,
             up_to: revision,
@@ -96,7 +114,7 @@
 
     fn tell(&self, shared: &Shared, reply: PeerReply) {
         let now = shared.now();
-        self.told_at.set(now);
+        self.publish(|publisher| publisher.on_told(now));
         let mut until = self.until.borrow_mut();
         until.retain(|_, until| now < *until);
         for follower in until.keys() {
--- a/crates/relay/src/fleet/source.rs
+++ b/crates/relay/src/fleet/source.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use monsoonspread_decisions::news_source::NewsSource;
+use monsoonspread_decisions::news_source::{NewsSource, Pace};
 use monsoonspread_model::{InstanceName, UnixMs};
 use tokio::sync::mpsc::UnboundedReceiver;
 use tokio::time::timeout;
@@ -12,25 +12,28 @@
 use crate::peers::{PeerNews, SourcedNews};
 use crate::shared::Shared;
 
-/// Silence after which a source is given up, in milliseconds: two signs of life that are late,
-/// and well within the time for an upstream that leaves.
-const SILENT_MS: u64 = 1_000;
 /// How often the source is asked to go on, in milliseconds.
 const ASK_EVERY_MS: u64 = 1_000;
 
 /// News of the store from another instance of the zone.
 pub(super) struct Source {
     choice: NewsSource,
+    silent_ms: u64,
     heard: UnboundedReceiver<SourcedNews>,
     current: Option<InstanceName>,
     ask_at: UnixMs,
 }
 
 impl Source {
-    /// News arrive on `heard`.
-    pub(super) fn new(own: InstanceName, heard: UnboundedReceiver<SourcedNews>) -> Self {
+    /// News for the instance `own` arrive on `heard`.
+    pub(super) fn new(
+        own: InstanceName,
+        pace: Pace,
+        heard: UnboundedReceiver<SourcedNews>,
+    ) -> Self {
         Self {
             choice: NewsSource::new(own),
+            silent_ms: pace.silent_ms,
             heard,
             current: None,
             ask_at: UnixMs(0),
@@ -74,7 +77,7 @@
                 }
             }
         };
-        let news = timeout(Duration::from_millis(SILENT_MS), heard).await;
+        let news = timeout(Duration::from_millis(self.silent_ms), heard).await;
         let now = shared.now();
         match &news {
             Ok(Some(_)) => {}
--- a/crates/relay/src/fleet/watcher.rs
+++ b/crates/relay/src/fleet/watcher.rs
@@ -5,7 +5,7 @@
 
 use monsoonspread_borders::relay::{FleetChanges, FleetStoreError, RevisedChange};
 use monsoonspread_decisions::holders::CONFIRMED_FOR_MS;
-use monsoonspread_decisions::news_source::NewsUse;
+use monsoonspread_decisions::news_source::{NewsUse, Pace};
 use monsoonspread_model::UnixMs;
 use tokio::sync::mpsc::UnboundedReceiver;
 use tokio::time::{Instant, sleep, sleep_until};
@@ -17,12 +17,6 @@
 use super::StoreReach;
 use super::source::Source;
 
-/// Longest wait of one watch, in milliseconds: short enough that a connection that fell silent
-/// is noticed within the time for a change of the configuration and its outer bound.
-const WATCH_MS: u64 = 2_000;
-/// Least time from one watch to the next, in milliseconds, so that changes that come together
-/// are read with one call. Changes have two seconds to be in force.
-const GATHER_MS: u64 = 500;
 /// Wait of a call for changes that are known to be there, in milliseconds.
 const AT_ONCE_MS: u64 = 1;
 /// Pause after a call that failed, in milliseconds.
@@ -32,7 +26,8 @@
 
 /// Follows the store's changes for good, itself or through another instance of the zone.
 pub async fn watch_store(shared: Rc<Shared>, heard: UnboundedReceiver<SourcedNews>) {
-    let mut source = Source::new(shared.settings.instance.clone(), heard);
+    let pace = Pace::new(shared.settings.bounds.change_ms());
+    let mut source = Source::new(shared.settings.instance.clone(), pace, heard);
     let mut first = true;
     let mut trouble = Trouble::default();
     loop {
@@ -44,6 +39,7 @@
                 shared.on_snapshot(&snapshot, complete);
                 let mut known = Known {
                     shared: &shared,
+                    pace,
                     revision: snapshot.revision,
                     trouble: &mut trouble,
                 };
@@ -62,6 +58,7 @@
 /// What is known of the store, up to a revision.
 struct Known<'a> {
     shared: &'a Rc<Shared>,
+    pace: Pace,
     revision: u64,
     trouble: &'a mut Trouble,
 }
@@ -89,12 +86,12 @@
     /// One watch of this instance's own.
     async fn watch(&mut self) -> Result<(), HistoryGone> {
         let asked_at = Instant::now();
-        if let Some((after, changes, reach)) = self.read(WATCH_MS).await? {
+        if let Some((after, changes, reach)) = self.read(self.pace.gather_ms).await? {
             let span = (after, self.revision);
             self.shared
                 .followers
                 .on_read(self.shared, span, changes, reach);
-            sleep_until(asked_at + Duration::from_millis(GATHER_MS)).await;
+            sleep_until(asked_at + Duration::from_millis(self.pace.gather_ms)).await;
         } else {
             self.shared.followers.on_no_news(self.shared);
         }
--- a/crates/relay/src/settings.rs
+++ b/crates/relay/src/settings.rs
@@ -65,6 +65,17 @@
     pub retry_slack: f64,
     /// Time in which requests must begin on a newly named version, in milliseconds.
     pub version_ms: u64,
+    /// Time after which no request may reach an upstream that said it leaves, in milliseconds.
+    pub drain_ms: u64,
+    /// Time after which a configuration must be in force, in milliseconds.
+    pub config_ms: u64,
+}
+
+impl BoundSettings {
+    /// Time in which any change must be known everywhere, in milliseconds.
+    pub fn change_ms(&self) -> u64 {
+        self.drain_ms.min(self.config_ms)
+    }
 }
 
 impl Default for BoundSettings {
@@ -75,6 +86,8 @@
             retry_ratio: 0.1,
             retry_slack: 10.0,
             version_ms: 5_000,
+            drain_ms: 2_000,
+            config_ms: 2_000,
         }
     }
 }
--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -7,6 +7,7 @@
 use monsoonspread_borders::relay::{FleetChange, FleetChanges};
 use monsoonspread_decisions::copies::{AskId, CopyAsk, KnownCopies};
 use monsoonspread_decisions::load_choice::LoadChoice;
+use monsoonspread_decisions::news_source::Pace;
 use monsoonspread_decisions::placement::{CandidateUpstream, Placement, PlacementSettings};
 use monsoonspread_decisions::service_route::{ServiceRouter, ServiceServer};
 use monsoonspread_model::fleet::{EngineShape, UpstreamRecord};
@@ -99,7 +100,7 @@
             holding: Holding::new(own.clone(), bounds.order_gap_ms),
             peers: PeerLinks::new(own, news),
             incoming: Incoming::default(),
-            followers: Followers::default(),
+            followers: Followers::new(Pace::new(bounds.change_ms())),
             pool: Pool::new(clock),
             placement: RefCell::new(Placement::new(zone.clone(), PLACEMENT)),
             loads: RefCell::default(),
