--- a/crates/decisions/src/placement/candidate.rs
+++ b/crates/decisions/src/placement/candidate.rs
@@ -98,7 +98,7 @@
 
     /// Copies of `adapter` that its demand in the region calls for.
     pub fn copies(&self, now: UnixMs, adapter: &AdapterName) -> usize {
-        let own = self.demand.per_second(now, adapter);
+        let own = self.demand.per_second_before(now, adapter);
         let region = own * self.sharing_instances as f64;
         let copies = (region / self.settings.requests_per_copy_per_s).ceil() as usize;
         copies.clamp(1, self.settings.max_copies)
--- a/crates/decisions/src/placement/demand.rs
+++ b/crates/decisions/src/placement/demand.rs
@@ -52,8 +52,16 @@
 
     /// Arrivals a second, as a decayed mean.
     pub fn per_second(&self, now: UnixMs, key: &K) -> f64 {
-        let mean_life_s = self.half_life_ms / std::f64::consts::LN_2 / 1_000.0;
-        self.weight(now, key) / mean_life_s
+        self.weight(now, key) / self.mean_life_s()
+    }
+
+    /// Arrivals a second before the last one, as a decayed mean.
+    ///
+    /// The last arrival is what makes one look at the key: counted, it would turn each single
+    /// request into demand, and the more instances share the demand, the more of it.
+    pub fn per_second_before(&self, now: UnixMs, key: &K) -> f64 {
+        let last = 1.0 / self.mean_life_s();
+        (self.per_second(now, key) - last).max(0.0)
     }
 
     /// Keys held.
@@ -66,6 +74,10 @@
         self.rates.is_empty()
     }
 
+    fn mean_life_s(&self) -> f64 {
+        self.half_life_ms / std::f64::consts::LN_2 / 1_000.0
+    }
+
     fn weight(&self, now: UnixMs, key: &K) -> f64 {
         self.rates
             .get(key)
