Share the prompts of an adapter among three engines on which all agree

Change: homes are among the first three engines of the adapter (fewer when it has fewer copies), and only for prompts whose shared part weighs as much as a running request. Test: instances_agree_on_the_home_of_a_prompt.

--- a/crates/decisions/src/load_choice/mod.rs
+++ b/crates/decisions/src/load_choice/mod.rs
@@ -42,6 +42,11 @@
 }
 
 impl KeptPrompt<'_> {
+    /// Whether a part of so many tokens weighs as much as one running request.
+    pub fn matters(tokens: u32) -> bool {
+        f64::from(tokens) >= TOKENS_PER_RUNNING
+    }
+
     fn saved_cost(&self, upstream: &UpstreamName) -> f64 {
         if self.upstream != upstream {
             return 0.0;
--- a/crates/decisions/src/placement/candidate.rs
+++ b/crates/decisions/src/placement/candidate.rs
@@ -46,6 +46,10 @@
     }
 }
 
+/// Engines that share the prompts of one adapter: more would seldom see a prompt twice, fewer be
+/// filled by the long prompts of the busiest one.
+const MAX_PROMPT_HOMES: usize = 3;
+
 /// Chooses the candidates of adapters.
 #[derive(Debug)]
 pub struct Placement {
@@ -138,19 +142,29 @@
         chosen.into_iter().map(|up| up.name.clone()).collect()
     }
 
-    /// Which of the engines with a copy of `adapter` is to read a shared prompt, so that its
-    /// next reader finds it kept there.
-    pub fn prompt_home<'a>(
+    /// Which engine with a copy of `adapter` is to read a shared prompt, so that its next reader
+    /// finds it kept there.
+    ///
+    /// The first few engines of the adapter share its prompts: instances differ in how many
+    /// copies they think there are, but not in these.
+    pub fn prompt_home(
         &self,
+        now: UnixMs,
         adapter: &AdapterName,
         shared: SharedPrompt,
-        copies: &'a [UpstreamName],
-    ) -> Option<&'a UpstreamName> {
+        may_serve: impl Fn(&UpstreamName) -> bool,
+    ) -> Option<UpstreamName> {
+        let mut ranked = self.ranked(adapter);
+        ranked.retain(|upstream| may_serve(&upstream.name));
+        let homes = zones_first(&ranked, self.copies(now, adapter).min(MAX_PROMPT_HOMES));
         let prompt = format!("{adapter}:{:x}", shared.id);
-        let score = |name: &UpstreamName| score(&prompt, name.as_str(), 1.0);
-        copies
-            .iter()
-            .max_by(|a, b| score(a).total_cmp(&score(b)).then_with(|| b.cmp(a)))
+        let score = |home: &&CandidateUpstream| score(&prompt, home.name.as_str(), 1.0);
+        let home = homes.into_iter().max_by(|a, b| {
+            score(a)
+                .total_cmp(&score(b))
+                .then_with(|| b.name.cmp(&a.name))
+        });
+        home.map(|home| home.name.clone())
     }
 
     fn ranked(&self, adapter: &AdapterName) -> Vec<&CandidateUpstream> {
--- a/crates/decisions/src/placement/tests.rs
+++ b/crates/decisions/src/placement/tests.rs
@@ -1,5 +1,6 @@
 use std::collections::HashMap;
 
+use monsoonspread_model::fleet::SharedPrompt;
 use monsoonspread_model::{AdapterName, UnixMs, UpstreamName};
 
 use super::{CandidateUpstream, DemandSketch, Placement, PlacementSettings};
@@ -99,3 +100,25 @@
     assert!((7.0..12.0).contains(&rate), "{rate} per second");
     assert!(demand.per_second(UnixMs(30_000), &1) < 0.2);
 }
+
+/// Long prompts of a busy adapter: instances that see different demand send the same prompt to
+/// the same engine, and different prompts to several.
+#[test]
+fn instances_agree_on_the_home_of_a_prompt() {
+    let mut homes = HashMap::new();
+    for id in 0..40 {
+        let shared = SharedPrompt { id, tokens: 6_300 };
+        let home = |arrivals: usize, zone: &str| {
+            let mut placement = placement(zone, upstreams(18));
+            placement.on_sharing_instances(20);
+            for _ in 0..arrivals {
+                placement.on_arrival(UnixMs(0), &adapter(7));
+            }
+            let home = placement.prompt_home(UnixMs(0), &adapter(7), shared, |_| true);
+            home.expect("an engine")
+        };
+        assert_eq!(home(5, "zone-0"), home(30, "zone-2"));
+        *homes.entry(home(9, "zone-1")).or_insert(0) += 1;
+    }
+    assert_eq!(homes.len(), 3);
+}
--- a/crates/relay/src/call/candidates.rs
+++ b/crates/relay/src/call/candidates.rs
@@ -28,9 +28,12 @@
     };
     let home = request.head.shared_prompt().and_then(|prompt| {
         let adapter = key.adapter.as_ref()?;
-        let meant = &names[..copies.min(names.len())];
-        let home = placement.prompt_home(adapter, prompt, meant)?;
-        Some((home.clone(), prompt.tokens))
+        if !KeptPrompt::matters(prompt.tokens) {
+            return None;
+        }
+        let is_ready = |name: &UpstreamName| ready.contains(&name);
+        let home = placement.prompt_home(now, adapter, prompt, is_ready)?;
+        Some((home, prompt.tokens))
     });
     let kept = home.as_ref().map(|(upstream, tokens)| KeptPrompt {
         upstream,
