--- a/crates/decisions/src/news_source/pace.rs
+++ b/crates/decisions/src/news_source/pace.rs
@@ -5,12 +5,15 @@
 ///
 /// The slowest way is that a source loses the store, and is frozen just before it would say so:
 /// its followers read the store themselves after `stale_ms` and `silent_ms`, which together
-/// leave a fifth of the time for the calls and for requests that are on their way.
+/// leave a seventh of the time for the calls and for requests that are on their way.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Pace {
-    /// Least time from one watch to the next, and longest wait of one, in milliseconds: changes
-    /// that come together are read with one call.
+    /// Least time from one watch to the next, in milliseconds: changes that come together are
+    /// read with one call.
     pub gather_ms: u64,
+    /// Longest wait of one watch, in milliseconds: the store's answers are never further apart
+    /// than this and `gather_ms`, well within `stale_ms`.
+    pub watch_ms: u64,
     /// Age of the store's last answer at which a source stops to be one, in milliseconds.
     pub stale_ms: u64,
     /// Longest pause between two messages of a source, in milliseconds.
@@ -26,12 +29,13 @@
     /// use monsoonspread_decisions::news_source::Pace;
     ///
     /// let pace = Pace::new(2_000);
-    /// assert_eq!((pace.gather_ms, pace.stale_ms, pace.silent_ms), (500, 800, 800));
+    /// assert_eq!((pace.gather_ms, pace.stale_ms, pace.silent_ms), (500, 900, 800));
     /// ```
     pub fn new(change_ms: u64) -> Self {
         Self {
             gather_ms: change_ms / 4,
-            stale_ms: change_ms * 2 / 5,
+            watch_ms: change_ms / 10,
+            stale_ms: change_ms * 9 / 20,
             sign_ms: change_ms / 8,
             silent_ms: change_ms * 2 / 5,
         }
--- a/crates/decisions/src/news_source/publisher.rs
+++ b/crates/decisions/src/news_source/publisher.rs
@@ -60,7 +60,7 @@
     /// let mut publisher = Publisher::new(Pace::new(2_000));
     /// publisher.on_read(UnixMs(0));
     /// assert_eq!(publisher.notice(UnixMs(300)), Some(Notice::Alive));
-    /// assert_eq!(publisher.notice(UnixMs(900)), Some(Notice::NoNews));
+    /// assert_eq!(publisher.notice(UnixMs(950)), Some(Notice::NoNews));
     /// ```
     pub fn notice(&self, now: UnixMs) -> Option<Notice> {
         let stale_at = self.stale_at?;
--- a/crates/relay/src/fleet/watcher.rs
+++ b/crates/relay/src/fleet/watcher.rs
@@ -86,7 +86,7 @@
     /// One watch of this instance's own.
     async fn watch(&mut self) -> Result<(), HistoryGone> {
         let asked_at = Instant::now();
-        if let Some((after, changes, reach)) = self.read(self.pace.gather_ms).await? {
+        if let Some((after, changes, reach)) = self.read(self.pace.watch_ms).await? {
             let span = (after, self.revision);
             self.shared
                 .followers
