Take upstreams that vanish after an outage for gone by the time of the store's return

Change: entries that vanish may come back until 1.9 s after the store's return, whenever they vanished; later ones are gone at once, also those that a whole reading doesn't show. The state machine is now a module of its own, store_reach; news carry the time that is left.

--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -19,4 +19,5 @@
 pub mod retry_budget;
 pub mod route_table;
 pub mod service_route;
+pub mod store_reach;
 pub mod straggler;
--- /dev/null
+++ b/crates/decisions/src/store_reach/mod.rs
@@ -0,0 +1,67 @@
+//! How well the store was reached lately, and what that says of entries that vanish.
+//!
+//! Entries run out while the store is away, though their owners live; those are back soon after
+//! its return. An entry that vanishes later has ended.
+
+#[cfg(test)]
+mod tests;
+
+use monsoonspread_model::UnixMs;
+
+use crate::holders::CONFIRMED_FOR_MS;
+
+/// Time from the store's return until entries of live owners are back, in milliseconds: about two
+/// seconds on the platform, less the time for requests that are on their way then.
+pub const BACK_WITHIN_MS: u64 = 1_900;
+
+/// How well the store was reached lately.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct StoreReach {
+    /// Until then, entries that vanish may come back.
+    pub back_by: UnixMs,
+    /// Every call was answered for as long as a lease lasts.
+    pub is_steady: bool,
+}
+
+/// Whether the store answers.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct StoreHealth {
+    is_lost: bool,
+    back_by: UnixMs,
+    steady_from: UnixMs,
+}
+
+impl StoreHealth {
+    /// A call was answered; true when the store was lost before.
+    pub fn on_answer(&mut self, now: UnixMs) -> bool {
+        let is_back = std::mem::take(&mut self.is_lost);
+        if is_back {
+            self.back_by = now + BACK_WITHIN_MS;
+        }
+        is_back
+    }
+
+    /// A call failed; true when the one before did not.
+    pub fn on_failure(&mut self, now: UnixMs) -> bool {
+        self.steady_from = now + CONFIRMED_FOR_MS;
+        !std::mem::replace(&mut self.is_lost, true)
+    }
+
+    /// How well the store was reached.
+    ///
+    /// ```
+    /// use monsoonspread_decisions::store_reach::StoreHealth;
+    /// use monsoonspread_model::UnixMs;
+    ///
+    /// let mut health = StoreHealth::default();
+    /// assert!(health.reach(UnixMs(0)).is_steady);
+    /// health.on_failure(UnixMs(0));
+    /// assert!(!health.reach(UnixMs(5_000)).is_steady);
+    /// ```
+    pub fn reach(&self, now: UnixMs) -> StoreReach {
+        StoreReach {
+            back_by: self.back_by,
+            is_steady: now >= self.steady_from,
+        }
+    }
+}
--- a/crates/relay/src/fleet/followers.rs
+++ b/crates/relay/src/fleet/followers.rs
@@ -5,9 +5,9 @@
 
 use monsoonspread_borders::relay::{FleetChange, RevisedChange};
 use monsoonspread_decisions::news_source::{Notice, Pace, Publisher};
+use monsoonspread_decisions::store_reach::StoreReach;
 use monsoonspread_model::{InstanceName, UnixMs};
 
-use super::StoreReach;
 use crate::peers::{MAX_FRAME_BYTES, PeerNews, PeerReply};
 use crate::shared::Shared;
 
@@ -69,7 +69,7 @@
                 after,
                 up_to,
                 changes: passed_on.then_some(changes),
-                is_unsettled: reach.is_unsettled,
+                back_in_ms: reach.back_by.ms_since(shared.now()),
                 is_steady: reach.is_steady,
             }),
         );
@@ -107,7 +107,7 @@
             after: revision,
             up_to: revision,
             changes: Some(Vec::new()),
-            is_unsettled: reach.is_unsettled,
+            back_in_ms: reach.back_by.ms_since(now),
             is_steady: reach.is_steady,
         })
     }
--- a/crates/relay/src/fleet/mod.rs
+++ b/crates/relay/src/fleet/mod.rs
@@ -8,5 +8,5 @@
 
 pub use changes::FleetEvent;
 pub use followers::Followers;
-pub use view::{FleetView, StoreReach};
+pub use view::FleetView;
 pub use watcher::watch_store;
--- a/crates/relay/src/fleet/view.rs
+++ b/crates/relay/src/fleet/view.rs
@@ -6,25 +6,13 @@
 
 use monsoonspread_borders::relay::{FleetChange, FleetChanges, FleetMember};
 use monsoonspread_decisions::route_table::RouteTable;
+use monsoonspread_decisions::store_reach::StoreReach;
 use monsoonspread_model::fleet::{AdapterKey, UpstreamRecord, UpstreamStage};
 use monsoonspread_model::{InstanceName, ServiceName, UnixMs, UpstreamName, ZoneName};
 
 use super::FleetEvent;
 use crate::event::{Line, kind};
 
-/// How long an upstream whose entry lapsed beside an outage of the store is used on, in
-/// milliseconds: entries of live ones are back about two seconds after its return.
-const LAPSED_MS: u64 = 1_900;
-
-/// How well the store was reached lately.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct StoreReach {
-    /// Entries may have lapsed because of the store.
-    pub is_unsettled: bool,
-    /// Every call was answered for as long as a lease lasts.
-    pub is_steady: bool,
-}
-
 /// An upstream that is listed, or was a moment ago.
 #[derive(Clone, Debug)]
 pub struct KnownUpstream {
@@ -108,8 +96,9 @@
         now: UnixMs,
         snapshot: &FleetChanges,
         complete: bool,
+        reach: StoreReach,
     ) -> Vec<FleetEvent> {
-        let mut events = self.missing_from(now, snapshot);
+        let mut events = self.missing_from(snapshot, reach);
         for change in &snapshot.changes {
             let change = change.change.clone();
             events.extend(self.on_change(now, change, complete, StoreReach::default()));
@@ -139,8 +128,8 @@
                 Some(FleetEvent::Routing)
             }
             FleetChange::Upstream(record) => self.on_upstream(record, complete),
-            FleetChange::UpstreamGone(name) if reach.is_unsettled => {
-                self.lapse(now, &name);
+            FleetChange::UpstreamGone(name) if now < reach.back_by => {
+                self.lapse(&name, reach.back_by);
                 None
             }
             FleetChange::UpstreamGone(name) => self.remove(&name),
@@ -224,9 +213,9 @@
         })
     }
 
-    fn lapse(&mut self, now: UnixMs, name: &UpstreamName) {
+    fn lapse(&mut self, name: &UpstreamName, lapses_at: UnixMs) {
         if let Some(known) = self.upstreams.get_mut(name) {
-            known.lapses_at = known.lapses_at.or(Some(now + LAPSED_MS));
+            known.lapses_at = known.lapses_at.or(Some(lapses_at));
         }
     }
 
@@ -238,7 +227,7 @@
         Some(FleetEvent::UpstreamGone(name.clone()))
     }
 
-    fn missing_from(&mut self, now: UnixMs, snapshot: &FleetChanges) -> Vec<FleetEvent> {
+    fn missing_from(&mut self, snapshot: &FleetChanges, reach: StoreReach) -> Vec<FleetEvent> {
         let mut upstreams: Vec<UpstreamName> = self.upstreams.keys().cloned().collect();
         let mut members: Vec<InstanceName> = self.members.keys().cloned().collect();
         let mut holders: Vec<UpstreamName> = self.holders.keys().cloned().collect();
@@ -251,7 +240,8 @@
             }
         }
         for name in &upstreams {
-            self.lapse(now, name);
+            // Without an outage it is over at once, with the next tick.
+            self.lapse(name, reach.back_by);
         }
         for name in &members {
             self.members.remove(name);
--- a/crates/relay/src/fleet/watcher.rs
+++ b/crates/relay/src/fleet/watcher.rs
@@ -4,9 +4,8 @@
 use std::time::Duration;
 
 use monsoonspread_borders::relay::{FleetChanges, FleetStoreError, RevisedChange};
-use monsoonspread_decisions::holders::CONFIRMED_FOR_MS;
 use monsoonspread_decisions::news_source::{NewsUse, Pace};
-use monsoonspread_model::UnixMs;
+use monsoonspread_decisions::store_reach::{StoreHealth, StoreReach};
 use tokio::sync::mpsc::UnboundedReceiver;
 use tokio::time::{Instant, sleep, sleep_until};
 
@@ -14,38 +13,36 @@
 use crate::peers::{PeerNews, SourcedNews};
 use crate::shared::Shared;
 
-use super::StoreReach;
 use super::source::Source;
 
 /// Wait of a call for changes that are known to be there, in milliseconds.
 const AT_ONCE_MS: u64 = 1;
 /// Pause after a call that failed, in milliseconds.
 const RETRY_MS: u64 = 300;
-/// After a failed call, entries may lapse because of the store for so long, in milliseconds.
-const UNSETTLED_MS: u64 = 3_000;
 
 /// Follows the store's changes for good, itself or through another instance of the zone.
 pub async fn watch_store(shared: Rc<Shared>, heard: UnboundedReceiver<SourcedNews>) {
     let pace = Pace::new(shared.settings.bounds.change_ms());
     let mut source = Source::new(shared.settings.instance.clone(), pace, heard);
     let mut first = true;
-    let mut trouble = Trouble::default();
+    let mut health = StoreHealth::default();
     loop {
         match shared.borders.store.read_all().await {
             Ok(snapshot) => {
-                trouble.on_answer();
+                on_answer(&shared, &mut health);
                 let complete = first && shared.settings.bootstrap;
                 first = false;
-                shared.on_snapshot(&snapshot, complete);
+                let reach = health.reach(shared.now());
+                shared.on_snapshot(&snapshot, complete, reach);
                 let mut known = Known {
                     shared: &shared,
                     pace,
                     revision: snapshot.revision,
-                    trouble: &mut trouble,
+                    health: &mut health,
                 };
                 known.follow(&mut source).await;
             }
-            Err(error) => trouble.on_failure(shared.now(), &error),
+            Err(error) => on_failure(&shared, &mut health, &error),
         }
         shared.followers.on_no_news(&shared);
         sleep(Duration::from_millis(RETRY_MS)).await;
@@ -60,7 +57,7 @@
     shared: &'a Rc<Shared>,
     pace: Pace,
     revision: u64,
-    trouble: &'a mut Trouble,
+    health: &'a mut StoreHealth,
 }
 
 impl Known<'_> {
@@ -105,9 +102,10 @@
                 self.read(AT_ONCE_MS).await?;
             }
             NewsUse::Apply => {
-                let own = self.trouble.reach(self.shared.now());
+                let now = self.shared.now();
+                let own = self.health.reach(now);
                 let reach = StoreReach {
-                    is_unsettled: own.is_unsettled || news.is_unsettled,
+                    back_by: own.back_by.max(now + news.back_in_ms),
                     is_steady: own.is_steady && news.is_steady,
                 };
                 let known = self.revision;
@@ -133,8 +131,8 @@
             .await
         {
             Ok(FleetChanges { changes, revision }) => {
-                self.trouble.on_answer();
-                let reach = self.trouble.reach(self.shared.now());
+                on_answer(self.shared, self.health);
+                let reach = self.health.reach(self.shared.now());
                 let mut fresh = Vec::new();
                 for revised in changes {
                     if self.shared.on_change(revised.change.clone(), reach) {
@@ -149,7 +147,7 @@
                 Err(HistoryGone)
             }
             Err(error) => {
-                self.trouble.on_failure(self.shared.now(), &error);
+                on_failure(self.shared, self.health, &error);
                 sleep(Duration::from_millis(RETRY_MS)).await;
                 Ok(None)
             }
@@ -160,33 +158,14 @@
 /// After which revision changes are, those that matter, and how well the store was reached.
 type FreshChanges = (u64, Vec<RevisedChange>, StoreReach);
 
-/// Whether the store answers, and until when its entries may be incomplete.
-#[derive(Debug, Default)]
-struct Trouble {
-    lost: bool,
-    unsettled_until: UnixMs,
-    steady_from: UnixMs,
-}
-
-impl Trouble {
-    fn on_answer(&mut self) {
-        if std::mem::take(&mut self.lost) {
-            Line::new(&kind::STORE_BACK).log();
-        }
-    }
-
-    fn on_failure(&mut self, now: UnixMs, error: &FleetStoreError) {
-        self.unsettled_until = now + UNSETTLED_MS;
-        self.steady_from = now + CONFIRMED_FOR_MS;
-        if !std::mem::replace(&mut self.lost, true) {
-            Line::new(&kind::STORE_LOST).field("error", error).log();
-        }
+fn on_answer(shared: &Shared, health: &mut StoreHealth) {
+    if health.on_answer(shared.now()) {
+        Line::new(&kind::STORE_BACK).log();
     }
+}
 
-    fn reach(&self, now: UnixMs) -> StoreReach {
-        StoreReach {
-            is_unsettled: now < self.unsettled_until,
-            is_steady: now >= self.steady_from,
-        }
+fn on_failure(shared: &Shared, health: &mut StoreHealth, error: &FleetStoreError) {
+    if health.on_failure(shared.now()) {
+        Line::new(&kind::STORE_LOST).field("error", error).log();
     }
 }
--- a/crates/relay/src/peers/message.rs
+++ b/crates/relay/src/peers/message.rs
@@ -39,8 +39,8 @@
     pub up_to: u64,
     /// The changes that matter; `None` when they have to be read from the store.
     pub changes: Option<Vec<RevisedChange>>,
-    /// Entries may have lapsed because of the store.
-    pub is_unsettled: bool,
+    /// For how long entries that vanish may come back, in milliseconds.
+    pub back_in_ms: u64,
     /// The store answered every call for as long as a lease lasts.
     pub is_steady: bool,
 }
--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -10,6 +10,7 @@
 use monsoonspread_decisions::news_source::Pace;
 use monsoonspread_decisions::placement::{CandidateUpstream, Placement, PlacementSettings};
 use monsoonspread_decisions::service_route::{ServiceRouter, ServiceServer};
+use monsoonspread_decisions::store_reach::StoreReach;
 use monsoonspread_model::fleet::{EngineShape, UpstreamRecord};
 use monsoonspread_model::{InstanceName, UnixMs, UpstreamName};
 use tokio::sync::mpsc::UnboundedSender;
@@ -17,7 +18,7 @@
 use crate::borders::Borders;
 use crate::clock::SteadyClock;
 use crate::connection::Pool;
-use crate::fleet::{FleetEvent, FleetView, Followers, StoreReach};
+use crate::fleet::{FleetEvent, FleetView, Followers};
 use crate::holding::Holding;
 use crate::metrics::Metrics;
 use crate::peers::{Incoming, PeerHandler, PeerLinks, PeerReply, PeerRequest, SourcedNews};
@@ -159,9 +160,16 @@
     }
 
     /// Everything was read from the store.
-    pub fn on_snapshot(self: &Rc<Self>, snapshot: &FleetChanges, complete: bool) {
+    pub fn on_snapshot(
+        self: &Rc<Self>,
+        snapshot: &FleetChanges,
+        complete: bool,
+        reach: StoreReach,
+    ) {
         let now = self.now();
-        let events = self.fleet.borrow_mut().on_snapshot(now, snapshot, complete);
+        let mut fleet = self.fleet.borrow_mut();
+        let events = fleet.on_snapshot(now, snapshot, complete, reach);
+        drop(fleet);
         self.on_events(&events);
     }
 
