Ask after a load by the version that it named

When a version was named during the load, the question was a load of its own: a second place, and an order that the books didn't count. Change: a question names the version of its load; where that named none, the report tells it (versions of adapters on their way are decoded now). Tests: the stand-in engine gives each version on its way a place of its own; on the code before, lost_and_late_orders_never_overfill_an_engine and a_version_named_during_a_load_takes_no_second_place fail.

--- a/crates/decisions/src/copies/control.rs
+++ b/crates/decisions/src/copies/control.rs
@@ -116,6 +116,12 @@
     pub fn on_version(&mut self, now: UnixMs, key: &AdapterKey, version: u64) -> Vec<CopyAction> {
         let newest = self.newest.entry(key.clone()).or_default();
         *newest = version.max(*newest);
+        // Without a version the load on its way named the newest: which one that was, the
+        // engine has to tell.
+        let is_unclear = |copy: &Copy| copy.is_coming() && copy.ordered.is_none();
+        if self.copies.get(key).is_some_and(is_unclear) {
+            self.distrust(now);
+        }
         self.advance(now)
     }
 
@@ -209,12 +215,13 @@
             copy.version = Some(version);
             self.copies.insert(key, copy);
         }
-        for key in holdings.coming {
+        for (key, version) in holdings.coming {
             let stage = CopyStage::Coming { check_at: now };
             let mut copy = former
                 .remove(&key)
                 .unwrap_or_else(|| Copy::new(stage, None, now));
             copy.stage = stage;
+            copy.ordered = Some(version);
             self.copies.insert(key, copy);
         }
         self.accepted = Some(holdings.accepted_orders);
--- a/crates/decisions/src/copies/copy.rs
+++ b/crates/decisions/src/copies/copy.rs
@@ -32,6 +32,8 @@
 pub(super) struct Copy {
     pub(super) stage: CopyStage,
     pub(super) version: Option<u64>,
+    /// Version that the latest load named, if any; questions after it have to name the same.
+    pub(super) ordered: Option<u64>,
     pub(super) used_at: UnixMs,
     users: BTreeMap<AskId, UnixMs>,
     uses: f64,
@@ -42,6 +44,7 @@
         Self {
             stage,
             version,
+            ordered: None,
             used_at: now,
             users: BTreeMap::new(),
             uses: 0.0,
--- a/crates/decisions/src/copies/orders.rs
+++ b/crates/decisions/src/copies/orders.rs
@@ -205,16 +205,32 @@
             .or_else(|| self.outdated())
             .or_else(|| self.wanted_load(now));
         if let Some((kind, key)) = next {
-            let version = self.newest.get(&key).copied();
+            let version = self.version_for(kind, &key);
             self.send(Order {
                 kind,
-                version: version.filter(|_| kind == OrderKind::Load),
+                version,
                 key,
                 accepted_before: accepted,
             });
         }
     }
 
+    /// The version that an order names: another one than that of the load on its way would be a
+    /// second load, in a place of its own.
+    fn version_for(&mut self, kind: OrderKind, key: &AdapterKey) -> Option<u64> {
+        if kind == OrderKind::Unload {
+            return None;
+        }
+        let newest = self.newest.get(key).copied();
+        let Some(copy) = self.copies.get_mut(key) else {
+            return newest;
+        };
+        if !matches!(copy.stage, CopyStage::Coming { .. }) {
+            copy.ordered = newest;
+        }
+        copy.ordered
+    }
+
     fn read_report(&mut self, now: UnixMs) {
         if now < self.report_at {
             return;
--- a/crates/decisions/src/copies/tests/engine.rs
+++ b/crates/decisions/src/copies/tests/engine.rs
@@ -14,7 +14,8 @@
     pub slots: usize,
     pub held: BTreeMap<AdapterKey, u64>,
     pub newest: BTreeMap<AdapterKey, u64>,
-    pub coming: BTreeMap<AdapterKey, UnixMs>,
+    /// Each version that is on its way takes a place.
+    pub coming: BTreeMap<(AdapterKey, u64), UnixMs>,
     pub accepted: u64,
     pub crashed: bool,
     pub loads: usize,
@@ -29,16 +30,16 @@
     }
 
     pub fn on_time(&mut self, now: UnixMs) {
-        let arrived: Vec<AdapterKey> = self
+        let arrived: Vec<(AdapterKey, u64)> = self
             .coming
             .iter()
             .filter(|(_, at)| **at <= now)
             .map(|(key, _)| key.clone())
             .collect();
-        for key in arrived {
-            self.coming.remove(&key);
-            let version = self.newest_of(&key);
-            self.held.insert(key, version);
+        for (key, version) in arrived {
+            self.coming.remove(&(key.clone(), version));
+            let held = self.held.entry(key).or_default();
+            *held = version.max(*held);
         }
     }
 
@@ -68,7 +69,8 @@
 
     fn load(&mut self, now: UnixMs, key: &AdapterKey, version: Option<u64>) -> OrderAnswer {
         let wanted = version.unwrap_or_else(|| self.newest_of(key));
-        if self.coming.contains_key(key) {
+        let load = (key.clone(), wanted);
+        if self.coming.contains_key(&load) {
             return OrderAnswer::Accepted;
         }
         if self.held.get(key) == Some(&wanted) {
@@ -76,11 +78,11 @@
         }
         self.accepted += 1;
         self.loads += 1;
-        self.coming.insert(key.clone(), now + LOAD_MS);
+        self.coming.insert(load, now + LOAD_MS);
         let added = self
             .coming
             .keys()
-            .filter(|key| !self.held.contains_key(*key));
+            .filter(|(key, _)| !self.held.contains_key(key));
         if self.held.len() + added.count() > self.slots {
             self.crashed = true;
         }
--- a/crates/decisions/src/copies/tests/orders.rs
+++ b/crates/decisions/src/copies/tests/orders.rs
@@ -146,3 +146,24 @@
     world.run_ms(3_000);
     assert!(!world.engine.crashed, "the engine holds too much");
 }
+
+/// The engine is full, and a newer version is named while an adapter is on its way: a question
+/// that named it would bring a second copy beside the first.
+#[test]
+fn a_version_named_during_a_load_takes_no_second_place() {
+    for named_before in [false, true] {
+        let mut world = World::new(2);
+        if named_before {
+            world.name_version(2, 3);
+        }
+        world.ask(1, 1);
+        world.run_ms(400);
+        world.ask(2, 2);
+        world.run_ms(100);
+        world.name_version(2, 5);
+        world.run_ms(3_000);
+        assert!(!world.engine.crashed, "named before: {named_before}");
+        assert_eq!(world.engine.held.get(&World::key(2)), Some(&5));
+        assert_eq!(world.granted, [1, 2]);
+    }
+}
--- a/crates/model/src/fleet/upstream_record.rs
+++ b/crates/model/src/fleet/upstream_record.rs
@@ -25,8 +25,8 @@
     pub models: Vec<BaseModelName>,
     /// Adapters that requests can run on, with their versions.
     pub adapters: BTreeMap<AdapterKey, u64>,
-    /// Adapters on their way.
-    pub coming: Vec<AdapterKey>,
+    /// Adapters on their way, with their versions.
+    pub coming: BTreeMap<AdapterKey, u64>,
     /// Orders that it accepted since its start.
     pub accepted_orders: u64,
 }
