Ask the holders of a few engines before one is chosen

Cause: an instance chose an engine from its own last grants, halved each 700 ms, and took the demand for an adapter as its own arrivals times the number of instances.

Each request now asks the holders of three candidates (the first engine of the adapter, two drawn ones, and for long shared prompts the one that keeps them) for running requests, unread tokens and whether the copy is there, waits 25 ms at the most, and sorts by the answers. The holder of the first engine counts the adapter's demand for the region. A holder grants no more requests than the engine runs at once; the rest wait in its order of urgency and are not preempted.

Weighed and left: a digest of all engines on the zone's news (326 KB/s an instance at 6,800 engines), redirects by the holder that is asked (it knows other engines no better).

--- a/crates/decisions/src/copies/control.rs
+++ b/crates/decisions/src/copies/control.rs
@@ -7,7 +7,10 @@
 
 use super::copy::{Copy, CopyStage};
 use super::unread_prompts::UnreadPrompts;
-use super::{AskId, CopyAction, CopyAsk, CopyControlDump, CopyRefusal};
+use super::{
+    AskId, CopyAction, CopyAsk, CopyControlDump, CopyRefusal, EngineQuote, QuotedCopy,
+};
+use crate::placement::DemandSketch;
 
 /// Copies on one engine, as the instance that gives its orders knows them.
 #[derive(Debug)]
@@ -27,6 +30,7 @@
     pub(super) model_check_at: UnixMs,
     pub(super) conflicts: u32,
     prompts: UnreadPrompts,
+    demand: DemandSketch<AdapterKey>,
     actions: Vec<CopyAction>,
 }
 
@@ -49,6 +53,7 @@
             model_check_at: UnixMs(0),
             conflicts: 0,
             prompts: UnreadPrompts::default(),
+            demand: DemandSketch::new(DEMAND_CAPACITY, DEMAND_HALF_LIFE_MS),
             actions: Vec::new(),
         }
     }
@@ -60,6 +65,40 @@
         self
     }
 
+    /// An instance compares engines before it sends a request; `None` while what the engine holds
+    /// is not known.
+    ///
+    /// All instances ask the first engine of an adapter about each of its requests and set
+    /// `counts_demand`, so that its holder knows the demand of the whole region.
+    pub fn on_quote(
+        &mut self,
+        now: UnixMs,
+        key: &AdapterKey,
+        counts_demand: bool,
+    ) -> Option<EngineQuote> {
+        if counts_demand {
+            self.demand.on_arrival(now, key);
+        }
+        self.accepted?;
+        let waiting: u32 = self.waiting.iter().map(|ask| ask.prompt_tokens).sum();
+        Some(EngineQuote {
+            running: self.running() + self.waiting.len() as u32,
+            batch_places: self.shape.batch_places,
+            unread_tokens: self.prompts.tokens(now) + waiting,
+            copy: self.quoted_copy(key),
+            demand_per_s: counts_demand.then(|| self.demand.per_second_before(now, key) as f32),
+        })
+    }
+
+    fn quoted_copy(&self, key: &AdapterKey) -> QuotedCopy {
+        match self.copies.get(key) {
+            Some(copy) if copy.is_present() => QuotedCopy::Present,
+            Some(copy) if copy.is_coming() => QuotedCopy::Coming,
+            _ if self.waiting.iter().any(|ask| ask.key == *key) => QuotedCopy::Coming,
+            _ => QuotedCopy::Absent,
+        }
+    }
+
     /// An instance wants to send a request.
     pub fn on_ask(&mut self, now: UnixMs, ask: CopyAsk) -> Vec<CopyAction> {
         if let Some(reason) = self.hopeless(now, &ask) {
@@ -243,7 +282,8 @@
         // Those that are late anyway take no place of one that isn't.
         asks.sort_by_key(|ask| (ask.in_time_until < now, ask.rank));
         for ask in asks {
-            if self.is_usable(&ask.key) && self.prompts.admit(now, ask.prompt_tokens) {
+            let has_place = self.running() < self.shape.batch_places;
+            if has_place && self.is_usable(&ask.key) && self.prompts.admit(now, ask.prompt_tokens) {
                 self.prompts.on_sent(now, &ask);
                 self.grant(now, ask);
             } else if ask.wait_until <= now {
@@ -329,5 +369,9 @@
 const MAX_QUEUED_LOADS: usize = 3;
 /// Running requests that a waiting one counts for when instances compare engines.
 const WAITING_WEIGHT: u32 = 2;
+/// Adapters whose demand a holder remembers: many times those that an engine is the first of.
+const DEMAND_CAPACITY: usize = 1_024;
+/// Half-life of the demand that is remembered, in milliseconds: a crest builds up in seconds.
+const DEMAND_HALF_LIFE_MS: u64 = 3_000;
 /// Pause after a report that could not be read or used, in milliseconds.
 const REPORT_RETRY_MS: u64 = 300;
--- a/crates/decisions/src/copies/mod.rs
+++ b/crates/decisions/src/copies/mod.rs
@@ -23,6 +23,7 @@
 mod dump;
 mod known_copies;
 mod orders;
+mod quote;
 #[cfg(test)]
 mod tests;
 mod unread_prompts;
@@ -32,3 +33,4 @@
 pub use control::CopyControl;
 pub use dump::CopyControlDump;
 pub use known_copies::KnownCopies;
+pub use quote::{EngineQuote, QuotedCopy};
--- a/crates/decisions/src/copies/unread_prompts.rs
+++ b/crates/decisions/src/copies/unread_prompts.rs
@@ -26,6 +26,7 @@
 
 #[derive(Clone, Copy, Debug)]
 struct Unread {
+    /// Length of the prompt.
     tokens: u32,
     until: UnixMs,
 }
@@ -42,10 +43,17 @@
     /// Whether a prompt may be sent now.
     pub(super) fn admit(&mut self, now: UnixMs, tokens: u32) -> bool {
         self.prompts.retain(|_, unread| unread.until > now);
-        let unread: u32 = self.prompts.values().map(|unread| unread.tokens).sum();
+        let prompts = self.prompts.values();
+        let unread: u32 = prompts.map(|unread| counted(unread.tokens)).sum();
         unread == 0 || unread + counted(tokens) <= self.limit(now)
     }
 
+    /// Tokens of all prompts that are not read yet.
+    pub(super) fn tokens(&self, now: UnixMs) -> u32 {
+        let unread = self.prompts.values().filter(|unread| unread.until > now);
+        unread.map(|unread| unread.tokens).sum()
+    }
+
     /// The engine told how long work takes there now, in percent of the usual time.
     pub(super) fn on_slowness(&mut self, now: UnixMs, percent: u32) {
         self.slowness_percent = percent;
@@ -55,7 +63,7 @@
     /// The prompt of `ask` is sent.
     pub(super) fn on_sent(&mut self, now: UnixMs, ask: &CopyAsk) {
         let unread = Unread {
-            tokens: counted(ask.prompt_tokens),
+            tokens: ask.prompt_tokens,
             until: now + MAX_UNREAD_MS,
         };
         self.prompts.insert(ask.id.clone(), unread);
--- a/crates/decisions/src/load_choice/mod.rs
+++ b/crates/decisions/src/load_choice/mod.rs
@@ -10,6 +10,8 @@
 
 use monsoonspread_model::{UnixMs, UpstreamName};
 
+use crate::copies::{EngineQuote, QuotedCopy};
+
 /// How long an engine is tried last after it failed a request, in milliseconds.
 ///
 /// A few times the objective of short requests: long enough that one hanging engine doesn't
@@ -28,6 +30,15 @@
 /// Requests that an engine in trouble counts for.
 const TROUBLE_COST: f64 = 1_000.0;
 
+/// Requests that a copy on its way counts for.
+const COMING_COST: f64 = 1.0;
+/// Requests that a copy counts for that the demand calls for and that has to be brought.
+const LOAD_COST: f64 = 3.0;
+/// Requests that each one beyond the places of an engine's batch counts for.
+const QUEUED_COST: f64 = 3.0;
+/// Requests that an engine counts for whose holder gave no quote in time.
+const NO_QUOTE_COST: f64 = 4.0;
+
 /// Prompt tokens whose reading costs as much as one more running request: an engine reads them
 /// in about the time that a request adds to the steps of one stream.
 const TOKENS_PER_RUNNING: f64 = 200.0;
@@ -84,6 +95,21 @@
         view.seen_at = now;
     }
 
+    /// The holder of an engine told how busy it is, or didn't in time.
+    pub fn on_quote(&mut self, now: UnixMs, upstream: &UpstreamName, quote: Option<&EngineQuote>) {
+        let load = match quote {
+            Some(quote) => {
+                let load = quoted_load(quote);
+                self.mean_running += MEAN_WEIGHT * (load - self.mean_running);
+                load
+            }
+            None => self.mean_running + NO_QUOTE_COST,
+        };
+        let view = self.views.entry(upstream.clone()).or_default();
+        view.running = load;
+        view.seen_at = now;
+    }
+
     /// This instance is about to send a request to an engine.
     pub fn on_sent(&mut self, now: UnixMs, upstream: &UpstreamName) {
         let running = self.running(now, upstream) + 1.0;
@@ -116,7 +142,7 @@
     }
 
     /// Sorts `candidates` by what one more request costs there; the first `copies` are meant to
-    /// hold a copy, and one may keep a part of the prompt.
+    /// hold a copy, those `quoted` told whether they do, and one may keep a part of the prompt.
     ///
     /// ```
     /// # use monsoonspread_decisions::load_choice::LoadChoice;
@@ -126,7 +152,7 @@
     /// loads.on_running(UnixMs(0), &"idle".into(), 0);
     /// loads.on_running(UnixMs(0), &"spare".into(), 0);
     /// let mut candidates = vec!["busy".into(), "idle".into(), "spare".into()];
-    /// loads.sort(UnixMs(0), &mut candidates, 2, None);
+    /// loads.sort(UnixMs(0), &mut candidates, 2, &[], None);
     /// assert_eq!(candidates, ["idle".into(), "busy".into(), "spare".into()]);
     /// ```
     pub fn sort(
@@ -134,15 +160,17 @@
         now: UnixMs,
         candidates: &mut Vec<UpstreamName>,
         copies: usize,
+        quoted: &[(UpstreamName, QuotedCopy)],
         kept: Option<KeptPrompt<'_>>,
     ) {
         let mut costs: Vec<(f64, UpstreamName)> = std::mem::take(candidates)
             .into_iter()
             .enumerate()
             .map(|(rank, name)| {
-                let spare = if rank < copies { 0.0 } else { SPARE_COST };
+                let quoted = quoted.iter().find(|(quoted, _)| *quoted == name);
+                let copy = copy_cost(rank < copies, quoted.map(|(_, copy)| *copy));
                 let saved = kept.map_or(0.0, |kept| kept.saved_cost(&name));
-                let cost = self.running(now, &name) + spare + self.trouble(now, &name);
+                let cost = self.running(now, &name) + copy + self.trouble(now, &name);
                 (cost - saved, name)
             })
             .collect();
@@ -169,3 +197,22 @@
         TROUBLE_COST * (2.0 * failed + silent)
     }
 }
+
+/// How busy an engine is, in running requests.
+fn quoted_load(quote: &EngineQuote) -> f64 {
+    let queued = quote.running.saturating_sub(quote.batch_places);
+    f64::from(quote.running)
+        + f64::from(queued) * QUEUED_COST
+        + f64::from(quote.unread_tokens) / TOKENS_PER_RUNNING
+}
+
+/// What the lack of a copy costs; `is_meant` where the demand calls for one.
+fn copy_cost(is_meant: bool, quoted: Option<QuotedCopy>) -> f64 {
+    match quoted {
+        Some(QuotedCopy::Present) => 0.0,
+        Some(QuotedCopy::Coming) => COMING_COST,
+        Some(QuotedCopy::Absent) if is_meant => LOAD_COST,
+        None if is_meant => 0.0,
+        Some(QuotedCopy::Absent) | None => SPARE_COST,
+    }
+}
--- a/crates/decisions/src/placement/candidate.rs
+++ b/crates/decisions/src/placement/candidate.rs
@@ -5,6 +5,7 @@
 use monsoonspread_model::fleet::SharedPrompt;
 use monsoonspread_model::{AdapterName, UnixMs, UpstreamName, ZoneName};
 
+use super::counted_demand::CountedDemand;
 use super::demand::DemandSketch;
 use super::rank::score;
 
@@ -50,6 +51,9 @@
 /// filled by the long prompts of the busiest one.
 const MAX_PROMPT_HOMES: usize = 3;
 
+/// Engines that are compared before a request is sent.
+const COMPARED: usize = 3;
+
 /// Chooses the candidates of adapters.
 #[derive(Debug)]
 pub struct Placement {
@@ -58,6 +62,7 @@
     upstreams: Vec<CandidateUpstream>,
     demand: DemandSketch<AdapterName>,
     sharing_instances: usize,
+    counted: CountedDemand,
 }
 
 impl Placement {
@@ -77,9 +82,15 @@
             upstreams: Vec::new(),
             demand,
             sharing_instances: 1,
+            counted: CountedDemand::default(),
         }
     }
 
+    /// The holder of the adapter's first engine told how many requests come in the whole region.
+    pub fn on_counted_demand(&mut self, now: UnixMs, adapter: &AdapterName, per_s: f64) {
+        self.counted.set(now, adapter, per_s);
+    }
+
     /// Replaces the upstreams that may be asked for.
     pub fn on_upstreams(&mut self, upstreams: Vec<CandidateUpstream>) {
         self.upstreams = upstreams;
@@ -102,8 +113,10 @@
 
     /// Copies of `adapter` that its demand in the region calls for.
     pub fn copies(&self, now: UnixMs, adapter: &AdapterName) -> usize {
-        let own = self.demand.per_second_before(now, adapter);
-        let region = own * self.sharing_instances as f64;
+        let region = self.counted.get(now, adapter).unwrap_or_else(|| {
+            // Without a count, the own demand stands for that of each instance.
+            self.demand.per_second_before(now, adapter) * self.sharing_instances as f64
+        });
         let copies = (region / self.settings.requests_per_copy_per_s).ceil() as usize;
         copies.clamp(1, self.settings.max_copies)
     }
@@ -142,6 +155,34 @@
         chosen.into_iter().map(|up| up.name.clone()).collect()
     }
 
+    /// Engines to compare before a request for `adapter` is sent, the one whose holder counts the
+    /// adapter's demand first.
+    ///
+    /// Of many candidates a few are drawn: the less loaded of a few is nearly as good as the
+    /// least loaded of all. `draw` differs from request to request.
+    pub fn compared(
+        &self,
+        now: UnixMs,
+        adapter: &AdapterName,
+        draw: usize,
+        may_serve: impl Fn(&UpstreamName) -> bool,
+    ) -> Vec<UpstreamName> {
+        let ranked = self.ranked(adapter);
+        let first = ranked.iter().find(|upstream| may_serve(&upstream.name));
+        let Some(first) = first.map(|upstream| upstream.name.clone()) else {
+            return Vec::new();
+        };
+        let mut others = self.candidates_among(now, adapter, may_serve);
+        others.retain(|name| *name != first);
+        if !others.is_empty() {
+            let start = draw % others.len();
+            others.rotate_left(start);
+        }
+        others.truncate(COMPARED - 1);
+        others.insert(0, first);
+        others
+    }
+
     /// Which engine with a copy of `adapter` is to read a shared prompt, so that its next reader
     /// finds it kept there.
     ///
--- a/crates/decisions/src/placement/mod.rs
+++ b/crates/decisions/src/placement/mod.rs
@@ -5,6 +5,7 @@
 //! for the adapter; the copies of a hot adapter stand in different zones first.
 
 mod candidate;
+mod counted_demand;
 mod demand;
 mod rank;
 #[cfg(test)]
--- a/crates/decisions/src/placement/tests.rs
+++ b/crates/decisions/src/placement/tests.rs
@@ -122,3 +122,60 @@
     }
     assert_eq!(homes.len(), 3);
 }
+
+/// One adapter's requests come to many instances, of which each sees a few.
+#[test]
+fn demand_that_one_holder_counts_is_the_same_for_all_instances() {
+    const PER_SECOND: usize = 20;
+    for instances in [7, 195, 1_700] {
+        let mut counter = DemandSketch::new(8, 3_000);
+        let mut fleet: Vec<Placement> = (0..instances)
+            .map(|_| {
+                let mut placement = placement("zone-0", upstreams(18));
+                placement.on_sharing_instances(instances);
+                placement
+            })
+            .collect();
+        let mut now = UnixMs(0);
+        for request in 0..30 * PER_SECOND {
+            now = now + 1_000 / PER_SECOND as u64;
+            counter.on_arrival(now, &adapter(7));
+            // An order in which no instance's share is even.
+            let at = &mut fleet[request * 7_919 % instances];
+            at.on_arrival(now, &adapter(7));
+            let counted = counter.per_second_before(now, &adapter(7));
+            at.on_counted_demand(now, &adapter(7), counted);
+            if request > 20 * PER_SECOND {
+                let copies = at.copies(now, &adapter(7));
+                assert!((4..=6).contains(&copies), "{instances}: {copies} copies");
+            }
+        }
+    }
+}
+
+#[test]
+fn a_count_that_is_old_is_not_used() {
+    let mut placement = placement("zone-0", upstreams(18));
+    placement.on_counted_demand(UnixMs(0), &adapter(7), 20.0);
+    assert_eq!(placement.copies(UnixMs(100), &adapter(7)), 5);
+    assert_eq!(placement.copies(UnixMs(5_000), &adapter(7)), 1);
+}
+
+/// Of many candidates a few are compared, others each time, and always the one that counts.
+#[test]
+fn comparisons_are_spread_over_the_candidates() {
+    let mut placement = placement("zone-0", upstreams(18));
+    placement.on_counted_demand(UnixMs(0), &adapter(7), 20.0);
+    let mut compared = HashMap::new();
+    for draw in 0..60 {
+        let names = placement.compared(UnixMs(0), &adapter(7), draw, |_| true);
+        assert_eq!(names.len(), 3);
+        for name in names {
+            *compared.entry(name).or_insert(0) += 1;
+        }
+    }
+    // Five copies and the two spares of the settings' one, and the first one each time.
+    assert_eq!(compared.values().max(), Some(&60));
+    assert!(compared.len() >= 6);
+    assert!(compared.values().all(|count| *count >= 20));
+}
--- a/crates/relay/src/call/candidates.rs
+++ b/crates/relay/src/call/candidates.rs
@@ -1,44 +1,88 @@
 //! Engines that may serve a request.
 
+use std::rc::Rc;
+
 use monsoonspread_decisions::load_choice::KeptPrompt;
 use monsoonspread_model::UpstreamName;
 use monsoonspread_model::fleet::AdapterKey;
 
 use super::request::RelayRequest;
+use crate::holding::{Survey, survey};
 use crate::shared::Shared;
 
-/// Engines that may serve the request, best first.
-pub(super) fn candidates(
-    shared: &Shared,
+/// Engines that may serve the request, best first, after the holders of a few were asked how busy
+/// these are.
+pub(super) async fn candidates(
+    shared: &Rc<Shared>,
     request: &RelayRequest,
     key: &AdapterKey,
 ) -> Vec<UpstreamName> {
+    let compared = compared(shared, request, key);
+    let quoted = match compared.len() {
+        0 | 1 => Survey::new(),
+        _ => survey(shared, key, &compared).await,
+    };
     let now = shared.now();
+    let ready = ready(shared, request);
     let placement = shared.placement.borrow();
-    let fleet = shared.fleet.borrow();
-    let ready: Vec<&UpstreamName> = fleet.ready(&request.service).map(|up| &up.name).collect();
     let (mut names, copies) = match &key.adapter {
         Some(adapter) => {
-            let is_ready = |name: &UpstreamName| ready.contains(&name);
+            let is_ready = |name: &UpstreamName| ready.contains(name);
             let names = placement.candidates_among(now, adapter, is_ready);
             (names, placement.copies(now, adapter))
         }
         // Every engine has the base model.
-        None => (ready.iter().copied().cloned().collect(), ready.len()),
+        None => (ready.clone(), ready.len()),
     };
-    let home = request.head.shared_prompt().and_then(|prompt| {
-        let adapter = key.adapter.as_ref()?;
-        if !KeptPrompt::matters(prompt.tokens) {
-            return None;
-        }
-        let is_ready = |name: &UpstreamName| ready.contains(&name);
-        let home = placement.prompt_home(now, adapter, prompt, is_ready)?;
-        Some((home, prompt.tokens))
-    });
+    let home = prompt_home(shared, request, key, &ready);
     let kept = home.as_ref().map(|(upstream, tokens)| KeptPrompt {
         upstream,
         tokens: *tokens,
     });
-    shared.loads.borrow().sort(now, &mut names, copies, kept);
+    let loads = shared.loads.borrow();
+    loads.sort(now, &mut names, copies, &quoted, kept);
+    names
+}
+
+fn ready(shared: &Shared, request: &RelayRequest) -> Vec<UpstreamName> {
+    let fleet = shared.fleet.borrow();
+    let ready = fleet.ready(&request.service);
+    ready.map(|upstream| upstream.name.clone()).collect()
+}
+
+/// Engines whose holders are asked before one is chosen.
+fn compared(shared: &Shared, request: &RelayRequest, key: &AdapterKey) -> Vec<UpstreamName> {
+    let Some(adapter) = &key.adapter else {
+        return Vec::new();
+    };
+    let ready = ready(shared, request);
+    let is_ready = |name: &UpstreamName| ready.contains(name);
+    let draw = shared.holding.next_number() as usize;
+    let placement = shared.placement.borrow();
+    let mut names = placement.compared(shared.now(), adapter, draw, is_ready);
+    if let Some((home, _)) = prompt_home(shared, request, key, &ready)
+        && !names.contains(&home)
+    {
+        names.push(home);
+    }
     names
 }
+
+/// The engine that has probably kept the shared beginning of the prompt, and its length, where
+/// that is long enough to matter.
+fn prompt_home(
+    shared: &Shared,
+    request: &RelayRequest,
+    key: &AdapterKey,
+    ready: &[UpstreamName],
+) -> Option<(UpstreamName, u32)> {
+    let prompt = request.head.shared_prompt()?;
+    let adapter = key.adapter.as_ref()?;
+    if !KeptPrompt::matters(prompt.tokens) {
+        return None;
+    }
+    let is_ready = |name: &UpstreamName| ready.contains(name);
+    let placement = shared.placement.borrow();
+    let home = placement.prompt_home(shared.now(), adapter, prompt, is_ready)?;
+    Some((home, prompt.tokens))
+}
--- a/crates/relay/src/call/model_call.rs
+++ b/crates/relay/src/call/model_call.rs
@@ -109,7 +109,7 @@
     /// Each candidate is asked for a copy that is there or comes soon; then the best one once
     /// more, behind whatever waits there.
     pub(super) async fn next_engine(&mut self, resume_after: Option<u64>) -> Option<Run> {
-        let names = candidates(&self.shared, &self.request, &self.key);
+        let names = candidates(&self.shared, &self.request, &self.key).await;
         let patient = names.first().map(|name| (name, true));
         let in_order = names.iter().map(|name| (name, false)).chain(patient);
         for (name, patient) in in_order {
--- a/crates/relay/src/holding/controller.rs
+++ b/crates/relay/src/holding/controller.rs
@@ -5,10 +5,12 @@
 use std::rc::Rc;
 
 use monsoonspread_borders::relay::LeaseId;
-use monsoonspread_decisions::copies::{AskId, CopyAction, CopyAsk, CopyControlDump, CopyRefusal};
+use monsoonspread_decisions::copies::{
+    AskId, CopyAction, CopyAsk, CopyControlDump, CopyRefusal, EngineQuote,
+};
 use monsoonspread_decisions::holders::{Confirmation, HolderPlan};
-use monsoonspread_model::fleet::UpstreamStage;
-use monsoonspread_model::{InstanceName, UpstreamName};
+use monsoonspread_model::fleet::{AdapterKey, UpstreamStage};
+use monsoonspread_model::{InstanceName, UnixMs, UpstreamName};
 use tokio::sync::oneshot;
 
 use super::calls::{read_report, send_order};
@@ -64,7 +66,8 @@
             .collect()
     }
 
-    pub(super) fn next_number(&self) -> u64 {
+    /// A number that no other ask or question of this process has.
+    pub fn next_number(&self) -> u64 {
         self.numbers.set(self.numbers.get() + 1);
         self.numbers.get()
     }
@@ -144,6 +147,19 @@
         }
     }
 
+    /// An instance compares engines; `None` where this one isn't held or not known.
+    pub fn on_quote(
+        &self,
+        now: UnixMs,
+        upstream: &UpstreamName,
+        key: &AdapterKey,
+        counts_demand: bool,
+    ) -> Option<EngineQuote> {
+        let mut engines = self.engines.borrow_mut();
+        let control = &mut engines.get_mut(upstream)?.control;
+        control.on_quote(now, key, counts_demand)
+    }
+
     /// An instance asks for a copy.
     pub fn on_ask(&self, shared: &Rc<Shared>, upstream: &UpstreamName, ask: CopyAsk) {
         let id = ask.id.clone();
--- /dev/null
+++ b/crates/relay/src/holding/quotes.rs
@@ -0,0 +1,76 @@
+//! Quotes of the engines that a request might go to.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use futures_util::future::join_all;
+use monsoonspread_decisions::copies::{EngineQuote, QuotedCopy};
+use monsoonspread_model::UpstreamName;
+use monsoonspread_model::fleet::AdapterKey;
+use tokio::time::Instant;
+
+use crate::peers::PeerRequest;
+use crate::shared::Shared;
+
+/// How long quotes are waited for, in milliseconds: a few times the way to another zone and back,
+/// and short against the objective of any request.
+const QUOTE_WAIT_MS: u64 = 25;
+
+/// Which of the engines that were asked have a copy.
+pub type Survey = Vec<(UpstreamName, QuotedCopy)>;
+
+/// Asks the holders of `engines` how busy these are, all at once; the first one counts the demand
+/// for the adapter.
+pub async fn survey(shared: &Rc<Shared>, key: &AdapterKey, engines: &[UpstreamName]) -> Survey {
+    let until = Instant::now() + Duration::from_millis(QUOTE_WAIT_MS);
+    let asked = engines.iter().enumerate().filter(|(_, engine)| {
+        let now = shared.now();
+        !shared.loads.borrow().is_silent(now, engine)
+    });
+    let questions = asked.map(|(rank, engine)| async move {
+        let quote = quote(shared, key, engine, rank == 0, until).await;
+        (engine, quote)
+    });
+    let quotes = join_all(questions).await;
+    for (_, quote) in &quotes {
+        let outcome = if quote.is_some() { "told" } else { "missed" };
+        shared.metrics.count("quotes", outcome);
+    }
+    let now = shared.now();
+    let mut survey = Survey::new();
+    for (engine, quote) in quotes {
+        let mut loads = shared.loads.borrow_mut();
+        loads.on_quote(now, engine, quote.as_ref());
+        let Some(quote) = quote else { continue };
+        survey.push((engine.clone(), quote.copy));
+        if let (Some(adapter), Some(per_s)) = (&key.adapter, quote.demand_per_s) {
+            let mut placement = shared.placement.borrow_mut();
+            placement.on_counted_demand(now, adapter, per_s.into());
+        }
+    }
+    survey
+}
+
+async fn quote(
+    shared: &Rc<Shared>,
+    key: &AdapterKey,
+    engine: &UpstreamName,
+    counts_demand: bool,
+    until: Instant,
+) -> Option<EngineQuote> {
+    let holding = &shared.holding;
+    let holder = holding.holder(engine)?;
+    if holder == shared.settings.instance {
+        return holding.on_quote(shared.now(), engine, key, counts_demand);
+    }
+    let address = shared.fleet.borrow().member(&holder)?;
+    let number = holding.next_number();
+    let question = PeerRequest::Quote {
+        number,
+        upstream: engine.clone(),
+        key: key.clone(),
+        counts_demand,
+    };
+    let peers = &shared.peers;
+    peers.quote(&holder, address, number, question, until).await
+}
--- a/crates/relay/src/peers/link.rs
+++ b/crates/relay/src/peers/link.rs
@@ -7,12 +7,12 @@
 use std::time::Duration;
 
 use futures_util::StreamExt;
-use monsoonspread_decisions::copies::CopyRefusal;
+use monsoonspread_decisions::copies::{CopyRefusal, EngineQuote};
 use monsoonspread_model::InstanceName;
 use tokio::net::TcpStream;
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
 use tokio::sync::oneshot;
-use tokio::time::{Instant, interval, sleep_until, timeout};
+use tokio::time::{Instant, interval, sleep_until, timeout, timeout_at};
 
 use super::frame::{ALIVE_EVERY_MS, Frames, SILENT_MS, decode, frames, send_all};
 use super::message::{PeerAsk, PeerNews, PeerReply, PeerRequest};
@@ -55,8 +55,12 @@
     address: SocketAddr,
     queue: UnboundedSender<PeerRequest>,
     waiting: Rc<RefCell<HashMap<u64, Waiting>>>,
+    quotes: Quotes,
 }
 
+/// Questions that wait for a quote.
+type Quotes = Rc<RefCell<HashMap<u64, oneshot::Sender<Option<EngineQuote>>>>>;
+
 /// Connections to other instances, opened when they are first needed.
 #[derive(Clone)]
 pub struct PeerLinks {
@@ -103,6 +107,28 @@
         answer
     }
 
+    /// Asks `peer` how busy an engine is; `None` without an answer until `until`.
+    pub async fn quote(
+        &self,
+        peer: &InstanceName,
+        address: SocketAddr,
+        number: u64,
+        question: PeerRequest,
+        until: Instant,
+    ) -> Option<EngineQuote> {
+        let link = self.link(peer, address);
+        let (answer, answered) = oneshot::channel();
+        link.quotes.borrow_mut().insert(number, answer);
+        let sent = link.queue.send(question);
+        let quote = match sent {
+            Ok(()) => timeout_at(until, answered).await.ok(),
+            // The connection is being closed: no quote.
+            Err(_) => None,
+        };
+        link.quotes.borrow_mut().remove(&number);
+        quote?.ok()?
+    }
+
     /// Tells `peer` something that needs no answer, if it is connected.
     pub fn tell(&self, peer: &InstanceName, request: PeerRequest) {
         if let Some(link) = self.links.borrow().get(peer) {
@@ -124,11 +150,13 @@
             address,
             queue,
             waiting: Rc::default(),
+            quotes: Rc::default(),
         };
         links.insert(peer.clone(), link.clone());
         let replies = Replies {
             peer: peer.clone(),
             waiting: Rc::clone(&link.waiting),
+            quotes: Rc::clone(&link.quotes),
             news: self.news.clone(),
         };
         let run = run(self.own.clone(), address, requests, replies);
@@ -175,6 +203,7 @@
         .field("address", address)
         .log();
     replies.waiting.borrow_mut().clear();
+    replies.quotes.borrow_mut().clear();
 }
 
 async fn carry(
@@ -215,6 +244,7 @@
 struct Replies {
     peer: InstanceName,
     waiting: Rc<RefCell<HashMap<u64, Waiting>>>,
+    quotes: Quotes,
     news: UnboundedSender<SourcedNews>,
 }
 
@@ -231,6 +261,12 @@
             PeerReply::Refused { number, reason } => {
                 self.on_answer(number, Err(AskFailure::Refused(reason)));
             }
+            PeerReply::Quoted { number, quote } => {
+                if let Some(question) = self.quotes.borrow_mut().remove(&number) {
+                    // Whoever asked has decided without it.
+                    let _ = question.send(quote);
+                }
+            }
             PeerReply::News(news) => self.on_news(Some(news)),
             PeerReply::NoNews => self.on_news(None),
         }
--- a/crates/relay/src/peers/message.rs
+++ b/crates/relay/src/peers/message.rs
@@ -1,7 +1,7 @@
 //! What instances tell each other.
 
 use monsoonspread_borders::relay::RevisedChange;
-use monsoonspread_decisions::copies::CopyRefusal;
+use monsoonspread_decisions::copies::{CopyRefusal, EngineQuote};
 use monsoonspread_decisions::news_source::NewsSpan;
 use monsoonspread_model::fleet::AdapterKey;
 use monsoonspread_model::{InstanceName, UpstreamName};
@@ -63,6 +63,23 @@
     Hello(InstanceName),
     /// An ask.
     Ask(PeerAsk),
+    /// How busy an engine is, and whether it has an adapter. Names are short, as several are sent
+    /// for each request.
+    #[serde(rename = "Q")]
+    Quote {
+        /// Number of the question.
+        #[serde(rename = "n")]
+        number: u64,
+        /// The engine.
+        #[serde(rename = "u")]
+        upstream: UpstreamName,
+        /// The adapter.
+        #[serde(rename = "k")]
+        key: AdapterKey,
+        /// The holder counts the demand for the adapter.
+        #[serde(rename = "c")]
+        counts_demand: bool,
+    },
     /// The first event of a request came.
     Started {
         /// Number of the ask.
@@ -106,6 +123,16 @@
         /// Why.
         reason: CopyRefusal,
     },
+    /// How busy the engine is; `None` where it isn't held or what it holds is not known.
+    #[serde(rename = "q")]
+    Quoted {
+        /// Number of the question.
+        #[serde(rename = "n")]
+        number: u64,
+        /// The answer.
+        #[serde(rename = "q")]
+        quote: Option<EngineQuote>,
+    },
     /// What changed in the store.
     News(PeerNews),
     /// This instance doesn't follow the store, or has trouble with it.
--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -269,6 +269,19 @@
                 };
                 shared.holding.on_ask(shared, &ask.upstream, copy_ask);
             }
+            PeerRequest::Quote {
+                number,
+                upstream,
+                key,
+                counts_demand,
+            } => {
+                let quote = shared
+                    .holding
+                    .on_quote(shared.now(), &upstream, &key, counts_demand);
+                shared
+                    .incoming
+                    .reply(instance, PeerReply::Quoted { number, quote });
+            }
             PeerRequest::Started {
                 number,
                 upstream,
