Add an emulator of instances and engines in virtual time

monsoonspread-load emulate plays the real placement, load_choice and copies against modelled engines, from a seed, and compares ways to choose an engine at several sizes of the fleet.

--- a/crates/load/src/cli.rs
+++ b/crates/load/src/cli.rs
@@ -4,6 +4,7 @@
 
 use clap::{Args, Parser, Subcommand};
 
+use crate::emulator::EngineChoice;
 use crate::policy::PolicyName;
 
 /// Compares policies under open-loop load and measures how costs grow.
@@ -22,6 +23,39 @@
     Compare(CompareArgs),
     /// Measures bytes and time at several sizes and fits a line to each.
     Slopes(SlopesArgs),
+    /// Emulates instances and engines in virtual time and compares ways to choose an engine.
+    Emulate(EmulateArgs),
+}
+
+/// Arguments of `emulate`.
+#[derive(Args, Debug)]
+pub struct EmulateArgs {
+    /// Numbers of instances, a run each.
+    #[arg(long, value_delimiter = ',', default_value = "7,59,195,1700")]
+    pub instances: Vec<usize>,
+    /// Ways to choose an engine.
+    #[arg(
+        long,
+        value_enum,
+        value_delimiter = ',',
+        default_value = "own-view,quotes"
+    )]
+    pub choices: Vec<EngineChoice>,
+    /// Requests a second in the region.
+    #[arg(long, value_name = "RATE", default_value_t = 670.0)]
+    pub requests_per_s: f64,
+    /// Length of a run in virtual time.
+    #[arg(long, value_name = "SECONDS", default_value_t = 30, value_parser = clap::value_parser!(u64).range(1..=3_600))]
+    pub seconds: u64,
+    /// Seed of arrivals and of popularity.
+    #[arg(long, default_value_t = 1)]
+    pub seed: u64,
+    /// Writes every figure as JSON.
+    #[arg(long, value_name = "FILE")]
+    pub json: Option<PathBuf>,
+    /// Draws the busiest engine over the mean into this file.
+    #[arg(long, value_name = "FILE")]
+    pub svg: Option<PathBuf>,
 }
 
 /// Arguments of `compare`.
--- a/crates/load/src/commands.rs
+++ b/crates/load/src/commands.rs
@@ -4,8 +4,9 @@
 
 use serde::Serialize;
 
-use crate::cli::{Cli, Command, CompareArgs, SlopesArgs};
+use crate::cli::{Cli, Command, CompareArgs, EmulateArgs, SlopesArgs};
 use crate::compare;
+use crate::emulator::{self, EmulatedRun, EmulatorSettings};
 use crate::error::LoadError;
 use crate::report;
 use crate::slopes::{self, Slope};
@@ -20,6 +21,7 @@
     match &cli.command {
         Command::Compare(args) => run_compare(args),
         Command::Slopes(args) => run_slopes(args),
+        Command::Emulate(args) => run_emulate(args),
     }
 }
 
@@ -53,6 +55,26 @@
     write_json(args.json.as_deref(), &slopes)
 }
 
+fn run_emulate(args: &EmulateArgs) -> Result<(), LoadError> {
+    let settings = EmulatorSettings {
+        requests_per_s: args.requests_per_s,
+        seconds: args.seconds,
+        seed: args.seed,
+        ..EmulatorSettings::default()
+    };
+    let runs = args.instances.iter().flat_map(|instances| {
+        let settings = settings.with_instances(*instances);
+        let run = move |choice: &_| emulator::emulate(settings, *choice);
+        args.choices.iter().map(run)
+    });
+    let runs: Vec<EmulatedRun> = runs.collect();
+    print!("{}", emulator::run_table(&runs));
+    if let Some(file) = &args.svg {
+        emulator::write_plot(file, &runs)?;
+    }
+    write_json(args.json.as_deref(), &runs)
+}
+
 fn write_json<T: Serialize>(file: Option<&Path>, value: &T) -> Result<(), LoadError> {
     let Some(file) = file else {
         return Ok(());
--- /dev/null
+++ b/crates/load/src/emulator/tests.rs
@@ -0,0 +1,36 @@
+use super::{EmulatorSettings, EngineChoice, emulate};
+
+fn busiest_over_mean(instances: usize, choice: EngineChoice) -> f64 {
+    let settings = EmulatorSettings {
+        seconds: 6,
+        ..EmulatorSettings::default()
+    };
+    emulate(settings.with_instances(instances), choice).busiest_over_mean
+}
+
+/// A clump of requests on an engine is seen by the instances that did not send them.
+#[test]
+fn quotes_level_the_load_as_well_in_a_large_fleet_as_in_a_small_one() {
+    let small = busiest_over_mean(7, EngineChoice::Quotes);
+    let large = busiest_over_mean(195, EngineChoice::Quotes);
+    assert!(large < 1.25 * small, "{small} and {large}");
+}
+
+#[test]
+fn what_an_instance_saw_itself_fades_as_the_fleet_grows() {
+    let own = busiest_over_mean(195, EngineChoice::OwnView);
+    let quoted = busiest_over_mean(195, EngineChoice::Quotes);
+    assert!(quoted < own, "{quoted} and {own}");
+}
+
+#[test]
+fn a_run_depends_on_its_seed_only() {
+    let settings = EmulatorSettings {
+        seconds: 2,
+        ..EmulatorSettings::default()
+    };
+    let run = || emulate(settings, EngineChoice::Quotes);
+    let (first, second) = (run(), run());
+    assert_eq!(first.first_event, second.first_event);
+    assert_eq!(first.messages, second.messages);
+}
--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod client;
 pub mod commands;
 pub mod compare;
+pub mod emulator;
 pub mod error;
 pub mod fleet;
 pub mod plan;
