Tell long lists of changes in parts

Cause: a zone's source passed on at most 40 changes; of more it only said that there were some, and each follower read the store. With 195 instances every start and every crash of many servers makes more. They are told in parts that end at a revision; a new configuration is still only announced.

--- a/crates/decisions/src/news_source/mod.rs
+++ b/crates/decisions/src/news_source/mod.rs
@@ -5,6 +5,7 @@
 //! one falls silent, says that it has trouble, or doesn't follow the store either.
 
 mod pace;
+mod parts;
 mod publisher;
 #[cfg(test)]
 mod tests;
@@ -14,6 +15,7 @@
 use monsoonspread_model::{InstanceName, UnixMs};
 
 pub use pace::Pace;
+pub use parts::parts;
 pub use publisher::{Notice, Publisher};
 
 /// How long an instance is passed over after it failed as a source, in milliseconds: longer than
--- a/crates/decisions/src/news_source/tests.rs
+++ b/crates/decisions/src/news_source/tests.rs
@@ -1,6 +1,6 @@
 use monsoonspread_model::{InstanceName, UnixMs};
 
-use super::{NewsSource, NewsSpan, NewsUse, Notice, Pace, Publisher};
+use super::{NewsSource, NewsSpan, NewsUse, Notice, Pace, Publisher, parts};
 
 fn names(names: &[&str]) -> Vec<InstanceName> {
     names.iter().map(|name| (*name).into()).collect()
@@ -111,3 +111,34 @@
     assert!(pace.gather_ms + pace.watch_ms < pace.stale_ms * 4 / 5);
     assert_eq!(longest_ms, pace.sign_ms);
 }
+
+/// Many engines that come back at once, in a large fleet: followers hear of them in several
+/// messages and none has to read the store.
+#[test]
+fn a_long_list_of_changes_is_told_in_parts_that_follow_each_other() {
+    // Claims of sixteen engines share a revision.
+    let revisions: Vec<u64> = (0..200).map(|number| 100 + number / 16).collect();
+    let lengths = parts(&revisions, 40);
+    assert_eq!(lengths.iter().sum::<usize>(), revisions.len());
+    let mut known = 99;
+    let mut start = 0;
+    for length in lengths {
+        assert!(length <= 40);
+        let part = &revisions[start..start + length];
+        assert!(start == 0 || revisions[start - 1] < part[0]);
+        let news = NewsSpan {
+            after: known,
+            up_to: part[length - 1],
+            is_complete: true,
+        };
+        assert_eq!(news.usage(known), NewsUse::Apply);
+        known = news.up_to;
+        start += length;
+    }
+}
+
+#[test]
+fn changes_of_one_revision_stay_together() {
+    assert_eq!(parts(&[1, 2, 2, 2, 3], 2), [1, 3, 1]);
+    assert_eq!(parts(&[], 2), [0_usize; 0]);
+}
--- a/crates/relay/src/fleet/followers.rs
+++ b/crates/relay/src/fleet/followers.rs
@@ -4,7 +4,7 @@
 use std::collections::BTreeMap;
 
 use monsoonspread_borders::relay::{FleetChange, RevisedChange};
-use monsoonspread_decisions::news_source::{Notice, Pace, Publisher};
+use monsoonspread_decisions::news_source::{Notice, Pace, Publisher, parts};
 use monsoonspread_decisions::store_reach::StoreReach;
 use monsoonspread_model::{InstanceName, UnixMs};
 
@@ -59,20 +59,48 @@
         if changes.is_empty() && after == up_to {
             return;
         }
-        let is_short = changes.len() <= MAX_CHANGES;
-        let is_passed_on =
-            |change: &RevisedChange| !matches!(change.change, FleetChange::Routing(_));
-        let passed_on = is_short && changes.iter().all(is_passed_on);
-        self.tell(
-            shared,
-            PeerReply::News(PeerNews {
-                after,
-                up_to,
-                changes: passed_on.then_some(changes),
-                back_in_ms: reach.back_by.ms_since(shared.now()),
-                is_steady: reach.is_steady,
-            }),
-        );
+        let is_routing = |change: &RevisedChange| matches!(change.change, FleetChange::Routing(_));
+        if changes.iter().any(is_routing) {
+            self.tell_news(shared, (after, up_to), None, reach);
+            return;
+        }
+        let revisions: Vec<u64> = changes.iter().map(|change| change.revision).collect();
+        if !revisions.is_sorted() {
+            self.tell_news(shared, (after, up_to), None, reach);
+            return;
+        }
+        let mut from = after;
+        let mut rest = changes;
+        for length in parts(&revisions, MAX_CHANGES) {
+            let later = rest.split_off(length);
+            let to = match rest.last() {
+                Some(last) if !later.is_empty() => last.revision,
+                _ => up_to,
+            };
+            self.tell_news(shared, (from, to), Some(rest), reach);
+            from = to;
+            rest = later;
+        }
+        if from < up_to {
+            self.tell_news(shared, (from, up_to), Some(rest), reach);
+        }
+    }
+
+    fn tell_news(
+        &self,
+        shared: &Shared,
+        (after, up_to): (u64, u64),
+        changes: Option<Vec<RevisedChange>>,
+        reach: StoreReach,
+    ) {
+        let news = PeerNews {
+            after,
+            up_to,
+            changes,
+            back_in_ms: reach.back_by.ms_since(shared.now()),
+            is_steady: reach.is_steady,
+        };
+        self.tell(shared, PeerReply::News(news));
     }
 
     /// This instance doesn't follow the store, or has trouble with it.
