Keep places free for loads that an engine may still carry out

Orders without an answer are carried out up to 12 s late if their count still holds. A load without an answer under a number that is too high fits later, when the engine is full. The same comes from the load of a base model, repeated each 150 ms and counted each time (nine on one server), and from an engine that starts anew under its name.

Now places are kept free for loads without an answer that may still fit, also over a change of the control; a replacement that was accepted stays expected over a report; repeated loads of a base model count once.

--- a/crates/decisions/src/copies/control.rs
+++ b/crates/decisions/src/copies/control.rs
@@ -8,7 +8,7 @@
 use super::copy::{Copy, CopyStage};
 use super::unread_prompts::UnreadPrompts;
 use super::{
-    AskId, CopyAction, CopyAsk, CopyControlDump, CopyRefusal, EngineQuote, QuotedCopy,
+    AskId, CopyAction, CopyAsk, CopyControlDump, CopyRefusal, EngineQuote, LateOrders, QuotedCopy,
 };
 use crate::placement::DemandSketch;
 
@@ -24,6 +24,9 @@
     pub(super) waiting: Vec<CopyAsk>,
     pub(super) under_way: Option<Order>,
     pub(super) unanswered: Option<Order>,
+    pub(super) late: LateOrders,
+    /// The base model whose load was accepted last.
+    pub(super) coming_model: Option<BaseModelName>,
     pub(super) pause_until: UnixMs,
     pub(super) report_at: UnixMs,
     pub(super) reading_report: bool,
@@ -47,6 +50,8 @@
             waiting: Vec::new(),
             under_way: None,
             unanswered: None,
+            late: LateOrders::default(),
+            coming_model: None,
             pause_until: UnixMs(0),
             report_at: UnixMs(0),
             reading_report: false,
@@ -65,6 +70,22 @@
         self
     }
 
+    /// Orders that an earlier control of the engine gave and that may still be carried out.
+    #[must_use]
+    pub fn with_late_orders(mut self, late: LateOrders) -> Self {
+        self.late = late;
+        self
+    }
+
+    /// Orders that may still be carried out, for the next control of the engine.
+    pub fn late_orders(&self, now: UnixMs) -> LateOrders {
+        let mut late = self.late.clone();
+        for order in self.unanswered.iter().chain(&self.under_way) {
+            late.on_unanswered(now, order);
+        }
+        late
+    }
+
     /// An instance compares engines before it sends a request; `None` while what the engine holds
     /// is not known.
     ///
@@ -170,6 +191,7 @@
         self.models.clear();
         self.accepted = None;
         self.unanswered = None;
+        self.coming_model = None;
         self.report_at = now;
         self.advance(now)
     }
@@ -250,8 +272,11 @@
             let mut copy = former
                 .remove(&key)
                 .unwrap_or_else(|| Copy::new(CopyStage::Present, None, now));
-            copy.stage = CopyStage::Present;
             copy.version = Some(version);
+            // Reports don't list a replacement that waits for its runs.
+            if !copy.is_being_replaced() {
+                copy.stage = CopyStage::Present;
+            }
             self.copies.insert(key, copy);
         }
         for (key, version) in holdings.coming {
--- a/crates/decisions/src/copies/copy.rs
+++ b/crates/decisions/src/copies/copy.rs
@@ -62,6 +62,11 @@
         )
     }
 
+    /// Whether the engine accepted a load of a newer version than it holds.
+    pub(super) fn is_being_replaced(&self) -> bool {
+        matches!(self.stage, CopyStage::Coming { .. }) && self.ordered > self.version
+    }
+
     pub(super) fn is_doubtful(&self) -> bool {
         self.stage == CopyStage::Doubtful
     }
--- /dev/null
+++ b/crates/decisions/src/copies/late_orders.rs
@@ -0,0 +1,60 @@
+//! Loads without an answer that an engine may still carry out.
+
+use monsoonspread_model::UnixMs;
+use monsoonspread_model::fleet::{AdapterKey, Order, OrderKind};
+
+/// How long an order without an answer may still be carried out, in milliseconds: orders come up
+/// to twelve seconds late.
+const LATE_MS: u64 = 15_000;
+
+#[derive(Clone, Debug)]
+struct LateLoad {
+    key: AdapterKey,
+    accepted_before: u64,
+    until: UnixMs,
+}
+
+/// Loads without an answer that an engine may still carry out.
+///
+/// An order names the number of orders accepted before it, and an engine that has accepted more
+/// rejects it. An engine that starts anew counts from zero again: once it has accepted as many
+/// orders as its former incarnation, a late order to that one is carried out.
+#[derive(Clone, Debug, Default)]
+pub struct LateOrders {
+    loads: Vec<LateLoad>,
+}
+
+impl LateOrders {
+    /// An order got no answer.
+    pub(super) fn on_unanswered(&mut self, now: UnixMs, order: &Order) {
+        self.loads.retain(|load| load.until > now);
+        if order.kind == OrderKind::Load && order.key.adapter.is_some() {
+            self.loads.push(LateLoad {
+                key: order.key.clone(),
+                accepted_before: order.accepted_before,
+                until: now + LATE_MS,
+            });
+        }
+    }
+
+    /// Places that late loads may take, after `accepted` orders, on an engine that has the
+    /// adapters for which `is_held`.
+    pub(super) fn places(
+        &self,
+        now: UnixMs,
+        accepted: u64,
+        is_held: impl Fn(&AdapterKey) -> bool,
+    ) -> usize {
+        let possible = self
+            .loads
+            .iter()
+            .filter(|load| load.until > now && load.accepted_before >= accepted);
+        let mut keys: Vec<&AdapterKey> = possible
+            .map(|load| &load.key)
+            .filter(|key| !is_held(key))
+            .collect();
+        keys.sort();
+        keys.dedup();
+        keys.len()
+    }
+}
--- a/crates/decisions/src/copies/mod.rs
+++ b/crates/decisions/src/copies/mod.rs
@@ -11,6 +11,9 @@
 //! without an answer may have been carried out: it is repeated with the same number until an
 //! answer shows which. When the count is not known, nothing is ordered before a report.
 //!
+//! An engine that starts anew under its name counts from zero, so that an order to its former
+//! incarnation may fit again: places are kept free for such loads ([`LateOrders`]).
+//!
 //! # Arrival of a copy
 //!
 //! An engine doesn't tell when an adapter has come. Repeating the order for it does, and
@@ -22,6 +25,7 @@
 mod copy;
 mod dump;
 mod known_copies;
+mod late_orders;
 mod orders;
 mod quote;
 #[cfg(test)]
@@ -33,4 +37,5 @@
 pub use control::CopyControl;
 pub use dump::CopyControlDump;
 pub use known_copies::KnownCopies;
+pub use late_orders::LateOrders;
 pub use quote::{EngineQuote, QuotedCopy};
--- a/crates/decisions/src/copies/orders.rs
+++ b/crates/decisions/src/copies/orders.rs
@@ -46,6 +46,9 @@
             OrderAnswer::Rejected => self.on_rejected(now),
             OrderAnswer::NotSent | OrderAnswer::Unanswered => {
                 self.pause_until = now + REPEAT_PAUSE_MS;
+                if answer == OrderAnswer::Unanswered {
+                    self.late.on_unanswered(now, &order);
+                }
                 self.unanswered = Some(order);
             }
         }
@@ -59,6 +62,7 @@
             self.count_accepted(order.accepted_before + 1);
         }
         if order.key.adapter.is_none() {
+            self.coming_model = Some(order.key.model.clone());
             self.model_check_at = now + MODEL_CHECK_EVERY_MS;
             return;
         }
@@ -94,6 +98,9 @@
 
     /// Whether an order only asks after one that was accepted before.
     fn is_question(&self, order: &Order) -> bool {
+        if order.key.adapter.is_none() {
+            return self.coming_model.as_ref() == Some(&order.key.model);
+        }
         let stage = self.copies.get(&order.key).map(|copy| copy.stage);
         order.kind == OrderKind::Load && matches!(stage, Some(CopyStage::Coming { .. }))
     }
@@ -293,7 +300,10 @@
             return None;
         }
         let wanted = self.most_wanted()?;
-        if self.copies.len() < self.capacity() {
+        let is_held = |key: &AdapterKey| *key == wanted || self.copies.contains_key(key);
+        let accepted = self.accepted.unwrap_or(0);
+        let kept_free = self.late.places(now, accepted, is_held);
+        if self.copies.len() + kept_free < self.capacity() {
             let stage = CopyStage::Ordered { replaces: false };
             self.copies
                 .insert(wanted.clone(), Copy::new(stage, None, now));
@@ -322,6 +332,7 @@
         self.copies
             .iter()
             .filter(|(_, copy)| copy.is_present() && copy.is_idle())
+            .filter(|(key, _)| !self.waiting.iter().any(|ask| ask.key == **key))
             .min_by(|a, b| a.1.uses(now).total_cmp(&b.1.uses(now)))
             .map(|(key, _)| key.clone())
     }
--- a/crates/decisions/src/copies/tests/engine.rs
+++ b/crates/decisions/src/copies/tests/engine.rs
@@ -18,6 +18,9 @@
     pub coming: BTreeMap<(AdapterKey, u64), UnixMs>,
     pub accepted: u64,
     pub crashed: bool,
+    pub load_ms: u64,
+    /// When the base model is there; `None` where it always was.
+    pub model_at: Option<UnixMs>,
     pub loads: usize,
 }
 
@@ -25,6 +28,7 @@
     pub fn new(slots: usize) -> Self {
         Self {
             slots,
+            load_ms: LOAD_MS,
             ..Self::default()
         }
     }
@@ -45,6 +49,9 @@
 
     pub fn on_order(&mut self, now: UnixMs, order: &Order) -> OrderAnswer {
         self.on_time(now);
+        if order.key.adapter.is_none() {
+            return self.load_model(now);
+        }
         if order.accepted_before != self.accepted {
             return OrderAnswer::Conflict;
         }
@@ -54,15 +61,43 @@
         }
     }
 
+    /// Starts anew under the same name: empty, with counts from zero.
+    pub fn restart(&mut self) {
+        self.held.clear();
+        self.coming.clear();
+        self.accepted = 0;
+    }
+
     pub fn report(&self) -> Holdings {
         Holdings {
-            models: vec!["base".into()],
+            models: match self.model_at {
+                Some(_) => Vec::new(),
+                None => vec!["base".into()],
+            },
             adapters: self.held.clone(),
-            coming: self.coming.keys().cloned().collect(),
+            // A replacement that waits for its runs is not listed.
+            coming: self
+                .coming
+                .keys()
+                .filter(|(key, _)| !self.held.contains_key(key))
+                .cloned()
+                .collect(),
             accepted_orders: self.accepted,
         }
     }
 
+    /// Only the first of several orders counts.
+    fn load_model(&mut self, now: UnixMs) -> OrderAnswer {
+        self.accepted = self.accepted.max(1);
+        match self.model_at {
+            Some(at) if at > now => OrderAnswer::Accepted,
+            _ => {
+                self.model_at = None;
+                OrderAnswer::Holds
+            }
+        }
+    }
+
     fn newest_of(&self, key: &AdapterKey) -> u64 {
         self.newest.get(key).copied().unwrap_or(1)
     }
@@ -78,7 +113,7 @@
         }
         self.accepted += 1;
         self.loads += 1;
-        self.coming.insert(load, now + LOAD_MS);
+        self.coming.insert(load, now + self.load_ms);
         let added = self
             .coming
             .keys()
--- a/crates/decisions/src/copies/tests/orders.rs
+++ b/crates/decisions/src/copies/tests/orders.rs
@@ -167,3 +167,78 @@
         assert_eq!(world.granted, [1, 2]);
     }
 }
+
+/// A load that had no answer came to the engine's next incarnation, when that had accepted as
+/// many orders as the former one and was full.
+#[test]
+fn a_load_for_a_former_incarnation_finds_a_place() {
+    let mut world = World::new(2);
+    world.ask(1, 1);
+    world.run_ms(400);
+    world.done(1);
+    let mut fates = vec![Fate::Late(2_000)].into_iter();
+    world.fates = Box::new(move || fates.next().unwrap_or(Fate::Answered));
+    // Its load names one order before it, as will those that follow the restart.
+    world.ask(2, 2);
+    world.run_ms(400);
+    world.done(2);
+    world.restart();
+    world.ask(3, 3);
+    world.run_ms(400);
+    world.done(3);
+    world.fates = Box::new(|| Fate::Answered);
+    assert_eq!(world.engine.accepted, 1);
+    world.run_ms(3_000);
+    world.ask(4, 4);
+    world.run_ms(2_000);
+    assert!(!world.engine.crashed);
+    assert!(world.granted.contains(&4));
+}
+
+/// A copy that had just come for requests that waited behind unread prompts was removed to make
+/// room for the next one, and brought again at once.
+#[test]
+fn a_copy_that_is_waited_for_makes_no_room() {
+    let mut world = World::new(2);
+    world.ask_with_prompt(1, 1, 1_000);
+    world.run_ms(400);
+    for number in 2..=4 {
+        world.ask_with_prompt(number, 1, 1_000);
+    }
+    world.ask_with_prompt(5, 2, 1_000);
+    world.ask_with_prompt(6, 3, 1_000);
+    world.run_ms(1_000);
+    assert_eq!(world.engine.loads, 2);
+}
+
+/// Reports don't list a replacement that waits for its runs: it was ordered again, counted twice,
+/// and the next orders named a number that the engine had not reached.
+#[test]
+fn a_replacement_that_waits_is_counted_once() {
+    let mut world = World::new(3);
+    world.ask(1, 1);
+    world.ask(2, 2);
+    world.run_ms(400);
+    world.engine.load_ms = 3_000;
+    world.name_version(1, 5);
+    world.run_ms(100);
+    // The engine rejects a request, so that a report is read while the replacement waits.
+    let actions = world.control.on_done(world.now, &World::id(2), true);
+    world.carry_out(actions);
+    world.run_ms(1_000);
+    assert_eq!(world.control.accepted, Some(world.engine.accepted));
+    world.run_ms(3_000);
+    assert_eq!(world.engine.held.get(&World::key(1)), Some(&5));
+}
+
+/// A new engine gets its base model by one order that is repeated until the model is there.
+#[test]
+fn the_load_of_a_base_model_is_counted_once() {
+    let mut world = World::new(2);
+    world.engine.restart();
+    world.engine.model_at = Some(world.now + 1_000);
+    world.ask(1, 1);
+    world.run_ms(2_000);
+    assert_eq!(world.granted, [1]);
+    assert_eq!(world.control.accepted, Some(world.engine.accepted));
+}
--- a/crates/decisions/src/copies/tests/random_runs.rs
+++ b/crates/decisions/src/copies/tests/random_runs.rs
@@ -11,7 +11,7 @@
     u64::arbitrary(random) % limit
 }
 
-/// Orders get lost, come late and cross reports; the engine is never made to hold too much,
+/// Orders get lost, come late, cross reports and restarts; the engine is never made to hold too much,
 /// and the next request is granted once the network is calm again.
 #[test]
 fn lost_and_late_orders_never_overfill_an_engine() {
@@ -35,6 +35,9 @@
             if number >= 3 {
                 world.done(number - 3);
             }
+            if below(&mut random, 12) == 0 {
+                world.restart();
+            }
             assert!(
                 !world.engine.crashed,
                 "seed {seed}: the engine holds too much"
@@ -44,7 +47,8 @@
         for number in REQUESTS - 3..REQUESTS {
             world.done(number);
         }
-        world.run_ms(8_000);
+        // Longer than late orders keep places free.
+        world.run_ms(16_000);
         world.ask(REQUESTS, 99);
         world.run_ms(2_000);
         assert!(
--- a/crates/decisions/src/copies/tests/world.rs
+++ b/crates/decisions/src/copies/tests/world.rs
@@ -36,7 +36,7 @@
             adapter_size_mb: 0.0,
         };
         let shape = EngineShape {
-            batch_places: 8,
+            batch_places: 64,
             kv_tokens: 1_000,
             adapter_slots: slots as u32,
             weights_mb: 0.0,
@@ -130,6 +130,13 @@
         self.carry_out(actions);
     }
 
+    /// The engine starts anew under its name; orders that are late may still reach it.
+    pub fn restart(&mut self) {
+        self.engine.restart();
+        let actions = self.control.on_restart(self.now);
+        self.carry_out(actions);
+    }
+
     /// Lets time pass in steps of 5 ms.
     pub fn run_ms(&mut self, ms: u64) {
         let end = self.now + ms;
--- a/crates/relay/src/holding/claims.rs
+++ b/crates/relay/src/holding/claims.rs
@@ -129,7 +129,10 @@
             let versions = fleet
                 .versions()
                 .map(|(key, version)| (key.clone(), version));
-            let control = CopyControl::new(shape).with_versions(versions.collect());
+            let late = self.late.borrow_mut().remove(name).unwrap_or_default();
+            let control = CopyControl::new(shape)
+                .with_versions(versions.collect())
+                .with_late_orders(late);
             let waits = activity == HolderActivity::Waits;
             let engine = HeldEngine {
                 control,
--- a/crates/relay/src/holding/controller.rs
+++ b/crates/relay/src/holding/controller.rs
@@ -6,7 +6,7 @@
 
 use monsoonspread_borders::relay::LeaseId;
 use monsoonspread_decisions::copies::{
-    AskId, CopyAction, CopyAsk, CopyControlDump, CopyRefusal, EngineQuote,
+    AskId, CopyAction, CopyAsk, CopyControlDump, CopyRefusal, EngineQuote, LateOrders,
 };
 use monsoonspread_decisions::holders::{Confirmation, HolderPlan};
 use monsoonspread_model::fleet::{AdapterKey, UpstreamStage};
@@ -28,6 +28,8 @@
     pub(super) engines: RefCell<BTreeMap<UpstreamName, HeldEngine>>,
     pub(super) confirmation: RefCell<Confirmation>,
     pub(super) lease: Cell<Option<LeaseId>>,
+    /// Orders to engines that were given up, which may still be carried out.
+    pub(super) late: RefCell<BTreeMap<UpstreamName, LateOrders>>,
     local: RefCell<HashMap<u64, LocalAnswer>>,
     numbers: Cell<u64>,
     may_order: Cell<bool>,
@@ -41,6 +43,7 @@
             engines: RefCell::default(),
             confirmation: RefCell::default(),
             lease: Cell::new(None),
+            late: RefCell::default(),
             local: RefCell::default(),
             numbers: Cell::new(0),
             may_order: Cell::new(false),
@@ -223,6 +226,8 @@
             .field("upstream", name)
             .field("fence", engine.fence)
             .log();
+        let late = engine.control.late_orders(shared.now());
+        self.late.borrow_mut().insert(name.clone(), late);
         let actions = engine.control.on_given_up(reason);
         self.perform(shared, name, actions);
     }
