Wait less for orders of an engine that leaves them unanswered

Cause: while orders are carried out late, each one without an answer held up the engine's next for 400 ms.

An engine that left an order unanswered in the last 3 s is waited for 120 ms; the repetition settles the order as before. The first wait stays 400 ms, as a lost packet is sent again after 200.

--- a/crates/borders/src/relay/engine_control.rs
+++ b/crates/borders/src/relay/engine_control.rs
@@ -9,13 +9,15 @@
 /// Orders to engines, in the name of this instance.
 #[async_trait(?Send)]
 pub trait EngineControl {
-    /// Sends an order with the fencing number `fence`.
+    /// Sends an order with the fencing number `fence`; without an answer in `wait_ms` it counts as
+    /// unanswered.
     async fn order(
         &self,
         upstream: &UpstreamName,
         address: SocketAddr,
         fence: u64,
         order: &Order,
+        wait_ms: u64,
     ) -> OrderAnswer;
 
     /// Reads what an engine holds.
--- a/crates/decisions/src/copies/late_orders.rs
+++ b/crates/decisions/src/copies/late_orders.rs
@@ -7,6 +7,10 @@
 /// to twelve seconds late.
 const LATE_MS: u64 = 15_000;
 
+/// How long an engine that left an order unanswered is expected to do so again, in milliseconds:
+/// several orders of a busy engine.
+const RECENT_MS: u64 = 3_000;
+
 #[derive(Clone, Debug)]
 struct LateLoad {
     key: AdapterKey,
@@ -22,11 +26,13 @@
 #[derive(Clone, Debug, Default)]
 pub struct LateOrders {
     loads: Vec<LateLoad>,
+    recent_until: UnixMs,
 }
 
 impl LateOrders {
     /// An order got no answer.
     pub(super) fn on_unanswered(&mut self, now: UnixMs, order: &Order) {
+        self.recent_until = now + RECENT_MS;
         self.loads.retain(|load| load.until > now);
         if order.kind == OrderKind::Load && order.key.adapter.is_some() {
             self.loads.push(LateLoad {
@@ -37,6 +43,11 @@
         }
     }
 
+    /// Whether an order got no answer a moment ago.
+    pub(super) fn is_recent(&self, now: UnixMs) -> bool {
+        now < self.recent_until
+    }
+
     /// Places that late loads may take, after `accepted` orders, on an engine that has the
     /// adapters for which `is_held`.
     pub(super) fn places(
--- a/crates/decisions/src/copies/orders.rs
+++ b/crates/decisions/src/copies/orders.rs
@@ -26,6 +26,11 @@
 const CONFLICTS_WHILE_UNLOADING: u32 = 50;
 /// Age that a report's values may have, in milliseconds, with allowance.
 const REPORT_LAG_MS: u64 = 500;
+/// Longest wait for the answer to an order, in milliseconds: an engine answers within a few, and a
+/// lost packet is sent again after two hundred.
+const ANSWER_WAIT_MS: u64 = 400;
+/// The same while the engine leaves orders unanswered: its repetition is settled sooner.
+const SHORT_ANSWER_WAIT_MS: u64 = 120;
 /// Pause before an order that got no answer is repeated, in milliseconds.
 const REPEAT_PAUSE_MS: u64 = 50;
 /// Pause before a copy that the engine rejects is tried again, in milliseconds.
@@ -55,6 +60,15 @@
         self.on_tick(now)
     }
 
+    /// How long the answer to an order is waited for, in milliseconds.
+    pub fn answer_wait_ms(&self, now: UnixMs) -> u64 {
+        if self.late.is_recent(now) {
+            SHORT_ANSWER_WAIT_MS
+        } else {
+            ANSWER_WAIT_MS
+        }
+    }
+
     fn on_accepted(&mut self, now: UnixMs, order: &Order) {
         self.conflicts = 0;
         let first = !self.is_question(order);
--- a/crates/decisions/src/copies/tests/orders.rs
+++ b/crates/decisions/src/copies/tests/orders.rs
@@ -242,3 +242,16 @@
     assert_eq!(world.granted, [1]);
     assert_eq!(world.control.accepted, Some(world.engine.accepted));
 }
+
+/// Many orders without an answer, each of which held up the next one for the whole wait.
+#[test]
+fn an_engine_that_leaves_orders_unanswered_is_waited_for_less() {
+    let mut world = World::new(2);
+    let usual_ms = world.control.answer_wait_ms(world.now);
+    let mut fates = vec![Fate::Late(2_000)].into_iter();
+    world.fates = Box::new(move || fates.next().unwrap_or(Fate::Answered));
+    world.ask(1, 1);
+    assert!(world.control.answer_wait_ms(world.now) < usual_ms / 2);
+    world.run_ms(5_000);
+    assert_eq!(world.control.answer_wait_ms(world.now), usual_ms);
+}
--- a/crates/relay/src/holding/calls.rs
+++ b/crates/relay/src/holding/calls.rs
@@ -21,11 +21,9 @@
         });
         return;
     }
-    let answer = shared
-        .borders
-        .engines
-        .order(&name, address, fence, &order)
-        .await;
+    let wait_ms = holding.answer_wait_ms(&name, shared.now());
+    let engines = &shared.borders.engines;
+    let answer = engines.order(&name, address, fence, &order, wait_ms).await;
     shared.metrics.count("orders", order_outcome(answer));
     let now = shared.now();
     let mut changed = false;
--- a/crates/relay/src/holding/controller.rs
+++ b/crates/relay/src/holding/controller.rs
@@ -293,6 +293,12 @@
         shared.incoming.reply(&ask.instance, reply);
     }
 
+    pub(super) fn answer_wait_ms(&self, name: &UpstreamName, now: UnixMs) -> u64 {
+        let engines = self.engines.borrow();
+        let engine = engines.get(name);
+        engine.map_or(0, |engine| engine.control.answer_wait_ms(now))
+    }
+
     pub(super) fn target(&self, name: &UpstreamName) -> Option<(std::net::SocketAddr, u64)> {
         let engines = self.engines.borrow();
         engines
