--- a/crates/decisions/src/copies/orders.rs
+++ b/crates/decisions/src/copies/orders.rs
@@ -73,7 +73,7 @@
         self.conflicts = 0;
         let first = !self.is_question(order);
         if first {
-            self.count_accepted(order.accepted_before + 1);
+            self.count_accepted(order.accepted_before.saturating_add(1));
         }
         if order.key.adapter.is_none() {
             self.coming_model = Some(order.key.model.clone());
@@ -138,7 +138,8 @@
             OrderKind::Unload => {
                 let removed = self.copies.remove(&order.key).map(|copy| copy.stage);
                 let was_accepted = matches!(removed, Some(CopyStage::Going { accepted: true, .. }));
-                self.count_accepted(order.accepted_before + u64::from(!was_accepted));
+                let first = u64::from(!was_accepted);
+                self.count_accepted(order.accepted_before.saturating_add(first));
             }
         }
     }
