Bound what is kept of late orders; quotes of huge prompts don't overflow

Found when reading the change: records of late orders of engines that are gone were kept for good, and the sum of waiting prompts could wrap.

--- a/crates/decisions/src/copies/control.rs
+++ b/crates/decisions/src/copies/control.rs
@@ -7,9 +7,7 @@
 
 use super::copy::{Copy, CopyStage};
 use super::unread_prompts::UnreadPrompts;
-use super::{
-    AskId, CopyAction, CopyAsk, CopyControlDump, CopyRefusal, EngineQuote, LateOrders, QuotedCopy,
-};
+use super::{AskId, CopyAction, CopyAsk, CopyControlDump, CopyRefusal, LateOrders};
 use crate::placement::DemandSketch;
 
 /// Copies on one engine, as the instance that gives its orders knows them.
@@ -32,8 +30,8 @@
     pub(super) reading_report: bool,
     pub(super) model_check_at: UnixMs,
     pub(super) conflicts: u32,
-    prompts: UnreadPrompts,
-    demand: DemandSketch<AdapterKey>,
+    pub(super) prompts: UnreadPrompts,
+    pub(super) demand: DemandSketch<AdapterKey>,
     actions: Vec<CopyAction>,
 }
 
@@ -86,40 +84,6 @@
         late
     }
 
-    /// An instance compares engines before it sends a request; `None` while what the engine holds
-    /// is not known.
-    ///
-    /// All instances ask the first engine of an adapter about each of its requests and set
-    /// `counts_demand`, so that its holder knows the demand of the whole region.
-    pub fn on_quote(
-        &mut self,
-        now: UnixMs,
-        key: &AdapterKey,
-        counts_demand: bool,
-    ) -> Option<EngineQuote> {
-        if counts_demand {
-            self.demand.on_arrival(now, key);
-        }
-        self.accepted?;
-        let waiting: u32 = self.waiting.iter().map(|ask| ask.prompt_tokens).sum();
-        Some(EngineQuote {
-            running: self.running() + self.waiting.len() as u32,
-            batch_places: self.shape.batch_places,
-            unread_tokens: self.prompts.tokens(now) + waiting,
-            copy: self.quoted_copy(key),
-            demand_per_s: counts_demand.then(|| self.demand.per_second_before(now, key) as f32),
-        })
-    }
-
-    fn quoted_copy(&self, key: &AdapterKey) -> QuotedCopy {
-        match self.copies.get(key) {
-            Some(copy) if copy.is_present() => QuotedCopy::Present,
-            Some(copy) if copy.is_coming() => QuotedCopy::Coming,
-            _ if self.waiting.iter().any(|ask| ask.key == *key) => QuotedCopy::Coming,
-            _ => QuotedCopy::Absent,
-        }
-    }
-
     /// An instance wants to send a request.
     pub fn on_ask(&mut self, now: UnixMs, ask: CopyAsk) -> Vec<CopyAction> {
         if let Some(reason) = self.hopeless(now, &ask) {
--- a/crates/decisions/src/copies/late_orders.rs
+++ b/crates/decisions/src/copies/late_orders.rs
@@ -43,6 +43,11 @@
         }
     }
 
+    /// Whether nothing of it matters any more.
+    pub fn is_over(&self, now: UnixMs) -> bool {
+        !self.is_recent(now) && self.loads.iter().all(|load| load.until <= now)
+    }
+
     /// Whether an order got no answer a moment ago.
     pub(super) fn is_recent(&self, now: UnixMs) -> bool {
         now < self.recent_until
--- a/crates/decisions/src/copies/unread_prompts.rs
+++ b/crates/decisions/src/copies/unread_prompts.rs
@@ -51,7 +51,7 @@
     /// Tokens of all prompts that are not read yet.
     pub(super) fn tokens(&self, now: UnixMs) -> u32 {
         let unread = self.prompts.values().filter(|unread| unread.until > now);
-        unread.map(|unread| unread.tokens).sum()
+        unread.fold(0, |sum, unread| sum.saturating_add(unread.tokens))
     }
 
     /// The engine told how long work takes there now, in percent of the usual time.
--- a/crates/relay/src/holding/controller.rs
+++ b/crates/relay/src/holding/controller.rs
@@ -226,8 +226,11 @@
             .field("upstream", name)
             .field("fence", engine.fence)
             .log();
-        let late = engine.control.late_orders(shared.now());
-        self.late.borrow_mut().insert(name.clone(), late);
+        let now = shared.now();
+        let mut late = self.late.borrow_mut();
+        late.insert(name.clone(), engine.control.late_orders(now));
+        late.retain(|_, orders| !orders.is_over(now));
+        drop(late);
         let actions = engine.control.on_given_up(reason);
         self.perform(shared, name, actions);
     }
