Tell followers of servers that are taken for gone later

An entry that vanishes just after the store's return may come back, so that it is taken for gone up to 1.9 s later. The source of a zone's news did so itself, but passed on only what changed something at once: its followers never heard of it.

Its followers are told now and wait themselves.

--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -173,12 +173,17 @@
         self.on_events(&events);
     }
 
-    /// Something changed in the store; false when it changes nothing here.
+    /// Something changed in the store; false when it changes nothing here, now or later.
     pub fn on_change(self: &Rc<Self>, change: FleetChange, reach: StoreReach) -> bool {
         let now = self.now();
+        // One that may come back is only taken for gone later.
+        let is_leaving = match &change {
+            FleetChange::UpstreamGone(name) => self.fleet.borrow().upstream(name).is_some(),
+            _ => false,
+        };
         let event = self.fleet.borrow_mut().on_change(now, change, true, reach);
         self.on_events(event.as_slice());
-        event.is_some()
+        event.is_some() || is_leaving
     }
 
     /// Time has passed.
