Name the length of the prompt in the log of a request's end

Why a stream was late could not be told from its line: a first event after 1,100 ms is late for a prompt of 600 tokens and as good as it gets for one of 13,000.

--- a/crates/relay/src/call/answer.rs
+++ b/crates/relay/src/call/answer.rs
@@ -39,6 +39,7 @@
     sender: Option<(PooledSender, Option<u64>)>,
     slot: Option<ServiceSlot>,
     guard: Option<AskGuard>,
+    prompt_tokens: u32,
     granted_ms: u64,
     running: u32,
     slowness_percent: Option<u32>,
@@ -66,6 +67,7 @@
             sender: None,
             slot: None,
             guard: None,
+            prompt_tokens: request.head.prompt_tokens,
             granted_ms: 0,
             running: 0,
             slowness_percent: None,
@@ -163,6 +165,7 @@
         .field("upstream", &self.upstream)
         .field("status", self.status)
         .field("outcome", self.outcome)
+        .field("prompt_tokens", self.prompt_tokens)
         .field("granted_ms", self.granted_ms)
         .field("running", self.running)
         .field("slowness", self.slowness_percent.unwrap_or(0))
