Pass new configurations on within a zone

It now goes with the other changes. What is longer than a message between instances (64 KB) is announced as before; the length is found by encoding into a buffer of that size, so that a configuration of 1,500 routes is not encoded whole.

Test: one_instance_of_a_zone_follows_the_store_for_all allowed one watch of the follower for a new configuration and now allows none; it failed with one before the change.

--- a/crates/borders/src/relay/fleet_store.rs
+++ b/crates/borders/src/relay/fleet_store.rs
@@ -40,8 +40,7 @@
 /// Something that changed in the store.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub enum FleetChange {
-    /// The operators' configuration; too long for what instances tell each other.
-    #[serde(skip)]
+    /// The operators' configuration.
     Routing(Box<RoutingConfig>),
     /// An upstream appeared or changed.
     Upstream(UpstreamRecord),
--- a/crates/model/src/fleet/route.rs
+++ b/crates/model/src/fleet/route.rs
@@ -1,9 +1,11 @@
 //! One route of the operators' configuration.
 
+use serde::{Deserialize, Serialize};
+
 use crate::ServiceName;
 
 /// What may be repeated on a route.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum RepeatRule {
     /// A call that may run more than once.
     Repeatable,
@@ -39,7 +41,7 @@
 }
 
 /// A service that a route sends requests to.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct RouteTarget {
     /// The service.
     pub service: ServiceName,
@@ -48,7 +50,7 @@
 }
 
 /// One route.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Route {
     /// Its name.
     pub name: String,
--- a/crates/model/src/fleet/routing_config.rs
+++ b/crates/model/src/fleet/routing_config.rs
@@ -1,11 +1,13 @@
 //! The operators' configuration.
 
+use serde::{Deserialize, Serialize};
+
 use crate::{BaseModelName, ServiceName};
 
 use super::Route;
 
 /// A base model that the engines of a service hold.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct BaseModel {
     /// Its name.
     pub name: BaseModelName,
@@ -16,7 +18,7 @@
 }
 
 /// What the engines of a service can hold and run.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct EngineShape {
     /// Requests that run at once.
     pub batch_places: u32,
@@ -64,7 +66,7 @@
 }
 
 /// A service that routes send requests to.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct RelayService {
     /// Its name.
     pub name: ServiceName,
@@ -75,7 +77,7 @@
 }
 
 /// Bounds on what a client may send.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct ClientLimits {
     /// Bytes of a request's head.
     pub max_header_bytes: usize,
@@ -88,7 +90,7 @@
 }
 
 /// One version of the operators' configuration.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct RoutingConfig {
     /// Its version; a higher one is newer.
     pub version: u64,
--- a/crates/relay/src/fleet/followers.rs
+++ b/crates/relay/src/fleet/followers.rs
@@ -3,19 +3,19 @@
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 
-use monsoonspread_borders::relay::{FleetChange, RevisedChange};
+use monsoonspread_borders::relay::RevisedChange;
 use monsoonspread_decisions::news_source::{Notice, Pace, Publisher, parts};
 use monsoonspread_decisions::store_reach::StoreReach;
 use monsoonspread_model::{InstanceName, UnixMs};
 
-use crate::peers::{MAX_FRAME_BYTES, PeerNews, PeerReply};
+use crate::peers::{PeerNews, PeerReply, fits};
 use crate::shared::Shared;
 
 /// How long an instance follows after it asked, in milliseconds: three times the pause between
 /// its questions.
 const FOLLOWS_MS: u64 = 3_000;
-/// Changes that are passed on in one message, by the length of a record of about 200 bytes.
-const MAX_CHANGES: usize = MAX_FRAME_BYTES / 400;
+/// Changes that are passed on in one message, which takes some 8 KB with records of usual length.
+const MAX_CHANGES: usize = 40;
 
 /// Instances that hear from this one what changed in the store.
 #[derive(Debug)]
@@ -59,11 +59,6 @@
         if changes.is_empty() && after == up_to {
             return;
         }
-        let is_routing = |change: &RevisedChange| matches!(change.change, FleetChange::Routing(_));
-        if changes.iter().any(is_routing) {
-            self.tell_news(shared, (after, up_to), None, reach);
-            return;
-        }
         let revisions: Vec<u64> = changes.iter().map(|change| change.revision).collect();
         if !revisions.is_sorted() {
             self.tell_news(shared, (after, up_to), None, reach);
@@ -93,14 +88,18 @@
         changes: Option<Vec<RevisedChange>>,
         reach: StoreReach,
     ) {
-        let news = PeerNews {
-            after,
-            up_to,
-            changes,
-            back_in_ms: reach.back_by.ms_since(shared.now()),
-            is_steady: reach.is_steady,
+        let news = |changes| {
+            PeerReply::News(PeerNews {
+                after,
+                up_to,
+                changes,
+                back_in_ms: reach.back_by.ms_since(shared.now()),
+                is_steady: reach.is_steady,
+            })
         };
-        self.tell(shared, PeerReply::News(news));
+        let whole = news(changes);
+        let reply = if fits(&whole) { whole } else { news(None) };
+        self.tell(shared, reply);
     }
 
     /// This instance doesn't follow the store, or has trouble with it.
--- a/crates/relay/src/peers/frame.rs
+++ b/crates/relay/src/peers/frame.rs
@@ -8,8 +8,8 @@
 use tokio::sync::mpsc::UnboundedReceiver;
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
 
-/// Longest message, in bytes: names and figures only.
-pub const MAX_FRAME_BYTES: usize = 16 * 1024;
+/// Longest message, in bytes: a configuration of some hundred routes.
+const MAX_FRAME_BYTES: usize = 64 * 1024;
 /// How often each end sends a sign of life when it has nothing else to say, in milliseconds.
 pub const ALIVE_EVERY_MS: u64 = 500;
 /// Silence after which a connection counts as dead, in milliseconds: two signs of life that
@@ -32,6 +32,13 @@
     Some(bytes.into())
 }
 
+/// Whether a message is short enough to be sent.
+pub fn fits(message: &impl Serialize) -> bool {
+    // A slice takes what fits and fails then, so that no long message is encoded whole.
+    let mut frame = vec![0; MAX_FRAME_BYTES];
+    ciborium::into_writer(message, frame.as_mut_slice()).is_ok()
+}
+
 /// Decodes a message.
 pub fn decode<T: DeserializeOwned>(bytes: &BytesMut) -> Option<T> {
     ciborium::from_reader(bytes.as_ref()).ok()
--- a/crates/relay/src/peers/mod.rs
+++ b/crates/relay/src/peers/mod.rs
@@ -9,7 +9,7 @@
 mod link;
 mod message;
 
-pub use frame::MAX_FRAME_BYTES;
+pub use frame::fits;
 pub use incoming::{Incoming, PeerHandler, accept_peers};
 pub use link::{AskFailure, PeerLinks, SourcedNews};
 pub use message::{PeerAsk, PeerNews, PeerReply, PeerRequest};
