Quote what engines have kept of a long prompt, and how slow they are

The holder grants every prompt of its engine, so it knows what was read there: kept_prompts remembers shared parts until as many newer tokens were sent as the memory holds, the adapter goes, or the engine starts anew. The question names the shared parts where they are long, the quote tells how much of them is kept and the slowness heard of last. load_choice counts what is left to be read. Where nobody has kept anything, the home counts for a quarter of what it would save.

Ruled out: asking the engines (kv-list delays their work, kv-events cost a waiting call for each).

--- a/crates/decisions/src/copies/ask.rs
+++ b/crates/decisions/src/copies/ask.rs
@@ -1,7 +1,7 @@
 //! What an instance asks the holder of an engine.
 
 use displaydoc::Display;
-use monsoonspread_model::fleet::AdapterKey;
+use monsoonspread_model::fleet::{AdapterKey, PromptPart};
 use monsoonspread_model::{InstanceName, UnixMs};
 use serde::{Deserialize, Serialize};
 
@@ -25,6 +25,8 @@
     pub rank: u32,
     /// Length of its prompt.
     pub prompt_tokens: u32,
+    /// Leading parts of the prompt that other requests may share, where they are long.
+    pub shared_parts: Vec<PromptPart>,
     /// It waits for a copy behind others; else it would rather be refused at once.
     pub patient: bool,
     /// The request meets its objective when it is sent until then.
--- a/crates/decisions/src/copies/control.rs
+++ b/crates/decisions/src/copies/control.rs
@@ -6,6 +6,7 @@
 use monsoonspread_model::{BaseModelName, UnixMs};
 
 use super::copy::{Copy, CopyStage};
+use super::kept_prompts::KeptPrompts;
 use super::unread_prompts::UnreadPrompts;
 use super::{AskId, CopyAction, CopyAsk, CopyControlDump, CopyRefusal, LateOrders};
 use crate::placement::DemandSketch;
@@ -31,6 +32,7 @@
     pub(super) model_check_at: UnixMs,
     pub(super) conflicts: u32,
     pub(super) prompts: UnreadPrompts,
+    pub(super) kept: KeptPrompts,
     pub(super) demand: DemandSketch<AdapterKey>,
     actions: Vec<CopyAction>,
 }
@@ -39,6 +41,7 @@
     /// An engine of which nothing is known; no order is given before it may.
     pub fn new(shape: EngineShape) -> Self {
         Self {
+            kept: KeptPrompts::new(shape.kv_tokens),
             shape,
             may_order: false,
             accepted: None,
@@ -152,6 +155,7 @@
     /// The engine started anew and holds nothing that is known.
     pub fn on_restart(&mut self, now: UnixMs) -> Vec<CopyAction> {
         self.copies.clear();
+        self.kept.clear();
         self.models.clear();
         self.accepted = None;
         self.unanswered = None;
@@ -274,6 +278,8 @@
             let has_place = self.running() < self.shape.batch_places;
             if has_place && self.is_usable(&ask.key) && self.prompts.admit(now, ask.prompt_tokens) {
                 self.prompts.on_sent(now, &ask);
+                self.kept
+                    .on_sent(&ask.key, &ask.shared_parts, ask.prompt_tokens);
                 self.grant(now, ask);
             } else if ask.wait_until <= now {
                 let reason = self.why_late(&ask.key);
--- a/crates/decisions/src/copies/orders.rs
+++ b/crates/decisions/src/copies/orders.rs
@@ -136,6 +136,7 @@
                 }
             }
             OrderKind::Unload => {
+                self.kept.on_dropped(&order.key);
                 let removed = self.copies.remove(&order.key).map(|copy| copy.stage);
                 let was_accepted = matches!(removed, Some(CopyStage::Going { accepted: true, .. }));
                 let first = u64::from(!was_accepted);
--- a/crates/decisions/src/copies/tests/mod.rs
+++ b/crates/decisions/src/copies/tests/mod.rs
@@ -1,4 +1,5 @@
 mod engine;
+mod kept;
 mod orders;
 mod prompts;
 mod random_runs;
--- a/crates/decisions/src/copies/tests/world.rs
+++ b/crates/decisions/src/copies/tests/world.rs
@@ -1,7 +1,9 @@
 //! A copy control and an engine, with a network between them that tests bend.
 
 use monsoonspread_model::UnixMs;
-use monsoonspread_model::fleet::{AdapterKey, BaseModel, EngineShape, Order, OrderAnswer};
+use monsoonspread_model::fleet::{
+    AdapterKey, BaseModel, EngineShape, Order, OrderAnswer, PromptPart,
+};
 
 use super::engine::FakeEngine;
 use crate::copies::{AskId, CopyAction, CopyAsk, CopyControl, CopyRefusal};
@@ -30,6 +32,11 @@
 
 impl World {
     pub fn new(slots: usize) -> Self {
+        Self::with_memory(slots, 1_000)
+    }
+
+    /// A world whose engine keeps so many tokens.
+    pub fn with_memory(slots: usize, kv_tokens: u64) -> Self {
         let base = BaseModel {
             name: "base".into(),
             size_mb: 0.0,
@@ -37,7 +44,7 @@
         };
         let shape = EngineShape {
             batch_places: 64,
-            kv_tokens: 1_000,
+            kv_tokens,
             adapter_slots: slots as u32,
             weights_mb: 0.0,
             models: vec![base],
@@ -74,6 +81,7 @@
             key: Self::key(adapter),
             rank: 0,
             prompt_tokens: 0,
+            shared_parts: Vec::new(),
             patient: true,
             in_time_until: self.now + 30_000,
             wait_until: self.now + 60_000,
@@ -97,6 +105,23 @@
         self.carry_out(actions);
     }
 
+    /// Asks for a request whose prompt begins with `shared` and has so many tokens of its own.
+    pub fn ask_with_shared_prompt(
+        &mut self,
+        number: u64,
+        adapter: u64,
+        shared: &[PromptPart],
+        own_tokens: u32,
+    ) {
+        let ask = CopyAsk {
+            prompt_tokens: shared.iter().map(|part| part.tokens).sum::<u32>() + own_tokens,
+            shared_parts: shared.to_vec(),
+            ..self.new_ask(number, adapter)
+        };
+        let actions = self.control.on_ask(self.now, ask);
+        self.carry_out(actions);
+    }
+
     /// The first event came, from an engine that tells its slowness.
     pub fn started(&mut self, number: u64, slowness_percent: u32) {
         let id = Self::id(number);
--- a/crates/decisions/src/copies/unread_prompts.rs
+++ b/crates/decisions/src/copies/unread_prompts.rs
@@ -60,6 +60,12 @@
         self.slow_until = now + SLOWNESS_MS;
     }
 
+    /// How long work takes at the engine, in percent of the usual time; `None` where it was not
+    /// told of late.
+    pub(super) fn slowness_percent(&self, now: UnixMs) -> Option<u32> {
+        (now < self.slow_until).then_some(self.slowness_percent)
+    }
+
     /// The prompt of `ask` is sent.
     pub(super) fn on_sent(&mut self, now: UnixMs, ask: &CopyAsk) {
         let unread = Unread {
@@ -76,10 +82,8 @@
 
     /// A slow engine is handed less at once, so that the streams that run there pause no longer.
     fn limit(&self, now: UnixMs) -> u32 {
-        if now >= self.slow_until || self.slowness_percent <= USUAL_PERCENT {
-            return MAX_UNREAD_TOKENS;
-        }
-        MAX_UNREAD_TOKENS * USUAL_PERCENT / self.slowness_percent
+        let slowness_percent = self.slowness_percent(now).unwrap_or(USUAL_PERCENT);
+        MAX_UNREAD_TOKENS * USUAL_PERCENT / slowness_percent.max(USUAL_PERCENT)
     }
 }
 
--- a/crates/decisions/src/load_choice/mod.rs
+++ b/crates/decisions/src/load_choice/mod.rs
@@ -43,26 +43,36 @@
 /// in about the time that a request adds to the steps of one stream.
 const TOKENS_PER_RUNNING: f64 = 200.0;
 
-/// A part of a prompt that an engine has probably kept.
-#[derive(Clone, Copy, Debug)]
-pub struct KeptPrompt<'a> {
-    /// The engine.
-    pub upstream: &'a UpstreamName,
-    /// Length of the part.
+/// Part of what a kept beginning saves by which its home may be busier than another engine that
+/// has not kept it either, in percent: the next reader may find it there.
+const HOME_PERCENT: f64 = 25.0;
+
+/// The prompt of a request.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct PromptCost<'a> {
+    /// Its length.
     pub tokens: u32,
+    /// The engine where prompts with the same beginning meet, and the length of that.
+    pub home: Option<(&'a UpstreamName, u32)>,
 }
 
-impl KeptPrompt<'_> {
+impl PromptCost<'_> {
     /// Whether a part of so many tokens weighs as much as one running request.
     pub fn matters(tokens: u32) -> bool {
         f64::from(tokens) >= TOKENS_PER_RUNNING
     }
 
-    fn saved_cost(&self, upstream: &UpstreamName) -> f64 {
-        if self.upstream != upstream {
-            return 0.0;
+    /// What reading it costs on `upstream`.
+    fn at(&self, upstream: &UpstreamName, quote: Option<&EngineQuote>) -> f64 {
+        let kept = quote.map_or(0, |quote| quote.kept_tokens);
+        let read = self.tokens.saturating_sub(kept);
+        let cost = f64::from(read) / TOKENS_PER_RUNNING * quote.map_or(1.0, slowness);
+        match self.home {
+            Some((home, tokens)) if home == upstream && kept == 0 => {
+                cost - f64::from(tokens) / TOKENS_PER_RUNNING * HOME_PERCENT / 100.0
+            }
+            _ => cost,
         }
-        f64::from(self.tokens) / TOKENS_PER_RUNNING
     }
 }
 
@@ -142,17 +152,17 @@
     }
 
     /// Sorts `candidates` by what one more request costs there; the first `copies` are meant to
-    /// hold a copy, those `quoted` told whether they do, and one may keep a part of the prompt.
+    /// hold a copy, and those `quoted` told whether they do and what they kept of the `prompt`.
     ///
     /// ```
-    /// # use monsoonspread_decisions::load_choice::LoadChoice;
+    /// # use monsoonspread_decisions::load_choice::{LoadChoice, PromptCost};
     /// # use monsoonspread_model::UnixMs;
     /// let mut loads = LoadChoice::new();
     /// loads.on_running(UnixMs(0), &"busy".into(), 4);
     /// loads.on_running(UnixMs(0), &"idle".into(), 0);
     /// loads.on_running(UnixMs(0), &"spare".into(), 0);
     /// let mut candidates = vec!["busy".into(), "idle".into(), "spare".into()];
-    /// loads.sort(UnixMs(0), &mut candidates, 2, &[], None);
+    /// loads.sort(UnixMs(0), &mut candidates, 2, &[], PromptCost::default());
     /// assert_eq!(candidates, ["idle".into(), "busy".into(), "spare".into()]);
     /// ```
     pub fn sort(
@@ -160,18 +170,18 @@
         now: UnixMs,
         candidates: &mut Vec<UpstreamName>,
         copies: usize,
-        quoted: &[(UpstreamName, QuotedCopy)],
-        kept: Option<KeptPrompt<'_>>,
+        quoted: &[(UpstreamName, EngineQuote)],
+        prompt: PromptCost<'_>,
     ) {
         let mut costs: Vec<(f64, UpstreamName)> = std::mem::take(candidates)
             .into_iter()
             .enumerate()
             .map(|(rank, name)| {
-                let quoted = quoted.iter().find(|(quoted, _)| *quoted == name);
-                let copy = copy_cost(rank < copies, quoted.map(|(_, copy)| *copy));
-                let saved = kept.map_or(0.0, |kept| kept.saved_cost(&name));
-                let cost = self.running(now, &name) + copy + self.trouble(now, &name);
-                (cost - saved, name)
+                let quote = quoted.iter().find(|(quoted, _)| *quoted == name);
+                let quote = quote.map(|(_, quote)| quote);
+                let copy = copy_cost(rank < copies, quote.map(|quote| quote.copy));
+                let load = self.running(now, &name) + prompt.at(&name, quote);
+                (load + copy + self.trouble(now, &name), name)
             })
             .collect();
         costs.sort_by(|a, b| a.0.total_cmp(&b.0));
@@ -201,9 +211,15 @@
 /// How busy an engine is, in running requests.
 fn quoted_load(quote: &EngineQuote) -> f64 {
     let queued = quote.running.saturating_sub(quote.batch_places);
-    f64::from(quote.running)
+    let load = f64::from(quote.running)
         + f64::from(queued) * QUEUED_COST
-        + f64::from(quote.unread_tokens) / TOKENS_PER_RUNNING
+        + f64::from(quote.unread_tokens) / TOKENS_PER_RUNNING;
+    load * slowness(quote)
+}
+
+/// How long work takes on an engine, relative to the usual time.
+fn slowness(quote: &EngineQuote) -> f64 {
+    f64::from(quote.slowness_percent.unwrap_or(100)) / 100.0
 }
 
 /// What the lack of a copy costs; `is_meant` where the demand calls for one.
--- a/crates/load/src/emulator/world.rs
+++ b/crates/load/src/emulator/world.rs
@@ -3,8 +3,8 @@
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap, HashMap};
 
-use monsoonspread_decisions::copies::{AskId, CopyAction, CopyAsk, QuotedCopy};
-use monsoonspread_decisions::load_choice::LoadChoice;
+use monsoonspread_decisions::copies::{AskId, CopyAction, CopyAsk, EngineQuote, QuoteQuestion};
+use monsoonspread_decisions::load_choice::{LoadChoice, PromptCost};
 use monsoonspread_decisions::placement::{CandidateUpstream, Placement, PlacementSettings};
 use monsoonspread_model::fleet::{AdapterKey, Order, OrderAnswer};
 use monsoonspread_model::{AdapterName, UnixMs, UpstreamName};
@@ -223,18 +223,23 @@
         let now = self.now;
         let Instance { placement, loads } = &mut self.instances[instance];
         placement.on_arrival(now, adapter);
-        let mut quoted: Vec<(UpstreamName, QuotedCopy)> = Vec::new();
+        let mut quoted: Vec<(UpstreamName, EngineQuote)> = Vec::new();
         if self.choice == EngineChoice::Quotes {
             let key = AdapterKey::new(MODEL, Some(adapter.as_str()));
             let draw = self.arrivals as usize;
             let compared = placement.compared(now, adapter, draw, |_| true);
             for (rank, name) in compared.into_iter().enumerate() {
                 let control = &mut self.engines[self.numbers[&name]].control;
-                let quote = control.on_quote(now, &key, rank == 0);
+                let question = QuoteQuestion {
+                    key: key.clone(),
+                    shared_parts: Vec::new(),
+                    counts_demand: rank == 0,
+                };
+                let quote = control.on_quote(now, &question);
                 loads.on_quote(now, &name, quote.as_ref());
                 self.run.messages += 2;
                 let Some(quote) = quote else { continue };
-                quoted.push((name, quote.copy));
+                quoted.push((name, quote));
                 if let Some(per_s) = quote.demand_per_s {
                     placement.on_counted_demand(now, adapter, per_s.into());
                 }
@@ -242,7 +247,11 @@
         }
         let mut names = placement.candidates(now, adapter);
         let copies = placement.copies(now, adapter);
-        loads.sort(now, &mut names, copies, &quoted, None);
+        let prompt = PromptCost {
+            tokens: self.settings.prompt_tokens,
+            home: None,
+        };
+        loads.sort(now, &mut names, copies, &quoted, prompt);
         names
     }
 
@@ -274,6 +283,7 @@
             key: request.key.clone(),
             rank: 0,
             prompt_tokens: self.settings.prompt_tokens,
+            shared_parts: Vec::new(),
             patient,
             in_time_until: request.arrived_at + OBJECTIVE_MS,
             wait_until: request.arrived_at + WAIT_MS,
--- a/crates/model/src/fleet/call_head.rs
+++ b/crates/model/src/fleet/call_head.rs
@@ -1,9 +1,11 @@
 //! What a request says of itself.
 
+use serde::{Deserialize, Serialize};
+
 use super::AdapterKey;
 
 /// A piece of a prompt that other requests may share.
-#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
 pub struct PromptPart {
     /// Tells parts apart.
     pub id: u64,
--- a/crates/relay/src/call/candidates.rs
+++ b/crates/relay/src/call/candidates.rs
@@ -2,9 +2,9 @@
 
 use std::rc::Rc;
 
-use monsoonspread_decisions::load_choice::KeptPrompt;
+use monsoonspread_decisions::load_choice::PromptCost;
 use monsoonspread_model::UpstreamName;
-use monsoonspread_model::fleet::AdapterKey;
+use monsoonspread_model::fleet::{AdapterKey, CallHead, PromptPart};
 
 use super::request::RelayRequest;
 use crate::holding::{Survey, survey};
@@ -20,7 +20,7 @@
     let compared = compared(shared, request, key);
     let quoted = match compared.len() {
         0 | 1 => Survey::new(),
-        _ => survey(shared, key, &compared).await,
+        _ => survey(shared, key, long_shared_parts(&request.head), &compared).await,
     };
     let now = shared.now();
     let ready = ready(shared, request);
@@ -35,15 +35,23 @@
         None => (ready.clone(), ready.len()),
     };
     let home = prompt_home(shared, request, key, &ready);
-    let kept = home.as_ref().map(|(upstream, tokens)| KeptPrompt {
-        upstream,
-        tokens: *tokens,
-    });
+    let prompt = PromptCost {
+        tokens: request.head.prompt_tokens,
+        home: home.as_ref().map(|(upstream, tokens)| (upstream, *tokens)),
+    };
     let loads = shared.loads.borrow();
-    loads.sort(now, &mut names, copies, &quoted, kept);
+    loads.sort(now, &mut names, copies, &quoted, prompt);
     names
 }
 
+/// Leading parts of a prompt that other requests may share, where they are long enough to matter.
+pub(super) fn long_shared_parts(head: &CallHead) -> &[PromptPart] {
+    match (head.shared_prompt(), head.prompt_parts.split_last()) {
+        (Some(prompt), Some((_own, shared))) if PromptCost::matters(prompt.tokens) => shared,
+        _ => &[],
+    }
+}
+
 fn ready(shared: &Shared, request: &RelayRequest) -> Vec<UpstreamName> {
     let fleet = shared.fleet.borrow();
     let ready = fleet.ready(&request.service);
@@ -78,7 +86,7 @@
 ) -> Option<(UpstreamName, u32)> {
     let prompt = request.head.shared_prompt()?;
     let adapter = key.adapter.as_ref()?;
-    if !KeptPrompt::matters(prompt.tokens) {
+    if !PromptCost::matters(prompt.tokens) {
         return None;
     }
     let is_ready = |name: &UpstreamName| ready.contains(name);
--- a/crates/relay/src/call/model_call.rs
+++ b/crates/relay/src/call/model_call.rs
@@ -8,7 +8,7 @@
 
 use super::answer::{AnswerEnd, Grant};
 use super::attempt::{Attempt, AttemptOptions, attempt};
-use super::candidates::candidates;
+use super::candidates::{candidates, long_shared_parts};
 use super::pass_on::{log_end, pass_on};
 use super::request::RelayRequest;
 use super::run::Run;
@@ -158,6 +158,7 @@
             key: &self.key,
             rank: self.request.route.rank,
             prompt_tokens: self.request.head.prompt_tokens,
+            shared_parts: long_shared_parts(&self.request.head),
             objective_ms: self.request.route.objective_ms,
             patient,
             arrived_at: self.request.arrived_at,
--- a/crates/relay/src/holding/asks.rs
+++ b/crates/relay/src/holding/asks.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use monsoonspread_decisions::copies::{AskId, CopyAsk, CopyRefusal};
-use monsoonspread_model::fleet::AdapterKey;
+use monsoonspread_model::fleet::{AdapterKey, PromptPart};
 use monsoonspread_model::{UnixMs, UpstreamName};
 use tokio::sync::oneshot;
 
@@ -26,6 +26,8 @@
     pub rank: u32,
     /// Length of its prompt.
     pub prompt_tokens: u32,
+    /// Leading parts of the prompt that other requests may share, where they are long.
+    pub shared_parts: Vec<PromptPart>,
     /// It waits for a copy behind others.
     pub patient: bool,
     /// The request meets its objective when it is sent until then.
@@ -59,6 +61,7 @@
                 key: ask.key.clone(),
                 rank: ask.rank,
                 prompt_tokens: ask.prompt_tokens,
+                shared_parts: ask.shared_parts.clone(),
                 patient: ask.patient,
                 in_time_ms: ask.in_time_until.ms_since(now),
                 wait_ms: ask.wait_until.ms_since(now),
@@ -86,6 +89,7 @@
             key: ask.key.clone(),
             rank: ask.rank,
             prompt_tokens: ask.prompt_tokens,
+            shared_parts: ask.shared_parts.clone(),
             patient: ask.patient,
             in_time_until: ask.in_time_until,
             wait_until: ask.wait_until,
--- a/crates/relay/src/holding/controller.rs
+++ b/crates/relay/src/holding/controller.rs
@@ -7,9 +7,10 @@
 use monsoonspread_borders::relay::LeaseId;
 use monsoonspread_decisions::copies::{
     AskId, CopyAction, CopyAsk, CopyControlDump, CopyRefusal, EngineQuote, LateOrders,
+    QuoteQuestion,
 };
 use monsoonspread_decisions::holders::{Confirmation, HolderPlan};
-use monsoonspread_model::fleet::{AdapterKey, UpstreamStage};
+use monsoonspread_model::fleet::UpstreamStage;
 use monsoonspread_model::{InstanceName, UnixMs, UpstreamName};
 use tokio::sync::oneshot;
 
@@ -155,12 +156,11 @@
         &self,
         now: UnixMs,
         upstream: &UpstreamName,
-        key: &AdapterKey,
-        counts_demand: bool,
+        question: &QuoteQuestion,
     ) -> Option<EngineQuote> {
         let mut engines = self.engines.borrow_mut();
         let control = &mut engines.get_mut(upstream)?.control;
-        control.on_quote(now, key, counts_demand)
+        control.on_quote(now, question)
     }
 
     /// An instance asks for a copy.
--- a/crates/relay/src/holding/quotes.rs
+++ b/crates/relay/src/holding/quotes.rs
@@ -4,9 +4,9 @@
 use std::time::Duration;
 
 use futures_util::future::join_all;
-use monsoonspread_decisions::copies::{EngineQuote, QuotedCopy};
+use monsoonspread_decisions::copies::{EngineQuote, QuoteQuestion};
 use monsoonspread_model::UpstreamName;
-use monsoonspread_model::fleet::AdapterKey;
+use monsoonspread_model::fleet::{AdapterKey, PromptPart};
 use tokio::time::Instant;
 
 use crate::peers::PeerRequest;
@@ -16,19 +16,29 @@
 /// and short against the objective of any request.
 const QUOTE_WAIT_MS: u64 = 25;
 
-/// Which of the engines that were asked have a copy.
-pub type Survey = Vec<(UpstreamName, QuotedCopy)>;
+/// What the holders of the engines that were asked said.
+pub type Survey = Vec<(UpstreamName, EngineQuote)>;
 
-/// Asks the holders of `engines` how busy these are, all at once; the first one counts the demand
-/// for the adapter.
-pub async fn survey(shared: &Rc<Shared>, key: &AdapterKey, engines: &[UpstreamName]) -> Survey {
+/// Asks the holders of `engines` how busy these are and what they kept of a prompt that begins
+/// with `shared_parts`, all at once; the first one counts the demand for the adapter.
+pub async fn survey(
+    shared: &Rc<Shared>,
+    key: &AdapterKey,
+    shared_parts: &[PromptPart],
+    engines: &[UpstreamName],
+) -> Survey {
     let until = Instant::now() + Duration::from_millis(QUOTE_WAIT_MS);
     let asked = engines.iter().enumerate().filter(|(_, engine)| {
         let now = shared.now();
         !shared.loads.borrow().is_silent(now, engine)
     });
     let questions = asked.map(|(rank, engine)| async move {
-        let quote = quote(shared, key, engine, rank == 0, until).await;
+        let question = QuoteQuestion {
+            key: key.clone(),
+            shared_parts: shared_parts.to_vec(),
+            counts_demand: rank == 0,
+        };
+        let quote = quote(shared, engine, question, until).await;
         (engine, quote)
     });
     let quotes = join_all(questions).await;
@@ -42,7 +52,7 @@
         let mut loads = shared.loads.borrow_mut();
         loads.on_quote(now, engine, quote.as_ref());
         let Some(quote) = quote else { continue };
-        survey.push((engine.clone(), quote.copy));
+        survey.push((engine.clone(), quote));
         if let (Some(adapter), Some(per_s)) = (&key.adapter, quote.demand_per_s) {
             let mut placement = shared.placement.borrow_mut();
             placement.on_counted_demand(now, adapter, per_s.into());
@@ -53,23 +63,21 @@
 
 async fn quote(
     shared: &Rc<Shared>,
-    key: &AdapterKey,
     engine: &UpstreamName,
-    counts_demand: bool,
+    question: QuoteQuestion,
     until: Instant,
 ) -> Option<EngineQuote> {
     let holding = &shared.holding;
     let holder = holding.holder(engine)?;
     if holder == shared.settings.instance {
-        return holding.on_quote(shared.now(), engine, key, counts_demand);
+        return holding.on_quote(shared.now(), engine, &question);
     }
     let address = shared.fleet.borrow().member(&holder)?;
     let number = holding.next_number();
     let question = PeerRequest::Quote {
         number,
         upstream: engine.clone(),
-        key: key.clone(),
-        counts_demand,
+        question,
     };
     let peers = &shared.peers;
     peers.quote(&holder, address, number, question, until).await
--- a/crates/relay/src/holding/wish.rs
+++ b/crates/relay/src/holding/wish.rs
@@ -2,7 +2,7 @@
 
 use std::rc::Rc;
 
-use monsoonspread_model::fleet::AdapterKey;
+use monsoonspread_model::fleet::{AdapterKey, PromptPart};
 use monsoonspread_model::{UnixMs, UpstreamName};
 
 use super::Ask;
@@ -31,6 +31,8 @@
     pub rank: u32,
     /// Length of its prompt.
     pub prompt_tokens: u32,
+    /// Leading parts of the prompt that other requests may share, where they are long.
+    pub shared_parts: &'a [PromptPart],
     /// Its objective, in milliseconds.
     pub objective_ms: u64,
     /// It waits for a copy behind others.
@@ -60,6 +62,7 @@
         key: wish.key.clone(),
         rank: wish.rank,
         prompt_tokens: wish.prompt_tokens,
+        shared_parts: wish.shared_parts.to_vec(),
         patient: wish.patient,
         in_time_until: wish.arrived_at + wish.objective_ms.saturating_sub(READ_MS),
         wait_until: wait_until(now, wish),
--- a/crates/relay/src/peers/message.rs
+++ b/crates/relay/src/peers/message.rs
@@ -1,9 +1,9 @@
 //! What instances tell each other.
 
 use monsoonspread_borders::relay::RevisedChange;
-use monsoonspread_decisions::copies::{CopyRefusal, EngineQuote};
+use monsoonspread_decisions::copies::{CopyRefusal, EngineQuote, QuoteQuestion};
 use monsoonspread_decisions::news_source::NewsSpan;
-use monsoonspread_model::fleet::AdapterKey;
+use monsoonspread_model::fleet::{AdapterKey, PromptPart};
 use monsoonspread_model::{InstanceName, UpstreamName};
 use serde::{Deserialize, Serialize};
 
@@ -20,6 +20,9 @@
     pub rank: u32,
     /// Length of its prompt.
     pub prompt_tokens: u32,
+    /// Leading parts of the prompt that other requests may share, where they are long.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub shared_parts: Vec<PromptPart>,
     /// It waits for a copy behind others.
     pub patient: bool,
     /// How long the request may wait and still meet its objective, in milliseconds.
@@ -73,12 +76,9 @@
         /// The engine.
         #[serde(rename = "u")]
         upstream: UpstreamName,
-        /// The adapter.
-        #[serde(rename = "k")]
-        key: AdapterKey,
-        /// The holder counts the demand for the adapter.
-        #[serde(rename = "c")]
-        counts_demand: bool,
+        /// What is asked.
+        #[serde(rename = "q")]
+        question: QuoteQuestion,
     },
     /// The first event of a request came.
     Started {
--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -267,6 +267,7 @@
                     key: ask.key,
                     rank: ask.rank,
                     prompt_tokens: ask.prompt_tokens,
+                    shared_parts: ask.shared_parts,
                     patient: ask.patient,
                     in_time_until: now + ask.in_time_ms,
                     wait_until: now + ask.wait_ms,
@@ -277,12 +278,10 @@
             PeerRequest::Quote {
                 number,
                 upstream,
-                key,
-                counts_demand,
+                question,
             } => {
-                let quote = shared
-                    .holding
-                    .on_quote(shared.now(), &upstream, &key, counts_demand);
+                let now = shared.now();
+                let quote = shared.holding.on_quote(now, &upstream, &question);
                 shared
                     .incoming
                     .reply(instance, PeerReply::Quoted { number, quote });
