Turn to three sources at most, and ask less often in an outage

- One call that fails ends no source; its last answer being stale does, as before.
- An instance that has begun to follow the store lets those that ask wait for its first answer, an eighth of the bound for changes at the most.
- The first three of a zone may be its source.
After them, an instance follows the store itself.
- Whoever hears nothing from its source reads the store at once, then chooses another.
- Calls that fail are repeated after 300 ms, then twice that, up to a quarter of the bound where that leaves time for entries that come back (no longer pause where the bound is 2 s).

--- a/crates/decisions/src/news_source/mod.rs
+++ b/crates/decisions/src/news_source/mod.rs
@@ -1,8 +1,10 @@
 //! From whom an instance hears what changed in the store.
 //!
 //! If each instance followed the store, the calls would grow with the fleet. One instance of a
-//! zone follows it and tells the others. Each of them follows the store itself as soon as that
-//! one falls silent, says that it has trouble, or doesn't follow the store either.
+//! zone follows it and tells the others. When that one falls silent or says that it has trouble,
+//! they turn to the next; only when the first few of the zone have failed does each instance
+//! follow the store itself, so that an outage of the store ends no instance's search of its whole
+//! zone.
 
 mod pace;
 mod parts;
@@ -16,7 +18,7 @@
 
 pub use pace::Pace;
 pub use parts::parts;
-pub use publisher::{Notice, Publisher};
+pub use publisher::{FollowAnswer, Notice, Publisher};
 
 /// How long an instance is passed over after it failed as a source, in milliseconds: longer than
 /// most freezes and cuts, so that a source that comes and goes costs no gap each time.
@@ -26,6 +28,10 @@
 /// then it has noticed that its own source is gone.
 const DECLINED_MS: u64 = 1_500;
 
+/// Instances of a zone that may be its source: each one that fails costs some time, and all know
+/// the changes before their bound.
+const SOURCES: usize = 3;
+
 /// What to do with news.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum NewsUse {
@@ -96,11 +102,12 @@
             let until = self.passed_over_until.get(name);
             until.is_some_and(|until| now < *until)
         };
+        let mut sources: Vec<&InstanceName> = neighbours.collect();
+        sources.sort();
+        sources.truncate(SOURCES);
         // All agree on the first by name, so that it follows the store.
-        neighbours
-            .filter(|name| !passed_over(name))
-            .min()
-            .filter(|first| **first < self.own)
+        let first = sources.into_iter().find(|name| !passed_over(name))?;
+        (*first < self.own).then_some(first)
     }
 
     /// A source was silent.
--- a/crates/decisions/src/news_source/pace.rs
+++ b/crates/decisions/src/news_source/pace.rs
@@ -1,5 +1,7 @@
 //! How fast changes of the store are passed on.
 
+use crate::store_reach::BACK_WITHIN_MS;
+
 /// How fast changes of the store are passed on, in shares of the time in which they must be
 /// known everywhere.
 ///
@@ -20,6 +22,12 @@
     pub sign_ms: u64,
     /// Silence after which a source is given up, in milliseconds: two messages that are late.
     pub silent_ms: u64,
+    /// Time that an instance has to become a source when it begins to follow the store, in
+    /// milliseconds: one watch without changes.
+    pub begin_ms: u64,
+    /// Longest pause after calls that failed, in milliseconds: the store's return is noticed in
+    /// time for all that follows from it.
+    pub retry_ms: u64,
 }
 
 impl Pace {
@@ -38,6 +46,8 @@
             stale_ms: change_ms * 9 / 20,
             sign_ms: change_ms / 8,
             silent_ms: change_ms * 2 / 5,
+            begin_ms: change_ms / 8,
+            retry_ms: (change_ms / 4).min(change_ms.saturating_sub(BACK_WITHIN_MS)),
         }
     }
 }
--- a/crates/decisions/src/news_source/publisher.rs
+++ b/crates/decisions/src/news_source/publisher.rs
@@ -13,11 +13,34 @@
     NoNews,
 }
 
+/// What an instance that was just asked for the news says.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum FollowAnswer {
+    /// What it knows.
+    Known,
+    /// Nothing yet: it has just begun to follow the store.
+    Later,
+    /// That it has none to tell.
+    NoNews,
+}
+
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Standing {
+    /// It hears from another instance.
+    Follower,
+    /// It has begun to follow the store and is to have an answer by then.
+    Begins { until: UnixMs },
+    /// The store answered; the answer is stale by then.
+    Source { stale_at: UnixMs },
+    /// It follows the store, which doesn't answer.
+    Lost,
+}
+
 /// When an instance that follows the store tells its followers something.
 #[derive(Clone, Copy, Debug)]
 pub struct Publisher {
     pace: Pace,
-    stale_at: Option<UnixMs>,
+    standing: Standing,
     told_at: UnixMs,
 }
 
@@ -26,29 +49,58 @@
     pub fn new(pace: Pace) -> Self {
         Self {
             pace,
-            stale_at: None,
+            standing: Standing::Follower,
             told_at: UnixMs(0),
         }
     }
 
+    /// It follows the store from now on.
+    pub fn on_begun(&mut self, now: UnixMs) {
+        if self.standing == Standing::Follower {
+            let until = now + self.pace.begin_ms;
+            self.standing = Standing::Begins { until };
+        }
+    }
+
     /// The store answered.
     pub fn on_read(&mut self, now: UnixMs) {
-        self.stale_at = Some(now + self.pace.stale_ms);
+        let stale_at = now + self.pace.stale_ms;
+        self.standing = Standing::Source { stale_at };
     }
 
-    /// Something was told.
-    pub fn on_told(&mut self, now: UnixMs) {
-        self.told_at = now;
+    /// The store did not answer one call; true when followers are to be told.
+    ///
+    /// A source stays one until its last answer is stale: the next call may be answered, and
+    /// followers that leave it would all ask the store.
+    pub fn on_failed(&mut self) -> bool {
+        let begins = matches!(self.standing, Standing::Begins { .. });
+        begins && self.on_lost()
     }
 
-    /// The store is not followed any more; true when it was until now.
+    /// The store is out of reach; true when followers are to be told.
     pub fn on_lost(&mut self) -> bool {
-        self.stale_at.take().is_some()
+        let former = std::mem::replace(&mut self.standing, Standing::Lost);
+        !matches!(former, Standing::Follower | Standing::Lost)
     }
 
-    /// Whether followers may rely on this instance.
-    pub fn is_source(&self, now: UnixMs) -> bool {
-        self.stale_at.is_some_and(|stale_at| now < stale_at)
+    /// It hears from another instance from now on; true when followers are to be told.
+    pub fn on_follows(&mut self) -> bool {
+        let former = std::mem::replace(&mut self.standing, Standing::Follower);
+        !matches!(former, Standing::Follower | Standing::Lost)
+    }
+
+    /// Something was told.
+    pub fn on_told(&mut self, now: UnixMs) {
+        self.told_at = now;
+    }
+
+    /// What to say to an instance that asks for the news.
+    pub fn answer(&self, now: UnixMs) -> FollowAnswer {
+        match self.standing {
+            Standing::Source { stale_at } if now < stale_at => FollowAnswer::Known,
+            Standing::Begins { until } if now < until => FollowAnswer::Later,
+            _ => FollowAnswer::NoNews,
+        }
     }
 
     /// What to tell now, if anything.
@@ -63,11 +115,15 @@
     /// assert_eq!(publisher.notice(UnixMs(950)), Some(Notice::NoNews));
     /// ```
     pub fn notice(&self, now: UnixMs) -> Option<Notice> {
-        let stale_at = self.stale_at?;
-        if now >= stale_at {
+        match self.standing {
             // The watch may hang; whoever follows had better ask the store.
-            return Some(Notice::NoNews);
+            Standing::Source { stale_at: until } | Standing::Begins { until } if now >= until => {
+                Some(Notice::NoNews)
+            }
+            Standing::Source { .. } if now >= self.told_at + self.pace.sign_ms => {
+                Some(Notice::Alive)
+            }
+            _ => None,
         }
-        (now >= self.told_at + self.pace.sign_ms).then_some(Notice::Alive)
     }
 }
--- a/crates/decisions/src/news_source/tests.rs
+++ b/crates/decisions/src/news_source/tests.rs
@@ -1,6 +1,7 @@
 use monsoonspread_model::{InstanceName, UnixMs};
 
-use super::{NewsSource, NewsSpan, NewsUse, Notice, Pace, Publisher, parts};
+use super::{FollowAnswer, NewsSource, NewsSpan, NewsUse, Notice, Pace, Publisher, SOURCES, parts};
+use crate::store_reach::StoreHealth;
 
 fn names(names: &[&str]) -> Vec<InstanceName> {
     names.iter().map(|name| (*name).into()).collect()
@@ -142,3 +143,81 @@
     assert_eq!(parts(&[1, 2, 2, 2, 3], 2), [1, 3, 1]);
     assert_eq!(parts(&[], 2), [0_usize; 0]);
 }
+
+/// An outage of the store, in a large zone: each instance asked all others of its zone, one after
+/// the other, before it asked the store, and began anew a second later.
+#[test]
+fn no_instance_searches_its_whole_zone_for_a_source() {
+    let zone: Vec<InstanceName> = (10..50).map(|n| format!("a-{n}").as_str().into()).collect();
+    let mut source = NewsSource::new("a-49".into());
+    let mut asked = 0;
+    while let Some(chosen) = source.choose(UnixMs(0), zone.iter()).cloned() {
+        source.on_declined(UnixMs(0), chosen);
+        asked += 1;
+    }
+    assert_eq!(asked, SOURCES);
+}
+
+/// An outage of five seconds: calls of each instance that follows the store.
+#[test]
+fn an_outage_is_asked_about_less_and_less_often() {
+    for (change_ms, most_calls) in [(2_000, 17), (4_000, 7)] {
+        let pace = Pace::new(change_ms);
+        let mut health = StoreHealth::default();
+        let (mut now, mut calls) = (UnixMs(0), 0);
+        while now < UnixMs(5_000) {
+            health.on_failure(now);
+            calls += 1;
+            now = now + health.retry_ms(pace.retry_ms);
+        }
+        assert!(calls <= most_calls, "{calls} calls");
+        // What changes as the store returns is known in time.
+        let noticed_ms = now.ms_since(UnixMs(5_000));
+        assert!(noticed_ms <= change_ms / 4);
+    }
+}
+
+/// One connection that is reset made every instance of the zone read the store.
+#[test]
+fn one_call_that_fails_ends_no_source() {
+    let pace = Pace::new(2_000);
+    let mut publisher = Publisher::new(pace);
+    publisher.on_begun(UnixMs(0));
+    publisher.on_read(UnixMs(0));
+    assert!(!publisher.on_failed());
+    assert_eq!(publisher.answer(UnixMs(300)), FollowAnswer::Known);
+    assert_eq!(
+        publisher.notice(UnixMs(pace.stale_ms)),
+        Some(Notice::NoNews)
+    );
+}
+
+/// The first source is lost, and the second one has yet to ask the store.
+#[test]
+fn an_instance_that_begins_to_follow_the_store_is_waited_for() {
+    let pace = Pace::new(2_000);
+    let mut publisher = Publisher::new(pace);
+    assert_eq!(publisher.answer(UnixMs(0)), FollowAnswer::NoNews);
+    publisher.on_begun(UnixMs(0));
+    assert_eq!(publisher.answer(UnixMs(1)), FollowAnswer::Later);
+    assert!(pace.begin_ms > pace.watch_ms);
+    assert_eq!(
+        publisher.notice(UnixMs(pace.begin_ms)),
+        Some(Notice::NoNews)
+    );
+    assert!(publisher.on_failed());
+    publisher.on_begun(UnixMs(400));
+    assert_eq!(publisher.answer(UnixMs(400)), FollowAnswer::NoNews);
+    assert!(!publisher.on_failed());
+}
+
+/// The store is out of reach of every source, and then of the instance that asks them in turn.
+#[test]
+fn sources_that_fail_in_turn_leave_time_to_read_the_store() {
+    for change_ms in [2_000, 3_000, 4_000] {
+        let pace = Pace::new(change_ms);
+        let others = SOURCES as u64 - 1;
+        let until_own_read_ms = pace.stale_ms + others * pace.begin_ms;
+        assert!(until_own_read_ms <= change_ms * 17 / 20);
+    }
+}
--- a/crates/decisions/src/store_reach/mod.rs
+++ b/crates/decisions/src/store_reach/mod.rs
@@ -14,6 +14,9 @@
 /// seconds on the platform, less the time for requests that are on their way then.
 pub const BACK_WITHIN_MS: u64 = 1_900;
 
+/// Pause after the first call that failed, in milliseconds; each further one doubles it.
+const RETRY_MS: u64 = 300;
+
 /// How well the store was reached lately.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct StoreReach {
@@ -26,7 +29,8 @@
 /// Whether the store answers.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct StoreHealth {
-    is_lost: bool,
+    /// Calls that failed in a row.
+    failures: u32,
     back_by: UnixMs,
     steady_from: UnixMs,
 }
@@ -34,7 +38,7 @@
 impl StoreHealth {
     /// A call was answered; true when the store was lost before.
     pub fn on_answer(&mut self, now: UnixMs) -> bool {
-        let is_back = std::mem::take(&mut self.is_lost);
+        let is_back = std::mem::take(&mut self.failures) > 0;
         if is_back {
             self.back_by = now + BACK_WITHIN_MS;
         }
@@ -44,7 +48,27 @@
     /// A call failed; true when the one before did not.
     pub fn on_failure(&mut self, now: UnixMs) -> bool {
         self.steady_from = now + CONFIRMED_FOR_MS;
-        !std::mem::replace(&mut self.is_lost, true)
+        self.failures = self.failures.saturating_add(1);
+        self.failures == 1
+    }
+
+    /// How long to wait after calls that failed, of `most_ms` where that is longer than the first
+    /// pause, in milliseconds.
+    ///
+    /// ```
+    /// use monsoonspread_decisions::store_reach::StoreHealth;
+    /// use monsoonspread_model::UnixMs;
+    ///
+    /// let mut health = StoreHealth::default();
+    /// let pauses = [0, 300, 900].map(|now| {
+    ///     health.on_failure(UnixMs(now));
+    ///     health.retry_ms(1_000)
+    /// });
+    /// assert_eq!(pauses, [300, 600, 1_000]);
+    /// ```
+    pub fn retry_ms(&self, most_ms: u64) -> u64 {
+        let doublings = self.failures.saturating_sub(1).min(8);
+        (RETRY_MS << doublings).min(most_ms.max(RETRY_MS))
     }
 
     /// How well the store was reached.
--- a/crates/relay/src/fleet/followers.rs
+++ b/crates/relay/src/fleet/followers.rs
@@ -4,7 +4,7 @@
 use std::collections::BTreeMap;
 
 use monsoonspread_borders::relay::RevisedChange;
-use monsoonspread_decisions::news_source::{Notice, Pace, Publisher, parts};
+use monsoonspread_decisions::news_source::{FollowAnswer, Notice, Pace, Publisher, parts};
 use monsoonspread_decisions::store_reach::StoreReach;
 use monsoonspread_model::{InstanceName, UnixMs};
 
@@ -41,10 +41,33 @@
         let now = shared.now();
         let until = now + FOLLOWS_MS;
         self.until.borrow_mut().insert(instance.clone(), until);
-        let reply = self.sign_of_life(now);
+        let reply = match self.publisher.get().answer(now) {
+            FollowAnswer::Known => self.sign_of_life(now),
+            FollowAnswer::Later => return,
+            FollowAnswer::NoNews => PeerReply::NoNews,
+        };
         shared.incoming.reply(instance, reply);
     }
 
+    /// This instance follows the store from now on.
+    pub fn on_follows_store(&self, shared: &Shared) {
+        self.publish(|publisher| publisher.on_begun(shared.now()));
+    }
+
+    /// This instance hears from another one from now on.
+    pub fn on_follows_other(&self, shared: &Shared) {
+        if self.publish(Publisher::on_follows) {
+            self.tell(shared, PeerReply::NoNews);
+        }
+    }
+
+    /// The store did not answer a call.
+    pub fn on_failed(&self, shared: &Shared) {
+        if self.publish(Publisher::on_failed) {
+            self.tell(shared, PeerReply::NoNews);
+        }
+    }
+
     /// This instance read what changed from revision `after` to `up_to`; `changes` are those
     /// that matter.
     pub fn on_read(
@@ -102,19 +125,15 @@
         self.tell(shared, reply);
     }
 
-    /// This instance doesn't follow the store, or has trouble with it.
-    pub fn on_no_news(&self, shared: &Shared) {
-        if self.publish(Publisher::on_lost) {
-            self.tell(shared, PeerReply::NoNews);
-        }
-    }
-
     /// Time has passed.
     pub fn on_tick(&self, shared: &Shared) {
         match self.publisher.get().notice(shared.now()) {
             None => {}
             Some(Notice::Alive) => self.tell(shared, self.sign_of_life(shared.now())),
-            Some(Notice::NoNews) => self.on_no_news(shared),
+            Some(Notice::NoNews) => {
+                self.publish(Publisher::on_lost);
+                self.tell(shared, PeerReply::NoNews);
+            }
         }
     }
 
@@ -126,9 +145,6 @@
     }
 
     fn sign_of_life(&self, now: UnixMs) -> PeerReply {
-        if !self.publisher.get().is_source(now) {
-            return PeerReply::NoNews;
-        }
         let (revision, reach) = self.last_read.get();
         PeerReply::News(PeerNews {
             after: revision,
--- a/crates/relay/src/fleet/source.rs
+++ b/crates/relay/src/fleet/source.rs
@@ -1,5 +1,6 @@
 //! News of the store from another instance of the zone.
 
+use std::future::pending;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -15,6 +16,15 @@
 /// How often the source is asked to go on, in milliseconds.
 const ASK_EVERY_MS: u64 = 1_000;
 
+/// What was heard from the source.
+pub(super) enum Heard {
+    News(PeerNews),
+    /// It has none to tell, and another source is needed.
+    NoNews,
+    /// It was silent for too long, and another source is needed.
+    Nothing,
+}
+
 /// News of the store from another instance of the zone.
 pub(super) struct Source {
     choice: NewsSource,
@@ -58,12 +68,12 @@
         source
     }
 
-    /// The next news of the source; `None` when it has none to tell and another one is needed.
+    /// The next news of the source.
     pub(super) async fn next(
         &mut self,
         shared: &Shared,
         (name, address): &(InstanceName, SocketAddr),
-    ) -> Option<PeerNews> {
+    ) -> Heard {
         let now = shared.now();
         if now >= self.ask_at {
             self.ask_at = now + ASK_EVERY_MS;
@@ -71,23 +81,28 @@
         }
         let heard = async {
             loop {
-                let (from, news) = self.heard.recv().await?;
-                if from == *name {
-                    return news;
+                match self.heard.recv().await {
+                    Some((from, news)) if from == *name => return news,
+                    Some(_) => {}
+                    // Nothing more will be heard; the wait ends as with a silent source.
+                    None => pending().await,
                 }
             }
         };
         let news = timeout(Duration::from_millis(self.silent_ms), heard).await;
         let now = shared.now();
-        match &news {
-            Ok(Some(_)) => {}
-            Ok(None) => self.choice.on_declined(now, name.clone()),
-            Err(_) => self.choice.on_silent(now, name.clone()),
-        }
-        let news = news.ok().flatten();
-        if news.is_none() {
-            Line::new(&kind::NEWS_LOST).field("source", name).log();
-        }
-        news
+        let heard = match news {
+            Ok(Some(news)) => return Heard::News(news),
+            Ok(None) => {
+                self.choice.on_declined(now, name.clone());
+                Heard::NoNews
+            }
+            Err(_) => {
+                self.choice.on_silent(now, name.clone());
+                Heard::Nothing
+            }
+        };
+        Line::new(&kind::NEWS_LOST).field("source", name).log();
+        heard
     }
 }
--- a/crates/relay/src/fleet/watcher.rs
+++ b/crates/relay/src/fleet/watcher.rs
@@ -13,12 +13,10 @@
 use crate::peers::{PeerNews, SourcedNews};
 use crate::shared::Shared;
 
-use super::source::Source;
+use super::source::{Heard, Source};
 
 /// Wait of a call for changes that are known to be there, in milliseconds.
 const AT_ONCE_MS: u64 = 1;
-/// Pause after a call that failed, in milliseconds.
-const RETRY_MS: u64 = 300;
 
 /// Follows the store's changes for good, itself or through another instance of the zone.
 pub async fn watch_store(shared: Rc<Shared>, heard: UnboundedReceiver<SourcedNews>) {
@@ -44,8 +42,7 @@
             }
             Err(error) => on_failure(&shared, &mut health, &error),
         }
-        shared.followers.on_no_news(&shared);
-        sleep(Duration::from_millis(RETRY_MS)).await;
+        sleep(Duration::from_millis(health.retry_ms(pace.retry_ms))).await;
     }
 }
 
@@ -67,10 +64,12 @@
             let step = match source.choose(self.shared) {
                 None => self.watch().await,
                 Some(named) => {
-                    self.shared.followers.on_no_news(self.shared);
+                    self.shared.followers.on_follows_other(self.shared);
                     match source.next(self.shared, &named).await {
-                        Some(news) => self.on_news(news).await,
-                        None => Ok(()),
+                        Heard::News(news) => self.on_news(news).await,
+                        Heard::NoNews => Ok(()),
+                        // The time in which changes are to be known has nearly passed.
+                        Heard::Nothing => self.read(AT_ONCE_MS).await.map(|_| ()),
                     }
                 }
             };
@@ -82,6 +81,7 @@
 
     /// One watch of this instance's own.
     async fn watch(&mut self) -> Result<(), HistoryGone> {
+        self.shared.followers.on_follows_store(self.shared);
         let asked_at = Instant::now();
         if let Some((after, changes, reach)) = self.read(self.pace.watch_ms).await? {
             let span = (after, self.revision);
@@ -90,7 +90,7 @@
                 .on_read(self.shared, span, changes, reach);
             sleep_until(asked_at + Duration::from_millis(self.pace.gather_ms)).await;
         } else {
-            self.shared.followers.on_no_news(self.shared);
+            self.shared.followers.on_failed(self.shared);
         }
         Ok(())
     }
@@ -148,7 +148,8 @@
             }
             Err(error) => {
                 on_failure(self.shared, self.health, &error);
-                sleep(Duration::from_millis(RETRY_MS)).await;
+                let pause_ms = self.health.retry_ms(self.pace.retry_ms);
+                sleep(Duration::from_millis(pause_ms)).await;
                 Ok(None)
             }
         }
