Count a long prompt for 1,500 unread tokens at an engine

Every prompt that is not read yet is read by a piece of some 500 tokens in each step, and an event of a stream takes a few steps, so that one long prompt beside 1,800 tokens of short ones made streams pause for over their 500 ms where a neighbour pressed on the engine's machine.

--- a/crates/decisions/src/copies/unread_prompts.rs
+++ b/crates/decisions/src/copies/unread_prompts.rs
@@ -15,7 +15,7 @@
 /// Two prompts of usual length: while one is read the next is on its way.
 const MAX_UNREAD_TOKENS: u32 = 2_800;
 /// Most tokens that a prompt counts for: an engine reads longer ones in several steps.
-const MAX_COUNTED_TOKENS: u32 = 1_000;
+const MAX_COUNTED_TOKENS: u32 = 1_500;
 /// How long an engine's word on its slowness is believed, in milliseconds: about the time for
 /// which a neighbour on its machine presses.
 const SLOWNESS_MS: u64 = 500;
