Let a source of a zone repeat a failed call before it is stale

Cause: where a watch ended at once with changes, the next one begins a quarter of the bound later; when it fails and is repeated after 300 ms with the usual wait for changes (a tenth of the bound), its answer comes 1,000 ms after the last one with a bound of 2 s, and the source was stale after 900. Ruled out: load; the sum doesn't depend on it.

The first repetition comes after 150 ms and waits for no changes. Test: a_source_has_time_for_a_second_call fails with 300 ms.

--- a/crates/decisions/src/news_source/tests.rs
+++ b/crates/decisions/src/news_source/tests.rs
@@ -161,7 +161,7 @@
 /// An outage of five seconds: calls of each instance that follows the store.
 #[test]
 fn an_outage_is_asked_about_less_and_less_often() {
-    for (change_ms, most_calls) in [(2_000, 17), (4_000, 7)] {
+    for (change_ms, most_calls) in [(2_000, 18), (4_000, 7)] {
         let pace = Pace::new(change_ms);
         let mut health = StoreHealth::default();
         let (mut now, mut calls) = (UnixMs(0), 0);
@@ -192,6 +192,18 @@
     );
 }
 
+/// A watch that ended at once with changes is followed by a pause, then by one that fails.
+#[test]
+fn a_source_has_time_for_a_second_call() {
+    for change_ms in [2_000, 3_000, 4_000] {
+        let pace = Pace::new(change_ms);
+        let mut health = StoreHealth::default();
+        health.on_failure(UnixMs(0));
+        let answered_after_ms = pace.gather_ms + health.retry_ms(pace.retry_ms);
+        assert!(answered_after_ms + pace.sign_ms / 2 < pace.stale_ms);
+    }
+}
+
 /// The first source is lost, and the second one has yet to ask the store.
 #[test]
 fn an_instance_that_begins_to_follow_the_store_is_waited_for() {
--- a/crates/decisions/src/store_reach/mod.rs
+++ b/crates/decisions/src/store_reach/mod.rs
@@ -14,8 +14,12 @@
 /// seconds on the platform, less the time for requests that are on their way then.
 pub const BACK_WITHIN_MS: u64 = 1_900;
 
-/// Pause after the first call that failed, in milliseconds; each further one doubles it.
-const RETRY_MS: u64 = 300;
+/// Pause after the first call that failed, in milliseconds; each further one doubles it. A source of
+/// a zone is still one after this and a call.
+const RETRY_MS: u64 = 150;
+/// Least bound on these pauses, in milliseconds: the store's return is noticed well within the least
+/// bound for changes.
+const MOST_RETRY_MS: u64 = 300;
 
 /// How well the store was reached lately.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
@@ -52,23 +56,28 @@
         self.failures == 1
     }
 
-    /// How long to wait after calls that failed, of `most_ms` where that is longer than the first
-    /// pause, in milliseconds.
+    /// Whether the call before failed.
+    pub fn is_lost(&self) -> bool {
+        self.failures > 0
+    }
+
+    /// How long to wait after calls that failed, `most_ms` or a fixed least bound at the most, in
+    /// milliseconds.
     ///
     /// ```
     /// use monsoonspread_decisions::store_reach::StoreHealth;
     /// use monsoonspread_model::UnixMs;
     ///
     /// let mut health = StoreHealth::default();
-    /// let pauses = [0, 300, 900].map(|now| {
+    /// let pauses = [0, 150, 450].map(|now| {
     ///     health.on_failure(UnixMs(now));
-    ///     health.retry_ms(1_000)
+    ///     health.retry_ms(500)
     /// });
-    /// assert_eq!(pauses, [300, 600, 1_000]);
+    /// assert_eq!(pauses, [150, 300, 500]);
     /// ```
     pub fn retry_ms(&self, most_ms: u64) -> u64 {
         let doublings = self.failures.saturating_sub(1).min(8);
-        (RETRY_MS << doublings).min(most_ms.max(RETRY_MS))
+        (RETRY_MS << doublings).min(most_ms.max(MOST_RETRY_MS))
     }
 
     /// How well the store was reached.
--- a/crates/relay/src/fleet/watcher.rs
+++ b/crates/relay/src/fleet/watcher.rs
@@ -83,7 +83,13 @@
     async fn watch(&mut self) -> Result<(), HistoryGone> {
         self.shared.followers.on_follows_store(self.shared);
         let asked_at = Instant::now();
-        if let Some((after, changes, reach)) = self.read(self.pace.watch_ms).await? {
+        // After a call that failed, followers wait for an answer more urgently than for changes.
+        let wait_ms = if self.health.is_lost() {
+            AT_ONCE_MS
+        } else {
+            self.pace.watch_ms
+        };
+        if let Some((after, changes, reach)) = self.read(wait_ms).await? {
             let span = (after, self.revision);
             self.shared
                 .followers
