Break off what an upstream sends without end

- An event that never ends, on a route that may be resumed: it was gathered without a bound, and searched for its end from the start at each piece.
- Early hints without end: they are read in one turn of the connection for as long as there are some, and nothing else runs meanwhile.
- Bodies whose bytes are always there when they are asked for had no end: the deadline was looked at only while nothing had come.
What has come is delivered for one more second.

--- a/crates/borders/src/engine/vllm_engine.rs
+++ b/crates/borders/src/engine/vllm_engine.rs
@@ -142,7 +142,7 @@
             .start(builder, body_of(&request)?, HEADERS_TIMEOUT_MS)
             .await?;
         if response.status() != StatusCode::OK {
-            let reply = http::whole(response).await?;
+            let reply = http::whole(response, http::MAX_REPLY_BYTES).await?;
             return Err(refusal(&reply, &request.copy));
         }
         let (sender, events) = mpsc::channel(EVENTS_CAPACITY);
--- a/crates/borders/src/http/http_client.rs
+++ b/crates/borders/src/http/http_client.rs
@@ -17,13 +17,15 @@
 
 const CONNECT_TIMEOUT_MS: u64 = 300;
 const IDLE_TIMEOUT_MS: u64 = 20_000;
-const MAX_REPLY_BYTES: usize = 64 * 1024 * 1024;
+/// Longest answer, in bytes: that of a store which holds a whole fleet.
+pub(crate) const MAX_REPLY_BYTES: usize = 64 * 1024 * 1024;
 
 /// An HTTP/1.1 client with pooled connections that never sends a request twice.
 #[derive(Clone, Debug)]
 pub struct HttpClient {
     client: Client<HttpConnector, Full<Bytes>>,
     peer_name: Option<HeaderValue>,
+    most_reply_bytes: usize,
 }
 
 impl HttpClient {
@@ -45,6 +47,7 @@
         Self {
             client,
             peer_name: None,
+            most_reply_bytes: MAX_REPLY_BYTES,
         }
     }
 
@@ -60,6 +63,18 @@
         self
     }
 
+    /// Takes answers of at most so many bytes; longer ones count as lost.
+    ///
+    /// ```
+    /// # use monsoonspread_borders::http::HttpClient;
+    /// let client = HttpClient::new().with_most_reply_bytes(1_024);
+    /// ```
+    #[must_use]
+    pub fn with_most_reply_bytes(mut self, bytes: usize) -> Self {
+        self.most_reply_bytes = bytes;
+        self
+    }
+
     /// Reads `path` at `address`.
     ///
     /// # Errors
@@ -126,7 +141,7 @@
     ) -> Result<Reply, SendError> {
         let exchange = async {
             let response = self.start(builder, body, timeout_ms).await?;
-            whole(response).await
+            whole(response, self.most_reply_bytes).await
         };
         tokio::time::timeout(Duration::from_millis(timeout_ms), exchange)
             .await
@@ -144,10 +159,13 @@
     SendError::AnswerLost(format!("no answer within {timeout_ms} ms"))
 }
 
-/// Reads the whole body of an answer.
-pub(crate) async fn whole(response: Response<Incoming>) -> Result<Reply, SendError> {
+/// Reads the whole body of an answer of at most so many bytes.
+pub(crate) async fn whole(
+    response: Response<Incoming>,
+    most_bytes: usize,
+) -> Result<Reply, SendError> {
     let (head, body) = response.into_parts();
-    let body = Limited::new(body, MAX_REPLY_BYTES)
+    let body = Limited::new(body, most_bytes)
         .collect()
         .await
         .map_err(|error| SendError::AnswerLost(error.to_string()))?
--- a/crates/decisions/src/event_cut/mod.rs
+++ b/crates/decisions/src/event_cut/mod.rs
@@ -6,6 +6,17 @@
 #[cfg(test)]
 mod tests;
 
+use displaydoc::Display;
+use thiserror::Error;
+
+/// Longest event, in bytes: many times what a model says in one, and little beside the memory of
+/// an instance.
+pub const MAX_EVENT_BYTES: usize = 256 * 1024;
+
+/// an event is longer than 256 KB
+#[derive(Clone, Copy, Debug, Display, Eq, Error, PartialEq)]
+pub struct EventTooLong;
+
 /// Cuts a stream of server-sent events at their ends.
 #[derive(Debug, Default)]
 pub struct EventCut {
@@ -21,21 +32,32 @@
 
     /// Takes bytes from the upstream and returns those of every event that is whole now.
     ///
+    /// # Errors
+    ///
+    /// Fails when an event grows beyond [`MAX_EVENT_BYTES`].
+    ///
     /// ```
-    /// # use monsoonspread_decisions::event_cut::EventCut;
+    /// # use monsoonspread_decisions::event_cut::{EventCut, EventTooLong};
     /// let mut cut = EventCut::new();
-    /// assert_eq!(cut.push(b"id: 4\ndata: a\n\nid: 5\nda"), b"id: 4\ndata: a\n\n");
+    /// assert_eq!(cut.push(b"id: 4\ndata: a\n\nid: 5\nda")?, b"id: 4\ndata: a\n\n");
     /// assert_eq!(cut.last_id(), Some(4));
+    /// # Ok::<(), EventTooLong>(())
     /// ```
-    pub fn push(&mut self, bytes: &[u8]) -> Vec<u8> {
+    pub fn push(&mut self, bytes: &[u8]) -> Result<Vec<u8>, EventTooLong> {
+        // Before that, no end was found; it may begin in the last three bytes.
+        let searched = self.partial.len().saturating_sub(LONGEST_END - 1);
         self.partial.extend_from_slice(bytes);
-        let Some(end) = last_event_end(&self.partial) else {
-            return Vec::new();
+        let Some(end) = last_event_end(&self.partial[searched..]) else {
+            if self.partial.len() > MAX_EVENT_BYTES {
+                return Err(EventTooLong);
+            }
+            return Ok(Vec::new());
         };
+        let end = searched + end;
         let rest = self.partial.split_off(end);
         let whole = std::mem::replace(&mut self.partial, rest);
         self.last_id = last_id(&whole).or(self.last_id);
-        whole
+        Ok(whole)
     }
 
     /// Id of the last whole event.
@@ -54,6 +76,9 @@
     }
 }
 
+/// Bytes of the longest mark at the end of an event.
+const LONGEST_END: usize = 4;
+
 fn last_event_end(bytes: &[u8]) -> Option<usize> {
     let ends = bytes.windows(2).rposition(|pair| pair == b"\n\n");
     let crlf_ends = bytes.windows(4).rposition(|four| four == b"\r\n\r\n");
--- a/crates/decisions/src/event_cut/tests.rs
+++ b/crates/decisions/src/event_cut/tests.rs
@@ -1,4 +1,4 @@
-use super::EventCut;
+use super::{EventCut, EventTooLong, MAX_EVENT_BYTES};
 
 #[test]
 fn every_way_of_splitting_gives_the_same_events() {
@@ -8,7 +8,7 @@
         let mut cut = EventCut::new();
         let passed: Vec<u8> = stream
             .chunks(size)
-            .flat_map(|part| cut.push(part))
+            .flat_map(|part| cut.push(part).expect("short events"))
             .collect();
         assert_eq!(passed, whole, "in pieces of {size} bytes");
         assert_eq!(cut.last_id(), Some(3));
@@ -19,8 +19,19 @@
 #[test]
 fn a_run_elsewhere_joins_on_at_the_border_of_an_event() {
     let mut cut = EventCut::new();
-    let mut passed = cut.push(b"id: 1\ndata: a\n\nid: 2\nda");
+    let mut passed = cut.push(b"id: 1\ndata: a\n\nid: 2\nda").expect("short");
     cut.drop_partial();
-    passed.extend(cut.push(b"id: 2\ndata: b\n\n"));
+    passed.extend(cut.push(b"id: 2\ndata: b\n\n").expect("short"));
     assert_eq!(passed, b"id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
 }
+
+/// A server in trouble sends bytes without end, and no event is ever whole.
+#[test]
+fn an_event_without_end_is_given_up() {
+    let mut cut = EventCut::new();
+    let piece = [b'x'; 1_000];
+    let pieces = (1..).find(|_| cut.push(&piece) == Err(EventTooLong));
+    assert_eq!(pieces, Some(MAX_EVENT_BYTES / piece.len() + 1));
+    cut.drop_partial();
+    assert_eq!(cut.push(b"id: 1\n\n"), Ok(b"id: 1\n\n".to_vec()));
+}
--- a/crates/relay/src/call/body.rs
+++ b/crates/relay/src/call/body.rs
@@ -11,6 +11,7 @@
 use tokio::time::{Instant, Sleep};
 
 use super::answer::AnswerEnd;
+use super::pass_on::is_delivered;
 
 /// Why an answer ends early; the client sees its connection closed.
 #[derive(Clone, Debug, Display, Error)]
@@ -60,13 +61,18 @@
 }
 
 impl PassedBody {
+    fn too_late(&mut self) -> BodyError {
+        self.end.on_broken("deadline");
+        BodyError::TooLate
+    }
+
     fn poll(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
         let frame = match Pin::new(&mut self.incoming).poll_frame(cx) {
-            Poll::Ready(frame) => frame,
+            Poll::Ready(frame) if is_delivered(self.ends_by.deadline()) => frame,
+            Poll::Ready(_) => return Poll::Ready(Some(Err(self.too_late()))),
             Poll::Pending => {
                 ready!(self.ends_by.as_mut().poll(cx));
-                self.end.on_broken("deadline");
-                return Poll::Ready(Some(Err(BodyError::TooLate)));
+                return Poll::Ready(Some(Err(self.too_late())));
             }
         };
         match frame {
--- a/crates/relay/src/call/pass_on.rs
+++ b/crates/relay/src/call/pass_on.rs
@@ -15,6 +15,10 @@
 /// Allowance for the upstream to end an answer at its deadline itself, in milliseconds.
 const END_SLACK_MS: u64 = 100;
 
+/// How long what has come of an answer is passed on after its deadline, in milliseconds: bytes
+/// without end are always there when they are asked for.
+const READY_MS: u64 = 1_000;
+
 /// Passes an answer on as it comes.
 pub(super) fn pass_on(
     shared: &Rc<Shared>,
@@ -33,6 +37,11 @@
     Instant::now() + Duration::from_millis(left_ms)
 }
 
+/// Whether bytes that have come are still passed on, of an answer that is broken off at `ends_by`.
+pub(super) fn is_delivered(ends_by: Instant) -> bool {
+    Instant::now() < ends_by + Duration::from_millis(READY_MS)
+}
+
 /// Logs the end of a request that got no answer of an upstream.
 pub(super) fn log_end(shared: &Shared, request: &RelayRequest, outcome: &str, status: StatusCode) {
     shared.metrics.count("answers", "failed");
--- a/crates/relay/src/call/resume.rs
+++ b/crates/relay/src/call/resume.rs
@@ -7,13 +7,13 @@
 use hyper::body::Incoming;
 use hyper::header::CONTENT_LENGTH;
 use monsoonspread_decisions::event_cut::EventCut;
-use tokio::time::timeout_at;
+use tokio::time::{Instant, timeout_at};
 
 use super::RelayBody;
 use super::answer::AnswerEnd;
 use super::body::BodyError;
 use super::model_call::ModelCall;
-use super::pass_on::ends_by;
+use super::pass_on::{ends_by, is_delivered};
 use super::run::Run;
 
 /// Passes on whole events, and those of the next engine after a break.
@@ -24,6 +24,7 @@
     super::headers::remove_hop_headers(&mut head.headers);
     head.headers.remove(CONTENT_LENGTH);
     let resumable = Resumable {
+        ends_by: ends_by(&call.shared, &call.request),
         call,
         source: Some(source),
         cut: EventCut::new(),
@@ -52,6 +53,7 @@
     call: ModelCall,
     /// `None` after the end.
     source: Option<Source>,
+    ends_by: Instant,
     cut: EventCut,
 }
 
@@ -60,8 +62,9 @@
     async fn next(&mut self) -> Option<Result<Bytes, BodyError>> {
         loop {
             let source = self.source.as_mut()?;
-            let ends_by = ends_by(&self.call.shared, &self.call.request);
-            let Ok(frame) = timeout_at(ends_by, source.body.frame()).await else {
+            let frame = timeout_at(self.ends_by, source.body.frame()).await;
+            let frame = frame.ok().filter(|_| is_delivered(self.ends_by));
+            let Some(frame) = frame else {
                 source.end.on_broken("deadline");
                 self.source = None;
                 return Some(Err(BodyError::TooLate));
@@ -72,9 +75,16 @@
                     let Ok(bytes) = frame.into_data() else {
                         continue;
                     };
-                    let whole = self.cut.push(&bytes);
-                    if !whole.is_empty() {
-                        return Some(Ok(whole.into()));
+                    match self.cut.push(&bytes) {
+                        Ok(whole) if whole.is_empty() => {}
+                        Ok(whole) => return Some(Ok(whole.into())),
+                        Err(error) => {
+                            source.end.on_broken("event without end");
+                            self.source = None;
+                            if let Err(error) = self.go_on(error.to_string()).await {
+                                return Some(Err(error));
+                            }
+                        }
                     }
                 }
                 None => {
--- /dev/null
+++ b/crates/relay/src/connection/head_limit.rs
@@ -0,0 +1,103 @@
+//! A bound on what an upstream sends before the head of its answer is complete.
+
+use std::cell::Cell;
+use std::io;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll, ready};
+
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+
+/// Most bytes of a head and of what comes before it, early hints above all: some ten times what
+/// an answer's headers take.
+const MAX_HEAD_BYTES: usize = 64 * 1024;
+/// Bytes that are read at once before the head is complete: what follows it in the same piece
+/// counts as well.
+const HEAD_PIECE_BYTES: usize = 4 * 1024;
+
+/// How much an upstream may still send before the head of its answer is complete.
+#[derive(Clone, Debug, Default)]
+pub(super) struct HeadLimit {
+    /// `None` once the head is there.
+    left: Rc<Cell<Option<usize>>>,
+}
+
+impl HeadLimit {
+    /// A request is about to be sent.
+    pub(super) fn on_request(&self) {
+        self.left.set(Some(MAX_HEAD_BYTES));
+    }
+
+    /// The head of the answer is complete.
+    pub(super) fn on_head(&self) {
+        self.left.set(None);
+    }
+}
+
+/// A connection on which heads without end count as broken.
+#[derive(Debug)]
+pub(super) struct LimitedStream {
+    stream: TcpStream,
+    limit: HeadLimit,
+}
+
+impl LimitedStream {
+    /// Bounds heads on `stream` by `limit`.
+    pub(super) fn new(stream: TcpStream, limit: HeadLimit) -> Self {
+        Self { stream, limit }
+    }
+}
+
+impl AsyncRead for LimitedStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let Some(left) = self.limit.left.get() else {
+            return Pin::new(&mut self.stream).poll_read(cx, buffer);
+        };
+        if left == 0 {
+            let problem = format!("no head of an answer within {MAX_HEAD_BYTES} bytes");
+            return Poll::Ready(Err(io::Error::new(io::ErrorKind::InvalidData, problem)));
+        }
+        let mut piece = [0; HEAD_PIECE_BYTES];
+        let most = left.min(buffer.remaining()).min(HEAD_PIECE_BYTES);
+        let mut piece = ReadBuf::new(&mut piece[..most]);
+        ready!(Pin::new(&mut self.stream).poll_read(cx, &mut piece))?;
+        buffer.put_slice(piece.filled());
+        self.limit.left.set(Some(left - piece.filled().len()));
+        Poll::Ready(Ok(()))
+    }
+}
+
+impl AsyncWrite for LimitedStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(cx, bytes)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        slices: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write_vectored(cx, slices)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+}
--- a/crates/relay/src/connection/mod.rs
+++ b/crates/relay/src/connection/mod.rs
@@ -1,5 +1,6 @@
 //! Connections to upstreams.
 
+mod head_limit;
 mod pool;
 mod sender;
 
--- a/crates/relay/src/connection/sender.rs
+++ b/crates/relay/src/connection/sender.rs
@@ -13,6 +13,8 @@
 use thiserror::Error;
 use tokio::net::TcpStream;
 
+use super::head_limit::{HeadLimit, LimitedStream};
+
 /// Time to connect, in milliseconds: a connection takes one, and a lost packet is sent again
 /// after 200 to 1,000.
 const CONNECT_TIMEOUT_MS: u64 = 400;
@@ -30,6 +32,7 @@
 #[derive(Debug)]
 pub struct UpstreamSender {
     sender: SendRequest<Full<Bytes>>,
+    head_limit: HeadLimit,
 }
 
 impl UpstreamSender {
@@ -47,6 +50,8 @@
         stream
             .set_nodelay(true)
             .map_err(|error| SendFailure::NotSent(error.to_string()))?;
+        let head_limit = HeadLimit::default();
+        let stream = LimitedStream::new(stream, head_limit.clone());
         let (sender, connection) = handshake(TokioIo::new(stream))
             .await
             .map_err(|error| SendFailure::NotSent(error.to_string()))?;
@@ -54,7 +59,7 @@
             // What goes wrong here is told to the request on this connection.
             let _ = connection.await;
         });
-        Ok(Self { sender })
+        Ok(Self { sender, head_limit })
     }
 
     /// Whether a request may be sent now.
@@ -71,17 +76,17 @@
         &mut self,
         request: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, SendFailure> {
-        self.sender
-            .try_send_request(request)
-            .await
-            .map_err(|mut failed| {
-                let never_written = failed.take_message().is_some();
-                let why = failed.into_error().to_string();
-                if never_written {
-                    SendFailure::NotSent(why)
-                } else {
-                    SendFailure::AnswerLost(why)
-                }
-            })
+        self.head_limit.on_request();
+        let answered = self.sender.try_send_request(request).await;
+        self.head_limit.on_head();
+        answered.map_err(|mut failed| {
+            let never_written = failed.take_message().is_some();
+            let why = failed.into_error().to_string();
+            if never_written {
+                SendFailure::NotSent(why)
+            } else {
+                SendFailure::AnswerLost(why)
+            }
+        })
     }
 }
