Log a fingerprint that copies of a request share

Copies of a request come with other ids, so that the log could not tell a request that ends one server after another from many requests that each met a bad server, nor an instance that forgets from instances that don't tell each other. MR2001, MR2002 and MR2005 now bear a hash of method, host, path, query and body. The entry program's hash of adapter and body becomes the same type, Fingerprint.

--- a/crates/decisions/src/dispatch/action.rs
+++ b/crates/decisions/src/dispatch/action.rs
@@ -1,7 +1,7 @@
 //! What the dispatcher wants done.
 
 use monsoonspread_model::message::{Announce, CrashNotice, GrantRequest, GrantReturn, RequestId};
-use monsoonspread_model::{CopyName, InstanceName, Refusal, UpstreamName};
+use monsoonspread_model::{CopyName, Fingerprint, InstanceName, Refusal, UpstreamName};
 
 use super::AttemptId;
 
@@ -100,6 +100,6 @@
     /// A request crashed its second upstream and is refused from now on.
     Quarantined {
         /// The request's fingerprint.
-        fingerprint: u64,
+        fingerprint: Fingerprint,
     },
 }
--- a/crates/decisions/src/dispatch/dispatcher.rs
+++ b/crates/decisions/src/dispatch/dispatcher.rs
@@ -6,7 +6,7 @@
     Announce, AnnounceRequest, CrashNotice, GrantAnswer, GrantReply, HeldGrant, RequestId,
 };
 use monsoonspread_model::{
-    Epoch, InstanceName, Refusal, RefusalReason, UnixMs, UpstreamName, ZoneName,
+    Epoch, Fingerprint, InstanceName, Refusal, RefusalReason, UnixMs, UpstreamName, ZoneName,
 };
 
 use super::action::{DispatchAction, DispatchEvent};
@@ -335,7 +335,11 @@
         release(state, actions);
     }
 
-    pub(super) fn quarantine_event(&self, now: UnixMs, fingerprint: u64) -> Vec<DispatchAction> {
+    pub(super) fn quarantine_event(
+        &self,
+        now: UnixMs,
+        fingerprint: Fingerprint,
+    ) -> Vec<DispatchAction> {
         if self.quarantine.refused_until(now, fingerprint).is_none() {
             return Vec::new();
         }
--- a/crates/decisions/src/dispatch/request.rs
+++ b/crates/decisions/src/dispatch/request.rs
@@ -1,7 +1,9 @@
 //! Admitted requests.
 
 use monsoonspread_model::message::RequestId;
-use monsoonspread_model::{AdapterRef, BundleVersion, CallerName, RequestClass, UnixMs};
+use monsoonspread_model::{
+    AdapterRef, BundleVersion, CallerName, Fingerprint, RequestClass, UnixMs,
+};
 
 /// A model request that passed every filter.
 #[derive(Clone, Debug, PartialEq)]
@@ -23,7 +25,7 @@
     /// The bundle version under which it was resolved.
     pub bundle_version: BundleVersion,
     /// Hash of adapter and body, by which crashes are counted.
-    pub fingerprint: u64,
+    pub fingerprint: Fingerprint,
     /// Whether a broken stream can go on from the tokens that arrived.
     pub resumable: bool,
 }
--- a/crates/decisions/src/dispatch/tests/rules.rs
+++ b/crates/decisions/src/dispatch/tests/rules.rs
@@ -1,7 +1,7 @@
 //! One rule of the dispatcher a test.
 
 use monsoonspread_model::message::{CrashNotice, GrantAnswer};
-use monsoonspread_model::{Epoch, Refusal, RefusalReason, RequestClass, UnixMs};
+use monsoonspread_model::{Epoch, Fingerprint, Refusal, RefusalReason, RequestClass, UnixMs};
 
 use super::world::{World, upstream};
 use crate::dispatch::{AttemptId, DispatchSettings, EndKind};
@@ -155,7 +155,7 @@
     let mut world = world();
     for number in 0..2 {
         let notice = CrashNotice {
-            fingerprint: 1,
+            fingerprint: Fingerprint(1),
             upstream: upstream(number),
             seen_at_unix_ms: world.now,
         };
--- a/crates/decisions/src/dispatch/tests/world.rs
+++ b/crates/decisions/src/dispatch/tests/world.rs
@@ -4,7 +4,7 @@
 
 use monsoonspread_model::message::{GrantAnswer, GrantId, GrantReply, RequestId};
 use monsoonspread_model::{
-    AdapterRef, BundleVersion, Epoch, Refusal, RequestClass, UnixMs, UpstreamName,
+    AdapterRef, BundleVersion, Epoch, Fingerprint, Refusal, RequestClass, UnixMs, UpstreamName,
 };
 
 use crate::dispatch::{
@@ -79,7 +79,7 @@
                 tokens: 40,
                 deadline_unix_ms: self.now + 1_000,
                 bundle_version: BundleVersion(1),
-                fingerprint: id % 5,
+                fingerprint: Fingerprint(id % 5),
                 resumable,
             },
         );
--- a/crates/decisions/src/quarantine/mod.rs
+++ b/crates/decisions/src/quarantine/mod.rs
@@ -8,8 +8,8 @@
 
 use std::collections::HashMap;
 
-use monsoonspread_model::UnixMs;
 use monsoonspread_model::message::CrashNotice;
+use monsoonspread_model::{Fingerprint, UnixMs};
 use serde::Serialize;
 
 /// Crashes on different upstreams after which a request is kept from all.
@@ -22,7 +22,7 @@
 /// Crashes seen, by fingerprint of the request.
 #[derive(Debug, Default)]
 pub struct Quarantine {
-    crashes: HashMap<u64, Vec<CrashNotice>>,
+    crashes: HashMap<Fingerprint, Vec<CrashNotice>>,
 }
 
 /// What a dump shows of the quarantine.
@@ -39,8 +39,8 @@
     ///
     /// ```
     /// # use monsoonspread_decisions::quarantine::Quarantine;
-    /// # use monsoonspread_model::UnixMs;
-    /// assert_eq!(Quarantine::new().refused_until(UnixMs(0), 7), None);
+    /// # use monsoonspread_model::{Fingerprint, UnixMs};
+    /// assert_eq!(Quarantine::new().refused_until(UnixMs(0), Fingerprint(7)), None);
     /// ```
     pub fn new() -> Self {
         Self::default()
@@ -61,7 +61,7 @@
     }
 
     /// When the request may come back; `None` when it is not quarantined.
-    pub fn refused_until(&self, now: UnixMs, fingerprint: u64) -> Option<UnixMs> {
+    pub fn refused_until(&self, now: UnixMs, fingerprint: Fingerprint) -> Option<UnixMs> {
         let crashes = self.crashes.get(&fingerprint)?;
         let recent = crashes.iter().filter(|crash| !is_over(now, crash));
         let ends: Vec<UnixMs> = recent.map(ends_at).collect();
@@ -72,7 +72,7 @@
     }
 
     /// Whether the request crashed an upstream before.
-    pub fn is_suspected(&self, now: UnixMs, fingerprint: u64) -> bool {
+    pub fn is_suspected(&self, now: UnixMs, fingerprint: Fingerprint) -> bool {
         self.crashes
             .get(&fingerprint)
             .is_some_and(|crashes| crashes.iter().any(|crash| !is_over(now, crash)))
@@ -84,7 +84,7 @@
             .crashes
             .keys()
             .filter(|fingerprint| self.refused_until(now, **fingerprint).is_some())
-            .map(|fingerprint| format!("{fingerprint:016x}"))
+            .map(|fingerprint| fingerprint.to_string())
             .collect();
         quarantined.sort();
         QuarantineDump {
@@ -106,7 +106,7 @@
         }
     }
 
-    fn oldest(&self) -> Option<u64> {
+    fn oldest(&self) -> Option<Fingerprint> {
         let last_crash = |crashes: &[CrashNotice]| crashes.iter().map(|c| c.seen_at_unix_ms).max();
         self.crashes
             .iter()
--- a/crates/entry/src/event/mod.rs
+++ b/crates/entry/src/event/mod.rs
@@ -11,7 +11,8 @@
 use std::net::SocketAddr;
 
 use monsoonspread_model::{
-    BundleVersion, Epoch, InstanceName, RefusalReason, ServiceName, UpstreamName, ZoneName,
+    BundleVersion, Epoch, Fingerprint, InstanceName, RefusalReason, ServiceName, UpstreamName,
+    ZoneName,
 };
 
 pub use catalogue::{CATALOGUE, CatalogueEntry, catalogue_markdown};
@@ -160,7 +161,7 @@
         /// The upstream.
         upstream: &'a UpstreamName,
         /// The request's fingerprint.
-        fingerprint: u64,
+        fingerprint: Fingerprint,
     },
     /// The membership's state machine reports something.
     MembershipNotice {
--- a/crates/entry/src/filter/generate.rs
+++ b/crates/entry/src/filter/generate.rs
@@ -8,10 +8,9 @@
 use hyper::{Response, StatusCode};
 use monsoonspread_decisions::dispatch::NewRequest;
 use monsoonspread_model::bundle::Resolved;
-use monsoonspread_model::{AdapterRef, Refusal, RefusalReason, UpstreamName};
+use monsoonspread_model::{AdapterRef, Fingerprint, Refusal, RefusalReason, UpstreamName};
 use tokio::sync::mpsc;
 use tokio::time::timeout;
-use xxhash_rust::xxh3::Xxh3;
 
 use super::admission::AdmissionPermit;
 use super::{Api, Exchange, Filter, GenerateCall, Step};
@@ -54,7 +53,10 @@
             tokens: call.tokens,
             deadline_unix_ms: exchange.deadline_unix_ms,
             bundle_version: resolved.bundle_version,
-            fingerprint: fingerprint(&resolved.adapter, &exchange.body),
+            fingerprint: Fingerprint::of([
+                resolved.adapter.to_string().as_bytes(),
+                exchange.body.as_ref(),
+            ]),
             resumable: call.is_resumable(),
         };
         let call = GenerateCall {
@@ -146,11 +148,3 @@
         headers.insert(UPSTREAM_HEADER, upstream);
     }
 }
-
-fn fingerprint(adapter: &AdapterRef, body: &[u8]) -> u64 {
-    let mut hash = Xxh3::new();
-    hash.update(adapter.to_string().as_bytes());
-    hash.update(&[0]);
-    hash.update(body);
-    hash.digest()
-}
--- a/crates/relay/src/call/answer.rs
+++ b/crates/relay/src/call/answer.rs
@@ -2,7 +2,7 @@
 
 use std::rc::Rc;
 
-use monsoonspread_model::{UnixMs, UpstreamName};
+use monsoonspread_model::{Fingerprint, UnixMs, UpstreamName};
 
 use crate::connection::PooledSender;
 use crate::event::{Line, kind};
@@ -28,6 +28,7 @@
 pub(super) struct AnswerEnd {
     shared: Rc<Shared>,
     request_id: String,
+    fingerprint: Fingerprint,
     route: String,
     upstream: UpstreamName,
     arrived_at: UnixMs,
@@ -56,6 +57,7 @@
         Self {
             shared: Rc::clone(shared),
             request_id: request.head.request_id.clone(),
+            fingerprint: request.fingerprint,
             route: request.route.name.clone(),
             upstream: upstream.clone(),
             arrived_at: request.arrived_at,
@@ -163,6 +165,7 @@
         .field("id", &self.request_id)
         .field("route", &self.route)
         .field("upstream", &self.upstream)
+        .field("fingerprint", self.fingerprint)
         .field("status", self.status)
         .field("outcome", self.outcome)
         .field("prompt_tokens", self.prompt_tokens)
--- a/crates/relay/src/call/request.rs
+++ b/crates/relay/src/call/request.rs
@@ -5,9 +5,8 @@
 use bytes::Bytes;
 use hyper::http::request::Parts;
 use hyper::{HeaderMap, Method, Uri};
-use monsoonspread_model::ServiceName;
-use monsoonspread_model::UnixMs;
 use monsoonspread_model::fleet::{CallHead, Route};
+use monsoonspread_model::{Fingerprint, ServiceName, UnixMs};
 
 /// A request that was read whole.
 #[derive(Clone, Debug)]
@@ -18,6 +17,8 @@
     pub(super) headers: HeaderMap,
     pub(super) body: Bytes,
     pub(super) head: CallHead,
+    /// What it shares with its copies, which have other ids.
+    pub(super) fingerprint: Fingerprint,
     pub(super) route: Arc<Route>,
     pub(super) service: ServiceName,
     pub(super) arrived_at: UnixMs,
@@ -35,6 +36,7 @@
         service: ServiceName,
         arrived_at: UnixMs,
     ) -> Self {
+        let fingerprint = fingerprint(&parts, &body, &route);
         let timeout_ms = route.timeout_ms.min(head.remaining_ms.unwrap_or(u64::MAX));
         let mut headers = parts.headers;
         super::headers::remove_hop_headers(&mut headers);
@@ -44,6 +46,7 @@
             headers,
             body,
             head,
+            fingerprint,
             route,
             service,
             arrived_at,
@@ -51,3 +54,14 @@
         }
     }
 }
+
+/// Copies of a request have its method, host, path, query and body.
+fn fingerprint(parts: &Parts, body: &[u8], route: &Route) -> Fingerprint {
+    let path = parts.uri.path_and_query().map_or("/", |path| path.as_str());
+    Fingerprint::of([
+        parts.method.as_str().as_bytes(),
+        route.host.as_bytes(),
+        path.as_bytes(),
+        body,
+    ])
+}
