Tell ends apart that an instance heard of late

Times are spans from the moment of sending, so that a late message makes a crash look later than it was, never earlier. Of two times for the same crash the earlier is kept now; the exchange of each second brings it.

--- a/crates/decisions/src/quarantine/suspect.rs
+++ b/crates/decisions/src/quarantine/suspect.rs
@@ -21,22 +21,30 @@
 }
 
 impl Suspect {
-    /// Adds a crash; false when it is known already.
+    /// Adds a crash; false when that changes nothing.
+    ///
+    /// News may come late, which makes what they tell of look later than it was: of two times for
+    /// the same crash, the earlier is nearer the truth.
     pub(super) fn add(&mut self, notice: &CrashNotice) -> bool {
         let is_same = |known: &CrashNotice| {
             known.upstream == notice.upstream && known.incarnation == notice.incarnation
         };
-        if self.crashes.iter().any(is_same) {
-            return false;
+        let known = self.crashes.iter().position(is_same);
+        let mut notice = notice.clone();
+        let counted = self.counted();
+        if let Some(place) = known {
+            let known = self.crashes.remove(place);
+            notice.sent_at_unix_ms = notice.sent_at_unix_ms.min(known.sent_at_unix_ms);
+            notice.seen_at_unix_ms = notice.seen_at_unix_ms.min(known.seen_at_unix_ms);
         }
         let place = self
             .crashes
-            .partition_point(|known| order(known) < order(notice));
-        self.crashes.insert(place, notice.clone());
+            .partition_point(|known| order(known) < order(&notice));
+        self.crashes.insert(place, notice);
         if self.crashes.len() > MAX_CRASHES {
             self.crashes.remove(0);
         }
-        true
+        known.is_none() || self.counted() != counted
     }
 
     /// Drops what was seen up to `at`; false when nothing was held against the request.
--- a/crates/decisions/src/quarantine/tests.rs
+++ b/crates/decisions/src/quarantine/tests.rs
@@ -101,6 +101,37 @@
     assert_eq!(counted(&[ends[0].clone(), ends[0].clone()]), 1);
 }
 
+/// Guards against an instance that was paused and takes ends for one, since it heard of all of them
+/// at the same moment.
+#[test]
+fn ends_that_were_heard_of_late_are_told_apart_by_later_news() {
+    let real: Vec<CrashNotice> = (1..=3)
+        .map(|number| {
+            crash_of(
+                &format!("plain-{number}"),
+                1,
+                number * 300,
+                number * 300 + 5,
+            )
+        })
+        .collect();
+    let late = real.iter().map(|crash| CrashNotice {
+        sent_at_unix_ms: UnixMs(5_000),
+        seen_at_unix_ms: UnixMs(5_005),
+        ..crash.clone()
+    });
+    let late: Vec<CrashNotice> = late.collect();
+    assert_eq!(counted(&late), 1);
+    let mut quarantine = Quarantine::with_crashes(3);
+    let news = late.iter().chain(&real);
+    let changed: Vec<bool> = news
+        .map(|notice| quarantine.on_crash(UnixMs(6_000), notice))
+        .collect();
+    assert_eq!(quarantine.crashes(UnixMs(6_000), Fingerprint(7)), 3);
+    assert!(changed[3..].contains(&true), "the change is told on");
+    assert!(!quarantine.on_crash(UnixMs(6_000), &late[0]));
+}
+
 /// Guards against copies of a sound request that are refused after a whole group of servers ended
 /// of another cause.
 #[test]
@@ -202,7 +233,7 @@
                 let at = u64::from(at);
                 let sent_at = at.saturating_sub(lasted.into());
                 let upstream_name = format!("engine-{upstream}");
-                let notice = crash_of(&upstream_name, at, sent_at, at);
+                let notice = crash_of(&upstream_name, at % 3, sent_at, at);
                 quarantine.on_crash(now, &notice);
             }
             Told::Cleared(at) => {
