Tell in the fault matrix which program each test runs

The row on a request that crashes upstreams looked proved for the users' program by tests of the other one. Now a cell shows both programs, and which program a test runs follows from where it stands: a program's own crate, its part of borders, or a module of decisions that the program uses. Rows and steps that one program lacks say why.

Two cells lost their proof for monsoonspread-entry: their test runs a stand-in.

--- a/crates/decisions/tests/fault_matrix.rs
+++ b/crates/decisions/tests/fault_matrix.rs
@@ -1,45 +1,108 @@
-//! The fault matrix: every fault at every step names its tests or says that it is open.
+//! The fault matrix: every fault at every step names its tests or says that it is open, for each of
+//! the two programs.
 //!
 //! `docs/faults.toml` is the data. `docs/FAULTS.md` is its readable form, and this test fails
-//! when the two differ or when a cell names a test that does not exist. Run it with
-//! `UPDATE_DOCS=1` to write the page anew.
+//! when the two differ or when a cell names a test that does not exist. Which program a test runs
+//! follows from where it stands: tests of a program's crate run that program, tests of a module of
+//! `decisions` count for the programs that use the module. Run it with `UPDATE_DOCS=1` to write
+//! the page anew.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::fmt::Write;
 use std::fs;
 use std::path::{Path, PathBuf};
 
 use serde::Deserialize;
 
+/// A program for which faults are proved.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+enum Program {
+    /// `monsoonspread-entry`.
+    Entry,
+    /// `monsoonspread`, on the users' platform.
+    Platform,
+}
+
+const PROGRAMS: [Program; 2] = [Program::Entry, Program::Platform];
+
+impl Program {
+    fn name(self) -> &'static str {
+        match self {
+            Self::Entry => "monsoonspread-entry",
+            Self::Platform => "monsoonspread",
+        }
+    }
+
+    /// Folders with its code, besides `decisions`.
+    fn folders(self) -> &'static [&'static str] {
+        match self {
+            Self::Entry => &[
+                "crates/entry",
+                "crates/ctl",
+                "crates/model",
+                "crates/borders/src/engine",
+                "crates/borders/src/http",
+                "crates/borders/src/instance_list",
+                "crates/borders/src/service",
+                "crates/borders/src/store",
+            ],
+            Self::Platform => &[
+                "crates/relay",
+                "platform",
+                "crates/borders/src/http",
+                "crates/borders/src/relay",
+            ],
+        }
+    }
+}
+
 #[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
 struct Matrix {
     steps: Vec<Step>,
     faults: Vec<Fault>,
 }
 
 #[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
 struct Step {
     name: String,
     meaning: String,
+    /// What it is for `monsoonspread`, where that differs.
+    on_platform: Option<String>,
+    /// Why `monsoonspread` has no such step.
+    not_on_platform: Option<String>,
 }
 
 #[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
 struct Fault {
     name: String,
     expected: String,
     /// Steps at which the fault can't happen or can't matter.
     #[serde(default)]
     not_applicable: Vec<String>,
+    /// The same for `monsoonspread` alone.
+    #[serde(default)]
+    not_applicable_on_platform: Vec<String>,
+    /// Why the fault can't happen to `monsoonspread-entry`.
+    not_on_entry: Option<String>,
+    /// Why it can't happen to `monsoonspread`.
+    not_on_platform: Option<String>,
     #[serde(default)]
     cells: Vec<Cell>,
 }
 
 #[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
 struct Cell {
     steps: Vec<String>,
     tests: Vec<String>,
 }
 
+/// Programs that each test runs.
+type Tests = BTreeMap<String, BTreeSet<Program>>;
+
 fn root() -> PathBuf {
     Path::new(env!("CARGO_MANIFEST_DIR")).join("../..")
 }
@@ -49,27 +112,78 @@
     toml::from_str(&text).unwrap()
 }
 
-/// Names of all functions marked as tests in the workspace.
-fn known_tests() -> BTreeSet<String> {
+fn sources(folder: &Path, found: &mut Vec<PathBuf>) {
+    for entry in fs::read_dir(folder).unwrap() {
+        let path = entry.unwrap().path();
+        if path.is_dir() {
+            sources(&path, found);
+        } else if path.extension().is_some_and(|ending| ending == "rs") {
+            found.push(path);
+        }
+    }
+}
+
+/// Names that follow `prefix` in the sources of a folder: modules that it uses.
+fn modules_named(folder: &Path, prefix: &str) -> BTreeSet<String> {
+    let mut files = Vec::new();
+    sources(folder, &mut files);
     let mut names = BTreeSet::new();
-    collect_tests(&root().join("crates"), &mut names);
+    for file in files {
+        let text = fs::read_to_string(file).unwrap();
+        for rest in text.split(prefix).skip(1) {
+            let end = |letter: char| !letter.is_ascii_lowercase() && letter != '_';
+            names.insert(rest.split(end).next().unwrap_or_default().to_owned());
+        }
+    }
     names
 }
 
-fn collect_tests(folder: &Path, names: &mut BTreeSet<String>) {
-    for entry in fs::read_dir(folder).unwrap() {
-        let path = entry.unwrap().path();
-        if path.is_dir() {
-            collect_tests(&path, names);
-            continue;
+/// Modules of `decisions` that a program uses, directly or through others.
+fn modules_of(program: Program) -> BTreeSet<String> {
+    let mut modules = BTreeSet::new();
+    let mut open: Vec<String> = program
+        .folders()
+        .iter()
+        .flat_map(|folder| modules_named(&root().join(folder), "_decisions::"))
+        .collect();
+    while let Some(module) = open.pop() {
+        let folder = root().join("crates/decisions/src").join(&module);
+        if folder.is_dir() && modules.insert(module) {
+            open.extend(modules_named(&folder, "crate::"));
         }
-        if path.extension().is_some_and(|ending| ending == "rs") {
-            collect_from(&fs::read_to_string(&path).unwrap(), names);
+    }
+    modules
+}
+
+/// All functions marked as tests in the workspace.
+fn known_tests() -> Tests {
+    let modules: BTreeMap<Program, BTreeSet<String>> = PROGRAMS
+        .iter()
+        .map(|program| (*program, modules_of(*program)))
+        .collect();
+    let mut files = Vec::new();
+    sources(&root().join("crates"), &mut files);
+    sources(&root().join("platform"), &mut files);
+    let mut tests = Tests::new();
+    for file in files {
+        let relative = file.strip_prefix(root()).unwrap().to_owned();
+        let runs = PROGRAMS.into_iter().filter(|program| {
+            let own = program.folders().iter();
+            own.clone().any(|folder| relative.starts_with(folder))
+                || modules[program].iter().any(|module| {
+                    relative.starts_with(Path::new("crates/decisions/src").join(module))
+                })
+        });
+        let runs: BTreeSet<Program> = runs.collect();
+        for name in tests_in(&fs::read_to_string(&file).unwrap()) {
+            tests.entry(name).or_default().extend(&runs);
         }
     }
+    tests
 }
 
-fn collect_from(text: &str, names: &mut BTreeSet<String>) {
+fn tests_in(text: &str) -> Vec<String> {
+    let mut names = Vec::new();
     let mut marked = false;
     for line in text.lines().map(str::trim) {
         if line.starts_with("#[test]") || line.starts_with("#[tokio::test") {
@@ -81,84 +195,148 @@
             continue;
         };
         if marked && let Some((name, _)) = rest.split_once('(') {
-            names.insert(name.to_owned());
+            names.push(name.to_owned());
         }
         marked = false;
     }
+    names
+}
+
+impl Step {
+    fn exists_for(&self, program: Program) -> bool {
+        program == Program::Entry || self.not_on_platform.is_none()
+    }
 }
 
 impl Fault {
-    fn tests(&self, step: &str) -> Vec<&str> {
-        self.cells
-            .iter()
-            .filter(|cell| cell.steps.iter().any(|name| name == step))
-            .flat_map(|cell| cell.tests.iter().map(String::as_str))
-            .collect()
+    fn tests(&self, step: &str) -> impl Iterator<Item = &String> {
+        let cells = self.cells.iter();
+        cells
+            .filter(move |cell| cell.steps.iter().any(|name| name == step))
+            .flat_map(|cell| &cell.tests)
     }
 
-    fn is_open(&self, step: &str) -> bool {
-        self.tests(step).is_empty() && !self.not_applicable.iter().any(|name| name == step)
+    fn can_happen_to(&self, program: Program, step: &Step) -> bool {
+        let names = |steps: &[String]| steps.contains(&step.name);
+        let (reason, steps) = match program {
+            Program::Entry => (&self.not_on_entry, &[][..]),
+            Program::Platform => (&self.not_on_platform, &self.not_applicable_on_platform[..]),
+        };
+        let is_left_out = reason.is_some() || names(&self.not_applicable) || names(steps);
+        step.exists_for(program) && !is_left_out
     }
 }
 
-fn page(matrix: &Matrix) -> String {
+/// Cells with tests and open ones.
+#[derive(Default)]
+struct Count {
+    proved: usize,
+    open: usize,
+}
+
+fn page(matrix: &Matrix, known: &Tests) -> String {
     let mut page = String::from("# Fault matrix\n\n");
-    page.push_str("Every fault (rows) at every step (columns). ");
     page.push_str(
-        "A number counts the tests named below, `open` marks a cell that no test proves, ",
+        "Every fault (rows) at every step (columns), for `monsoonspread-entry` before the slash \
+         and for `monsoonspread`, the program on the users' platform, behind it. A number counts \
+         the tests named below that run the program, or a module of `decisions` that it uses; \
+         `open` marks what no such test proves, and `-` what can't happen or can't matter. The \
+         data are in `docs/faults.toml`; `cargo test -p monsoonspread-decisions --test \
+         fault_matrix` compares, and finds out which program a test runs from where it stands.\n\n",
     );
-    page.push_str("and `-` one where the fault can't happen or can't matter. ");
-    page.push_str("The data are in `docs/faults.toml`; ");
-    page.push_str("`cargo test -p monsoonspread-decisions --test fault_matrix` compares.\n\n");
-    write_table(&mut page, matrix);
+    write_table(&mut page, matrix, known);
     write_steps(&mut page, matrix);
-    write_faults(&mut page, matrix);
+    write_faults(&mut page, matrix, known);
     page
 }
 
-fn write_table(page: &mut String, matrix: &Matrix) {
+fn write_table(page: &mut String, matrix: &Matrix, known: &Tests) {
     let names: Vec<&str> = matrix.steps.iter().map(|step| step.name.as_str()).collect();
     writeln!(page, "| fault | {} |", names.join(" | ")).unwrap();
     writeln!(page, "| --- |{}", " --- |".repeat(names.len())).unwrap();
-    let mut open = 0;
-    let mut proved = 0;
+    let mut counts: BTreeMap<Program, Count> = BTreeMap::new();
     for fault in &matrix.faults {
         write!(page, "| {} |", fault.name).unwrap();
-        for step in &names {
-            let tests = fault.tests(step).len();
-            let text = match (tests, fault.is_open(step)) {
-                (0, true) => "open".to_owned(),
-                (0, false) => "-".to_owned(),
-                _ => tests.to_string(),
-            };
-            open += usize::from(fault.is_open(step));
-            proved += usize::from(tests > 0);
-            write!(page, " {text} |").unwrap();
+        for step in &matrix.steps {
+            let texts = PROGRAMS.map(|program| {
+                if !fault.can_happen_to(program, step) {
+                    return "-".to_owned();
+                }
+                let runs = |test: &&String| known.get(*test).is_some_and(|p| p.contains(&program));
+                let tests: BTreeSet<&String> = fault.tests(&step.name).filter(runs).collect();
+                let count = counts.entry(program).or_default();
+                if tests.is_empty() {
+                    count.open += 1;
+                    return "open".to_owned();
+                }
+                count.proved += 1;
+                tests.len().to_string()
+            });
+            write!(page, " {} |", texts.join(" / ")).unwrap();
         }
         page.push('\n');
     }
-    writeln!(page, "\n{proved} cells name tests, {open} are open.\n").unwrap();
+    page.push('\n');
+    for (program, Count { proved, open }) in counts {
+        let name = program.name();
+        writeln!(
+            page,
+            "- `{name}`: {proved} cells name tests, {open} are open."
+        )
+        .unwrap();
+    }
+    page.push('\n');
 }
 
 fn write_steps(page: &mut String, matrix: &Matrix) {
     page.push_str("## Steps\n\n");
     for step in &matrix.steps {
-        writeln!(page, "- **{}**: {}", step.name, step.meaning).unwrap();
+        write!(page, "- **{}**: {}", step.name, step.meaning).unwrap();
+        if let Some(meaning) = &step.on_platform {
+            write!(page, "; on the platform, {meaning}").unwrap();
+        }
+        if let Some(reason) = &step.not_on_platform {
+            write!(page, "; not on the platform: {reason}").unwrap();
+        }
+        page.push('\n');
     }
     page.push('\n');
 }
 
-fn write_faults(page: &mut String, matrix: &Matrix) {
-    page.push_str("## Faults and their tests\n");
+fn write_faults(page: &mut String, matrix: &Matrix, known: &Tests) {
+    page.push_str("## Faults and their tests\n\nBehind each test: e, it runs ");
+    page.push_str(
+        "`monsoonspread-entry` or a module of it; p, `monsoonspread` or a module of it.\n",
+    );
     for fault in &matrix.faults {
         writeln!(page, "\n### {}\n\n{}\n", fault.name, fault.expected).unwrap();
+        let reasons = [
+            (Program::Entry, &fault.not_on_entry),
+            (Program::Platform, &fault.not_on_platform),
+        ];
+        for (program, reason) in reasons {
+            if let Some(reason) = reason {
+                writeln!(page, "Not for `{}`: {reason}.\n", program.name()).unwrap();
+            }
+        }
         for cell in &fault.cells {
-            let tests: Vec<String> = cell.tests.iter().map(|test| format!("`{test}`")).collect();
+            let tests: Vec<String> = cell.tests.iter().map(|test| marked(test, known)).collect();
             writeln!(page, "- {}: {}", cell.steps.join(", "), tests.join(", ")).unwrap();
         }
     }
 }
 
+fn marked(test: &str, known: &Tests) -> String {
+    let programs = known.get(test).into_iter().flatten();
+    let letters: Vec<&str> = programs
+        .map(|program| match program {
+            Program::Entry => "e",
+            Program::Platform => "p",
+        })
+        .collect();
+    format!("`{test}` ({})", letters.join(", "))
+}
+
 #[test]
 fn every_named_test_exists_and_every_step_is_known() {
     let matrix = matrix();
@@ -169,10 +347,11 @@
         let named = fault.cells.iter().flat_map(|cell| &cell.steps);
         let unknown_steps = named
             .chain(&fault.not_applicable)
+            .chain(&fault.not_applicable_on_platform)
             .filter(|step| !steps.contains(step.as_str()));
         wrong.extend(unknown_steps.map(|step| format!("{}: step {step}", fault.name)));
         let tests = fault.cells.iter().flat_map(|cell| &cell.tests);
-        let unknown_tests = tests.filter(|test| !known.contains(*test));
+        let unknown_tests = tests.filter(|test| !known.contains_key(*test));
         wrong.extend(unknown_tests.map(|test| format!("{}: test {test}", fault.name)));
     }
     assert!(
@@ -181,9 +360,29 @@
     );
 }
 
+/// Guards against a promise that is proved for one program and read as proved for the other.
+#[test]
+fn a_test_counts_for_the_programs_that_run_what_it_tests() {
+    let known = known_tests();
+    let runs = |test: &str| known[test].iter().copied().collect::<Vec<Program>>();
+    assert_eq!(
+        runs("request_that_breaks_two_engines_is_refused"),
+        [Program::Entry]
+    );
+    assert_eq!(
+        runs("a_safe_request_that_ends_servers_is_kept_from_them"),
+        [Program::Platform]
+    );
+    assert_eq!(runs("ends_that_come_together_count_once"), PROGRAMS);
+    assert_eq!(
+        runs("lost_and_late_orders_never_overfill_an_engine"),
+        [Program::Platform]
+    );
+}
+
 #[test]
 fn the_page_agrees_with_the_data() {
-    let page = page(&matrix());
+    let page = page(&matrix(), &known_tests());
     let file = root().join("docs/FAULTS.md");
     if std::env::var_os("UPDATE_DOCS").is_some() {
         fs::write(&file, &page).unwrap();
