Count servers that fall silent under a request whose client leaves

The new test fails before.

A request of which nothing came when its client left, or in time, is kept as silence for ten seconds. It counts as an end when its server is listed with a later start, also one that was listed before the request was known to be lost, or vanishes from the list. Silence is no reason to look at a server, to send a request once only, or to take a refused connection for its cause; it has half of the places, so that clients in a hurry leave room for breaks; a planned leave drops what was lost there.

--- a/crates/decisions/src/quarantine/break_watch.rs
+++ b/crates/decisions/src/quarantine/break_watch.rs
@@ -1,4 +1,4 @@
-//! Connections that broke under a request, until it is known whether their upstream ended.
+//! Requests that were lost at an upstream, until it is known whether that ended.
 
 use std::collections::BTreeMap;
 
@@ -8,20 +8,30 @@
 /// How long a break waits for word of its upstream's end, in milliseconds: an upstream that fell
 /// silent is no longer listed after a few seconds, and one that started anew is listed as such.
 const WORD_WITHIN_MS: u64 = 10_000;
-/// Breaks that wait at the most.
+/// Breaks that wait at the most; half of them may be of upstreams that were only silent.
 const MAX_BREAKS: usize = 1_024;
 
+/// What is known of an upstream since a request was lost there.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Sight {
+    /// The connection broke.
+    Broken,
+    /// No answer came for as long as somebody waited.
+    Silent,
+    /// It takes connections.
+    Connected,
+}
+
 #[derive(Clone, Debug)]
 struct Break {
     notice: CrashNotice,
-    /// The upstream was heard of since, or only didn't answer in time.
-    is_weak: bool,
+    sight: Sight,
 }
 
-/// Connections that broke under a request, until it is known whether their upstream ended.
+/// Requests that were lost at an upstream, until it is known whether that ended.
 ///
-/// A break counts as a crash when the upstream refuses connections just after it, is listed as
-/// started anew, or vanishes from the list without having been reached again.
+/// It counts as ended when it refuses connections just after one of them broke, is listed as started
+/// anew, or vanishes from the list without having been reached again.
 #[derive(Clone, Debug, Default)]
 pub struct BreakWatch {
     breaks: BTreeMap<UpstreamName, Vec<Break>>,
@@ -30,12 +40,12 @@
 impl BreakWatch {
     /// The connection to an upstream broke under a request.
     pub fn on_break(&mut self, now: UnixMs, notice: CrashNotice) {
-        self.insert(now, notice, false);
+        self.insert(now, notice, Sight::Broken, MAX_BREAKS);
     }
 
-    /// An upstream did not answer a request in time.
+    /// An upstream did not answer a request for as long as somebody waited.
     pub fn on_silence(&mut self, now: UnixMs, notice: CrashNotice) {
-        self.insert(now, notice, true);
+        self.insert(now, notice, Sight::Silent, MAX_BREAKS / 2);
     }
 
     /// The upstream refuses connections; returns the crashes.
@@ -45,45 +55,44 @@
     /// assert!(BreakWatch::default().on_refused(&"engine-1".into()).is_empty());
     /// ```
     pub fn on_refused(&mut self, upstream: &UpstreamName) -> Vec<CrashNotice> {
-        let Some(breaks) = self.breaks.get_mut(upstream) else {
-            return Vec::new();
-        };
-        let (weak, crashes) = std::mem::take(breaks)
-            .into_iter()
-            .partition(|one| one.is_weak);
-        *breaks = weak;
-        let crashes: Vec<Break> = crashes;
-        crashes.into_iter().map(|one| one.notice).collect()
+        // One that was silent before may have been slow, and have ended of another cause.
+        self.take(upstream, |one| one.sight == Sight::Broken)
     }
 
     /// The upstream takes connections.
     pub fn on_connected(&mut self, upstream: &UpstreamName) {
         for one in self.breaks.get_mut(upstream).into_iter().flatten() {
-            one.is_weak = true;
+            one.sight = Sight::Connected;
         }
     }
 
-    /// The upstream is listed with another start; returns the crashes.
-    pub fn on_restarted(&mut self, upstream: &UpstreamName, incarnation: u64) -> Vec<CrashNotice> {
-        let breaks = self.breaks.remove(upstream).unwrap_or_default();
-        let notices = breaks.into_iter().map(|one| one.notice);
-        notices
-            .filter(|notice| notice.incarnation != incarnation)
-            .collect()
+    /// The upstream is listed with this start; returns the crashes of earlier ones.
+    pub fn on_start(&mut self, upstream: &UpstreamName, incarnation: u64) -> Vec<CrashNotice> {
+        self.take(upstream, |one| one.notice.incarnation < incarnation)
+    }
+
+    /// Upstreams of which word is awaited.
+    pub fn upstreams(&self) -> Vec<UpstreamName> {
+        self.breaks.keys().cloned().collect()
     }
 
     /// The upstream is no longer listed; returns the crashes.
     pub fn on_gone(&mut self, upstream: &UpstreamName) -> Vec<CrashNotice> {
-        let crashes = self.on_refused(upstream);
+        let crashes = self.take(upstream, |one| one.sight != Sight::Connected);
         self.breaks.remove(upstream);
         crashes
     }
 
+    /// The upstream leaves as planned: what is lost there has that cause.
+    pub fn on_leaving(&mut self, upstream: &UpstreamName) {
+        self.breaks.remove(upstream);
+    }
+
     /// Breaks under a request that may have been crashes.
     pub fn open(&self, fingerprint: Fingerprint) -> usize {
         let breaks = self.breaks.values().flatten();
         breaks
-            .filter(|one| one.notice.fingerprint == fingerprint && !one.is_weak)
+            .filter(|one| one.notice.fingerprint == fingerprint && one.sight == Sight::Broken)
             .count()
     }
 
@@ -95,12 +104,26 @@
         self.breaks.retain(|_, breaks| !breaks.is_empty());
     }
 
-    fn insert(&mut self, now: UnixMs, notice: CrashNotice, is_weak: bool) {
+    fn take(
+        &mut self,
+        upstream: &UpstreamName,
+        is_crash: impl Fn(&Break) -> bool,
+    ) -> Vec<CrashNotice> {
+        let Some(breaks) = self.breaks.get_mut(upstream) else {
+            return Vec::new();
+        };
+        let (crashes, rest): (Vec<Break>, Vec<Break>) =
+            std::mem::take(breaks).into_iter().partition(is_crash);
+        *breaks = rest;
+        crashes.into_iter().map(|one| one.notice).collect()
+    }
+
+    fn insert(&mut self, now: UnixMs, notice: CrashNotice, sight: Sight, most: usize) {
         self.on_tick(now);
-        if self.breaks.values().map(Vec::len).sum::<usize>() >= MAX_BREAKS {
+        if self.breaks.values().map(Vec::len).sum::<usize>() >= most {
             return;
         }
         let breaks = self.breaks.entry(notice.upstream.clone()).or_default();
-        breaks.push(Break { notice, is_weak });
+        breaks.push(Break { notice, sight });
     }
 }
--- a/crates/decisions/src/quarantine/tests/break_watch.rs
+++ b/crates/decisions/src/quarantine/tests/break_watch.rs
@@ -40,12 +40,12 @@
 fn an_upstream_that_is_listed_with_another_start_has_ended() {
     let mut watch = watch();
     watch.on_connected(&"plain-1".into());
-    assert_eq!(watch.on_restarted(&"plain-1".into(), 5), [broken()]);
+    assert_eq!(watch.on_start(&"plain-1".into(), 5), [broken()]);
 }
 
 #[test]
 fn an_upstream_that_is_listed_with_the_same_start_has_not_ended() {
-    assert_eq!(watch().on_restarted(&"plain-1".into(), 4), []);
+    assert_eq!(watch().on_start(&"plain-1".into(), 4), []);
 }
 
 #[test]
@@ -53,23 +53,46 @@
     assert_eq!(watch().on_gone(&"plain-1".into()), [broken()]);
 }
 
-/// Guards against slow servers: no answer in time is no break.
+/// Guards against slow servers that end of another cause: no answer in time is no break.
 #[test]
-fn silence_counts_only_when_the_upstream_started_anew() {
+fn silence_counts_only_when_the_upstream_started_anew_or_vanished() {
     let mut watch = BreakWatch::default();
     watch.on_silence(NOW, broken());
     assert_eq!(watch.open(Fingerprint(7)), 0);
     assert_eq!(watch.on_refused(&"plain-1".into()), []);
-    assert_eq!(watch.on_restarted(&"plain-1".into(), 5), [broken()]);
+    assert_eq!(watch.on_start(&"plain-1".into(), 5), [broken()]);
     watch.on_silence(NOW, broken());
+    assert_eq!(watch.on_gone(&"plain-1".into()), [broken()]);
+    watch.on_silence(NOW, broken());
+    watch.on_connected(&"plain-1".into());
+    assert_eq!(watch.on_gone(&"plain-1".into()), []);
+}
+
+/// Guards against planned leaves that are held against what ran until then.
+#[test]
+fn what_is_lost_at_an_upstream_that_leaves_is_no_crash() {
+    let mut watch = watch();
+    watch.on_silence(NOW, broken());
+    watch.on_leaving(&"plain-1".into());
     assert_eq!(watch.on_gone(&"plain-1".into()), []);
 }
 
+/// Guards against many clients in a hurry, whose requests leave no room for breaks.
+#[test]
+fn silence_leaves_room_for_breaks() {
+    let mut watch = BreakWatch::default();
+    for number in 0..5_000 {
+        watch.on_silence(NOW, crash_of(&format!("plain-{number}"), 1, 1, 1_000));
+    }
+    watch.on_break(NOW, broken());
+    assert_eq!(watch.open(Fingerprint(7)), 1);
+}
+
 #[test]
 fn a_break_of_which_no_word_comes_is_forgotten() {
     let mut watch = watch();
     watch.on_tick(NOW + 10_000);
-    assert_eq!(watch.on_restarted(&"plain-1".into(), 5), []);
+    assert_eq!(watch.on_start(&"plain-1".into(), 5), []);
 }
 
 #[test]
--- a/crates/relay/src/call/attempt.rs
+++ b/crates/relay/src/call/attempt.rs
@@ -61,13 +61,15 @@
     if !super::suspect::may_be_sent(shared, request) {
         return Attempt::Kept;
     }
-    let on_way = Sent::new(shared, request.fingerprint, upstream);
+    let mut on_way = Sent::new(shared, request.fingerprint, upstream);
     let wait_ms = options.give_up_at.ms_since(shared.now());
     let sent = tokio::time::timeout(
         Duration::from_millis(wait_ms),
         exchange(shared, request, upstream, options),
     );
-    let outcome = match sent.await {
+    let sent = sent.await;
+    on_way.on_word();
+    let outcome = match sent {
         Err(_) => {
             on_way.on_silence();
             Attempt::TooLate
--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -12,7 +12,7 @@
 use monsoonspread_decisions::service_route::{ServiceRouter, ServiceServer};
 use monsoonspread_decisions::stated::DEFAULT_AWAY_MS;
 use monsoonspread_decisions::store_reach::StoreReach;
-use monsoonspread_model::fleet::{EngineShape, UpstreamRecord};
+use monsoonspread_model::fleet::{EngineShape, UpstreamRecord, UpstreamStage};
 use monsoonspread_model::{InstanceName, UnixMs, UpstreamName};
 use tokio::sync::mpsc::UnboundedSender;
 
@@ -203,7 +203,7 @@
         let events = self.fleet.borrow_mut().on_tick(self.now());
         self.on_events(&events);
         self.followers.on_tick(self);
-        self.suspects.on_tick(self.now());
+        self.suspects.on_tick(self);
         self.spread.on_tick(self);
         self.holding.on_tick(self);
     }
@@ -333,6 +333,9 @@
     fn tell_suspects(self: &Rc<Self>, event: &FleetEvent) {
         match event {
             FleetEvent::UpstreamGone(name) => self.suspects.on_gone(self, name),
+            FleetEvent::Upstream { record, .. } if record.stage == UpstreamStage::Leaving => {
+                self.suspects.on_leaving(&record.name);
+            }
             FleetEvent::Upstream {
                 record,
                 restarted: true,
--- a/crates/relay/src/suspects/sent.rs
+++ b/crates/relay/src/suspects/sent.rs
@@ -18,6 +18,8 @@
     /// Which of its starts.
     pub incarnation: u64,
     sent_at: UnixMs,
+    /// Nobody knows yet what became of it.
+    is_open: bool,
 }
 
 impl Sent {
@@ -30,6 +32,7 @@
             upstream: upstream.name.clone(),
             incarnation: upstream.started_unix_ms,
             sent_at: shared.now(),
+            is_open: true,
         }
     }
 
@@ -43,6 +46,11 @@
         self.shared.suspects.on_silence(&self.shared, self.notice());
     }
 
+    /// Something came of it: an answer, or word that it was not run.
+    pub fn on_word(&mut self) {
+        self.is_open = false;
+    }
+
     /// The upstream answered with success, to the end.
     pub fn on_served(&self) {
         self.shared
@@ -63,6 +71,10 @@
 
 impl Drop for Sent {
     fn drop(&mut self) {
+        if self.is_open {
+            // Its client left before anything came.
+            self.on_silence();
+        }
         self.shared.suspects.on_ended(self.fingerprint);
     }
 }
--- a/crates/relay/src/suspects/table.rs
+++ b/crates/relay/src/suspects/table.rs
@@ -105,9 +105,13 @@
         }
     }
 
-    /// An upstream did not answer a request in time.
-    pub(super) fn on_silence(&self, shared: &Rc<Shared>, notice: CrashNotice) {
-        self.breaks.borrow_mut().on_silence(shared.now(), notice);
+    /// An upstream did not answer a request in time, or before its client left.
+    pub(super) fn on_silence(&self, shared: &Shared, notice: CrashNotice) {
+        let fleet = shared.fleet.borrow();
+        let record = fleet.upstream(&notice.upstream);
+        if record.is_some_and(|record| record.stage == UpstreamStage::Ready) {
+            self.breaks.borrow_mut().on_silence(shared.now(), notice);
+        }
     }
 
     /// The upstream refuses connections.
@@ -127,7 +131,7 @@
 
     /// An upstream is listed with another start.
     pub fn on_restarted(&self, shared: &Rc<Shared>, upstream: &UpstreamName, incarnation: u64) {
-        let crashes = self.breaks.borrow_mut().on_restarted(upstream, incarnation);
+        let crashes = self.breaks.borrow_mut().on_start(upstream, incarnation);
         self.on_crashes(shared, &crashes, "restarted");
     }
 
@@ -137,6 +141,11 @@
         self.on_crashes(shared, &crashes, "gone");
     }
 
+    /// An upstream leaves as planned.
+    pub fn on_leaving(&self, upstream: &UpstreamName) {
+        self.breaks.borrow_mut().on_leaving(upstream);
+    }
+
     /// A copy of a request was served.
     pub(super) fn on_served(&self, shared: &Rc<Shared>, fingerprint: Fingerprint) {
         self.clear(shared, fingerprint, "served");
@@ -175,8 +184,19 @@
     }
 
     /// Time has passed.
-    pub fn on_tick(&self, now: UnixMs) {
-        self.breaks.borrow_mut().on_tick(now);
+    pub fn on_tick(&self, shared: &Rc<Shared>) {
+        let mut breaks = self.breaks.borrow_mut();
+        breaks.on_tick(shared.now());
+        // A start that was listed before the request was known to be lost.
+        let mut crashes = Vec::new();
+        for upstream in breaks.upstreams() {
+            let incarnation = shared.incarnation(&upstream);
+            if incarnation > 0 {
+                crashes.extend(breaks.on_start(&upstream, incarnation));
+            }
+        }
+        drop(breaks);
+        self.on_crashes(shared, &crashes, "restarted");
     }
 
     fn on_crashes(&self, shared: &Rc<Shared>, crashes: &[CrashNotice], source: &str) {
