Test places in an engine's batch and crowds before a small service

Cells of the fault matrix for monsoonspread that were open: ends of grants that are lost or told twice, more work than an engine runs at once, engines that are slow to answer orders, and a planned stop before a slow server.

--- a/crates/decisions/src/copies/tests/mod.rs
+++ b/crates/decisions/src/copies/tests/mod.rs
@@ -1,6 +1,7 @@
 mod engine;
 mod kept;
 mod orders;
+mod places;
 mod prompts;
 mod random_runs;
 mod world;
--- a/crates/decisions/src/service_route/tests.rs
+++ b/crates/decisions/src/service_route/tests.rs
@@ -1,3 +1,5 @@
+mod crowd;
+
 use std::collections::HashMap;
 
 use monsoonspread_model::{RefusalReason, ServiceName, UnixMs, UpstreamName};
