Move what becomes of words into beliefs, and bound the time away in one place

Moves only, but for a time away of over an hour: it was called unreadable in platform/ and bounded once more in decisions; now it is read there and taken for a mistake here.

--- a/crates/decisions/src/stated/mod.rs
+++ b/crates/decisions/src/stated/mod.rs
@@ -15,7 +15,8 @@
 /// For how long an upstream is left alone that says so in a way that can't be read, in milliseconds:
 /// a common value of those that say it readably.
 pub const DEFAULT_AWAY_MS: u64 = 1_000;
-/// Longest time that an upstream is left alone, in milliseconds: what is longer is taken for a mistake.
+/// Longest time that an upstream is left alone, in milliseconds: what is longer is taken for one that
+/// can't be read.
 pub const MAX_AWAY_MS: u64 = 3_600_000;
 /// Least spread of the clients that come back to a service whose servers were all away, in
 /// milliseconds.
@@ -75,7 +76,7 @@
         away_ms: u64,
     ) -> Option<UnixMs> {
         let word = self.word(now, upstream, incarnation)?;
-        let until = now + away_ms.min(MAX_AWAY_MS);
+        let until = now + bounded(away_ms);
         word.away_until = word.away_until.max(Some(until));
         word.away_until
     }
@@ -144,6 +145,13 @@
     }
 }
 
+fn bounded(away_ms: u64) -> u64 {
+    if away_ms > MAX_AWAY_MS {
+        return DEFAULT_AWAY_MS;
+    }
+    away_ms
+}
+
 /// When a client comes back to a service of which the first server takes work in `wait_ms`, in
 /// milliseconds; `draw` is different for each client.
 ///
--- a/crates/decisions/src/stated/tests.rs
+++ b/crates/decisions/src/stated/tests.rs
@@ -1,6 +1,6 @@
 use monsoonspread_model::{UnixMs, UpstreamName};
 
-use super::{MAX_AWAY_MS, MAX_UPSTREAMS, StatedWords, come_back_ms};
+use super::{DEFAULT_AWAY_MS, MAX_AWAY_MS, MAX_UPSTREAMS, StatedWords, come_back_ms};
 
 const NOW: UnixMs = UnixMs(10_000);
 
@@ -66,7 +66,9 @@
 #[test]
 fn a_time_without_bound_is_bounded() {
     let mut words = StatedWords::default();
-    let until = words.on_away(NOW, &server(), 1, u64::MAX);
+    let until = words.on_away(NOW, &server(), 1, MAX_AWAY_MS + 1);
+    assert_eq!(until, Some(NOW + DEFAULT_AWAY_MS));
+    let until = words.on_away(NOW, &server(), 1, MAX_AWAY_MS);
     assert_eq!(until, Some(NOW + MAX_AWAY_MS));
 }
 
--- a/crates/relay/src/beliefs/mod.rs
+++ b/crates/relay/src/beliefs/mod.rs
@@ -5,6 +5,7 @@
 //! of news for the rest, and these tell their followers. The first ones exchange all they know
 //! each second, for those that were away.
 
+mod heard;
 mod message;
 mod spread;
 
--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -4,23 +4,21 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
-use monsoonspread_borders::relay::{AwayFor, FleetChange, FleetChanges, UpstreamWord};
+use monsoonspread_borders::relay::{FleetChange, FleetChanges};
 use monsoonspread_decisions::copies::{AskId, CopyAsk, KnownCopies};
 use monsoonspread_decisions::load_choice::LoadChoice;
 use monsoonspread_decisions::news_source::Pace;
 use monsoonspread_decisions::placement::{CandidateUpstream, Placement, PlacementSettings};
 use monsoonspread_decisions::service_route::{ServiceRouter, ServiceServer};
-use monsoonspread_decisions::stated::DEFAULT_AWAY_MS;
 use monsoonspread_decisions::store_reach::StoreReach;
 use monsoonspread_model::fleet::{EngineShape, UpstreamRecord, UpstreamStage};
 use monsoonspread_model::{InstanceName, UnixMs, UpstreamName};
 use tokio::sync::mpsc::UnboundedSender;
 
-use crate::beliefs::{PeerBeliefs, PeerLeaving, Spread, ToldBeliefs};
+use crate::beliefs::{Spread, ToldBeliefs};
 use crate::borders::Borders;
 use crate::clock::SteadyClock;
 use crate::connection::Pool;
-use crate::event::{Line, kind};
 use crate::fleet::{FleetEvent, FleetView, Followers};
 use crate::holding::Holding;
 use crate::metrics::Metrics;
@@ -208,7 +206,8 @@
         self.holding.on_tick(self);
     }
 
-    fn on_events(self: &Rc<Self>, events: &[FleetEvent]) {
+    /// What is known of the fleet changed.
+    pub fn on_events(self: &Rc<Self>, events: &[FleetEvent]) {
         for event in events {
             self.holding.on_fleet(self, event);
             self.tell_suspects(event);
@@ -243,92 +242,6 @@
         fleet.away_until(self.now(), fleet.upstream(upstream)?)
     }
 
-    /// What all instances should know.
-    pub fn beliefs(&self) -> PeerBeliefs {
-        PeerBeliefs {
-            suspects: self.suspects.notorious(self.now()),
-            leaving: self.fleet.borrow().said_leaving(),
-        }
-    }
-
-    /// Another instance told what it believes.
-    pub fn on_told(self: &Rc<Self>, peer: &InstanceName, beliefs: &PeerBeliefs) {
-        self.suspects.on_told(self, peer, &beliefs.suspects);
-        for leaving in &beliefs.leaving {
-            let PeerLeaving {
-                upstream,
-                incarnation,
-            } = leaving;
-            self.on_leaves(peer.as_str(), upstream, *incarnation);
-        }
-    }
-
-    /// An upstream said something of itself in an answer to this instance.
-    pub fn on_word(
-        self: &Rc<Self>,
-        source: &str,
-        upstream: &UpstreamName,
-        incarnation: u64,
-        word: &UpstreamWord,
-    ) {
-        if word.leaves && self.on_leaves(source, upstream, incarnation) {
-            let leaving = PeerLeaving {
-                upstream: upstream.clone(),
-                incarnation,
-            };
-            let beliefs = PeerBeliefs {
-                leaving: vec![leaving],
-                ..PeerBeliefs::default()
-            };
-            self.spread.tell_first(self, &beliefs);
-        }
-        if let Some(away) = &word.away {
-            self.on_away(source, upstream, incarnation, away);
-        }
-    }
-
-    /// An upstream leaves; false when it is known.
-    fn on_leaves(self: &Rc<Self>, source: &str, upstream: &UpstreamName, incarnation: u64) -> bool {
-        let now = self.now();
-        let mut fleet = self.fleet.borrow_mut();
-        let Some(event) = fleet.on_leaves(now, upstream, incarnation) else {
-            return false;
-        };
-        drop(fleet);
-        self.metrics.count("said", "leaving");
-        Line::new(&kind::UPSTREAM_SAID)
-            .field("upstream", upstream)
-            .field("incarnation", incarnation)
-            .field("said", "leaving")
-            .field("source", source)
-            .log();
-        self.spread.on_change();
-        self.on_events(event.as_slice());
-        true
-    }
-
-    fn on_away(&self, source: &str, upstream: &UpstreamName, incarnation: u64, away: &AwayFor) {
-        let now = self.now();
-        let (said, away_ms) = match away {
-            AwayFor::Ms(ms) => ("later", *ms),
-            AwayFor::Unreadable(_) => ("unreadable", DEFAULT_AWAY_MS),
-        };
-        let mut fleet = self.fleet.borrow_mut();
-        let until = fleet.on_away(now, upstream, incarnation, away_ms);
-        drop(fleet);
-        self.metrics.count("said", said);
-        let line = Line::new(&kind::UPSTREAM_SAID)
-            .field("upstream", upstream)
-            .field("incarnation", incarnation)
-            .field("said", said)
-            .field("source", source)
-            .field("for_ms", until.map_or(0, |until| until.ms_since(now)));
-        match away {
-            AwayFor::Ms(_) => line.log(),
-            AwayFor::Unreadable(text) => line.field("value", text).log(),
-        }
-    }
-
     /// An upstream that ended may have ended under a request.
     fn tell_suspects(self: &Rc<Self>, event: &FleetEvent) {
         match event {
