Count engines that fall silent in a stream whose client leaves

When a client leaves an answer of which nothing came for a second, that is kept as silence, like a client that leaves before the head.

--- a/crates/relay/src/call/answer.rs
+++ b/crates/relay/src/call/answer.rs
@@ -10,6 +10,10 @@
 use crate::shared::Shared;
 use crate::suspects::Sent;
 
+/// Pause of an answer after which its client may have left because the upstream fell silent, in
+/// milliseconds: half of what the platform's clients wait at least.
+const SILENT_MS: u64 = 1_000;
+
 /// How a call to a server of a plain service is accounted for.
 pub(super) struct ServiceSlot {
     pub(super) server: UpstreamName,
@@ -165,6 +169,13 @@
 impl Drop for AnswerEnd {
     fn drop(&mut self) {
         let now = self.shared.now();
+        let is_silent = now.ms_since(self.last_byte_at) >= SILENT_MS;
+        if let Some(sent) = &self.sent
+            && self.outcome == "left"
+            && is_silent
+        {
+            sent.on_silence();
+        }
         if let Some(slot) = self.slot.take() {
             // A client that left says nothing of the server.
             let latency_ms = (self.outcome == "left").then(|| now.ms_since(slot.sent_at));
