--- a/crates/relay/src/call/answer.rs
+++ b/crates/relay/src/call/answer.rs
@@ -197,7 +197,6 @@
         .field("id", &self.request_id)
         .field("route", &self.route)
         .field("upstream", &self.upstream)
-        .field("fingerprint", self.fingerprint)
         .field("status", self.status)
         .field("outcome", self.outcome)
         .field("prompt_tokens", self.prompt_tokens)
@@ -207,6 +206,7 @@
         .field("first_ms", first_ms.unwrap_or(0))
         .field("pause_ms", self.longest_pause_ms)
         .field("ms", ms)
+        .field("fingerprint", self.fingerprint)
         .log();
     }
 }
--- a/crates/relay/src/call/attempt.rs
+++ b/crates/relay/src/call/attempt.rs
@@ -168,8 +168,8 @@
     Line::new(&kind::ATTEMPT_FAILED)
         .field("id", &request.head.request_id)
         .field("upstream", &upstream.name)
-        .field("fingerprint", request.fingerprint)
         .field("outcome", outcome)
         .field("error", why)
+        .field("fingerprint", request.fingerprint)
         .log();
 }
