Log the rate limits that upstreams announce

An operator couldn't see that an upstream had announced a limit, and so couldn't tell whether instances ignored it or each kept to it alone. It has no effect on requests yet.

--- a/crates/borders/src/relay/dialect.rs
+++ b/crates/borders/src/relay/dialect.rs
@@ -4,7 +4,7 @@
 use hyper::http::HeaderMap;
 use hyper::{Method, StatusCode, Uri};
 use monsoonspread_model::UpstreamName;
-use monsoonspread_model::fleet::CallHead;
+use monsoonspread_model::fleet::{CallHead, RateLimit};
 use thiserror::Error;
 
 /// Why the headers of a request are invalid.
@@ -38,6 +38,22 @@
     pub is_leaving: bool,
     /// The upstream rejected the request and asks this instance to back off.
     pub backoff: Option<Backoff>,
+    /// How many requests the upstream accepts.
+    pub rate_limit: AnnouncedRate,
+}
+
+/// The rate limit in an upstream's answer.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub enum AnnouncedRate {
+    /// The answer doesn't tell, as the upstream may not have made it.
+    #[default]
+    Unknown,
+    /// The upstream has no limit.
+    Unlimited,
+    /// The limit over all instances.
+    Limit(RateLimit),
+    /// The value is malformed; the text as received.
+    Malformed(String),
 }
 
 /// For how long an upstream asks this instance to back off.
--- a/crates/borders/src/relay/mod.rs
+++ b/crates/borders/src/relay/mod.rs
@@ -7,7 +7,8 @@
 mod fleet_store;
 
 pub use dialect::{
-    AnswerHead, Backoff, BadCallHead, Dialect, ServerLoad, UpstreamAnnouncement, UpstreamHead,
+    AnnouncedRate, AnswerHead, Backoff, BadCallHead, Dialect, ServerLoad, UpstreamAnnouncement,
+    UpstreamHead,
 };
 pub use engine_control::{EngineControl, EngineReply};
 pub use fleet_store::{
--- a/crates/decisions/src/announced/mod.rs
+++ b/crates/decisions/src/announced/mod.rs
@@ -1,15 +1,17 @@
-//! Announcements that upstreams make in their answers: that they are leaving, and when they accept
-//! requests again.
+//! Announcements that upstreams make in their answers: that they are leaving, when they accept
+//! requests again, and how many they accept per second.
 //!
 //! An announcement holds for one incarnation of an upstream, identified by its name because addresses
 //! are reused. Only a restart cancels that an upstream is leaving, so an answer that overtakes another
-//! one, or an upstream that sends it in only some answers, changes nothing.
+//! one, or an upstream that sends it in only some answers, changes nothing. A rate limit instead ends
+//! with the first answer without it to a request that was sent after the limit was last received.
 
 #[cfg(test)]
 mod tests;
 
 use std::collections::BTreeMap;
 
+use monsoonspread_model::fleet::RateLimit;
 use monsoonspread_model::{UnixMs, UpstreamName};
 use serde::Serialize;
 
@@ -36,11 +38,24 @@
     /// back-off.
     #[serde(rename = "away_until")]
     pub backoff_until: Option<UnixMs>,
+    /// How many requests the upstream accepts; `None` without a limit.
+    pub rate_limit: Option<RateLimit>,
+    /// When `rate_limit` was last observed; `None` if the upstream never announced a limit.
+    pub rate_observed_at: Option<UnixMs>,
     /// When the last announcement was received.
     #[serde(rename = "spoke_at")]
     pub last_received_at: UnixMs,
 }
 
+/// Change of an upstream's rate limit.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct RateChange {
+    /// The limit so far; `None` if there was none.
+    pub from: Option<RateLimit>,
+    /// The limit from now on; `None` if it ended.
+    pub to: Option<RateLimit>,
+}
+
 /// Announcements of all upstreams, in bounded memory.
 #[derive(Clone, Debug, Default)]
 pub struct Announcements {
@@ -86,6 +101,54 @@
         announcement.backoff_until
     }
 
+    /// An upstream was observed at `observed_at` to have a rate limit, or none; returns the change, if
+    /// it is one.
+    ///
+    /// The newest observation applies. The absence of a limit is observed when the request is sent, as
+    /// its answer may have been overtaken by others since.
+    ///
+    /// ```
+    /// use monsoonspread_decisions::announced::Announcements;
+    /// use monsoonspread_model::{UnixMs, fleet::RateLimit};
+    ///
+    /// let mut announcements = Announcements::default();
+    /// let (server, limit) = ("server-1".into(), RateLimit::new(2.2));
+    /// assert!(announcements.on_rate_limit(UnixMs(5), &server, 1, limit).is_some());
+    /// assert_eq!(announcements.rate_limit(&server, 1), limit);
+    /// ```
+    pub fn on_rate_limit(
+        &mut self,
+        observed_at: UnixMs,
+        upstream: &UpstreamName,
+        incarnation: u64,
+        limit: Option<RateLimit>,
+    ) -> Option<RateChange> {
+        let known = self.announcements.get(upstream);
+        let observed = known.filter(|known| known.incarnation >= incarnation);
+        let is_known_unlimited = observed.is_none_or(|known| known.rate_observed_at.is_none());
+        if limit.is_none() && is_known_unlimited {
+            return None;
+        }
+        let announcement = self.announcement(observed_at, upstream, incarnation)?;
+        if announcement
+            .rate_observed_at
+            .is_some_and(|last| observed_at <= last)
+        {
+            return None;
+        }
+        announcement.rate_observed_at = Some(observed_at);
+        let from = std::mem::replace(&mut announcement.rate_limit, limit);
+        (from != limit).then_some(RateChange { from, to: limit })
+    }
+
+    /// Returns the rate limit of this incarnation of an upstream; `None` without a limit.
+    pub fn rate_limit(&self, upstream: &UpstreamName, incarnation: u64) -> Option<RateLimit> {
+        let announcement = self.announcements.get(upstream)?;
+        announcement
+            .rate_limit
+            .filter(|_| announcement.incarnation == incarnation)
+    }
+
     /// An upstream is listed with this incarnation; removes and returns the announcement of an earlier
     /// one, if any.
     pub fn on_listed(&mut self, upstream: &UpstreamName, incarnation: u64) -> Option<Announcement> {
@@ -140,7 +203,7 @@
             *announcement = Announcement::default();
         }
         announcement.incarnation = incarnation;
-        announcement.last_received_at = now;
+        announcement.last_received_at = announcement.last_received_at.max(now);
         Some(announcement)
     }
 
--- a/crates/relay/src/call/attempt.rs
+++ b/crates/relay/src/call/attempt.rs
@@ -13,6 +13,7 @@
 use super::request::RelayRequest;
 use crate::connection::{PooledSender, SendFailure};
 use crate::event::{Line, kind};
+use crate::gossip::AnswerSource;
 use crate::shared::Shared;
 use crate::suspects::InFlightRequest;
 
@@ -62,7 +63,8 @@
         return Attempt::Withheld;
     }
     let mut in_flight = InFlightRequest::new(shared, request.fingerprint, upstream);
-    let wait_ms = options.times_out_at.ms_since(shared.now());
+    let sent_at = shared.now();
+    let wait_ms = options.times_out_at.ms_since(sent_at);
     let sent = tokio::time::timeout(
         Duration::from_millis(wait_ms),
         exchange(shared, request, upstream, options),
@@ -83,7 +85,9 @@
             in_flight.on_break();
             return Attempt::Unknown;
         }
-        Ok(Ok((response, sender))) => classify_answer(shared, request, response, sender, in_flight),
+        Ok(Ok((response, sender))) => {
+            classify_answer(shared, request, sent_at, response, sender, in_flight)
+        }
     };
     match &outcome {
         Attempt::Answered(_) | Attempt::Withheld => {}
@@ -139,6 +143,7 @@
 fn classify_answer(
     shared: &Rc<Shared>,
     request: &RelayRequest,
+    sent_at: UnixMs,
     response: Response<Incoming>,
     sender: PooledSender,
     in_flight: InFlightRequest,
@@ -147,8 +152,9 @@
     let dialect = &shared.borders.dialect;
     let answer = dialect.read_answer(status, response.headers(), &request.head.request_id);
     if answer.id_matches {
+        let id = &request.head.request_id;
         shared.on_announcement(
-            "answer",
+            AnswerSource::Request { id, sent_at },
             &in_flight.upstream,
             in_flight.incarnation,
             &answer.announcement,
--- a/crates/relay/src/fleet/view.rs
+++ b/crates/relay/src/fleet/view.rs
@@ -5,11 +5,11 @@
 use std::rc::Rc;
 
 use monsoonspread_borders::relay::{FleetChange, FleetChanges, FleetMember};
-use monsoonspread_decisions::announced::{Announcement, Announcements};
+use monsoonspread_decisions::announced::{Announcement, Announcements, RateChange};
 use monsoonspread_decisions::change_feed::MAX_SOURCES;
 use monsoonspread_decisions::route_table::RouteTable;
 use monsoonspread_decisions::store_health::StoreStatus;
-use monsoonspread_model::fleet::{AdapterKey, UpstreamRecord, UpstreamStage};
+use monsoonspread_model::fleet::{AdapterKey, RateLimit, UpstreamRecord, UpstreamStage};
 use monsoonspread_model::{InstanceName, ServiceName, UnixMs, UpstreamName, ZoneName};
 
 use super::FleetEvent;
@@ -125,6 +125,18 @@
         }))
     }
 
+    /// Records an observation of an upstream's rate limit; returns the change, if it is one.
+    pub fn on_rate_limit(
+        &mut self,
+        observed_at: UnixMs,
+        upstream: &UpstreamName,
+        incarnation: u64,
+        limit: Option<RateLimit>,
+    ) -> Option<RateChange> {
+        self.announcements
+            .on_rate_limit(observed_at, upstream, incarnation, limit)
+    }
+
     /// Records that an upstream is backing off for `backoff_ms`; returns until when.
     pub fn on_backoff(
         &mut self,
--- a/crates/relay/src/gossip/mod.rs
+++ b/crates/relay/src/gossip/mod.rs
@@ -11,3 +11,4 @@
 
 pub use gossiper::{Gossiper, ReceivedGossip, receive_gossip};
 pub use message::{LeavingUpstream, PeerGossip};
+pub use received::AnswerSource;
--- a/crates/relay/src/gossip/received.rs
+++ b/crates/relay/src/gossip/received.rs
@@ -2,14 +2,42 @@
 
 use std::rc::Rc;
 
-use monsoonspread_borders::relay::{Backoff, UpstreamAnnouncement};
-use monsoonspread_decisions::announced::DEFAULT_BACKOFF_MS;
-use monsoonspread_model::{InstanceName, UpstreamName};
+use monsoonspread_borders::relay::{AnnouncedRate, Backoff, UpstreamAnnouncement};
+use monsoonspread_decisions::announced::{DEFAULT_BACKOFF_MS, RateChange};
+use monsoonspread_model::fleet::RateLimit;
+use monsoonspread_model::{InstanceName, UnixMs, UpstreamName};
 
 use super::{LeavingUpstream, PeerGossip};
 use crate::event::{Line, kind};
 use crate::shared::Shared;
 
+/// The answer in which an upstream made an announcement.
+#[derive(Clone, Copy, Debug)]
+pub enum AnswerSource<'a> {
+    /// The answer to a client's request.
+    Request {
+        /// Id of the request.
+        id: &'a str,
+        /// When the request was sent.
+        sent_at: UnixMs,
+    },
+    /// The answer to an order.
+    Order,
+    /// A report.
+    Report,
+}
+
+impl AnswerSource<'_> {
+    /// Returns the kind of answer, for the log.
+    fn name(self) -> &'static str {
+        match self {
+            Self::Request { .. } => "answer",
+            Self::Order => "order",
+            Self::Report => "report",
+        }
+    }
+}
+
 impl Shared {
     /// Returns what all instances should know.
     pub fn gossip(&self) -> PeerGossip {
@@ -34,11 +62,13 @@
     /// Handles what an upstream announced in an answer to this instance.
     pub fn on_announcement(
         self: &Rc<Self>,
-        source: &str,
+        source: AnswerSource<'_>,
         upstream: &UpstreamName,
         incarnation: u64,
         announcement: &UpstreamAnnouncement,
     ) {
+        self.on_announced_rate(source, upstream, incarnation, &announcement.rate_limit);
+        let source = source.name();
         if announcement.is_leaving && self.on_leaving(source, upstream, incarnation) {
             let leaving = LeavingUpstream {
                 upstream: upstream.clone(),
@@ -80,6 +110,57 @@
         true
     }
 
+    /// Handles the rate limit in an answer, or its absence.
+    fn on_announced_rate(
+        &self,
+        source: AnswerSource<'_>,
+        upstream: &UpstreamName,
+        incarnation: u64,
+        rate: &AnnouncedRate,
+    ) {
+        let now = self.now();
+        let (observed_at, limit) = match (rate, source) {
+            (AnnouncedRate::Limit(limit), _) => (now, Some(*limit)),
+            (AnnouncedRate::Unlimited, AnswerSource::Request { sent_at, .. }) => (sent_at, None),
+            // Upstreams need not announce limits on requests in other answers.
+            (AnnouncedRate::Unlimited, _) | (AnnouncedRate::Unknown, _) => return,
+            (AnnouncedRate::Malformed(text), _) => {
+                self.metrics.count("said", "unreadable");
+                Line::new(&kind::UPSTREAM_ANNOUNCED)
+                    .field("upstream", upstream)
+                    .field("incarnation", incarnation)
+                    .field("said", "unreadable limit")
+                    .field("source", source.name())
+                    .field("value", text)
+                    .log();
+                return;
+            }
+        };
+        let mut fleet = self.fleet.borrow_mut();
+        let change = fleet.on_rate_limit(observed_at, upstream, incarnation, limit);
+        drop(fleet);
+        let Some(RateChange { from, to }) = change else {
+            return;
+        };
+        let said = match to {
+            Some(_) => "limit",
+            None => "limit ended",
+        };
+        self.metrics.count("said", said);
+        let per_s = |limit: Option<RateLimit>| limit.map_or("none".to_owned(), |l| l.to_string());
+        let line = Line::new(&kind::UPSTREAM_ANNOUNCED)
+            .field("upstream", upstream)
+            .field("incarnation", incarnation)
+            .field("said", said)
+            .field("source", source.name())
+            .field("per_s", per_s(to))
+            .field("before", per_s(from));
+        match source {
+            AnswerSource::Request { id, .. } => line.field("id", id).log(),
+            AnswerSource::Order | AnswerSource::Report => line.log(),
+        }
+    }
+
     fn on_backoff(
         &self,
         source: &str,
--- a/crates/relay/src/holding/engine_calls.rs
+++ b/crates/relay/src/holding/engine_calls.rs
@@ -7,6 +7,7 @@
 use monsoonspread_model::fleet::{Order, OrderAnswer};
 
 use crate::event::{Line, kind};
+use crate::gossip::AnswerSource;
 use crate::shared::Shared;
 
 /// Sends an order and delivers its answer.
@@ -26,7 +27,7 @@
     let engines = &shared.borders.engines;
     let incarnation = shared.incarnation(&name);
     let reply = engines.order(&name, address, fence, &order, wait_ms).await;
-    shared.on_announcement("order", &name, incarnation, &reply.announcement);
+    shared.on_announcement(AnswerSource::Order, &name, incarnation, &reply.announcement);
     let answer = reply.answer;
     shared.metrics.count("orders", order_outcome(answer));
     let now = shared.now();
@@ -76,7 +77,12 @@
     }
     let incarnation = shared.incarnation(&name);
     let reply = shared.borders.engines.report(&name, address).await;
-    shared.on_announcement("report", &name, incarnation, &reply.announcement);
+    shared.on_announcement(
+        AnswerSource::Report,
+        &name,
+        incarnation,
+        &reply.announcement,
+    );
     let report = reply.answer;
     match &report {
         Ok(holdings) => Line::new(&kind::REPORT_READ)
