Keep requests to upstreams within the limit that they announce

Cause: no decision read the limit; nothing in the relay bounds the rate at an upstream, only what runs there at a time.

Before a request is sent to an upstream with a limit, its instance requests a permit from the upstream's issuer, an instance that all agree on by rendezvous hash over the listed ones. So the sum over instances is exact and an instance with most of the load may use the whole limit. An issuer whose lease the store has not confirmed issues half, so that two of them after a partition stay within one and a half times. Instances learn limits from answers, gossip and the requests for permits. A request goes on to another upstream when the next permit is not free; if all are at their limit it waits for up to half of its objective, half as long for each rank below the first, and is refused at once otherwise.

--- a/crates/decisions/src/announced/mod.rs
+++ b/crates/decisions/src/announced/mod.rs
@@ -181,6 +181,11 @@
             .filter(|until| is_current && now < *until)
     }
 
+    /// Returns the announcement of an upstream, if it made one.
+    pub fn get(&self, upstream: &UpstreamName) -> Option<&Announcement> {
+        self.announcements.get(upstream)
+    }
+
     /// Returns all announcements.
     pub fn iter(&self) -> impl Iterator<Item = (&UpstreamName, &Announcement)> {
         self.announcements.iter()
--- a/crates/decisions/src/announced/tests.rs
+++ b/crates/decisions/src/announced/tests.rs
@@ -1,6 +1,9 @@
+use monsoonspread_model::fleet::RateLimit;
 use monsoonspread_model::{UnixMs, UpstreamName};
 
-use super::{Announcements, DEFAULT_BACKOFF_MS, MAX_BACKOFF_MS, MAX_UPSTREAMS, retry_after_ms};
+use super::{
+    Announcements, DEFAULT_BACKOFF_MS, MAX_BACKOFF_MS, MAX_UPSTREAMS, RateChange, retry_after_ms,
+};
 
 const NOW: UnixMs = UnixMs(10_000);
 
@@ -104,3 +107,65 @@
         "{in_slots:?}"
     );
 }
+
+/// Guards against an answer without the limit that was overtaken by one with it, and against a limit
+/// that outlasts its announcement.
+#[test]
+fn a_limit_ends_with_a_later_request_whose_answer_has_none() {
+    let mut announcements = Announcements::default();
+    let (low, high) = (RateLimit::new(2.2), RateLimit::new(5.0));
+    assert_eq!(announcements.on_rate_limit(NOW, &server(), 1, None), None);
+    assert!(
+        announcements
+            .on_rate_limit(NOW, &server(), 1, low)
+            .is_some()
+    );
+    assert_eq!(
+        announcements.on_rate_limit(NOW + 5, &server(), 1, low),
+        None
+    );
+    // Sent before the last answer with a limit.
+    assert_eq!(
+        announcements.on_rate_limit(NOW + 3, &server(), 1, None),
+        None
+    );
+    assert_eq!(announcements.rate_limit(&server(), 1), low);
+    let change = announcements.on_rate_limit(NOW + 6, &server(), 1, high);
+    assert_eq!(
+        change,
+        Some(RateChange {
+            from: low,
+            to: high
+        })
+    );
+    let change = announcements.on_rate_limit(NOW + 7, &server(), 1, None);
+    assert_eq!(
+        change,
+        Some(RateChange {
+            from: high,
+            to: None
+        })
+    );
+    assert_eq!(announcements.rate_limit(&server(), 1), None);
+    // An older report of the limit by another instance.
+    assert_eq!(
+        announcements.on_rate_limit(NOW + 6, &server(), 1, low),
+        None
+    );
+}
+
+#[test]
+fn a_limit_holds_for_its_incarnation() {
+    let mut announcements = Announcements::default();
+    let limit = RateLimit::new(2.0);
+    announcements.on_rate_limit(NOW, &server(), 1, limit);
+    assert_eq!(announcements.rate_limit(&server(), 2), None);
+    announcements.on_listed(&server(), 2);
+    assert_eq!(announcements.rate_limit(&server(), 1), None);
+    announcements.on_rate_limit(NOW, &server(), 2, limit);
+    assert_eq!(
+        announcements.on_rate_limit(NOW + 9, &server(), 1, None),
+        None
+    );
+    assert_eq!(announcements.rate_limit(&server(), 2), limit);
+}
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod ownership;
 pub mod placement;
 pub mod quarantine;
+pub mod rate_limit;
 pub mod retry_budget;
 pub mod route_table;
 pub mod service_route;
--- /dev/null
+++ b/crates/decisions/src/rate_limit/mod.rs
@@ -0,0 +1,48 @@
+//! Keeps the requests of all instances to an upstream within the rate that the upstream announced.
+//!
+//! One instance, the issuer, issues the permits for an upstream: the first of all listed instances by
+//! rendezvous hash, so that instances agree without a message. An instance that knows a limit sends
+//! nothing to the upstream without a permit. Instances that can't reach the issuer get no permits,
+//! which costs their requests this upstream; with shares instead, an instance that serves most of the
+//! load would be held to its part while others leave theirs unused.
+//!
+//! # Two issuers
+//!
+//! Instances that disagree on the listed instances may have different issuers. The store has listed at
+//! most one issuer whose lease it confirmed, apart from the time in which a change becomes known. An
+//! issuer that isn't confirmed, for example in an availability zone that is partitioned from the store,
+//! issues permits at [`UNCONFIRMED_SHARE`] of the rate.
+
+mod permit_issuer;
+#[cfg(test)]
+mod tests;
+
+pub use permit_issuer::{PermitAnswer, PermitIssuer, PermitTerms};
+
+use monsoonspread_model::{InstanceName, UpstreamName};
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+/// Share of the limit that an issuer spends while the store has not confirmed its lease recently:
+/// together with another issuer that is confirmed it stays within one and a half times the limit.
+pub const UNCONFIRMED_SHARE: f64 = 0.5;
+
+/// Returns the instance that issues the permits for `upstream`; `None` without instances.
+///
+/// ```
+/// # use monsoonspread_decisions::rate_limit::issuer;
+/// # use monsoonspread_model::InstanceName;
+/// let instances: [InstanceName; 3] = ["a".into(), "b".into(), "c".into()];
+/// let upstream = "server-1".into();
+/// let chosen = issuer(&upstream, instances.iter()).expect("an instance");
+/// assert_eq!(issuer(&upstream, instances.iter().rev()), Some(chosen));
+/// ```
+pub fn issuer<'a>(
+    upstream: &UpstreamName,
+    instances: impl Iterator<Item = &'a InstanceName>,
+) -> Option<&'a InstanceName> {
+    let seed = xxh3_64_with_seed(upstream.as_str().as_bytes(), 0);
+    instances.max_by_key(|instance| {
+        let score = xxh3_64_with_seed(instance.as_str().as_bytes(), seed);
+        (score, *instance)
+    })
+}
--- a/crates/decisions/src/service_route/router.rs
+++ b/crates/decisions/src/service_route/router.rs
@@ -132,6 +132,13 @@
         }
     }
 
+    /// Records that a call was not sent.
+    pub fn on_cancelled(&mut self, server: &UpstreamName, repeatable: bool) {
+        if let Some(server) = self.servers.get_mut(server) {
+            server.end(repeatable);
+        }
+    }
+
     /// Describes every server.
     pub fn dump(&self, now: UnixMs) -> Vec<RouteDump> {
         let servers = self.servers.iter();
--- a/crates/relay/src/call/candidates.rs
+++ b/crates/relay/src/call/candidates.rs
@@ -2,9 +2,10 @@
 
 use std::rc::Rc;
 
+use monsoonspread_decisions::copies::QuotedCopy;
 use monsoonspread_decisions::load_choice::PromptCost;
-use monsoonspread_model::UpstreamName;
 use monsoonspread_model::fleet::{AdapterKey, CallHead, PromptPart};
+use monsoonspread_model::{UnixMs, UpstreamName};
 
 use super::request::RelayRequest;
 use crate::holding::{QuoteList, collect_quotes};
@@ -43,6 +44,8 @@
     };
     let loads = shared.loads.borrow();
     loads.sort(now, &mut names, copies, &quoted, prompt);
+    // An engine with a limit is not worth a load while others can take the request.
+    names.sort_by_key(|name| shared.has_limit(name) && !has_copy(shared, key, name, &quoted));
     if let Some(index) = shared.suspects.isolation_index(now, request.fingerprint)
         && !names.is_empty()
     {
@@ -63,11 +66,48 @@
     }
 }
 
+/// Whether an engine has the copy, or is loading it.
+fn has_copy(shared: &Shared, key: &AdapterKey, engine: &UpstreamName, quoted: &QuoteList) -> bool {
+    if key.adapter.is_none() {
+        return true;
+    }
+    let quote = quoted.iter().find(|(name, _)| name == engine);
+    match quote {
+        Some((_, quote)) => quote.copy != QuotedCopy::Absent,
+        None => {
+            let known = shared.known_copies.borrow();
+            known.is_known(shared.now(), engine, key)
+        }
+    }
+}
+
+/// Returns the engines at their limit, in the order in which their next permits are free.
+pub(super) fn at_limit(shared: &Shared, request: &RelayRequest) -> Vec<(UnixMs, UpstreamName)> {
+    let fleet = shared.fleet.borrow();
+    let now = shared.now();
+    let ready = fleet.ready(&request.service);
+    let mut engines: Vec<_> = ready
+        .filter(|upstream| fleet.backoff_until(now, upstream).is_none())
+        .filter_map(|upstream| {
+            let until = shared.permits.exhausted_until(now, &upstream.name)?;
+            Some((until, upstream.name.clone()))
+        })
+        .collect();
+    engines.sort();
+    engines
+}
+
 fn ready(shared: &Shared, request: &RelayRequest) -> Vec<UpstreamName> {
     let fleet = shared.fleet.borrow();
     let now = shared.now();
     let ready = fleet.ready(&request.service);
-    let ready = ready.filter(|upstream| fleet.backoff_until(now, upstream).is_none());
+    let ready = ready.filter(|upstream| {
+        let is_exhausted = shared
+            .permits
+            .exhausted_until(now, &upstream.name)
+            .is_some();
+        fleet.backoff_until(now, upstream).is_none() && !is_exhausted
+    });
     ready.map(|upstream| upstream.name.clone()).collect()
 }
 
--- a/crates/relay/src/call/model_call.rs
+++ b/crates/relay/src/call/model_call.rs
@@ -3,23 +3,26 @@
 use std::rc::Rc;
 
 use hyper::{Response, StatusCode};
-use monsoonspread_model::UpstreamName;
 use monsoonspread_model::fleet::{AdapterKey, UpstreamRecord, UpstreamStage};
+use monsoonspread_model::{UnixMs, UpstreamName};
 
 use super::answer::{AnswerEnd, Grant};
 use super::attempt::{Attempt, AttemptOptions, attempt};
-use super::candidates::{candidates, long_shared_parts};
+use super::candidates::{at_limit, candidates, long_shared_parts};
 use super::forward::{forward, log_end};
 use super::request::RelayRequest;
 use super::upstream_answer::UpstreamAnswer;
 use super::{RelayBody, refusal, resume, suspect};
 use crate::event::{Line, kind};
 use crate::holding::{CopyQuery, request_copy};
+use crate::limits::Permit;
 use crate::peers::CopyRequestFailure;
 use crate::shared::Shared;
 
 /// Maximum number of engines that a request is sent to before it is refused.
 const MAX_OFFERS: usize = 4;
+/// Maximum number of engines at their limit that a request requests a later permit for.
+const MAX_WAITS: usize = 2;
 /// `Retry-After` when no engine had a copy in time, in milliseconds: the time of one load from the
 /// weight store.
 const RETRY_MS: u64 = 300;
@@ -120,7 +123,29 @@
             if self.offers >= MAX_OFFERS || self.shared.now() >= self.request.deadline {
                 return None;
             }
-            match self.offer(name, patient, resume_after).await {
+            let now = self.shared.now();
+            if self.shared.permits.exhausted_until(now, name).is_some() {
+                continue;
+            }
+            match self.offer(name, patient, now, resume_after).await {
+                OfferOutcome::Answered(answer) => return Some(*answer),
+                OfferOutcome::Next => {}
+                OfferOutcome::Over => return None,
+            }
+        }
+        self.next_at_limit(resume_after).await
+    }
+
+    /// Returns the answer of an engine at its limit, if its next permit is free in time.
+    async fn next_at_limit(&mut self, resume_after: Option<u64>) -> Option<UpstreamAnswer> {
+        let wait_until = self.request.permit_wait_until();
+        let engines = at_limit(&self.shared, &self.request).into_iter();
+        let in_time = engines.take_while(|(until, _)| *until <= wait_until);
+        for (_, name) in in_time.take(MAX_WAITS) {
+            if self.offers >= MAX_OFFERS || self.shared.now() >= self.request.deadline {
+                return None;
+            }
+            match self.offer(&name, true, wait_until, resume_after).await {
                 OfferOutcome::Answered(answer) => return Some(*answer),
                 OfferOutcome::Next => {}
                 OfferOutcome::Over => return None,
@@ -129,12 +154,23 @@
         None
     }
 
+    /// Offers the request to an engine, which may be at its limit until `permit_wait_until`.
     async fn offer(
         &mut self,
         name: &UpstreamName,
         patient: bool,
+        permit_wait_until: UnixMs,
         resume_after: Option<u64>,
     ) -> OfferOutcome {
+        // Without a permit the holder must not load a copy.
+        let Some(record) = self.available_record(name) else {
+            return OfferOutcome::Next;
+        };
+        let id = &self.request.head.request_id;
+        let permit = self.shared.permit(id, &record, permit_wait_until).await;
+        if permit == Permit::Denied {
+            return OfferOutcome::Next;
+        }
         let grant = match self.request_copy(name, patient).await {
             Ok(grant) => grant,
             Err(failure) => {
@@ -266,9 +302,10 @@
         if let Some(refusal) = suspect::refused(&self.shared, &self.request) {
             return refusal;
         }
-        let backoff_ms = refusal::backoff_ms(&self.shared, &self.request);
-        let (reason, retry_ms) = match backoff_ms {
-            Some(backoff_ms) => ("all engines turned requests away", backoff_ms),
+        let unavailable = refusal::unavailable(&self.shared, &self.request);
+        let (reason, retry_ms) = match unavailable {
+            Some(all) if all.has_limit => ("all engines are at their limit", all.retry_ms),
+            Some(all) => ("all engines turned requests away", all.retry_ms),
             None => ("no engine had a copy in time", RETRY_MS),
         };
         refusal::refused(&self.shared, &self.request, reason, retry_ms)
--- a/crates/relay/src/call/refusal.rs
+++ b/crates/relay/src/call/refusal.rs
@@ -47,12 +47,20 @@
     not_run(retry_ms)
 }
 
-/// Returns when the client should retry if all upstreams of its service are backing off, in
-/// milliseconds; `None` if any accepts work.
-pub(super) fn backoff_ms(shared: &Shared, request: &RelayRequest) -> Option<u64> {
-    let now = shared.now();
-    let fleet = shared.fleet.borrow();
-    let until = fleet.service_backoff_until(now, &request.service)?;
+/// Why all upstreams of a service reject requests, and when a client should retry.
+pub(super) struct Unavailable {
+    /// Whether at least one of them is at its limit.
+    pub(super) has_limit: bool,
+    pub(super) retry_ms: u64,
+}
+
+/// Returns when the client should retry if all upstreams of its service are backing off or at their
+/// limit; `None` if any accepts work.
+pub(super) fn unavailable(shared: &Shared, request: &RelayRequest) -> Option<Unavailable> {
+    let (until, has_limit) = shared.service_unavailable_until(&request.service)?;
     let draw = Fingerprint::of([request.head.request_id.as_bytes()]);
-    Some(retry_after_ms(until.ms_since(now), draw.0))
+    Some(Unavailable {
+        has_limit,
+        retry_ms: retry_after_ms(until.ms_since(shared.now()), draw.0),
+    })
 }
--- a/crates/relay/src/call/request.rs
+++ b/crates/relay/src/call/request.rs
@@ -8,6 +8,12 @@
 use monsoonspread_model::fleet::{CallHead, Route};
 use monsoonspread_model::{Fingerprint, ServiceName, UnixMs};
 
+/// How long a request of the most urgent rank waits for an upstream at its limit, in percent of its
+/// objective.
+const PERMIT_WAIT_PERCENT: u64 = 50;
+/// Maximum number of times that this wait is halved.
+const MAX_HALVINGS: u32 = 16;
+
 /// A fully read client request.
 #[derive(Clone, Debug)]
 pub(super) struct RelayRequest {
@@ -54,6 +60,16 @@
             deadline: arrived_at + timeout_ms,
         }
     }
+
+    /// Returns until when the request may wait for an upstream at its limit.
+    ///
+    /// The rest of its objective is left for the answer. Each rank waits half as long as the one before
+    /// it, so that the less urgent are refused first.
+    pub(super) fn permit_wait_until(&self) -> UnixMs {
+        let patience_ms = self.route.objective_ms * PERMIT_WAIT_PERCENT / 100;
+        let patience_ms = patience_ms >> self.route.rank.min(MAX_HALVINGS);
+        self.deadline.min(self.arrived_at + patience_ms)
+    }
 }
 
 /// Hashes method, host, path, query and body, which all copies of a request share.
--- a/crates/relay/src/call/service_call.rs
+++ b/crates/relay/src/call/service_call.rs
@@ -3,15 +3,17 @@
 use std::rc::Rc;
 
 use hyper::{Response, StatusCode};
-use monsoonspread_model::UnixMs;
-use monsoonspread_model::UpstreamName;
+use monsoonspread_model::fleet::UpstreamRecord;
+use monsoonspread_model::{UnixMs, UpstreamName};
 
 use super::answer::{AnswerEnd, ServiceSlot};
 use super::attempt::{Attempt, AttemptOptions, attempt};
+use super::candidates::at_limit;
 use super::forward::{forward, log_end};
 use super::request::RelayRequest;
 use super::upstream_answer::UpstreamAnswer;
 use super::{RelayBody, refusal, suspect};
+use crate::limits::Permit;
 use crate::shared::Shared;
 
 /// `Retry-After` when no server accepted the request, in milliseconds: the time a server needs to
@@ -19,6 +21,8 @@
 const RETRY_MS: u64 = 300;
 /// Maximum number of servers that a request is offered to before it is refused.
 const MAX_OFFERS: usize = 4;
+/// Maximum number of servers at their limit that a request requests a later permit for.
+const MAX_WAITS: usize = 2;
 /// How long a repeatable call waits for one server while another may be tried, in multiples of its
 /// objective.
 const PATIENCE_OBJECTIVES: u64 = 2;
@@ -32,7 +36,7 @@
         if offer > 0 && !shared.retries.spend(&request.service) {
             break;
         }
-        let Some((record, slot)) = pick(shared, &request, repeatable, &tried) else {
+        let Some((record, slot)) = permitted(shared, &request, repeatable, &tried).await else {
             break;
         };
         tried.push(record.name.clone());
@@ -83,19 +87,56 @@
     suspect::refused(shared, &request).unwrap_or_else(|| refused(shared, &request))
 }
 
+/// Picks a server that permits the request: at once if there is one, otherwise the one whose next
+/// permit is free first.
+async fn permitted(
+    shared: &Rc<Shared>,
+    request: &RelayRequest,
+    repeatable: bool,
+    tried: &[UpstreamName],
+) -> Option<(UpstreamRecord, ServiceSlot)> {
+    let id = &request.head.request_id;
+    let is_available = |server: &UpstreamName| shared.unavailable_until(server).is_none();
+    let mut excluded = tried.to_vec();
+    while let Some((record, slot)) = pick(shared, request, repeatable, &excluded, is_available) {
+        if shared.permit(id, &record, shared.now()).await == Permit::Granted {
+            return Some((record, slot));
+        }
+        cancel(shared, &slot);
+        excluded.push(record.name);
+    }
+    let wait_until = request.permit_wait_until();
+    for _ in 0..MAX_WAITS {
+        let first_free = |server: &UpstreamName| {
+            let at_limit = at_limit(shared, request);
+            let mut in_order = at_limit.iter().filter(|(_, name)| !tried.contains(name));
+            in_order
+                .next()
+                .is_some_and(|(until, name)| name == server && *until <= wait_until)
+        };
+        let (record, slot) = pick(shared, request, repeatable, tried, first_free)?;
+        if shared.permit(id, &record, wait_until).await == Permit::Granted {
+            return Some((record, slot));
+        }
+        cancel(shared, &slot);
+    }
+    None
+}
+
 fn pick(
     shared: &Shared,
     request: &RelayRequest,
     repeatable: bool,
     tried: &[UpstreamName],
-) -> Option<(monsoonspread_model::fleet::UpstreamRecord, ServiceSlot)> {
+    may_be_used: impl Fn(&UpstreamName) -> bool,
+) -> Option<(UpstreamRecord, ServiceSlot)> {
     let now = shared.now();
     let fleet = shared.fleet.borrow();
-    let backing_off = fleet
+    let unusable = fleet
         .ready(&request.service)
-        .filter(|server| fleet.backoff_until(now, server).is_some())
+        .filter(|server| !may_be_used(&server.name))
         .map(|server| server.name.clone());
-    let excluded: Vec<UpstreamName> = tried.iter().cloned().chain(backing_off).collect();
+    let excluded: Vec<UpstreamName> = tried.iter().cloned().chain(unusable).collect();
     let mut router = shared.router.borrow_mut();
     let server = router
         .pick(now, &request.service, repeatable, &excluded)
@@ -112,6 +153,12 @@
     Some((record, slot))
 }
 
+/// Releases the slot of a request that was not sent.
+fn cancel(shared: &Shared, slot: &ServiceSlot) {
+    let mut router = shared.router.borrow_mut();
+    router.on_cancelled(&slot.server, slot.repeatable);
+}
+
 fn times_out_at(now: UnixMs, request: &RelayRequest, may_run_again: bool) -> UnixMs {
     if !may_run_again {
         return request.deadline;
@@ -136,8 +183,9 @@
 }
 
 fn refused(shared: &Shared, request: &RelayRequest) -> Response<RelayBody> {
-    let (reason, retry_ms) = match refusal::backoff_ms(shared, request) {
-        Some(backoff_ms) => ("all servers turned requests away", backoff_ms),
+    let (reason, retry_ms) = match refusal::unavailable(shared, request) {
+        Some(all) if all.has_limit => ("all servers are at their limit", all.retry_ms),
+        Some(all) => ("all servers turned requests away", all.retry_ms),
         None => ("no server took it", RETRY_MS),
     };
     refusal::refused(shared, request, reason, retry_ms)
--- a/crates/relay/src/fleet/view.rs
+++ b/crates/relay/src/fleet/view.rs
@@ -70,12 +70,9 @@
             .backoff_until(now, &upstream.name, incarnation)
     }
 
-    /// Returns when the first upstream of `service` accepts work again, if all of them are backing
-    /// off.
-    pub fn service_backoff_until(&self, now: UnixMs, service: &ServiceName) -> Option<UnixMs> {
-        let ready = self.ready(service);
-        let untils: Option<Vec<UnixMs>> = ready.map(|up| self.backoff_until(now, up)).collect();
-        untils?.into_iter().min()
+    /// Returns the rate limit of this incarnation of an upstream; `None` without a limit.
+    pub fn rate_limit(&self, upstream: &UpstreamName, incarnation: u64) -> Option<RateLimit> {
+        self.announcements.rate_limit(upstream, incarnation)
     }
 
     /// Returns the listed upstreams that announced that they are leaving.
@@ -94,6 +91,22 @@
             .collect()
     }
 
+    /// Returns the announcement of an upstream.
+    pub fn announcement(&self, upstream: &UpstreamName) -> Option<&Announcement> {
+        self.announcements.get(upstream)
+    }
+
+    /// Returns the listed upstreams that have a rate limit or had one.
+    pub fn with_announced_rate(&self) -> Vec<UpstreamName> {
+        let announcements = self.announcements.iter();
+        announcements
+            .filter(|(name, announcement)| {
+                announcement.rate_observed_at.is_some() && self.upstream(name).is_some()
+            })
+            .map(|(name, _)| name.clone())
+            .collect()
+    }
+
     /// Returns the announcements of all upstreams.
     pub fn announcements(&self) -> BTreeMap<UpstreamName, Announcement> {
         let announcements = self.announcements.iter();
@@ -154,6 +167,11 @@
         self.members.get(name).map(|member| member.peer_address)
     }
 
+    /// Returns the listed instances.
+    pub fn members(&self) -> impl Iterator<Item = &FleetMember> {
+        self.members.values()
+    }
+
     /// Returns the instances of a zone.
     pub fn members_of<'a>(&'a self, zone: &'a ZoneName) -> impl Iterator<Item = &'a InstanceName> {
         let members = self.members.values();
--- a/crates/relay/src/gossip/message.rs
+++ b/crates/relay/src/gossip/message.rs
@@ -1,6 +1,7 @@
 //! Gossip messages about upstreams and requests.
 
 use monsoonspread_model::UpstreamName;
+use monsoonspread_model::fleet::RateLimit;
 use serde::{Deserialize, Serialize};
 
 use crate::suspects::PeerSuspect;
@@ -8,6 +9,7 @@
 /// Limits per message; a message then takes at most about 40 KB.
 const MAX_SUSPECTS: usize = 32;
 const MAX_LEAVING: usize = 128;
+const MAX_LIMITS: usize = 128;
 
 /// An upstream that announced that it is leaving.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -19,6 +21,22 @@
     pub incarnation: u64,
 }
 
+/// An observation of an upstream's rate limit.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct RateObservation {
+    #[serde(rename = "u")]
+    pub upstream: UpstreamName,
+    /// Start time of the upstream process, which distinguishes its restarts.
+    #[serde(rename = "i")]
+    pub incarnation: u64,
+    /// The limit; `None` if it ended.
+    #[serde(rename = "r")]
+    pub limit: Option<RateLimit>,
+    /// Time since the observation in milliseconds, as the instances' clocks differ.
+    #[serde(rename = "a")]
+    pub age_ms: u64,
+}
+
 /// State of upstreams and requests that instances exchange.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct PeerGossip {
@@ -28,6 +46,9 @@
     /// Upstreams that announced that they are leaving.
     #[serde(rename = "l", default, skip_serializing_if = "Vec::is_empty")]
     pub leaving: Vec<LeavingUpstream>,
+    /// Upstreams that announced a rate limit.
+    #[serde(rename = "r", default, skip_serializing_if = "Vec::is_empty")]
+    pub limits: Vec<RateObservation>,
 }
 
 impl PeerGossip {
@@ -41,6 +62,10 @@
             leaving: part.to_vec(),
             ..Self::default()
         });
-        suspects.chain(leaving)
+        let limits = self.limits.chunks(MAX_LIMITS).map(|part| Self {
+            limits: part.to_vec(),
+            ..Self::default()
+        });
+        suspects.chain(leaving).chain(limits)
     }
 }
--- a/crates/relay/src/gossip/mod.rs
+++ b/crates/relay/src/gossip/mod.rs
@@ -1,5 +1,5 @@
-//! Gossip between instances: which upstreams announced that they are leaving, and under which
-//! requests upstreams crashed.
+//! Gossip between instances: which upstreams announced that they are leaving or have a rate limit, and
+//! under which requests upstreams crashed.
 //!
 //! An instance that observes a change sends it to the first few instances of each zone, which are
 //! also the feed sources of the others, and these forward it to their subscribers. The first
@@ -10,5 +10,5 @@
 mod received;
 
 pub use gossiper::{Gossiper, ReceivedGossip, receive_gossip};
-pub use message::{LeavingUpstream, PeerGossip};
+pub use message::{LeavingUpstream, PeerGossip, RateObservation};
 pub use received::AnswerSource;
--- a/crates/relay/src/gossip/received.rs
+++ b/crates/relay/src/gossip/received.rs
@@ -7,7 +7,7 @@
 use monsoonspread_model::fleet::RateLimit;
 use monsoonspread_model::{InstanceName, UnixMs, UpstreamName};
 
-use super::{LeavingUpstream, PeerGossip};
+use super::{LeavingUpstream, PeerGossip, RateObservation};
 use crate::event::{Line, kind};
 use crate::shared::Shared;
 
@@ -44,6 +44,7 @@
         PeerGossip {
             suspects: self.suspects.fleet_wide(self.now()),
             leaving: self.fleet.borrow().announced_leaving(),
+            limits: self.rate_observations(),
         }
     }
 
@@ -57,6 +58,9 @@
             } = leaving;
             self.on_leaving(peer.as_str(), upstream, *incarnation);
         }
+        for observation in &gossip.limits {
+            self.on_rate_observation(peer.as_str(), observation);
+        }
     }
 
     /// Handles what an upstream announced in an answer to this instance.
@@ -112,7 +116,7 @@
 
     /// Handles the rate limit in an answer, or its absence.
     fn on_announced_rate(
-        &self,
+        self: &Rc<Self>,
         source: AnswerSource<'_>,
         upstream: &UpstreamName,
         incarnation: u64,
@@ -136,29 +140,92 @@
                 return;
             }
         };
+        let id = match source {
+            AnswerSource::Request { id, .. } => id,
+            AnswerSource::Order | AnswerSource::Report => "",
+        };
+        if self.on_rate_limit(source.name(), id, observed_at, upstream, incarnation, limit)
+            && let Some(observation) = self.rate_observation(upstream)
+        {
+            let gossip = PeerGossip {
+                limits: vec![observation],
+                ..PeerGossip::default()
+            };
+            self.gossiper.send_to_feed_sources(self, &gossip);
+        }
+    }
+
+    /// Merges another instance's observation of a rate limit.
+    pub fn on_rate_observation(&self, source: &str, observation: &RateObservation) {
+        let RateObservation {
+            upstream,
+            incarnation,
+            limit,
+            age_ms,
+        } = observation;
+        let observed_at = self.now() - *age_ms;
+        self.on_rate_limit(source, "", observed_at, upstream, *incarnation, *limit);
+    }
+
+    /// Returns this instance's observation of an upstream's rate limit; `None` if it never announced
+    /// one.
+    pub fn rate_observation(&self, upstream: &UpstreamName) -> Option<RateObservation> {
+        let fleet = self.fleet.borrow();
+        let announcement = fleet.announcement(upstream)?;
+        let observed_at = announcement.rate_observed_at?;
+        Some(RateObservation {
+            upstream: upstream.clone(),
+            incarnation: announcement.incarnation,
+            limit: announcement.rate_limit,
+            age_ms: self.now().ms_since(observed_at),
+        })
+    }
+
+    fn rate_observations(&self) -> Vec<RateObservation> {
+        let upstreams = self.fleet.borrow().with_announced_rate();
+        let observations = upstreams
+            .iter()
+            .filter_map(|name| self.rate_observation(name));
+        observations.collect()
+    }
+
+    /// Records the rate limit of an upstream, as observed in the answer to the request `id` or by
+    /// another instance; returns whether it changed.
+    fn on_rate_limit(
+        &self,
+        source: &str,
+        id: &str,
+        observed_at: UnixMs,
+        upstream: &UpstreamName,
+        incarnation: u64,
+        limit: Option<RateLimit>,
+    ) -> bool {
         let mut fleet = self.fleet.borrow_mut();
         let change = fleet.on_rate_limit(observed_at, upstream, incarnation, limit);
         drop(fleet);
         let Some(RateChange { from, to }) = change else {
-            return;
+            return false;
         };
+        self.gossiper.on_change();
+        if to.is_none() {
+            self.permits.on_unlimited(upstream);
+        }
         let said = match to {
             Some(_) => "limit",
             None => "limit ended",
         };
         self.metrics.count("said", said);
         let per_s = |limit: Option<RateLimit>| limit.map_or("none".to_owned(), |l| l.to_string());
-        let line = Line::new(&kind::UPSTREAM_ANNOUNCED)
+        Line::new(&kind::UPSTREAM_ANNOUNCED)
             .field("upstream", upstream)
             .field("incarnation", incarnation)
             .field("said", said)
-            .field("source", source.name())
+            .field("source", source)
             .field("per_s", per_s(to))
-            .field("before", per_s(from));
-        match source {
-            AnswerSource::Request { id, .. } => line.field("id", id).log(),
-            AnswerSource::Order | AnswerSource::Report => line.log(),
-        }
+            .field("before", per_s(from))
+            .field("id", id)
+            .log();
+        true
     }
 
     fn on_backoff(
--- a/crates/relay/src/holding/controller.rs
+++ b/crates/relay/src/holding/controller.rs
@@ -61,6 +61,11 @@
         self.plan.borrow().members().max(1)
     }
 
+    /// Whether the store recently confirmed this instance's lease.
+    pub fn is_confirmed(&self, now: UnixMs) -> bool {
+        self.confirmation.borrow().holds(now)
+    }
+
     /// Describes the held engines for the state dump.
     pub fn dump(&self) -> BTreeMap<UpstreamName, CopyControlDump> {
         let engines = self.engines.borrow();
--- a/crates/relay/src/http/metrics.rs
+++ b/crates/relay/src/http/metrics.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::convert::Infallible;
+use std::fmt::Write;
 use std::rc::Rc;
 
 use bytes::Bytes;
@@ -46,7 +47,7 @@
     let path = request.uri().path();
     let (status, text) = match (request.method(), path.strip_prefix(SUSPECTS_PATH)) {
         (&Method::DELETE, Some(fingerprint)) => release(&shared, fingerprint),
-        (&Method::GET, None) if path == "/metrics" => (StatusCode::OK, shared.metrics.text()),
+        (&Method::GET, None) if path == "/metrics" => (StatusCode::OK, metrics(&shared)),
         (&Method::GET, None) if path == "/dump" => dump(&shared),
         _ => (StatusCode::NOT_FOUND, String::new()),
     };
@@ -55,6 +56,27 @@
     Ok(response)
 }
 
+/// Returns all metrics as text, with the upstreams' rate limits and the rates at which this instance
+/// issues permits for them.
+fn metrics(shared: &Shared) -> String {
+    let mut text = shared.metrics.text();
+    let mut gauge = |name: &str, upstream: &UpstreamName, per_s: f64| {
+        let _ = writeln!(
+            text,
+            "monsoonspread_{name}_per_s{{upstream=\"{upstream}\"}} {per_s:.3}"
+        );
+    };
+    for (upstream, announcement) in shared.fleet.borrow().announcements() {
+        if let Some(limit) = announcement.rate_limit {
+            gauge("rate_limit", &upstream, limit.per_s());
+        }
+    }
+    for (upstream, per_s) in shared.permits.issued_rates(shared.now()) {
+        gauge("permits_issued", &upstream, per_s);
+    }
+    text
+}
+
 /// State dump: held engines, suspect requests and upstreams' announcements.
 #[derive(Serialize)]
 struct Dump {
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -15,6 +15,7 @@
 mod gossip;
 mod holding;
 mod http;
+mod limits;
 mod metrics;
 mod peers;
 mod retries;
--- /dev/null
+++ b/crates/relay/src/limits/mod.rs
@@ -0,0 +1,12 @@
+//! Rate limits that upstreams announce.
+//!
+//! Before a request is sent to an upstream with a limit, its instance requests a permit from the
+//! upstream's issuer. A denied permit tells when the next one is free; until then this instance sends
+//! its requests to other upstreams without asking again.
+
+mod issue;
+mod permit;
+mod permits;
+
+pub use permit::Permit;
+pub use permits::Permits;
--- /dev/null
+++ b/crates/relay/src/limits/permits.rs
@@ -0,0 +1,105 @@
+//! What an instance knows of the permits for upstreams with a limit.
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+
+use monsoonspread_decisions::rate_limit::PermitIssuer;
+use monsoonspread_model::{InstanceName, ServiceName, UnixMs, UpstreamName};
+
+use crate::shared::Shared;
+
+/// How long an unresponsive issuer isn't asked again, in milliseconds.
+const UNRESPONSIVE_MS: u64 = 1_000;
+
+/// Permits issued by this instance, and answers of other issuers.
+#[derive(Debug, Default)]
+pub struct Permits {
+    pub(super) issuer: RefCell<PermitIssuer>,
+    /// Times until which upstreams have no permit that can be used at once.
+    exhausted_until: RefCell<BTreeMap<UpstreamName, UnixMs>>,
+    unresponsive_until: RefCell<BTreeMap<InstanceName, UnixMs>>,
+}
+
+impl Permits {
+    /// Returns until when an upstream has no permit that can be used at once; `None` if it may have
+    /// one.
+    pub fn exhausted_until(&self, now: UnixMs, upstream: &UpstreamName) -> Option<UnixMs> {
+        let exhausted = self.exhausted_until.borrow();
+        let until = exhausted.get(upstream).copied();
+        until.filter(|until| now < *until)
+    }
+
+    /// The next permit of an upstream is free at `until`.
+    pub(super) fn on_exhausted(&self, upstream: &UpstreamName, until: UnixMs) {
+        let mut exhausted = self.exhausted_until.borrow_mut();
+        exhausted.insert(upstream.clone(), until);
+    }
+
+    /// An upstream has no limit any more.
+    pub fn on_unlimited(&self, upstream: &UpstreamName) {
+        self.exhausted_until.borrow_mut().remove(upstream);
+    }
+
+    /// Whether an issuer recently failed to answer.
+    pub(super) fn is_unresponsive(&self, now: UnixMs, issuer: &InstanceName) -> bool {
+        let unresponsive = self.unresponsive_until.borrow();
+        unresponsive.get(issuer).is_some_and(|until| now < *until)
+    }
+
+    /// An issuer failed to answer.
+    pub(super) fn on_unresponsive(&self, now: UnixMs, issuer: &InstanceName) {
+        let mut unresponsive = self.unresponsive_until.borrow_mut();
+        unresponsive.insert(issuer.clone(), now + UNRESPONSIVE_MS);
+    }
+
+    /// Permits per second that this instance issues for each upstream.
+    pub fn issued_rates(&self, now: UnixMs) -> Vec<(UpstreamName, f64)> {
+        let issuer = self.issuer.borrow();
+        let rates = issuer.rates(now);
+        rates.map(|(name, per_s)| (name.clone(), per_s)).collect()
+    }
+
+    /// Drops what has expired.
+    pub fn on_tick(&self, now: UnixMs) {
+        self.exhausted_until
+            .borrow_mut()
+            .retain(|_, until| now < *until);
+        self.unresponsive_until
+            .borrow_mut()
+            .retain(|_, until| now < *until);
+    }
+}
+
+impl Shared {
+    /// Whether an upstream has a rate limit.
+    pub fn has_limit(&self, upstream: &UpstreamName) -> bool {
+        let fleet = self.fleet.borrow();
+        let record = fleet.upstream(upstream);
+        record.is_some_and(|record| {
+            let incarnation = record.started_unix_ms;
+            fleet.rate_limit(upstream, incarnation).is_some()
+        })
+    }
+
+    /// Returns until when an upstream accepts no requests of this instance, because it is backing off
+    /// or at its limit; `None` if it accepts them.
+    pub fn unavailable_until(&self, upstream: &UpstreamName) -> Option<UnixMs> {
+        let exhausted_until = self.permits.exhausted_until(self.now(), upstream);
+        self.backoff_until(upstream).max(exhausted_until)
+    }
+
+    /// Returns when the first upstream of `service` accepts requests again, and whether any of them is
+    /// at its limit; `None` if one accepts them now, or there is none.
+    pub fn service_unavailable_until(&self, service: &ServiceName) -> Option<(UnixMs, bool)> {
+        let fleet = self.fleet.borrow();
+        let names = fleet.ready(service).map(|upstream| &upstream.name);
+        let mut has_limit = false;
+        let mut first: Option<UnixMs> = None;
+        for name in names {
+            let until = self.unavailable_until(name)?;
+            has_limit |= self.permits.exhausted_until(self.now(), name).is_some();
+            first = Some(first.map_or(until, |first| first.min(until)));
+        }
+        first.map(|until| (until, has_limit))
+    }
+}
--- a/crates/relay/src/peers/link.rs
+++ b/crates/relay/src/peers/link.rs
@@ -15,7 +15,9 @@
 use tokio::time::{Instant, interval, sleep_until, timeout, timeout_at};
 
 use super::frame::{Frames, HEARTBEAT_INTERVAL_MS, HEARTBEAT_TIMEOUT_MS, decode, frames, send_all};
-use super::message::{PeerChanges, PeerCopyRequest, PeerReply, PeerRequest};
+use super::message::{
+    PeerChanges, PeerCopyRequest, PeerPermit, PeerPermitRequest, PeerReply, PeerRequest,
+};
 use crate::event::{Line, kind};
 use crate::gossip::ReceivedGossip;
 
@@ -57,8 +59,20 @@
     queue: UnboundedSender<PeerRequest>,
     pending: Rc<RefCell<HashMap<u64, PendingRequest>>>,
     quotes: PendingQuotes,
+    permits: PendingPermits,
 }
 
+impl Link {
+    fn add_permit_request(&self, number: u64, answer: oneshot::Sender<PeerPermit>) {
+        let mut permits = self.permits.borrow_mut();
+        permits.retain(|_, waiting| !waiting.is_closed());
+        permits.insert(number, answer);
+    }
+}
+
+/// Requests for permits waiting for an answer, by number.
+type PendingPermits = Rc<RefCell<HashMap<u64, oneshot::Sender<PeerPermit>>>>;
+
 /// Quote requests waiting for an answer, by number.
 type PendingQuotes = Rc<RefCell<HashMap<u64, oneshot::Sender<Option<EngineQuote>>>>>;
 
@@ -147,6 +161,20 @@
         quote?.ok()?
     }
 
+    /// Requests a permit from `peer`; `None` if the connection fails.
+    pub async fn request_permit(
+        &self,
+        peer: &InstanceName,
+        address: SocketAddr,
+        request: PeerPermitRequest,
+    ) -> Option<PeerPermit> {
+        let link = self.link(peer, address);
+        let (answer, answered) = oneshot::channel();
+        link.add_permit_request(request.number, answer);
+        link.queue.send(PeerRequest::Permit(request)).ok()?;
+        answered.await.ok()
+    }
+
     /// Sends `peer` a message that needs no answer, if it is connected.
     pub fn send_if_connected(&self, peer: &InstanceName, request: PeerRequest) {
         if let Some(link) = self.links.borrow().get(peer) {
@@ -169,12 +197,14 @@
             queue,
             pending: Rc::default(),
             quotes: Rc::default(),
+            permits: Rc::default(),
         };
         links.insert(peer.clone(), link.clone());
         let replies = ReplyHandler {
             peer: peer.clone(),
             pending: Rc::clone(&link.pending),
             quotes: Rc::clone(&link.quotes),
+            permits: Rc::clone(&link.permits),
             feed: self.feed.clone(),
             gossip: self.gossip.clone(),
         };
@@ -227,6 +257,7 @@
         .log();
     replies.pending.borrow_mut().clear();
     replies.quotes.borrow_mut().clear();
+    replies.permits.borrow_mut().clear();
 }
 
 async fn run_connection(
@@ -270,6 +301,7 @@
     peer: InstanceName,
     pending: Rc<RefCell<HashMap<u64, PendingRequest>>>,
     quotes: PendingQuotes,
+    permits: PendingPermits,
     feed: UnboundedSender<FeedMessage>,
     gossip: UnboundedSender<ReceivedGossip>,
 }
@@ -293,6 +325,12 @@
                     let _ = question.send(quote);
                 }
             }
+            PeerReply::Permit(permit) => {
+                if let Some(request) = self.permits.borrow_mut().remove(&permit.number) {
+                    // The requester stopped waiting; the permit expires unused.
+                    let _ = request.send(permit);
+                }
+            }
             PeerReply::Changes(feed) => self.on_feed_message(Some(feed)),
             PeerReply::Unavailable => self.on_feed_message(None),
             PeerReply::Gossip(gossip) => {
--- a/crates/relay/src/peers/message.rs
+++ b/crates/relay/src/peers/message.rs
@@ -7,7 +7,7 @@
 use monsoonspread_model::{InstanceName, UpstreamName};
 use serde::{Deserialize, Serialize};
 
-use crate::gossip::PeerGossip;
+use crate::gossip::{PeerGossip, RateObservation};
 
 /// A request for a copy. Times are durations, as the instances' clocks differ.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
@@ -60,6 +60,33 @@
     }
 }
 
+/// A request for a permit to send a request to an upstream with a rate limit.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct PeerPermitRequest {
+    /// Number of the request.
+    #[serde(rename = "n")]
+    pub number: u64,
+    /// The upstream and its limit, which the issuer may not know yet.
+    #[serde(rename = "o")]
+    pub observation: RateObservation,
+    /// How long the instance waits for the permit, in milliseconds.
+    #[serde(rename = "w")]
+    pub wait_ms: u64,
+}
+
+/// Answer to a [`PeerPermitRequest`].
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct PeerPermit {
+    /// Number of the request.
+    #[serde(rename = "n")]
+    pub number: u64,
+    #[serde(rename = "g")]
+    pub is_granted: bool,
+    /// When the permit may be used, or the next one is free, in milliseconds from now.
+    #[serde(rename = "t")]
+    pub in_ms: u64,
+}
+
 /// Messages to a holder or a feed source.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub enum PeerRequest {
@@ -96,6 +123,8 @@
         /// Whether the engine lacked the copy.
         absent: bool,
     },
+    /// A request for a permit.
+    Permit(PeerPermitRequest),
     /// Subscribes to the change feed for a limited time.
     #[serde(rename = "Follow")]
     Subscribe,
@@ -135,6 +164,8 @@
         #[serde(rename = "q")]
         quote: Option<EngineQuote>,
     },
+    /// Answers a request for a permit.
+    Permit(PeerPermit),
     /// Changes in the store.
     #[serde(rename = "News")]
     Changes(PeerChanges),
--- a/crates/relay/src/peers/mod.rs
+++ b/crates/relay/src/peers/mod.rs
@@ -12,4 +12,6 @@
 pub use frame::fits;
 pub use incoming::{Incoming, PeerHandler, accept_peers};
 pub use link::{CopyRequestFailure, FeedMessage, PeerLinks};
-pub use message::{PeerChanges, PeerCopyRequest, PeerReply, PeerRequest};
+pub use message::{
+    PeerChanges, PeerCopyRequest, PeerPermit, PeerPermitRequest, PeerReply, PeerRequest,
+};
--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -21,6 +21,7 @@
 use crate::fleet::{FleetEvent, FleetView, Subscribers};
 use crate::gossip::{Gossiper, ReceivedGossip};
 use crate::holding::Holding;
+use crate::limits::Permits;
 use crate::metrics::Metrics;
 use crate::peers::{FeedMessage, Incoming, PeerHandler, PeerLinks, PeerReply, PeerRequest};
 use crate::retries::RetryBudgets;
@@ -77,6 +78,8 @@
     pub router: RefCell<ServiceRouter>,
     /// Retry budgets.
     pub retries: RetryBudgets,
+    /// Permits for upstreams with a rate limit.
+    pub permits: Permits,
     /// Requests suspected of crashing upstreams.
     pub suspects: Suspects,
     /// Gossip to other instances.
@@ -115,6 +118,7 @@
             known_copies: RefCell::default(),
             router: RefCell::new(ServiceRouter::new(zone, ROUTER_SEED)),
             retries: RetryBudgets::new(bounds.retry_ratio, bounds.retry_slack),
+            permits: Permits::default(),
             suspects: Suspects::default(),
             gossiper: Gossiper::default(),
             metrics: Metrics::default(),
@@ -202,6 +206,7 @@
         self.subscribers.on_tick(self);
         self.suspects.on_tick(self);
         self.gossiper.on_tick(self);
+        self.permits.on_tick(self.now());
         self.holding.on_tick(self);
     }
 
@@ -300,6 +305,10 @@
             PeerRequest::Heartbeat => {}
             PeerRequest::Hello(_) => shared.gossiper.on_connected(instance),
             PeerRequest::Gossip(gossip) => shared.on_gossip(instance, &gossip),
+            PeerRequest::Permit(request) => {
+                let permit = shared.on_permit_request(&request);
+                shared.incoming.reply(instance, PeerReply::Permit(permit));
+            }
             PeerRequest::Subscribe => shared.subscribers.on_subscribe(shared, instance),
             PeerRequest::CopyRequest(copy_request) => {
                 let now = shared.now();
