Let clients refused at an upstream limit return in order

While all upstreams of a service are at their limit, each refused client was told the time of the next free permit, so all of them came back for the same few permits. They now return in the order of their refusals, at the rate that the limits allow this instance, five seconds later at most.

--- a/crates/decisions/src/rate_limit/mod.rs
+++ b/crates/decisions/src/rate_limit/mod.rs
@@ -14,10 +14,12 @@
 //! issues permits at [`UNCONFIRMED_SHARE`] of the rate.
 
 mod permit_issuer;
+mod return_schedule;
 #[cfg(test)]
 mod tests;
 
 pub use permit_issuer::{PermitAnswer, PermitIssuer, PermitTerms};
+pub use return_schedule::ReturnSchedule;
 
 use monsoonspread_model::{InstanceName, UpstreamName};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
--- a/crates/decisions/src/rate_limit/tests.rs
+++ b/crates/decisions/src/rate_limit/tests.rs
@@ -1,7 +1,7 @@
 use monsoonspread_model::fleet::RateLimit;
 use monsoonspread_model::{InstanceName, UnixMs, UpstreamName};
 
-use super::{PermitAnswer, PermitIssuer, PermitTerms, issuer};
+use super::{PermitAnswer, PermitIssuer, PermitTerms, ReturnSchedule, issuer};
 
 const NOW: UnixMs = UnixMs(1_000_000);
 /// Span over which upstreams count requests, in milliseconds.
@@ -137,6 +137,26 @@
     assert_eq!(answer, PermitAnswer::Denied(last + 500));
 }
 
+/// Guards against refused clients that return all at once, out of order, or later than is of use.
+#[test]
+fn refused_clients_return_in_order_at_the_rate_of_the_service() {
+    let mut schedule = ReturnSchedule::default();
+    let service = "records".into();
+    let mut returns = Vec::new();
+    for number in 0..200 {
+        let now = NOW + number * 10;
+        returns.push(schedule.on_refused(now, &service, now + 300, 10.0));
+    }
+    assert_eq!(returns[0], NOW + 300);
+    assert!(returns.is_sorted());
+    let in_first_second = returns.iter().filter(|at| at.ms_since(NOW) < 1_300);
+    assert_eq!(in_first_second.count(), 10);
+    assert!(returns.iter().all(|at| at.ms_since(NOW) <= 7_000));
+    // Once the overload is over, nobody waits for those that were refused.
+    let later = NOW + 60_000;
+    assert_eq!(schedule.on_refused(later, &service, later, 10.0), later);
+}
+
 #[test]
 fn memory_is_bounded() {
     let mut issuer = PermitIssuer::new();
--- a/crates/relay/src/call/refusal.rs
+++ b/crates/relay/src/call/refusal.rs
@@ -49,7 +49,7 @@
 
 /// Why all upstreams of a service reject requests, and when a client should retry.
 pub(super) struct Unavailable {
-    /// Whether at least one of them is at its limit.
+    /// Whether at least one of them has a limit.
     pub(super) has_limit: bool,
     pub(super) retry_ms: u64,
 }
@@ -57,10 +57,12 @@
 /// Returns when the client should retry if all upstreams of its service are backing off or at their
 /// limit; `None` if any accepts work.
 pub(super) fn unavailable(shared: &Shared, request: &RelayRequest) -> Option<Unavailable> {
-    let (until, has_limit) = shared.service_unavailable_until(&request.service)?;
+    let until = shared.service_unavailable_until(&request.service)?;
+    let return_at = shared.return_at(&request.service, until);
     let draw = Fingerprint::of([request.head.request_id.as_bytes()]);
+    let wait_ms = return_at.unwrap_or(until).ms_since(shared.now());
     Some(Unavailable {
-        has_limit,
-        retry_ms: retry_after_ms(until.ms_since(shared.now()), draw.0),
+        has_limit: return_at.is_some(),
+        retry_ms: retry_after_ms(wait_ms, draw.0),
     })
 }
--- a/crates/relay/src/limits/permits.rs
+++ b/crates/relay/src/limits/permits.rs
@@ -3,7 +3,8 @@
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 
-use monsoonspread_decisions::rate_limit::PermitIssuer;
+use monsoonspread_decisions::rate_limit::{PermitIssuer, ReturnSchedule};
+use monsoonspread_model::fleet::RateLimit;
 use monsoonspread_model::{InstanceName, ServiceName, UnixMs, UpstreamName};
 
 use crate::shared::Shared;
@@ -18,6 +19,7 @@
     /// Times until which upstreams have no permit that can be used at once.
     exhausted_until: RefCell<BTreeMap<UpstreamName, UnixMs>>,
     unresponsive_until: RefCell<BTreeMap<InstanceName, UnixMs>>,
+    returns: RefCell<ReturnSchedule>,
 }
 
 impl Permits {
@@ -88,18 +90,28 @@
         self.backoff_until(upstream).max(exhausted_until)
     }
 
-    /// Returns when the first upstream of `service` accepts requests again, and whether any of them is
-    /// at its limit; `None` if one accepts them now, or there is none.
-    pub fn service_unavailable_until(&self, service: &ServiceName) -> Option<(UnixMs, bool)> {
+    /// Returns when the first upstream of `service` accepts requests again; `None` if one accepts them
+    /// now, or there is none.
+    pub fn service_unavailable_until(&self, service: &ServiceName) -> Option<UnixMs> {
         let fleet = self.fleet.borrow();
-        let names = fleet.ready(service).map(|upstream| &upstream.name);
-        let mut has_limit = false;
-        let mut first: Option<UnixMs> = None;
-        for name in names {
-            let until = self.unavailable_until(name)?;
-            has_limit |= self.permits.exhausted_until(self.now(), name).is_some();
-            first = Some(first.map_or(until, |first| first.min(until)));
-        }
-        first.map(|until| (until, has_limit))
+        let ready = fleet.ready(service);
+        let untils: Option<Vec<UnixMs>> = ready
+            .map(|upstream| self.unavailable_until(&upstream.name))
+            .collect();
+        untils?.into_iter().min()
+    }
+
+    /// Returns when a client may return that is refused because upstreams of `service` are at their
+    /// limit until `free_at`; `None` if none of them has a limit.
+    pub fn return_at(&self, service: &ServiceName, free_at: UnixMs) -> Option<UnixMs> {
+        let fleet = self.fleet.borrow();
+        let ready = fleet.ready(service);
+        let limits = ready.filter_map(|up| fleet.rate_limit(&up.name, up.started_unix_ms));
+        let per_s = limits
+            .map(RateLimit::per_s)
+            .reduce(|sum, limit| sum + limit)?;
+        let own_per_s = per_s / self.holding.members() as f64;
+        let mut returns = self.permits.returns.borrow_mut();
+        Some(returns.on_refused(self.now(), service, free_at, own_per_s))
     }
 }
