--- a/crates/borders/src/relay/dialect.rs
+++ b/crates/borders/src/relay/dialect.rs
@@ -40,6 +40,8 @@
     pub backoff: Option<Backoff>,
     /// How many requests the upstream accepts.
     pub rate_limit: AnnouncedRate,
+    /// Name of a header that belongs to an announcement of a kind that this system doesn't know.
+    pub unknown: Option<String>,
 }
 
 /// The rate limit in an upstream's answer.
--- a/crates/relay/src/gossip/received.rs
+++ b/crates/relay/src/gossip/received.rs
@@ -11,6 +11,9 @@
 use crate::event::{Line, kind};
 use crate::shared::Shared;
 
+/// Maximum number of unknown announcements that are logged.
+const MAX_UNKNOWN_ANNOUNCEMENTS: usize = 32;
+
 /// The answer in which an upstream made an announcement.
 #[derive(Clone, Copy, Debug)]
 pub enum AnswerSource<'a> {
@@ -73,6 +76,9 @@
     ) {
         self.on_announced_rate(source, upstream, incarnation, &announcement.rate_limit);
         let source = source.name();
+        if let Some(name) = &announcement.unknown {
+            self.on_unknown_announcement(source, upstream, name);
+        }
         if announcement.is_leaving && self.on_leaving(source, upstream, incarnation) {
             let leaving = LeavingUpstream {
                 upstream: upstream.clone(),
@@ -114,6 +120,20 @@
         true
     }
 
+    /// Logs an announcement of a kind that this system doesn't know, once for each name.
+    fn on_unknown_announcement(&self, source: &str, upstream: &UpstreamName, name: &str) {
+        self.metrics.count("said", "unknown");
+        let mut known = self.unknown_announcements.borrow_mut();
+        if known.len() >= MAX_UNKNOWN_ANNOUNCEMENTS || !known.insert(name.to_owned()) {
+            return;
+        }
+        Line::new(&kind::ANNOUNCEMENT_UNKNOWN)
+            .field("upstream", upstream)
+            .field("header", name)
+            .field("source", source)
+            .log();
+    }
+
     /// Handles the rate limit in an answer, or its absence.
     fn on_announced_rate(
         self: &Rc<Self>,
--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -1,6 +1,7 @@
 //! State shared by the tasks of the process.
 
 use std::cell::{Cell, RefCell};
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
 
@@ -82,6 +83,8 @@
     pub permits: Permits,
     /// Requests suspected of crashing upstreams.
     pub suspects: Suspects,
+    /// Names of unknown announcements that were logged.
+    pub unknown_announcements: RefCell<BTreeSet<String>>,
     /// Gossip to other instances.
     pub gossiper: Gossiper,
     /// Counters and latencies.
@@ -120,6 +123,7 @@
             retries: RetryBudgets::new(bounds.retry_ratio, bounds.retry_slack),
             permits: Permits::default(),
             suspects: Suspects::default(),
+            unknown_announcements: RefCell::default(),
             gossiper: Gossiper::default(),
             metrics: Metrics::default(),
             stopping_since: Cell::new(None),
