Don't load adapters at each engine that has a permit

While engines are at their limit, a request whose own engines had no permit went to any engine that had one, and had its adapter loaded there in place of another: six engines of 5 requests a second accepted 1,812 orders in 12 s for 375 requests, 8 to 28 in the 12 s before the limit.

--- a/crates/relay/src/call/candidates.rs
+++ b/crates/relay/src/call/candidates.rs
@@ -18,6 +18,8 @@
     Available,
     /// Those at their limit whose next permit can be used by this time.
     AvailableBy(UnixMs),
+    /// All of them.
+    Any,
 }
 
 /// Returns the engines that may serve the request, best first, after collecting load quotes from
@@ -54,8 +56,15 @@
     };
     let loads = shared.loads.borrow();
     loads.sort(now, &mut names, copies, &quoted, prompt);
-    // An engine with a limit is not worth a load while others can take the request.
-    names.sort_by_key(|name| shared.has_limit(name) && !has_copy(shared, key, name, &quoted));
+    if names.iter().any(|name| shared.has_limit(name)) {
+        let homes = homes(shared, request, key, copies);
+        let lacks_copy =
+            |name: &UpstreamName| shared.has_limit(name) && !has_copy(shared, key, name, &quoted);
+        // Otherwise the adapters of an engine at its limit would move from one engine to the next.
+        names.retain(|name| homes.contains(name) || !lacks_copy(name));
+        // An engine with a limit is not worth a load while others can take the request.
+        names.sort_by_key(lacks_copy);
+    }
     if let Some(index) = shared.suspects.isolation_index(now, request.fingerprint)
         && !names.is_empty()
     {
@@ -76,6 +85,25 @@
     }
 }
 
+/// Returns the engines that should have the `copies` of the request's adapter, whether or not they have
+/// permits.
+fn homes(
+    shared: &Shared,
+    request: &RelayRequest,
+    key: &AdapterKey,
+    copies: usize,
+) -> Vec<UpstreamName> {
+    let Some(adapter) = &key.adapter else {
+        return Vec::new();
+    };
+    let in_service = ready(shared, request, Limits::Any);
+    let is_ready = |name: &UpstreamName| in_service.contains(name);
+    let placement = shared.placement.borrow();
+    let mut homes = placement.candidates_among(shared.now(), adapter, is_ready);
+    homes.truncate(copies.max(1));
+    homes
+}
+
 /// Whether an engine has the copy, or is loading it.
 fn has_copy(shared: &Shared, key: &AdapterKey, engine: &UpstreamName, quoted: &QuoteList) -> bool {
     if key.adapter.is_none() {
@@ -100,6 +128,7 @@
         let has_permits = match limits {
             Limits::Available => exhausted_until.is_none(),
             Limits::AvailableBy(latest) => exhausted_until.is_some_and(|until| until <= latest),
+            Limits::Any => true,
         };
         has_permits && fleet.backoff_until(now, upstream).is_none()
     });
--- a/crates/relay/src/call/model_call.rs
+++ b/crates/relay/src/call/model_call.rs
@@ -159,7 +159,7 @@
         let now = self.shared.now();
         let latest = match limits {
             Limits::Available => now,
-            Limits::AvailableBy(_) => self.request.permit_wait_until(now),
+            Limits::AvailableBy(_) | Limits::Any => self.request.permit_wait_until(now),
         };
         let exhausted_until = self.shared.permits.exhausted_until(now, name);
         exhausted_until.is_none_or(|until| until <= latest)
@@ -185,7 +185,7 @@
         let now = self.shared.now();
         let wait_until = match limits {
             Limits::Available => now,
-            Limits::AvailableBy(_) => self.request.permit_wait_until(now),
+            Limits::AvailableBy(_) | Limits::Any => self.request.permit_wait_until(now),
         };
         let id = &self.request.head.request_id;
         if self.shared.permit(id, &record, wait_until).await == Permit::Denied {
