--- a/crates/relay/src/call/candidates.rs
+++ b/crates/relay/src/call/candidates.rs
@@ -18,8 +18,6 @@
     Available,
     /// Those at their limit whose next permit can be used by this time.
     AvailableBy(UnixMs),
-    /// All of them.
-    Any,
 }
 
 /// Returns the engines that may serve the request, best first, after collecting load quotes from
@@ -96,7 +94,7 @@
     let Some(adapter) = &key.adapter else {
         return Vec::new();
     };
-    let in_service = ready(shared, request, Limits::Any);
+    let in_service = in_service(shared, request);
     let is_ready = |name: &UpstreamName| in_service.contains(name);
     let placement = shared.placement.borrow();
     let mut homes = placement.candidates_among(shared.now(), adapter, is_ready);
@@ -119,20 +117,27 @@
     }
 }
 
-fn ready(shared: &Shared, request: &RelayRequest, limits: Limits) -> Vec<UpstreamName> {
+/// Returns the engines that accept requests now, apart from their limits.
+fn in_service(shared: &Shared, request: &RelayRequest) -> Vec<UpstreamName> {
     let fleet = shared.fleet.borrow();
     let now = shared.now();
     let ready = fleet.ready(&request.service);
-    let ready = ready.filter(|upstream| {
-        let exhausted_until = shared.permits.exhausted_until(now, &upstream.name);
-        let has_permits = match limits {
+    let ready = ready.filter(|upstream| fleet.backoff_until(now, upstream).is_none());
+    ready.map(|upstream| upstream.name.clone()).collect()
+}
+
+/// Returns the engines that accept requests now and are within `limits`.
+fn ready(shared: &Shared, request: &RelayRequest, limits: Limits) -> Vec<UpstreamName> {
+    let now = shared.now();
+    let mut ready = in_service(shared, request);
+    ready.retain(|name| {
+        let exhausted_until = shared.permits.exhausted_until(now, name);
+        match limits {
             Limits::Available => exhausted_until.is_none(),
             Limits::AvailableBy(latest) => exhausted_until.is_some_and(|until| until <= latest),
-            Limits::Any => true,
-        };
-        has_permits && fleet.backoff_until(now, upstream).is_none()
+        }
     });
-    ready.map(|upstream| upstream.name.clone()).collect()
+    ready
 }
 
 /// Returns the engines whose holders are queried for a quote.
--- a/crates/relay/src/call/model_call.rs
+++ b/crates/relay/src/call/model_call.rs
@@ -3,8 +3,8 @@
 use std::rc::Rc;
 
 use hyper::{Response, StatusCode};
-use monsoonspread_model::UpstreamName;
 use monsoonspread_model::fleet::{AdapterKey, UpstreamRecord, UpstreamStage};
+use monsoonspread_model::{UnixMs, UpstreamName};
 
 use super::answer::{AnswerEnd, Grant};
 use super::attempt::{Attempt, AttemptOptions, attempt};
@@ -109,10 +109,8 @@
         }
     }
 
-    /// Returns the answer of the first engine that accepts the request.
-    ///
-    /// A copy that is loaded or will be soon is requested from each candidate. If all refuse, it is
-    /// requested from the best candidate once more, this time queueing behind other requests.
+    /// Returns the answer of the first engine that accepts the request; engines at their limit are tried
+    /// last.
     pub(super) async fn next_engine(
         &mut self,
         resume_after: Option<u64>,
@@ -127,6 +125,9 @@
     }
 
     /// Returns the answer of the first engine among those within `limits` that accepts the request.
+    ///
+    /// A copy that is loaded or will be soon is requested from each candidate. If all refuse, it is
+    /// requested from the best candidate once more, this time queueing behind other requests.
     async fn first_answer(
         &mut self,
         limits: Limits,
@@ -154,17 +155,23 @@
         None
     }
 
-    /// Whether an engine still is within `limits` after other engines were tried.
-    fn may_have_permit(&self, name: &UpstreamName, limits: Limits) -> bool {
+    /// Until when the request may wait for a permit of an engine within `limits`.
+    fn permit_wait_until(&self, limits: Limits) -> UnixMs {
         let now = self.shared.now();
-        let latest = match limits {
+        match limits {
             Limits::Available => now,
-            Limits::AvailableBy(_) | Limits::Any => self.request.permit_wait_until(now),
-        };
-        let exhausted_until = self.shared.permits.exhausted_until(now, name);
-        exhausted_until.is_none_or(|until| until <= latest)
+            Limits::AvailableBy(_) => self.request.permit_wait_until(now),
+        }
+    }
+
+    /// Whether an engine still is within `limits` after other engines were tried.
+    fn may_have_permit(&self, name: &UpstreamName, limits: Limits) -> bool {
+        let permits = &self.shared.permits;
+        let exhausted_until = permits.exhausted_until(self.shared.now(), name);
+        exhausted_until.is_none_or(|until| until <= self.permit_wait_until(limits))
     }
 
+    /// Offers the request to an engine: requests a copy, then a permit, and sends it.
     async fn offer(
         &mut self,
         name: &UpstreamName,
@@ -182,11 +189,7 @@
         let Some(record) = self.available_record(name) else {
             return OfferOutcome::Next;
         };
-        let now = self.shared.now();
-        let wait_until = match limits {
-            Limits::Available => now,
-            Limits::AvailableBy(_) | Limits::Any => self.request.permit_wait_until(now),
-        };
+        let wait_until = self.permit_wait_until(limits);
         let id = &self.request.head.request_id;
         if self.shared.permit(id, &record, wait_until).await == Permit::Denied {
             return OfferOutcome::Next;
--- a/crates/relay/src/gossip/received.rs
+++ b/crates/relay/src/gossip/received.rs
@@ -11,8 +11,8 @@
 use crate::event::{Line, kind};
 use crate::shared::Shared;
 
-/// Maximum number of unknown announcements that are logged.
-const MAX_UNKNOWN_ANNOUNCEMENTS: usize = 32;
+/// Maximum number of unknown and malformed announcements that are logged.
+const MAX_LOGGED_ANNOUNCEMENTS: usize = 256;
 
 /// The answer in which an upstream made an announcement.
 #[derive(Clone, Copy, Debug)]
@@ -123,8 +123,7 @@
     /// Logs an announcement of a kind that this system doesn't know, once for each name.
     fn on_unknown_announcement(&self, source: &str, upstream: &UpstreamName, name: &str) {
         self.metrics.count("said", "unknown");
-        let mut known = self.unknown_announcements.borrow_mut();
-        if known.len() >= MAX_UNKNOWN_ANNOUNCEMENTS || !known.insert(name.to_owned()) {
+        if !self.is_first(name.to_owned()) {
             return;
         }
         Line::new(&kind::ANNOUNCEMENT_UNKNOWN)
@@ -134,6 +133,33 @@
             .log();
     }
 
+    /// Whether `announcement` was not logged before; false once too many were.
+    fn is_first(&self, announcement: String) -> bool {
+        let mut logged = self.logged_announcements.borrow_mut();
+        logged.len() < MAX_LOGGED_ANNOUNCEMENTS && logged.insert(announcement)
+    }
+
+    /// Logs a malformed rate limit, once for each upstream and value.
+    fn on_malformed_rate(
+        &self,
+        source: &str,
+        upstream: &UpstreamName,
+        incarnation: u64,
+        value: &str,
+    ) {
+        self.metrics.count("said", "unreadable");
+        if !self.is_first(format!("{upstream} {value}")) {
+            return;
+        }
+        Line::new(&kind::UPSTREAM_ANNOUNCED)
+            .field("upstream", upstream)
+            .field("incarnation", incarnation)
+            .field("said", "unreadable limit")
+            .field("source", source)
+            .field("value", value)
+            .log();
+    }
+
     /// Handles the rate limit in an answer, or its absence.
     fn on_announced_rate(
         self: &Rc<Self>,
@@ -148,15 +174,8 @@
             (AnnouncedRate::Unlimited, AnswerSource::Request { sent_at, .. }) => (sent_at, None),
             // Upstreams need not announce limits on requests in other answers.
             (AnnouncedRate::Unlimited, _) | (AnnouncedRate::Unknown, _) => return,
-            (AnnouncedRate::Malformed(text), _) => {
-                self.metrics.count("said", "unreadable");
-                Line::new(&kind::UPSTREAM_ANNOUNCED)
-                    .field("upstream", upstream)
-                    .field("incarnation", incarnation)
-                    .field("said", "unreadable limit")
-                    .field("source", source.name())
-                    .field("value", text)
-                    .log();
+            (AnnouncedRate::Malformed(value), _) => {
+                self.on_malformed_rate(source.name(), upstream, incarnation, value);
                 return;
             }
         };
--- a/crates/relay/src/limits/mod.rs
+++ b/crates/relay/src/limits/mod.rs
@@ -4,6 +4,7 @@
 //! upstream's issuer. A denied permit tells when the next one is free; until then this instance sends
 //! its requests to other upstreams without asking again.
 
+mod availability;
 mod issue;
 mod permit;
 mod permits;
--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -83,8 +83,8 @@
     pub permits: Permits,
     /// Requests suspected of crashing upstreams.
     pub suspects: Suspects,
-    /// Names of unknown announcements that were logged.
-    pub unknown_announcements: RefCell<BTreeSet<String>>,
+    /// Unknown and malformed announcements that were logged.
+    pub logged_announcements: RefCell<BTreeSet<String>>,
     /// Gossip to other instances.
     pub gossiper: Gossiper,
     /// Counters and latencies.
@@ -123,7 +123,7 @@
             retries: RetryBudgets::new(bounds.retry_ratio, bounds.retry_slack),
             permits: Permits::default(),
             suspects: Suspects::default(),
-            unknown_announcements: RefCell::default(),
+            logged_announcements: RefCell::default(),
             gossiper: Gossiper::default(),
             metrics: Metrics::default(),
             stopping_since: Cell::new(None),
