--- a/crates/relay/src/call/model_call.rs
+++ b/crates/relay/src/call/model_call.rs
@@ -120,6 +120,10 @@
             return answer;
         }
         let latest = self.request.permit_wait_until(self.shared.now());
+        let (free_at, _) = self.shared.next_at_limit(&self.request.service, &[])?;
+        if free_at > latest {
+            return None;
+        }
         self.first_answer(Limits::AvailableBy(latest), resume_after)
             .await
     }
