--- a/crates/relay/src/call/candidates.rs
+++ b/crates/relay/src/call/candidates.rs
@@ -55,11 +55,11 @@
     let loads = shared.loads.borrow();
     loads.sort(now, &mut names, copies, &quoted, prompt);
     if names.iter().any(|name| shared.has_limit(name)) {
-        let homes = homes(shared, request, key, copies);
+        let required = required_engines(shared, request, key, copies);
         let lacks_copy =
             |name: &UpstreamName| shared.has_limit(name) && !has_copy(shared, key, name, &quoted);
         // Otherwise the adapters of an engine at its limit would move from one engine to the next.
-        names.retain(|name| homes.contains(name) || !lacks_copy(name));
+        names.retain(|name| required.contains(name) || !lacks_copy(name));
         // An engine with a limit is not worth a load while others can take the request.
         names.sort_by_key(lacks_copy);
     }
@@ -83,9 +83,9 @@
     }
 }
 
-/// Returns the engines that should have the `copies` of the request's adapter, whether or not they have
-/// permits.
-fn homes(
+/// Returns the engines on which the demand requires the `copies` of the request's adapter, whether or not
+/// they have permits.
+fn required_engines(
     shared: &Shared,
     request: &RelayRequest,
     key: &AdapterKey,
@@ -97,9 +97,9 @@
     let in_service = in_service(shared, request);
     let is_ready = |name: &UpstreamName| in_service.contains(name);
     let placement = shared.placement.borrow();
-    let mut homes = placement.candidates_among(shared.now(), adapter, is_ready);
-    homes.truncate(copies.max(1));
-    homes
+    let mut engines = placement.candidates_among(shared.now(), adapter, is_ready);
+    engines.truncate(copies.max(1));
+    engines
 }
 
 /// Whether an engine has the copy, or is loading it.
