Log how an answer marks its end and where its events ended

MR2001 has framing and ended; the end is read by a scanner that knows LF, CR LF and CR line endings and comments. No decision depends on it yet.

--- a/crates/decisions/src/event_splitter/mod.rs
+++ b/crates/decisions/src/event_splitter/mod.rs
@@ -3,9 +3,12 @@
 //! A failed upstream may stop in the middle of an event. Only complete events of a resumable stream
 //! are forwarded, so that the stream can be resumed elsewhere at an event boundary.
 
+mod scanner;
 #[cfg(test)]
 mod tests;
 
+pub use scanner::{EventScanner, StreamPosition};
+
 use displaydoc::Display;
 use thiserror::Error;
 
@@ -22,6 +25,7 @@
 pub struct EventSplitter {
     partial: Vec<u8>,
     last_id: Option<u64>,
+    scanner: EventScanner,
 }
 
 impl EventSplitter {
@@ -47,6 +51,7 @@
         // Earlier bytes contain no event end, except that one may begin in the last three.
         let searched = self.partial.len().saturating_sub(MAX_TERMINATOR_BYTES - 1);
         self.partial.extend_from_slice(bytes);
+        self.scanner.scan(bytes);
         let Some(end) = last_event_end(&self.partial[searched..]) else {
             if self.partial.len() > MAX_EVENT_BYTES {
                 return Err(EventTooLong);
@@ -60,6 +65,11 @@
         Ok(complete)
     }
 
+    /// Where the bytes of the current upstream end so far.
+    pub fn position(&self) -> StreamPosition {
+        self.scanner.position()
+    }
+
     /// Numeric id of the last complete event that has one; `None` before the first.
     pub fn last_id(&self) -> Option<u64> {
         self.last_id
@@ -68,6 +78,7 @@
     /// Discards the incomplete event that a failed upstream left behind.
     pub fn drop_partial(&mut self) {
         self.partial.clear();
+        self.scanner = EventScanner::new();
     }
 
     /// Takes the incomplete event at the end of the stream.
--- a/crates/decisions/src/event_splitter/tests.rs
+++ b/crates/decisions/src/event_splitter/tests.rs
@@ -1,3 +1,5 @@
+mod scanner;
+
 use super::{EventSplitter, EventTooLong, MAX_EVENT_BYTES};
 
 #[test]
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -4,6 +4,7 @@
 //! events and carries out the actions. All randomness is seeded.
 
 pub mod announced;
+pub mod answer_end;
 pub mod bundle_spread;
 pub mod change_feed;
 pub mod claims;
--- a/crates/relay/src/call/answer.rs
+++ b/crates/relay/src/call/answer.rs
@@ -2,6 +2,8 @@
 
 use std::rc::Rc;
 
+use monsoonspread_decisions::answer_end::Framing;
+use monsoonspread_decisions::event_splitter::StreamPosition;
 use monsoonspread_model::{Fingerprint, UnixMs, UpstreamName};
 
 use crate::connection::PooledSender;
@@ -41,6 +43,9 @@
     last_byte_at: UnixMs,
     longest_pause_ms: u64,
     status: u16,
+    framing: Framing,
+    /// Where a stream of events ended.
+    position: Option<StreamPosition>,
     outcome: &'static str,
     sender: Option<(PooledSender, Option<u64>)>,
     slot: Option<ServiceSlot>,
@@ -71,6 +76,8 @@
             last_byte_at: UnixMs(0),
             longest_pause_ms: 0,
             status,
+            framing: Framing::Length,
+            position: None,
             outcome: "left",
             sender: None,
             slot: None,
@@ -115,6 +122,17 @@
         self
     }
 
+    /// Sets how the answer marks its end.
+    pub(super) fn with_framing(mut self, framing: Framing) -> Self {
+        self.framing = framing;
+        self
+    }
+
+    /// Records where the bytes of a stream of events ended.
+    pub(super) fn on_bytes_ended(&mut self, position: Option<StreamPosition>) {
+        self.position = position;
+    }
+
     /// Records that bytes of the body arrived.
     pub(super) fn on_bytes(&mut self) {
         let now = self.shared.now();
@@ -199,6 +217,11 @@
         .field("upstream", &self.upstream)
         .field("status", self.status)
         .field("outcome", self.outcome)
+        .field("framing", self.framing)
+        .field(
+            "ended",
+            self.position.map_or(String::new(), |at| at.to_string()),
+        )
         .field("prompt_tokens", self.prompt_tokens)
         .field("granted_ms", self.granted_ms)
         .field("running", self.running)
--- a/crates/relay/src/call/body.rs
+++ b/crates/relay/src/call/body.rs
@@ -7,6 +7,7 @@
 use displaydoc::Display;
 use futures_util::Stream;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
+use monsoonspread_decisions::event_splitter::EventScanner;
 use thiserror::Error;
 use tokio::time::{Instant, Sleep};
 
@@ -37,6 +38,8 @@
 /// Forwards an upstream's bytes as they arrive.
 pub struct ForwardedBody {
     incoming: Incoming,
+    /// Position in a stream of events; `None` for any other body.
+    events: Option<EventScanner>,
     ends_by: Pin<Box<Sleep>>,
     end: AnswerEnd,
 }
@@ -48,12 +51,18 @@
     }
 
     /// Returns a body that forwards an upstream's bytes until `ends_by`.
-    pub(super) fn forwarded(incoming: Incoming, ends_by: Instant, mut end: AnswerEnd) -> Self {
+    pub(super) fn forwarded(
+        incoming: Incoming,
+        events: Option<EventScanner>,
+        ends_by: Instant,
+        mut end: AnswerEnd,
+    ) -> Self {
         if incoming.is_end_stream() {
             end.on_complete();
         }
         Self::Forwarded(Box::new(ForwardedBody {
             incoming,
+            events,
             ends_by: Box::pin(tokio::time::sleep_until(ends_by)),
             end,
         }))
@@ -78,6 +87,9 @@
         match frame {
             Some(Ok(frame)) => {
                 self.end.on_bytes();
+                if let (Some(events), Some(bytes)) = (&mut self.events, frame.data_ref()) {
+                    events.scan(bytes);
+                }
                 if self.incoming.is_end_stream() {
                     self.end.on_complete();
                 }
@@ -88,6 +100,8 @@
                 Poll::Ready(Some(Err(BodyError::Upstream(error.to_string()))))
             }
             None => {
+                let position = self.events.as_ref().map(EventScanner::position);
+                self.end.on_bytes_ended(position);
                 self.end.on_complete();
                 Poll::Ready(None)
             }
--- a/crates/relay/src/call/forward.rs
+++ b/crates/relay/src/call/forward.rs
@@ -4,9 +4,11 @@
 use std::time::Duration;
 
 use hyper::{Response, StatusCode};
+use monsoonspread_decisions::event_splitter::EventScanner;
 use tokio::time::Instant;
 
 use super::RelayBody;
+use super::body_kind::is_event_stream;
 use super::request::RelayRequest;
 use super::upstream_answer::UpstreamAnswer;
 use crate::event::{Line, kind};
@@ -26,9 +28,10 @@
     answer: UpstreamAnswer,
 ) -> Response<RelayBody> {
     let ends_by = ends_by(shared, request);
-    let (mut head, body, end) = answer.split();
+    let (mut head, body, end) = answer.split(request);
+    let events = is_event_stream(request, &head).then(EventScanner::new);
     super::headers::remove_hop_headers(&mut head.headers);
-    Response::from_parts(head, RelayBody::forwarded(body, ends_by, end))
+    Response::from_parts(head, RelayBody::forwarded(body, events, ends_by, end))
 }
 
 /// Returns when an incomplete answer is aborted.
--- a/crates/relay/src/call/mod.rs
+++ b/crates/relay/src/call/mod.rs
@@ -3,6 +3,7 @@
 mod answer;
 mod attempt;
 mod body;
+mod body_kind;
 mod candidates;
 mod client_body;
 mod forward;
--- a/crates/relay/src/call/resume.rs
+++ b/crates/relay/src/call/resume.rs
@@ -20,7 +20,7 @@
 ///
 /// The response head and its signature are those of the first engine.
 pub(super) fn resumable(call: ModelCall, answer: UpstreamAnswer) -> Response<RelayBody> {
-    let (mut head, segment) = Segment::new(answer);
+    let (mut head, segment) = Segment::new(&call, answer);
     super::headers::remove_hop_headers(&mut head.headers);
     head.headers.remove(CONTENT_LENGTH);
     let resumable = Resumable {
@@ -43,8 +43,8 @@
 }
 
 impl Segment {
-    fn new(answer: UpstreamAnswer) -> (hyper::http::response::Parts, Self) {
-        let (head, body, end) = answer.split();
+    fn new(call: &ModelCall, answer: UpstreamAnswer) -> (hyper::http::response::Parts, Self) {
+        let (head, body, end) = answer.split(&call.request);
         (head, Self { body, end })
     }
 }
@@ -88,6 +88,7 @@
                     }
                 }
                 None => {
+                    segment.end.on_bytes_ended(Some(self.splitter.position()));
                     segment.end.on_complete();
                     self.segment = None;
                     let rest = self.splitter.take_rest();
@@ -118,7 +119,7 @@
         let answer = self.call.next_engine(resume_after).await;
         match answer.filter(|answer| answer.answered.response.status().is_success()) {
             Some(answer) => {
-                self.segment = Some(Segment::new(answer).1);
+                self.segment = Some(Segment::new(&self.call, answer).1);
                 Ok(())
             }
             None => Err(BodyError::Upstream(why)),
--- a/crates/relay/src/call/upstream_answer.rs
+++ b/crates/relay/src/call/upstream_answer.rs
@@ -5,6 +5,8 @@
 
 use super::answer::AnswerEnd;
 use super::attempt::Answered;
+use super::body_kind::framing;
+use super::request::RelayRequest;
 
 /// An upstream's answer, with the accounting for its end.
 pub(super) struct UpstreamAnswer {
@@ -15,7 +17,7 @@
 impl UpstreamAnswer {
     /// Splits the answer into head, body and accounting; the connection is pooled at the end unless
     /// the upstream closes it.
-    pub(super) fn split(self) -> (Parts, Incoming, AnswerEnd) {
+    pub(super) fn split(self, request: &RelayRequest) -> (Parts, Incoming, AnswerEnd) {
         let Answered {
             response,
             answer,
@@ -23,7 +25,8 @@
             in_flight,
         } = self.answered;
         let (head, body) = response.into_parts();
-        let end = self.end.with_in_flight(in_flight);
+        let framing = framing(request, &head);
+        let end = self.end.with_in_flight(in_flight).with_framing(framing);
         let end = if answer.closes {
             end
         } else {
