Don't take the end of a connection inside an event for the end of a stream

Cause: the end of an answer was judged by its bytes having stopped. Without length and chunks the HTTP library ends a body whenever the connection closes, also in a crash; the relay then wrote a last chunk of its own, counted the request as served and cleared it. Framed streams that end inside an event, and ones without framing that end before their first event, took the same way; HTTP/1.0 answers were passed on as HTTP/1.0, which ends with the connection whatever happened. Now the framing and the position in the stream decide (decisions::answer_end): inside an event is broken off, whatever the framing; streams go to the client in chunks, also those of a stated length, so that a break shows. An event ends with LF, CR LF and CR line ends; before, CR streams were held back to their end. What was received before an error is still sent.

--- a/crates/decisions/src/event_splitter/mod.rs
+++ b/crates/decisions/src/event_splitter/mod.rs
@@ -48,17 +48,15 @@
     /// # Ok::<(), EventTooLong>(())
     /// ```
     pub fn push(&mut self, bytes: &[u8]) -> Result<Vec<u8>, EventTooLong> {
-        // Earlier bytes contain no event end, except that one may begin in the last three.
-        let searched = self.partial.len().saturating_sub(MAX_TERMINATOR_BYTES - 1);
+        let scanned = self.partial.len();
         self.partial.extend_from_slice(bytes);
-        self.scanner.scan(bytes);
-        let Some(end) = last_event_end(&self.partial[searched..]) else {
+        let Some(end) = self.scanner.scan(bytes) else {
             if self.partial.len() > MAX_EVENT_BYTES {
                 return Err(EventTooLong);
             }
             return Ok(Vec::new());
         };
-        let end = searched + end;
+        let end = scanned + end;
         let rest = self.partial.split_off(end);
         let complete = std::mem::replace(&mut self.partial, rest);
         self.last_id = last_id(&complete).or(self.last_id);
@@ -80,28 +78,11 @@
         self.partial.clear();
         self.scanner = EventScanner::new();
     }
-
-    /// Takes the incomplete event at the end of the stream.
-    pub fn take_rest(&mut self) -> Vec<u8> {
-        std::mem::take(&mut self.partial)
-    }
-}
-
-/// Length of the longest event terminator, in bytes.
-const MAX_TERMINATOR_BYTES: usize = 4;
-
-fn last_event_end(bytes: &[u8]) -> Option<usize> {
-    let lf_end = bytes.windows(2).rposition(|pair| pair == b"\n\n");
-    let crlf_end = bytes.windows(4).rposition(|four| four == b"\r\n\r\n");
-    let end = lf_end.map(|at| at + 2);
-    end.max(crlf_end.map(|at| at + 4))
 }
 
+/// The last numeric id in complete events.
 fn last_id(events: &[u8]) -> Option<u64> {
-    let text = std::str::from_utf8(events).ok()?;
-    let ids = text
-        .lines()
-        .rev()
-        .filter_map(|line| line.strip_prefix("id:"));
-    ids.map(str::trim).find_map(|id| id.parse().ok())
+    let lines = events.rsplit(|byte| matches!(byte, b'\r' | b'\n'));
+    let mut ids = lines.filter_map(|line| line.strip_prefix(b"id:"));
+    ids.find_map(|id| std::str::from_utf8(id).ok()?.trim().parse().ok())
 }
--- a/crates/relay/src/call/answer.rs
+++ b/crates/relay/src/call/answer.rs
@@ -2,7 +2,7 @@
 
 use std::rc::Rc;
 
-use monsoonspread_decisions::answer_end::Framing;
+use monsoonspread_decisions::answer_end::{EndVerdict, Framing};
 use monsoonspread_decisions::event_splitter::StreamPosition;
 use monsoonspread_model::{Fingerprint, UnixMs, UpstreamName};
 
@@ -128,9 +128,17 @@
         self
     }
 
-    /// Records where the bytes of a stream of events ended.
-    pub(super) fn on_bytes_ended(&mut self, position: Option<StreamPosition>) {
+    /// Records that the bytes ended without a failure of the connection, at `position` in a stream of
+    /// events; returns whether the answer is complete.
+    pub(super) fn on_bytes_ended(&mut self, position: Option<StreamPosition>) -> bool {
         self.position = position;
+        let is_complete = EndVerdict::new(self.framing, position) != EndVerdict::BrokenOff;
+        if is_complete {
+            self.on_complete();
+        } else {
+            self.on_upstream_disconnected();
+        }
+        is_complete
     }
 
     /// Records that bytes of the body arrived.
@@ -149,7 +157,7 @@
     }
 
     /// Records that the answer is complete and releases its resources.
-    pub(super) fn on_complete(&mut self) {
+    fn on_complete(&mut self) {
         if self.outcome == "complete" {
             return;
         }
--- a/crates/relay/src/call/body.rs
+++ b/crates/relay/src/call/body.rs
@@ -19,6 +19,8 @@
 pub enum BodyError {
     /// upstream disconnected before the answer was complete: {0}
     Upstream(String),
+    /// upstream ended the answer before it was complete
+    Unfinished,
     /// the answer was not complete before its deadline
     TooLate,
 }
@@ -42,6 +44,8 @@
     events: Option<EventScanner>,
     ends_by: Pin<Box<Sleep>>,
     end: AnswerEnd,
+    /// An error that is returned once everything before it was sent.
+    error: Option<BodyError>,
 }
 
 impl RelayBody {
@@ -57,14 +61,15 @@
         ends_by: Instant,
         mut end: AnswerEnd,
     ) -> Self {
-        if incoming.is_end_stream() {
-            end.on_complete();
+        if events.is_none() && incoming.is_end_stream() {
+            end.on_bytes_ended(None);
         }
         Self::Forwarded(Box::new(ForwardedBody {
             incoming,
             events,
             ends_by: Box::pin(tokio::time::sleep_until(ends_by)),
             end,
+            error: None,
         }))
     }
 }
@@ -75,7 +80,26 @@
         BodyError::TooLate
     }
 
+    /// Like [`Self::poll_incoming`], but leaves the HTTP server a chance to send what it has before an
+    /// error, on which it closes the connection.
     fn poll(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        if let Some(error) = self.error.take() {
+            return Poll::Ready(Some(Err(error)));
+        }
+        match ready!(self.poll_incoming(cx)) {
+            Some(Err(error)) => {
+                self.error = Some(error);
+                cx.waker().wake_by_ref();
+                Poll::Pending
+            }
+            frame => Poll::Ready(frame),
+        }
+    }
+
+    fn poll_incoming(
+        &mut self,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
         let frame = match Pin::new(&mut self.incoming).poll_frame(cx) {
             Poll::Ready(frame) if may_still_forward(self.ends_by.deadline()) => frame,
             Poll::Ready(_) => return Poll::Ready(Some(Err(self.too_late()))),
@@ -90,8 +114,8 @@
                 if let (Some(events), Some(bytes)) = (&mut self.events, frame.data_ref()) {
                     events.scan(bytes);
                 }
-                if self.incoming.is_end_stream() {
-                    self.end.on_complete();
+                if self.events.is_none() && self.incoming.is_end_stream() {
+                    self.end.on_bytes_ended(None);
                 }
                 Poll::Ready(Some(Ok(frame)))
             }
@@ -101,9 +125,11 @@
             }
             None => {
                 let position = self.events.as_ref().map(EventScanner::position);
-                self.end.on_bytes_ended(position);
-                self.end.on_complete();
-                Poll::Ready(None)
+                if self.end.on_bytes_ended(position) {
+                    Poll::Ready(None)
+                } else {
+                    Poll::Ready(Some(Err(BodyError::Unfinished)))
+                }
             }
         }
     }
@@ -130,7 +156,9 @@
     fn is_end_stream(&self) -> bool {
         match self {
             Self::Whole(bytes) => bytes.is_none(),
-            Self::Forwarded(forwarded) => forwarded.incoming.is_end_stream(),
+            Self::Forwarded(forwarded) => {
+                forwarded.events.is_none() && forwarded.incoming.is_end_stream()
+            }
             Self::Events(_) => false,
         }
     }
@@ -140,8 +168,10 @@
             Self::Whole(bytes) => {
                 SizeHint::with_exact(bytes.as_ref().map_or(0, |bytes| bytes.len() as u64))
             }
-            Self::Forwarded(forwarded) => forwarded.incoming.size_hint(),
-            Self::Events(_) => SizeHint::default(),
+            Self::Forwarded(forwarded) if forwarded.events.is_none() => {
+                forwarded.incoming.size_hint()
+            }
+            Self::Forwarded(_) | Self::Events(_) => SizeHint::default(),
         }
     }
 }
--- a/crates/relay/src/call/forward.rs
+++ b/crates/relay/src/call/forward.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use hyper::header::CONTENT_LENGTH;
 use hyper::{Response, StatusCode};
 use monsoonspread_decisions::event_splitter::EventScanner;
 use tokio::time::Instant;
@@ -31,6 +32,10 @@
     let (mut head, body, end) = answer.split(request);
     let events = is_event_stream(request, &head).then(EventScanner::new);
     super::headers::remove_hop_headers(&mut head.headers);
+    if events.is_some() {
+        // In chunks, a stream of the stated length can still be shown to be broken off.
+        head.headers.remove(CONTENT_LENGTH);
+    }
     Response::from_parts(head, RelayBody::forwarded(body, events, ends_by, end))
 }
 
--- a/crates/relay/src/call/resume.rs
+++ b/crates/relay/src/call/resume.rs
@@ -31,6 +31,10 @@
     };
     let events = stream::unfold(resumable, |mut stream| async move {
         let next = stream.next().await?;
+        if next.is_err() {
+            // The HTTP server sends what it has before the error, on which it closes the connection.
+            tokio::task::yield_now().await;
+        }
         Some((next, stream))
     });
     Response::from_parts(head, RelayBody::Events(Box::pin(events)))
@@ -81,23 +85,28 @@
                         Err(error) => {
                             segment.end.on_aborted("event without end");
                             self.segment = None;
-                            if let Err(error) = self.resume(error.to_string()).await {
+                            if let Err(error) =
+                                self.resume(BodyError::Upstream(error.to_string())).await
+                            {
                                 return Some(Err(error));
                             }
                         }
                     }
                 }
                 None => {
-                    segment.end.on_bytes_ended(Some(self.splitter.position()));
-                    segment.end.on_complete();
+                    let is_complete = segment.end.on_bytes_ended(Some(self.splitter.position()));
                     self.segment = None;
-                    let rest = self.splitter.take_rest();
-                    return (!rest.is_empty()).then(|| Ok(rest.into()));
+                    if is_complete {
+                        return None;
+                    }
+                    if let Err(error) = self.resume(BodyError::Unfinished).await {
+                        return Some(Err(error));
+                    }
                 }
                 Some(Err(error)) => {
                     segment.end.on_upstream_disconnected();
                     self.segment = None;
-                    if let Err(error) = self.resume(error.to_string()).await {
+                    if let Err(error) = self.resume(BodyError::Upstream(error.to_string())).await {
                         return Some(Err(error));
                     }
                 }
@@ -106,11 +115,11 @@
     }
 
     /// Finds an engine that resumes after the last whole event.
-    async fn resume(&mut self, why: String) -> Result<(), BodyError> {
+    async fn resume(&mut self, why: BodyError) -> Result<(), BodyError> {
         self.splitter.drop_partial();
         self.call.on_stream_broken();
         if !self.call.may_run_again() {
-            return Err(BodyError::Upstream(why));
+            return Err(why);
         }
         let resume_after = self
             .splitter
@@ -122,7 +131,7 @@
                 self.segment = Some(Segment::new(&self.call, answer).1);
                 Ok(())
             }
-            None => Err(BodyError::Upstream(why)),
+            None => Err(why),
         }
     }
 }
--- a/crates/relay/src/call/upstream_answer.rs
+++ b/crates/relay/src/call/upstream_answer.rs
@@ -1,5 +1,6 @@
 //! An upstream's answer and its accounting.
 
+use hyper::Version;
 use hyper::body::Incoming;
 use hyper::http::response::Parts;
 
@@ -24,8 +25,10 @@
             sender,
             in_flight,
         } = self.answered;
-        let (head, body) = response.into_parts();
+        let (mut head, body) = response.into_parts();
         let framing = framing(request, &head);
+        // With HTTP/1.0, the client's answer would end with its connection, broken off or not.
+        head.version = Version::HTTP_11;
         let end = self.end.with_in_flight(in_flight).with_framing(framing);
         let end = if answer.closes {
             end
