Check for a crash when an answer without framing ends with its connection

Callers got a part of an answer as complete, if its server crashed between two events or in a plain body. Cause: a crash closes connections like a server that has finished, and the events don't show it there. Now the relay asks before it writes the last chunk: a server that refuses connections, or is listed as restarted, and wasn't leaving, has broken its answer off. One connection for each answer without framing, none for others. A server that crashes between two events and is back within a round trip, or doesn't answer for 250 ms, is taken for alive.

--- a/crates/relay/src/call/answer.rs
+++ b/crates/relay/src/call/answer.rs
@@ -1,11 +1,13 @@
 //! Cleanup and accounting at the end of an answer.
 
+use std::pin::Pin;
 use std::rc::Rc;
 
 use monsoonspread_decisions::answer_end::{EndVerdict, Framing};
 use monsoonspread_decisions::event_splitter::StreamPosition;
 use monsoonspread_model::{Fingerprint, UnixMs, UpstreamName};
 
+use super::end_check::has_crashed;
 use crate::connection::PooledSender;
 use crate::event::{Line, kind};
 use crate::holding::CopyRequestGuard;
@@ -16,6 +18,9 @@
 /// given up on an unresponsive upstream: half of the shortest timeout of the platform's clients.
 const STALL_MS: u64 = 1_000;
 
+/// Check of an unconfirmed end; the result is whether the upstream crashed.
+pub(super) type EndCheck = Pin<Box<dyn Future<Output = bool>>>;
+
 /// Bookkeeping of one call to a server of a plain service.
 pub(super) struct ServiceSlot {
     pub(super) server: UpstreamName,
@@ -129,16 +134,39 @@
     }
 
     /// Records that the bytes ended without a failure of the connection, at `position` in a stream of
-    /// events; returns whether the answer is complete.
-    pub(super) fn on_bytes_ended(&mut self, position: Option<StreamPosition>) -> bool {
+    /// events. An unconfirmed end is settled with [`Self::on_end_checked`].
+    pub(super) fn on_bytes_ended(&mut self, position: Option<StreamPosition>) -> EndVerdict {
         self.position = position;
-        let is_complete = EndVerdict::new(self.framing, position) != EndVerdict::BrokenOff;
-        if is_complete {
-            self.on_complete();
-        } else {
+        let verdict = EndVerdict::new(self.framing, position);
+        match verdict {
+            EndVerdict::Complete => self.on_complete(),
+            EndVerdict::BrokenOff => self.on_upstream_disconnected(),
+            EndVerdict::Unconfirmed => {}
+        }
+        verdict
+    }
+
+    /// Checks whether the upstream ended the answer by crashing.
+    pub(super) fn check_end(&self) -> EndCheck {
+        let shared = Rc::clone(&self.shared);
+        let incarnation = self.in_flight.as_ref().map(|sent| sent.incarnation);
+        let upstream = self.upstream.clone();
+        Box::pin(async move {
+            match incarnation {
+                Some(incarnation) => has_crashed(shared, upstream, incarnation).await,
+                None => false,
+            }
+        })
+    }
+
+    /// Settles an unconfirmed end, with the result of the check; returns whether the answer is complete.
+    pub(super) fn on_end_checked(&mut self, has_crashed: bool) -> bool {
+        if has_crashed {
             self.on_upstream_disconnected();
+        } else {
+            self.on_complete();
         }
-        is_complete
+        !has_crashed
     }
 
     /// Records that bytes of the body arrived.
--- a/crates/relay/src/call/body.rs
+++ b/crates/relay/src/call/body.rs
@@ -7,11 +7,12 @@
 use displaydoc::Display;
 use futures_util::Stream;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
+use monsoonspread_decisions::answer_end::EndVerdict;
 use monsoonspread_decisions::event_splitter::EventScanner;
 use thiserror::Error;
 use tokio::time::{Instant, Sleep};
 
-use super::answer::AnswerEnd;
+use super::answer::{AnswerEnd, EndCheck};
 use super::forward::may_still_forward;
 
 /// Why an answer ends early; the client only sees its connection closed.
@@ -44,6 +45,8 @@
     events: Option<EventScanner>,
     ends_by: Pin<Box<Sleep>>,
     end: AnswerEnd,
+    /// The check of an end that is unconfirmed.
+    check: Option<EndCheck>,
     /// An error that is returned once everything before it was sent.
     error: Option<BodyError>,
 }
@@ -69,6 +72,7 @@
             events,
             ends_by: Box::pin(tokio::time::sleep_until(ends_by)),
             end,
+            check: None,
             error: None,
         }))
     }
@@ -100,6 +104,12 @@
         &mut self,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        if let Some(check) = &mut self.check {
+            let has_crashed = ready!(check.as_mut().poll(cx));
+            self.check = None;
+            let is_complete = self.end.on_end_checked(has_crashed);
+            return Poll::Ready((!is_complete).then_some(Err(BodyError::Unfinished)));
+        }
         let frame = match Pin::new(&mut self.incoming).poll_frame(cx) {
             Poll::Ready(frame) if may_still_forward(self.ends_by.deadline()) => frame,
             Poll::Ready(_) => return Poll::Ready(Some(Err(self.too_late()))),
@@ -125,10 +135,13 @@
             }
             None => {
                 let position = self.events.as_ref().map(EventScanner::position);
-                if self.end.on_bytes_ended(position) {
-                    Poll::Ready(None)
-                } else {
-                    Poll::Ready(Some(Err(BodyError::Unfinished)))
+                match self.end.on_bytes_ended(position) {
+                    EndVerdict::Complete => Poll::Ready(None),
+                    EndVerdict::BrokenOff => Poll::Ready(Some(Err(BodyError::Unfinished))),
+                    EndVerdict::Unconfirmed => {
+                        self.check = Some(self.end.check_end());
+                        self.poll_incoming(cx)
+                    }
                 }
             }
         }
--- a/crates/relay/src/call/mod.rs
+++ b/crates/relay/src/call/mod.rs
@@ -6,6 +6,7 @@
 mod body_kind;
 mod candidates;
 mod client_body;
+mod end_check;
 mod forward;
 mod handler;
 mod headers;
--- a/crates/relay/src/call/resume.rs
+++ b/crates/relay/src/call/resume.rs
@@ -6,6 +6,7 @@
 use hyper::Response;
 use hyper::body::Incoming;
 use hyper::header::CONTENT_LENGTH;
+use monsoonspread_decisions::answer_end::EndVerdict;
 use monsoonspread_decisions::event_splitter::EventSplitter;
 use tokio::time::{Instant, timeout_at};
 
@@ -94,7 +95,15 @@
                     }
                 }
                 None => {
-                    let is_complete = segment.end.on_bytes_ended(Some(self.splitter.position()));
+                    let position = Some(self.splitter.position());
+                    let is_complete = match segment.end.on_bytes_ended(position) {
+                        EndVerdict::Complete => true,
+                        EndVerdict::BrokenOff => false,
+                        EndVerdict::Unconfirmed => {
+                            let has_crashed = segment.end.check_end().await;
+                            segment.end.on_end_checked(has_crashed)
+                        }
+                    };
                     self.segment = None;
                     if is_complete {
                         return None;
