Resume a stream with nothing but its remaining events

Could happen here, from the report of a stream that went on with an error's text: the next engine's answer was joined to the stream for any 2xx, whatever its type or encoding, and also if it began again at the first event. Errors were already left out.

--- a/crates/decisions/src/event_splitter/mod.rs
+++ b/crates/decisions/src/event_splitter/mod.rs
@@ -16,15 +16,22 @@
 /// with the memory of an instance.
 pub const MAX_EVENT_BYTES: usize = 256 * 1024;
 
-/// an event is longer than 256 KB
+/// Why an upstream's events can't be forwarded.
 #[derive(Clone, Copy, Debug, Display, Eq, Error, PartialEq)]
-pub struct EventTooLong;
+pub enum EventError {
+    /// an event is longer than 256 KB
+    TooLong,
+    /// a resumed stream repeats events
+    Repeated,
+}
 
 /// Splits a stream of server-sent events at event boundaries.
 #[derive(Debug, Default)]
 pub struct EventSplitter {
     partial: Vec<u8>,
     last_id: Option<u64>,
+    /// The event after which the current upstream was to resume, until its first event with an id.
+    resumed_after: Option<u64>,
     scanner: EventScanner,
 }
 
@@ -38,28 +45,35 @@
     ///
     /// # Errors
     ///
-    /// Fails when an event grows beyond [`MAX_EVENT_BYTES`].
+    /// Fails when an event grows beyond [`MAX_EVENT_BYTES`], or when an upstream that resumes the stream
+    /// begins with an event that came before.
     ///
     /// ```
-    /// # use monsoonspread_decisions::event_splitter::{EventSplitter, EventTooLong};
+    /// # use monsoonspread_decisions::event_splitter::{EventError, EventSplitter};
     /// let mut splitter = EventSplitter::new();
     /// assert_eq!(splitter.push(b"id: 4\ndata: a\n\nid: 5\nda")?, b"id: 4\ndata: a\n\n");
     /// assert_eq!(splitter.last_id(), Some(4));
-    /// # Ok::<(), EventTooLong>(())
+    /// # Ok::<(), EventError>(())
     /// ```
-    pub fn push(&mut self, bytes: &[u8]) -> Result<Vec<u8>, EventTooLong> {
+    pub fn push(&mut self, bytes: &[u8]) -> Result<Vec<u8>, EventError> {
         let scanned = self.partial.len();
         self.partial.extend_from_slice(bytes);
         let Some(end) = self.scanner.scan(bytes) else {
             if self.partial.len() > MAX_EVENT_BYTES {
-                return Err(EventTooLong);
+                return Err(EventError::TooLong);
             }
             return Ok(Vec::new());
         };
         let end = scanned + end;
         let rest = self.partial.split_off(end);
         let complete = std::mem::replace(&mut self.partial, rest);
-        self.last_id = last_id(&complete).or(self.last_id);
+        if let Some(first) = ids(&complete).next()
+            && let Some(after) = self.resumed_after.take()
+            && first <= after
+        {
+            return Err(EventError::Repeated);
+        }
+        self.last_id = ids(&complete).next_back().or(self.last_id);
         Ok(complete)
     }
 
@@ -73,16 +87,18 @@
         self.last_id
     }
 
-    /// Discards the incomplete event that a failed upstream left behind.
-    pub fn drop_partial(&mut self) {
+    /// Discards the incomplete event that a failed upstream left behind; the next bytes are those of an
+    /// upstream that resumes the stream.
+    pub fn resume(&mut self) {
+        self.resumed_after = self.last_id;
         self.partial.clear();
         self.scanner = EventScanner::new();
     }
 }
 
-/// The last numeric id in complete events.
-fn last_id(events: &[u8]) -> Option<u64> {
-    let lines = events.rsplit(|byte| matches!(byte, b'\r' | b'\n'));
-    let mut ids = lines.filter_map(|line| line.strip_prefix(b"id:"));
-    ids.find_map(|id| std::str::from_utf8(id).ok()?.trim().parse().ok())
+/// The numeric ids in complete events.
+fn ids(events: &[u8]) -> impl DoubleEndedIterator<Item = u64> {
+    let lines = events.split(|byte| matches!(byte, b'\r' | b'\n'));
+    let ids = lines.filter_map(|line| line.strip_prefix(b"id:"));
+    ids.filter_map(|id| std::str::from_utf8(id).ok()?.trim().parse().ok())
 }
--- a/crates/relay/src/call/body_kind.rs
+++ b/crates/relay/src/call/body_kind.rs
@@ -1,6 +1,8 @@
 //! What kind of body an upstream's answer has.
 
-use hyper::header::{CONTENT_LENGTH, CONTENT_TYPE, HeaderMap, HeaderName, TRANSFER_ENCODING};
+use hyper::header::{
+    CONTENT_ENCODING, CONTENT_LENGTH, CONTENT_TYPE, HeaderMap, HeaderName, TRANSFER_ENCODING,
+};
 use hyper::http::response::Parts;
 use hyper::{Method, StatusCode};
 use monsoonspread_decisions::answer_end::Framing;
@@ -23,13 +25,17 @@
     Framing::new(codings, head.headers.contains_key(CONTENT_LENGTH))
 }
 
-/// Whether the answer to `request` is a stream of events. An answer without a type on a route of streams
-/// is one.
-pub(super) fn is_event_stream(request: &RelayRequest, head: &Parts) -> bool {
-    if head.status != StatusCode::OK {
+/// Whether the answer to `request` is a stream of readable events. An answer without a type on a route of
+/// streams is one.
+pub(super) fn is_event_stream(
+    request: &RelayRequest,
+    status: StatusCode,
+    headers: &HeaderMap,
+) -> bool {
+    if status != StatusCode::OK || headers.contains_key(CONTENT_ENCODING) {
         return false;
     }
-    match values(&head.headers, &CONTENT_TYPE).next() {
+    match values(headers, &CONTENT_TYPE).next() {
         Some(value) => {
             let essence = value.split(';').next().unwrap_or_default();
             essence.trim().eq_ignore_ascii_case(EVENT_STREAM)
--- a/crates/relay/src/call/forward.rs
+++ b/crates/relay/src/call/forward.rs
@@ -30,7 +30,7 @@
 ) -> Response<RelayBody> {
     let ends_by = ends_by(shared, request);
     let (mut head, body, end) = answer.split(request);
-    let events = is_event_stream(request, &head).then(EventScanner::new);
+    let events = is_event_stream(request, head.status, &head.headers).then(EventScanner::new);
     super::headers::remove_hop_headers(&mut head.headers);
     if events.is_some() {
         // In chunks, a stream of the stated length can still be shown to be broken off.
--- a/crates/relay/src/call/model_call.rs
+++ b/crates/relay/src/call/model_call.rs
@@ -41,7 +41,7 @@
     }
     let mut call = ModelCall::new(shared, Rc::new(request), key);
     match call.next_engine(None).await {
-        Some(answer) if call.is_resumable() && answer.answered.response.status().is_success() => {
+        Some(answer) if call.is_resumable() && answer.is_event_stream(&call.request) => {
             resume::resumable(call, answer)
         }
         Some(answer) => forward(&call.shared, &call.request, answer),
--- a/crates/relay/src/call/resume.rs
+++ b/crates/relay/src/call/resume.rs
@@ -13,6 +13,7 @@
 use super::RelayBody;
 use super::answer::AnswerEnd;
 use super::body::BodyError;
+use super::body_kind::is_event_stream;
 use super::forward::{ends_by, may_still_forward};
 use super::model_call::ModelCall;
 use super::upstream_answer::UpstreamAnswer;
@@ -84,7 +85,7 @@
                         Ok(whole) if whole.is_empty() => {}
                         Ok(whole) => return Some(Ok(whole.into())),
                         Err(error) => {
-                            segment.end.on_aborted("event without end");
+                            segment.end.on_aborted("unusable events");
                             self.segment = None;
                             if let Err(error) =
                                 self.resume(BodyError::Upstream(error.to_string())).await
@@ -125,22 +126,25 @@
 
     /// Finds an engine that resumes after the last whole event.
     async fn resume(&mut self, why: BodyError) -> Result<(), BodyError> {
-        self.splitter.drop_partial();
-        self.call.on_stream_broken();
-        if !self.call.may_run_again() {
-            return Err(why);
-        }
+        self.splitter.resume();
         let resume_after = self
             .splitter
             .last_id()
             .or(self.call.request.head.resume_after);
-        let answer = self.call.next_engine(resume_after).await;
-        match answer.filter(|answer| answer.answered.response.status().is_success()) {
-            Some(answer) => {
-                self.segment = Some(Segment::new(&self.call, answer).1);
-                Ok(())
+        loop {
+            self.call.on_stream_broken();
+            if !self.call.may_run_again() {
+                return Err(why);
+            }
+            let Some(answer) = self.call.next_engine(resume_after).await else {
+                return Err(why);
+            };
+            let (head, mut segment) = Segment::new(&self.call, answer);
+            if is_event_stream(&self.call.request, head.status, &head.headers) {
+                self.segment = Some(segment);
+                return Ok(());
             }
-            None => Err(why),
+            segment.end.on_aborted("not the rest of the stream");
         }
     }
 }
--- a/crates/relay/src/call/upstream_answer.rs
+++ b/crates/relay/src/call/upstream_answer.rs
@@ -6,7 +6,7 @@
 
 use super::answer::AnswerEnd;
 use super::attempt::Answered;
-use super::body_kind::framing;
+use super::body_kind::{framing, is_event_stream};
 use super::request::RelayRequest;
 
 /// An upstream's answer, with the accounting for its end.
@@ -16,6 +16,12 @@
 }
 
 impl UpstreamAnswer {
+    /// Whether it is a stream of readable events.
+    pub(super) fn is_event_stream(&self, request: &RelayRequest) -> bool {
+        let response = &self.answered.response;
+        is_event_stream(request, response.status(), response.headers())
+    }
+
     /// Splits the answer into head, body and accounting; the connection is pooled at the end unless
     /// the upstream closes it.
     pub(super) fn split(self, request: &RelayRequest) -> (Parts, Incoming, AnswerEnd) {
