--- a/crates/relay/src/call/answer.rs
+++ b/crates/relay/src/call/answer.rs
@@ -5,9 +5,11 @@
 
 use monsoonspread_decisions::answer_end::{EndVerdict, Framing};
 use monsoonspread_decisions::event_splitter::StreamPosition;
+use monsoonspread_model::fleet::PromptPart;
 use monsoonspread_model::{Fingerprint, UnixMs, UpstreamName};
 
 use super::end_check::has_crashed;
+use super::request::part_list;
 use crate::connection::PooledSender;
 use crate::event::{Line, kind};
 use crate::holding::CopyRequestGuard;
@@ -57,6 +59,7 @@
     in_flight: Option<InFlightRequest>,
     guard: Option<CopyRequestGuard>,
     prompt_tokens: u32,
+    prompt_parts: Vec<PromptPart>,
     granted_ms: u64,
     running: u32,
     slowness_percent: Option<u32>,
@@ -89,6 +92,7 @@
             in_flight: None,
             guard: None,
             prompt_tokens: request.head.prompt_tokens,
+            prompt_parts: request.head.prompt_parts.clone(),
             granted_ms: 0,
             running: 0,
             slowness_percent: None,
@@ -243,6 +247,10 @@
         if let Some(first_ms) = first_ms {
             self.shared.metrics.record_latency("first_byte", first_ms);
         }
+        let parts = match self.outcome {
+            "upstream broke off" => part_list(&self.prompt_parts),
+            _ => String::new(),
+        };
         Line::new(if self.outcome == "left" {
             &kind::CLIENT_LEFT
         } else {
@@ -258,6 +266,7 @@
             "ended",
             self.position.map_or(String::new(), |at| at.to_string()),
         )
+        .field("parts", parts)
         .field("prompt_tokens", self.prompt_tokens)
         .field("granted_ms", self.granted_ms)
         .field("running", self.running)
--- a/crates/relay/src/call/attempt.rs
+++ b/crates/relay/src/call/attempt.rs
@@ -10,7 +10,7 @@
 use monsoonspread_model::UnixMs;
 use monsoonspread_model::fleet::UpstreamRecord;
 
-use super::request::RelayRequest;
+use super::request::{RelayRequest, part_list};
 use crate::connection::{PooledSender, SendFailure};
 use crate::event::{Line, kind};
 use crate::gossip::AnswerSource;
@@ -182,5 +182,6 @@
         .field("outcome", outcome)
         .field("error", why)
         .field("fingerprint", request.fingerprint)
+        .field("parts", part_list(&request.head.prompt_parts))
         .log();
 }
--- a/crates/relay/src/call/request.rs
+++ b/crates/relay/src/call/request.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use hyper::http::request::Parts;
 use hyper::{HeaderMap, Method, Uri};
-use monsoonspread_model::fleet::{CallHead, Route};
+use monsoonspread_model::fleet::{CallHead, PromptPart, Route};
 use monsoonspread_model::{Fingerprint, ServiceName, UnixMs};
 
 /// How long a request of the most urgent rank waits for an upstream at its limit, in percent of its
@@ -14,6 +14,9 @@
 /// Maximum number of times that this wait is halved.
 const MAX_HALVINGS: u32 = 16;
 
+/// Maximum number of prompt parts in a line of the log.
+const MAX_LOGGED_PARTS: usize = 16;
+
 /// A fully read client request.
 #[derive(Clone, Debug)]
 pub(super) struct RelayRequest {
@@ -72,6 +75,14 @@
     }
 }
 
+/// Lists the parts of a prompt for the log, without the last one, which is the request's own.
+pub(super) fn part_list(parts: &[PromptPart]) -> String {
+    let shared = parts.split_last().map_or(&[][..], |(_, shared)| shared);
+    let ids = shared.iter().take(MAX_LOGGED_PARTS);
+    let ids: Vec<String> = ids.map(|part| format!("{:x}", part.id)).collect();
+    ids.join(",")
+}
+
 /// Hashes method, host, path, query and body, which all copies of a request share.
 fn fingerprint(parts: &Parts, body: &[u8], route: &Route) -> Fingerprint {
     let path = parts.uri.path_and_query().map_or("/", |path| path.as_str());
