Quarantine prompt parts that crash engines

Now crashes count against the parts of a prompt as well, but for the last, by the same mechanism (evidence, clearing, gossip, dump, release), with what parts need besides: - a served answer clears its parts, also if the crash becomes known later than the answer; - a crash counts against the parts with the most crashes, so that what ran beside is not refused; parts that were served before, and first parts, come after all others and need five crashes and 2 s without an answer; - a crash later than 1 s after the first byte doesn't count: a part crashes an engine as it begins to write. Three crashes refuse a part; two keep its requests from being repeated. Every request is looked at when it arrives and before each send.

--- a/crates/decisions/src/quarantine/quarantined.rs
+++ b/crates/decisions/src/quarantine/quarantined.rs
@@ -5,6 +5,7 @@
 use monsoonspread_model::message::CrashNotice;
 use monsoonspread_model::{Fingerprint, UnixMs};
 
+use super::attribution::attribute;
 use super::dump::{CrashDump, QuarantineDump, SuspectDump};
 use super::{Admission, Suspect};
 
@@ -23,6 +24,8 @@
 pub struct Quarantine {
     crashes_to_quarantine: usize,
     suspects: HashMap<Fingerprint, Suspect>,
+    /// Crashes of those that are refused; `None` if each crash counts against all that ran there.
+    attributed: Option<HashMap<Fingerprint, usize>>,
 }
 
 impl Default for Quarantine {
@@ -56,9 +59,23 @@
         Self {
             crashes_to_quarantine,
             suspects: HashMap::new(),
+            attributed: None,
         }
     }
 
+    /// Counts each crash against the strongest suspects only, for suspects that occur together.
+    ///
+    /// ```
+    /// # use monsoonspread_decisions::quarantine::Quarantine;
+    /// # use monsoonspread_model::{Fingerprint, UnixMs};
+    /// let parts = Quarantine::with_crashes(3).with_attribution();
+    /// assert_eq!(parts.refused_until(UnixMs(0), Fingerprint(7)), None);
+    /// ```
+    pub fn with_attribution(mut self) -> Self {
+        self.attributed = Some(HashMap::new());
+        self
+    }
+
     /// Records a crash that this instance or a peer saw; true when it changes what is known.
     pub fn on_crash(&mut self, now: UnixMs, notice: &CrashNotice) -> bool {
         if notice.seen_at_unix_ms + QUARANTINE_MS <= now {
@@ -66,14 +83,37 @@
         }
         self.evict_for(now, notice.fingerprint);
         let suspect = self.suspects.entry(notice.fingerprint).or_default();
-        suspect.add(notice)
+        let is_changed = suspect.add(notice);
+        if is_changed {
+            self.attribute(now);
+        }
+        is_changed
     }
 
-    /// A copy of the request was served, or an operator or a peer cleared it; true when crashes
-    /// counted against it.
+    /// A copy of the request was served, or an operator or a peer cleared it; true when that changes
+    /// what is known.
     pub fn on_cleared(&mut self, fingerprint: Fingerprint, at: UnixMs) -> bool {
-        let suspect = self.suspects.get_mut(&fingerprint);
-        suspect.is_some_and(|suspect| suspect.clear(at))
+        let Some(suspect) = self.suspects.get_mut(&fingerprint) else {
+            return false;
+        };
+        let is_first = suspect.cleared_at().is_none();
+        let is_changed = suspect.clear(at);
+        // That a suspect was served before its crashes matters where crashes are attributed.
+        let is_news = is_changed || (is_first && self.attributed.is_some());
+        if is_news {
+            self.attribute(at);
+        }
+        is_news
+    }
+
+    fn attribute(&mut self, now: UnixMs) {
+        let Some(attributed) = &mut self.attributed else {
+            return;
+        };
+        let suspects = self.suspects.iter();
+        let current = suspects.filter(|(_, suspect)| now < suspect.expires_at());
+        let current = current.map(|(fingerprint, suspect)| (*fingerprint, suspect));
+        *attributed = attribute(current, self.crashes_to_quarantine, attributed);
     }
 
     /// Admission of a request with `running` copies on this instance and `breaks` that are not yet
@@ -101,7 +141,18 @@
     /// When the request may be retried; `None` when it is not quarantined.
     pub fn refused_until(&self, now: UnixMs, fingerprint: Fingerprint) -> Option<UnixMs> {
         let suspect = self.suspect(now, fingerprint)?;
-        (suspect.crash_count() >= self.crashes_to_quarantine).then(|| suspect.expires_at())
+        let is_refused = match &self.attributed {
+            Some(attributed) => attributed.contains_key(&fingerprint),
+            None => suspect.crash_count() >= self.crashes_to_quarantine,
+        };
+        is_refused.then(|| suspect.expires_at())
+    }
+
+    /// Those against which crashes count.
+    pub fn suspected(&self) -> impl Iterator<Item = (Fingerprint, &Suspect)> {
+        let suspects = self.suspects.iter();
+        let suspected = suspects.filter(|(_, suspect)| suspect.active_crashes().next().is_some());
+        suspected.map(|(fingerprint, suspect)| (*fingerprint, suspect))
     }
 
     /// Whether the request crashed an upstream before.
--- a/crates/decisions/src/quarantine/suspect.rs
+++ b/crates/decisions/src/quarantine/suspect.rs
@@ -1,13 +1,18 @@
 //! Crashes recorded for one request.
 
+use std::collections::HashSet;
+
 use monsoonspread_model::message::CrashNotice;
 use monsoonspread_model::{UnixMs, UpstreamName};
 
 use super::QUARANTINE_MS;
+use super::attribution::{CrashId, crash_id};
 
 /// Crashes within this time of each other, in milliseconds, may have one cause: a failing rack or
 /// server group takes less.
 const SAME_CAUSE_WINDOW_MS: u64 = 200;
+/// Number of crashes that are too many for two groups of upstreams that failed for other reasons.
+const MANY_CRASHES: usize = 6;
 /// Maximum number of crashes remembered per request: above every quarantine threshold, and small
 /// enough that a list of suspects fits into one message.
 const MAX_CRASHES: usize = 8;
@@ -64,13 +69,21 @@
         self.cleared_at
     }
 
+    /// Time from when it was last cleared to the last crash, in milliseconds.
+    pub(super) fn unserved_ms(&self) -> u64 {
+        match (self.cleared_at, self.crashes.last()) {
+            (Some(cleared_at), Some(last)) => last.seen_at_unix_ms.ms_since(cleared_at),
+            _ => 0,
+        }
+    }
+
     /// All remembered crashes, including those before it was cleared.
     pub fn crashes(&self) -> &[CrashNotice] {
         &self.crashes
     }
 
     /// Crashes since it was last cleared.
-    pub fn active_crashes(&self) -> impl Iterator<Item = &CrashNotice> {
+    pub fn active_crashes(&self) -> impl Iterator<Item = &CrashNotice> + Clone {
         let crashes = self.crashes.iter();
         crashes.filter(|crash| self.cleared_at.is_none_or(|at| crash.seen_at_unix_ms > at))
     }
@@ -80,6 +93,15 @@
         count_separate(self.active_crashes())
     }
 
+    /// Like [`Self::crash_count`], without crashes that are `explained` otherwise. Many crashes with more
+    /// than one cause count once more: upstreams that restart together crash together again.
+    pub(super) fn count_without(&self, explained: &HashSet<CrashId>) -> usize {
+        let crashes = self.active_crashes();
+        let open = crashes.filter(|crash| !explained.contains(&crash_id(crash)));
+        let separate = count_separate(open.clone());
+        separate + usize::from(separate > 1 && open.count() >= MANY_CRASHES)
+    }
+
     /// Number of crashes as if it had never been cleared.
     pub fn uncleared_count(&self) -> usize {
         count_separate(self.crashes.iter())
--- a/crates/decisions/src/quarantine/tests.rs
+++ b/crates/decisions/src/quarantine/tests.rs
@@ -1,4 +1,5 @@
 mod break_watch;
+mod parts;
 mod simulation;
 
 use monsoonspread_model::message::CrashNotice;
--- a/crates/relay/src/call/answer.rs
+++ b/crates/relay/src/call/answer.rs
@@ -176,6 +176,9 @@
     /// Records that bytes of the body arrived.
     pub(super) fn on_bytes(&mut self) {
         let now = self.shared.now();
+        if let Some(in_flight) = &mut self.in_flight {
+            in_flight.on_bytes(now);
+        }
         if self.first_byte_at.is_none() {
             self.first_byte_at = Some(now);
             if let Some(guard) = &self.guard {
--- a/crates/relay/src/call/attempt.rs
+++ b/crates/relay/src/call/attempt.rs
@@ -62,7 +62,12 @@
     if !super::suspect::may_be_sent(shared, request) {
         return Attempt::Withheld;
     }
-    let mut in_flight = InFlightRequest::new(shared, request.fingerprint, upstream);
+    let mut in_flight = InFlightRequest::new(
+        shared,
+        request.fingerprint,
+        &request.suspect_parts,
+        upstream,
+    );
     let sent_at = shared.now();
     let wait_ms = options.times_out_at.ms_since(sent_at);
     let sent = tokio::time::timeout(
--- a/crates/relay/src/call/request.rs
+++ b/crates/relay/src/call/request.rs
@@ -1,5 +1,6 @@
 //! A fully read client request.
 
+use std::rc::Rc;
 use std::sync::Arc;
 
 use bytes::Bytes;
@@ -14,6 +15,8 @@
 /// Maximum number of times that this wait is halved.
 const MAX_HALVINGS: u32 = 16;
 
+/// Maximum number of prompt parts of a request that crashes can count against.
+const MAX_SUSPECT_PARTS: usize = 32;
 /// Maximum number of prompt parts in a line of the log.
 const MAX_LOGGED_PARTS: usize = 16;
 
@@ -28,6 +31,8 @@
     pub(super) head: CallHead,
     /// Identifies all copies of the same request, whose request ids differ.
     pub(super) fingerprint: Fingerprint,
+    /// Prompt parts that other requests may have in common, as suspects.
+    pub(super) suspect_parts: Rc<[Fingerprint]>,
     pub(super) route: Arc<Route>,
     pub(super) service: ServiceName,
     pub(super) arrived_at: UnixMs,
@@ -55,6 +60,7 @@
             uri: parts.uri,
             headers,
             body,
+            suspect_parts: suspect_parts(&head.prompt_parts),
             head,
             fingerprint,
             route,
@@ -77,12 +83,26 @@
 
 /// Lists the parts of a prompt for the log, without the last one, which is the request's own.
 pub(super) fn part_list(parts: &[PromptPart]) -> String {
-    let shared = parts.split_last().map_or(&[][..], |(_, shared)| shared);
-    let ids = shared.iter().take(MAX_LOGGED_PARTS);
-    let ids: Vec<String> = ids.map(|part| format!("{:x}", part.id)).collect();
+    let ids = shared_parts(parts).iter().take(MAX_LOGGED_PARTS);
+    let ids: Vec<String> = ids.map(|part| Fingerprint(part.id).to_string()).collect();
     ids.join(",")
 }
 
+fn suspect_parts(parts: &[PromptPart]) -> Rc<[Fingerprint]> {
+    let mut suspects: Vec<Fingerprint> = Vec::new();
+    for part in shared_parts(parts) {
+        let fingerprint = Fingerprint(part.id);
+        if suspects.len() < MAX_SUSPECT_PARTS && !suspects.contains(&fingerprint) {
+            suspects.push(fingerprint);
+        }
+    }
+    suspects.into()
+}
+
+fn shared_parts(parts: &[PromptPart]) -> &[PromptPart] {
+    parts.split_last().map_or(&[], |(_last, shared)| shared)
+}
+
 /// Hashes method, host, path, query and body, which all copies of a request share.
 fn fingerprint(parts: &Parts, body: &[u8], route: &Route) -> Fingerprint {
     let path = parts.uri.path_and_query().map_or("/", |path| path.as_str());
--- a/crates/relay/src/event/catalogue.rs
+++ b/crates/relay/src/event/catalogue.rs
@@ -72,9 +72,9 @@
     COPY_REQUEST_FAILED = 2003 Info "ask failed" "The holder of an engine did not grant a copy; the next engine is tried.";
     CALL_REFUSED = 2004 Info "call refused" "A request was refused without being run.";
     CLIENT_LEFT = 2005 Info "client left" "A client disconnected before its answer was complete.";
-    UPSTREAM_CRASHED = 2006 Warn "upstream crashed under request" "An upstream crashed while it ran a request; `source` tells how that was detected: it refuses connections, it is listed as restarted or no longer listed, or another instance reported it. `counted` crashes count against the request.";
-    REQUEST_QUARANTINED = 2007 Error "request quarantined" "Three upstreams crashed under the request, so its copies are refused. Inspect the request; release it if it is innocent.";
-    REQUEST_CLEARED = 2008 Info "request cleared" "The evidence against the request was dropped: a copy of it was served, or an operator released it.";
+    UPSTREAM_CRASHED = 2006 Warn "upstream crashed under request" "An upstream crashed while it ran a request (`suspect=request`) or began to answer a prompt with a part (`suspect=part`, whose id is the `fingerprint`); `source` tells how that was detected: it refuses connections, it is listed as restarted or no longer listed, or another instance reported it. `counted` crashes count against it.";
+    REQUEST_QUARANTINED = 2007 Error "request quarantined" "Three upstreams crashed under the request or the prompt part, so its copies, or all requests with the part, are refused. Inspect the requests; release it if it is innocent.";
+    REQUEST_CLEARED = 2008 Info "request cleared" "The evidence against the request or prompt part was dropped: a copy of it, or a request with the part, was served, or an operator released it.";
     LIMIT_REACHED = 2009 Info "limit reached" "An upstream accepts `per_s` requests per second from all instances. The request waited for its turn (`granted`, `waited_ms`), or went on to another upstream because the turn came too late (`denied`), the instance that issues the permits didn't answer (`no answer`), or the upstream left while the request waited (`upstream gone`).";
 }
 
--- a/crates/relay/src/gossip/message.rs
+++ b/crates/relay/src/gossip/message.rs
@@ -43,6 +43,9 @@
     /// Requests under which upstreams crashed.
     #[serde(rename = "s", default, skip_serializing_if = "Vec::is_empty")]
     pub suspects: Vec<PeerSuspect>,
+    /// Prompt parts under which upstreams crashed.
+    #[serde(rename = "p", default, skip_serializing_if = "Vec::is_empty")]
+    pub suspect_parts: Vec<PeerSuspect>,
     /// Upstreams that announced that they are leaving.
     #[serde(rename = "l", default, skip_serializing_if = "Vec::is_empty")]
     pub leaving: Vec<LeavingUpstream>,
@@ -58,6 +61,10 @@
             suspects: part.to_vec(),
             ..Self::default()
         });
+        let suspect_parts = self.suspect_parts.chunks(MAX_SUSPECTS).map(|part| Self {
+            suspect_parts: part.to_vec(),
+            ..Self::default()
+        });
         let leaving = self.leaving.chunks(MAX_LEAVING).map(|part| Self {
             leaving: part.to_vec(),
             ..Self::default()
@@ -66,6 +73,6 @@
             limits: part.to_vec(),
             ..Self::default()
         });
-        suspects.chain(leaving).chain(limits)
+        suspects.chain(suspect_parts).chain(leaving).chain(limits)
     }
 }
--- a/crates/relay/src/gossip/received.rs
+++ b/crates/relay/src/gossip/received.rs
@@ -46,6 +46,7 @@
     pub fn gossip(&self) -> PeerGossip {
         PeerGossip {
             suspects: self.suspects.fleet_wide(self.now()),
+            suspect_parts: self.suspects.fleet_wide_parts(self.now()),
             leaving: self.fleet.borrow().announced_leaving(),
             limits: self.rate_observations(),
         }
@@ -54,6 +55,8 @@
     /// Merges gossip of another instance.
     pub fn on_gossip(self: &Rc<Self>, peer: &InstanceName, gossip: &PeerGossip) {
         self.suspects.on_gossip(self, peer, &gossip.suspects);
+        self.suspects
+            .on_part_gossip(self, peer, &gossip.suspect_parts);
         for leaving in &gossip.leaving {
             let LeavingUpstream {
                 upstream,
--- a/crates/relay/src/http/metrics.rs
+++ b/crates/relay/src/http/metrics.rs
@@ -82,6 +82,7 @@
 struct Dump {
     engines: BTreeMap<UpstreamName, CopyControlDump>,
     suspects: Vec<SuspectDump>,
+    suspect_parts: Vec<SuspectDump>,
     #[serde(rename = "said")]
     announcements: BTreeMap<UpstreamName, Announcement>,
 }
@@ -90,6 +91,7 @@
     let dump = Dump {
         engines: shared.holding.dump(),
         suspects: shared.suspects.dump(shared.now()),
+        suspect_parts: shared.suspects.dump_parts(shared.now()),
         announcements: shared.fleet.borrow().announcements(),
     };
     match serde_json::to_string_pretty(&dump) {
@@ -98,15 +100,15 @@
     }
 }
 
-/// Releases a suspect request.
+/// Releases a suspect request or prompt part.
 fn release(shared: &Rc<Shared>, fingerprint: &str) -> (StatusCode, String) {
     let Some(known) = Fingerprint::parse(fingerprint) else {
         let problem = format!("\"{fingerprint}\" is no fingerprint of 16 hexadecimal digits\n");
         return (StatusCode::BAD_REQUEST, problem);
     };
     if shared.suspects.release(shared, known) {
-        return (StatusCode::OK, format!("request {known} is released\n"));
+        return (StatusCode::OK, format!("{known} is released\n"));
     }
-    let problem = format!("nothing is held against request {known}\n");
+    let problem = format!("nothing is held against {known}\n");
     (StatusCode::NOT_FOUND, problem)
 }
--- a/crates/relay/src/suspects/mod.rs
+++ b/crates/relay/src/suspects/mod.rs
@@ -1,4 +1,4 @@
-//! Detection of requests that crash upstreams.
+//! Detection of requests and prompt parts that crash upstreams.
 //!
 //! Each crash is reported to the first few instances of each zone, which count the crashes that all
 //! instances detected. All other instances learn of a request once two crashes count against it
@@ -6,6 +6,7 @@
 //! reason, are known only to these few instances.
 
 mod in_flight;
+mod ledger;
 mod message;
 mod probe;
 mod table;
