Don't take a refusal without an id on a kept connection for the request's own

Could happen here, from the report of a server that wrote an earlier refusal once more on a kept connection: a refusal that names no request was believed on any connection. Refusals with another request's id were already not believed. Now one without an id counts only as the first answer of a connection, where no earlier one can be; else the request may have run.

--- a/crates/borders/src/relay/dialect.rs
+++ b/crates/borders/src/relay/dialect.rs
@@ -67,6 +67,18 @@
     Malformed(String),
 }
 
+/// Which request an answer names.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum AnswerId {
+    /// The request that it was sent for.
+    Same,
+    /// Another one.
+    Other,
+    /// None.
+    #[default]
+    Absent,
+}
+
 /// Metadata from the status and headers of an upstream's answer.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct AnswerHead {
@@ -74,8 +86,8 @@
     pub not_run: bool,
     /// Another upstream answered, or this one doesn't hold the model that the request runs on.
     pub misdirected: bool,
-    /// The request id in the answer is that of the request.
-    pub id_matches: bool,
+    /// Which request the answer names.
+    pub request_id: AnswerId,
     /// The answer carries the upstream's signature.
     pub signed: bool,
     /// How long the connection may be reused after this answer, in milliseconds; `None` if the
--- a/crates/relay/src/call/attempt.rs
+++ b/crates/relay/src/call/attempt.rs
@@ -6,7 +6,7 @@
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::{Request, Response};
-use monsoonspread_borders::relay::{AnswerHead, UpstreamHead};
+use monsoonspread_borders::relay::{AnswerHead, AnswerId, UpstreamHead};
 use monsoonspread_model::UnixMs;
 use monsoonspread_model::fleet::UpstreamRecord;
 
@@ -156,7 +156,13 @@
     let status = response.status();
     let dialect = &shared.borders.dialect;
     let answer = dialect.read_answer(status, response.headers(), &request.head.request_id);
-    if answer.id_matches {
+    let is_answer = match answer.request_id {
+        AnswerId::Same => true,
+        AnswerId::Other => false,
+        // On a kept connection, an answer that names no request may be an earlier one, sent again.
+        AnswerId::Absent => !status.is_success() && !sender.was_used,
+    };
+    if is_answer {
         let id = &request.head.request_id;
         shared.on_announcement(
             AnswerSource::Request { id, sent_at },
@@ -165,7 +171,7 @@
             &answer.announcement,
         );
     }
-    if !answer.id_matches || (status.is_success() && !answer.signed) {
+    if !is_answer || (status.is_success() && !answer.signed) {
         return Attempt::Unknown;
     }
     if answer.not_run {
--- a/crates/relay/src/connection/pool.rs
+++ b/crates/relay/src/connection/pool.rs
@@ -56,14 +56,15 @@
         address: SocketAddr,
         repeatable: bool,
     ) -> Result<PooledSender, SendFailure> {
-        let sender = match self.take_idle(address, repeatable) {
-            Some(sender) => sender,
-            None => UpstreamSender::connect(address).await?,
+        let (sender, was_used) = match self.take_idle(address, repeatable) {
+            Some(sender) => (sender, true),
+            None => (UpstreamSender::connect(address).await?, false),
         };
         Ok(PooledSender {
             pool: self.clone(),
             address,
             sender,
+            was_used,
         })
     }
 
@@ -111,6 +112,8 @@
     pool: Pool,
     address: SocketAddr,
     pub sender: UpstreamSender,
+    /// Whether the connection has served an earlier request.
+    pub was_used: bool,
 }
 
 impl PooledSender {
