Repeat bystanders of crashes whose prompt parts were served before

Parts with two crashes keep requests from being repeated. First parts have two crashes in a moment, if two engines crash between two answers, and all streams there would be cut instead of resumed.

--- a/crates/decisions/src/quarantine/tests/parts.rs
+++ b/crates/decisions/src/quarantine/tests/parts.rs
@@ -279,7 +279,10 @@
             }
             let is_suspected = lost.parts.iter().any(|part| {
                 let quarantine = &self.quarantines[lost.instance];
-                quarantine.crashes(UnixMs(self.now), Fingerprint(*part)) >= 2
+                let suspect = quarantine.suspect(UnixMs(self.now), Fingerprint(*part));
+                suspect.is_some_and(|suspect| {
+                    suspect.cleared_at().is_none() && suspect.crash_count() >= 2
+                })
             });
             if !lost.is_repeat && !is_suspected {
                 self.send(lost.instance, lost.parts, true);
--- a/crates/relay/src/suspects/table.rs
+++ b/crates/relay/src/suspects/table.rs
@@ -17,7 +17,7 @@
 /// Number of crashes after which a request or a prompt part is refused: from the third on, the platform's
 /// rules count copies sent afterwards.
 const CRASHES_TO_REFUSE: usize = 3;
-/// Number of crashes after which requests with a prompt part aren't repeated.
+/// Number of crashes after which requests with a prompt part that was never served aren't repeated.
 const CRASHES_TO_REPEAT: usize = 2;
 
 /// Known crashes of upstreams, and the requests and prompt parts they were running.
@@ -69,8 +69,11 @@
     /// Whether a request with these prompt parts may be repeated.
     pub fn may_repeat_parts(&self, now: UnixMs, parts: &[Fingerprint]) -> bool {
         let quarantine = self.parts.quarantine.borrow();
-        let is_suspected = |part: &Fingerprint| quarantine.crashes(now, *part) >= CRASHES_TO_REPEAT;
-        !parts.iter().any(is_suspected)
+        let suspects = parts
+            .iter()
+            .filter_map(|part| quarantine.suspect(now, *part));
+        let mut unserved = suspects.filter(|suspect| suspect.cleared_at().is_none());
+        !unserved.any(|suspect| suspect.crash_count() >= CRASHES_TO_REPEAT)
     }
 
     /// Returns the index of a suspect request among those that are sent to different upstreams.
