--- a/crates/decisions/src/quarantine/mod.rs
+++ b/crates/decisions/src/quarantine/mod.rs
@@ -1,8 +1,9 @@
-//! Requests that crash upstreams.
+//! Requests and prompt parts that crash upstreams.
 //!
-//! A request is identified by its fingerprint, which its copies share, or by a part of its prompt. [`BreakWatch`] distinguishes
-//! broken connections from crashed upstreams. [`Quarantine`] counts the crashes under each request,
-//! including those that other instances saw, and refuses the request after a number of them.
+//! A request is identified by its fingerprint, which its copies share, or by a part of its prompt.
+//! [`BreakWatch`] distinguishes broken connections from crashed upstreams. [`Quarantine`] counts the
+//! crashes under each request or part, including those that other instances saw, and refuses it after a
+//! number of them.
 //!
 //! A crashing upstream breaks every request that runs there, so a single crash is weak evidence
 //! against any of them. Two rules protect harmless requests: a copy that is answered successfully
