--- a/crates/decisions/src/quarantine/tests.rs
+++ b/crates/decisions/src/quarantine/tests.rs
@@ -1,4 +1,5 @@
 mod break_watch;
+mod part_attribution;
 mod parts;
 mod simulation;
 
