--- /dev/null
+++ b/review/standins/src/store.rs
@@ -0,0 +1,258 @@
+//! The platform's metadata store.
+
+use std::collections::BTreeMap;
+use std::net::{SocketAddr, TcpListener};
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use crate::http::{Request, serve, write_answer};
+use crate::json::{Json, base64};
+
+struct Item {
+    value: String,
+    revision: u64,
+    created: u64,
+    lease: u64,
+}
+
+#[derive(Default)]
+struct State {
+    revision: u64,
+    items: BTreeMap<String, Item>,
+    leases: BTreeMap<u64, (Duration, Instant)>,
+    last_lease: u64,
+    log: Vec<(u64, String)>,
+}
+
+/// The store; clones share their state.
+#[derive(Clone, Default)]
+pub struct Store {
+    state: Arc<Mutex<State>>,
+}
+
+type Reply = (u16, String);
+
+impl Store {
+    /// Serves the store on a free port.
+    pub fn start(&self) -> SocketAddr {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        let address = listener.local_addr().expect("an address");
+        let store = self.clone();
+        serve(listener, move |request, stream| {
+            let (status, body) = store.answer(request);
+            write_answer(
+                stream,
+                status,
+                &[("Content-Type", "application/json")],
+                body.as_bytes(),
+            )?;
+            Ok(true)
+        });
+        address
+    }
+
+    /// Writes a key as the operator and the servers do.
+    pub fn put(&self, key: &str, value: &str) {
+        let mut state = self.lock();
+        let revision = state.revision + 1;
+        state.write(revision, key, base64(value.as_bytes()), 0);
+    }
+
+    pub fn remove(&self, key: &str) {
+        let mut state = self.lock();
+        let revision = state.revision + 1;
+        state.remove(revision, key);
+    }
+
+    /// Keys that begin with `prefix`.
+    pub fn keys(&self, prefix: &str) -> Vec<String> {
+        let state = self.lock();
+        state
+            .items
+            .keys()
+            .filter(|key| key.starts_with(prefix))
+            .cloned()
+            .collect()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        let mut state = self.state.lock().expect("the store");
+        state.end_leases();
+        state
+    }
+
+    fn answer(&self, request: &Request) -> Reply {
+        let path = request.path().to_owned();
+        if let Some(id) = path.strip_prefix("/api/kv-keep/") {
+            return self.keep(id.parse().unwrap_or(0));
+        }
+        if let Some(id) = path.strip_prefix("/api/kv-lease-end/") {
+            self.lock().leases.remove(&id.parse().unwrap_or(0));
+            return (200, "{}".into());
+        }
+        match path.as_str() {
+            "/api/kv-key" => self.key(request.parameter("key")),
+            "/api/kv-range" => self.range(request),
+            "/api/kv-watch" => self.watch(request),
+            "/api/kv-lease" => self.lease(request),
+            "/api/kv-txn" => self.txn(request),
+            _ => (404, "{}".into()),
+        }
+    }
+
+    fn lease(&self, request: &Request) -> Reply {
+        let ttl_ms = Json::parse(&request.text()).and_then(|body| body.number("ttl_ms"));
+        let ttl_ms = ttl_ms.unwrap_or(1_000).clamp(1_000, 600_000);
+        let mut state = self.lock();
+        state.last_lease += 1;
+        let id = state.last_lease;
+        let ttl = Duration::from_millis(ttl_ms);
+        state.leases.insert(id, (ttl, Instant::now() + ttl));
+        (200, format!("{{\"lease\":{id},\"ttl_ms\":{ttl_ms}}}"))
+    }
+
+    fn keep(&self, id: u64) -> Reply {
+        match self.lock().leases.get_mut(&id) {
+            Some((ttl, ends_at)) => {
+                *ends_at = Instant::now() + *ttl;
+                (200, format!("{{\"ttl_ms\":{}}}", ttl.as_millis()))
+            }
+            None => (404, "{}".into()),
+        }
+    }
+
+    fn key(&self, key: &str) -> Reply {
+        let state = self.lock();
+        match state.items.get(key) {
+            Some(item) => (200, item.json(key)),
+            None => (404, "{}".into()),
+        }
+    }
+
+    fn range(&self, request: &Request) -> Reply {
+        let (prefix, after) = (request.parameter("path_prefix"), request.parameter("after"));
+        let state = self.lock();
+        let items = state.items.iter();
+        let items = items.filter(|(key, _)| key.starts_with(prefix) && key.as_str() > after);
+        let items: Vec<String> = items.map(|(key, item)| item.json(key)).collect();
+        let (items, revision) = (items.join(","), state.revision);
+        (
+            200,
+            format!("{{\"items\":[{items}],\"more_pages\":false,\"current_rev\":{revision}}}"),
+        )
+    }
+
+    fn watch(&self, request: &Request) -> Reply {
+        let prefix = request.parameter("path_prefix").to_owned();
+        let after: u64 = request.parameter("after").parse().unwrap_or(0);
+        let wait_ms: u64 = request.parameter("wait_ms").parse().unwrap_or(0);
+        let until = Instant::now() + Duration::from_millis(wait_ms);
+        loop {
+            let state = self.lock();
+            let events = state.log.iter().filter(|(revision, event)| {
+                *revision > after && event.starts_with(&format!("{{\"key\":\"{prefix}"))
+            });
+            let events: Vec<&str> = events.map(|(_, event)| event.as_str()).collect();
+            if !events.is_empty() || Instant::now() >= until {
+                let (events, revision) = (events.join(","), state.revision);
+                return (
+                    200,
+                    format!("{{\"events\":[{events}],\"current_rev\":{revision}}}"),
+                );
+            }
+            drop(state);
+            thread::sleep(Duration::from_millis(5));
+        }
+    }
+
+    fn txn(&self, request: &Request) -> Reply {
+        let Some(txn) = Json::parse(&request.text()) else {
+            return (400, "{}".into());
+        };
+        let mut state = self.lock();
+        let holds = txn.list("precondition").iter().all(|row| {
+            let item = row.text("key").and_then(|key| state.items.get(key));
+            row.number("revision") == Some(item.map_or(0, |item| item.revision))
+        });
+        if !holds {
+            return (412, "{\"items\":[]}".into());
+        }
+        let lease_of = |row: &Json| row.number("lease").unwrap_or(0);
+        let writes = txn.list("writes");
+        if writes
+            .iter()
+            .map(lease_of)
+            .any(|id| id != 0 && !state.leases.contains_key(&id))
+        {
+            return (404, "{}".into());
+        }
+        // All changes of a transaction have one revision.
+        let revision = state.revision + 1;
+        for row in writes {
+            let (key, value) = (row.text("key"), row.text("value"));
+            state.write(
+                revision,
+                key.unwrap_or_default(),
+                value.unwrap_or_default().to_owned(),
+                lease_of(row),
+            );
+        }
+        for key in txn.list("remove") {
+            if let Json::Text(key) = key {
+                state.remove(revision, key);
+            }
+        }
+        (200, format!("{{\"revision\":{}}}", state.revision))
+    }
+}
+
+impl Item {
+    fn json(&self, key: &str) -> String {
+        let Item {
+            value,
+            revision,
+            created,
+            lease,
+        } = self;
+        format!(
+            "{{\"key\":\"{key}\",\"value\":\"{value}\",\"revision\":{revision},\"created\":{created},\"lease\":{lease}}}"
+        )
+    }
+}
+
+impl State {
+    fn write(&mut self, revision: u64, key: &str, value: String, lease: u64) {
+        let created = self.items.get(key).map_or(revision, |item| item.created);
+        let item = Item {
+            value,
+            revision,
+            created,
+            lease,
+        };
+        self.log.push((revision, item.json(key)));
+        self.items.insert(key.to_owned(), item);
+        self.revision = revision;
+    }
+
+    fn remove(&mut self, revision: u64, key: &str) {
+        if self.items.remove(key).is_some() {
+            let event = format!("{{\"key\":\"{key}\",\"revision\":{revision},\"removed\":true}}");
+            self.log.push((revision, event));
+            self.revision = revision;
+        }
+    }
+
+    /// Removes the keys of leases that have ended.
+    fn end_leases(&mut self) {
+        let now = Instant::now();
+        self.leases.retain(|_, (_, ends_at)| *ends_at > now);
+        let has_ended = |item: &Item| item.lease != 0 && !self.leases.contains_key(&item.lease);
+        let ended = self.items.iter().filter(|(_, item)| has_ended(item));
+        let ended: Vec<String> = ended.map(|(key, _)| key.clone()).collect();
+        for key in ended {
+            let revision = self.revision + 1;
+            self.remove(revision, &key);
+        }
+    }
+}
