Review case 2: seven issuers of permits after an outage of the store

The store answers 503 for 8 s and leases run on. When it is back no instance is listed for up to two seconds, and each takes itself for the issuer of all permits.

--- a/review/standins/src/cases.rs
+++ b/review/standins/src/cases.rs
@@ -12,9 +12,10 @@
 pub fn run(number: &str, trouble: bool) -> bool {
     match number {
         "1" => leaving_server(trouble),
-        "2" => long_prompts(trouble),
-        "3" => crashing_part(trouble),
-        "4" => crashing_request(trouble),
+        "2" => limits(trouble),
+        "3" => long_prompts(trouble),
+        "4" => crashing_part(trouble),
+        "5" => crashing_request(trouble),
         _ => crate::give_up(),
     }
 }
@@ -206,7 +207,7 @@
 fn crashing_part(trouble: bool) -> bool {
     const WAVE: usize = 16;
     let routes = [route("sheet", "streaming", "engine", 1, false, 10_000)];
-    let mut fleet = Fleet::new("3", &config(1, &routes));
+    let mut fleet = Fleet::new("4", &config(1, &routes));
     for number in 1..=5 {
         let mut arguments = vec!["engine=1", "events=40", "gap_ms=50"];
         if trouble {
@@ -259,7 +260,7 @@
 fn crashing_request(trouble: bool) -> bool {
     const WAVE: usize = 12;
     let routes = [route("commit", "unsafe", "app", 1, false, 3_000)];
-    let mut fleet = Fleet::new("4", &config(1, &routes));
+    let mut fleet = Fleet::new("5", &config(1, &routes));
     for number in 1..=3 {
         let arguments: &[&str] = if trouble {
             &["bad_body=ends its server"]
@@ -301,7 +302,7 @@
     const PARTS: usize = 39;
     const BAD: usize = 36;
     let routes = [route("sheet", "streaming", "engine", 1, false, 10_000)];
-    let mut fleet = Fleet::new("2", &config(1, &routes));
+    let mut fleet = Fleet::new("3", &config(1, &routes));
     for number in 1..=6 {
         let mut arguments = vec!["engine=1", "events=40", "gap_ms=50"];
         if trouble {
@@ -362,3 +363,63 @@
     senders.join().expect("the clients");
     check_later(&fleet, 5)
 }
+
+/// The servers of a service name a limit, and the store is down for so long that leases run out.
+fn limits(trouble: bool) -> bool {
+    const LIMIT: usize = 10;
+    const WINDOW_MS: u64 = 4_000;
+    const ALLOWED: usize = LIMIT * 4 * 3 / 2 + 5;
+    let routes = [route("read", "safe", "app", 1, false, 2_000)];
+    let mut fleet = Fleet::new("2", &config(1, &routes));
+    for number in 1..=3 {
+        fleet.add_server(&format!("i-app{number}"), "app", &["limit=10"]);
+    }
+    for number in 1..=7 {
+        fleet.add_instance(&format!("front-{number}"));
+    }
+    fleet.wait_until_ready();
+    pause(2_000);
+    let clients = fleet.clients();
+    let senders = thread::spawn(move || {
+        thread::scope(|scope| {
+            for number in 0..5_000 {
+                let client = &clients[number % clients.len()];
+                let id = format!("read-{number}");
+                scope.spawn(move || client.send(&id, "/read/2f", &[], b"", 1_500));
+                pause(5);
+            }
+        });
+    });
+    pause(8_000);
+    if trouble {
+        // The instances started together and renew their leases every 2 s.
+        fleet.store.wait_for_renewal();
+        pause(200);
+        fleet.record.add("the store is busy");
+        fleet.store.go_down();
+        pause(8_000);
+        fleet.store.come_back();
+        fleet.record.add("the store is back");
+    }
+    senders.join().expect("the clients");
+    let lines = fleet.lines();
+    let mut broken = false;
+    for server in &fleet.servers {
+        let arrivals = times(&lines, &format!("server {} runs ", server.id));
+        let from = arrivals.first().map_or(0, |first| first + STABILITY_MS);
+        let counted: Vec<u64> = arrivals.into_iter().filter(|at| *at > from).collect();
+        let in_window = |start: &u64| {
+            let within = counted
+                .iter()
+                .filter(|at| **at >= *start && **at < start + WINDOW_MS);
+            within.count()
+        };
+        let most = counted.iter().map(in_window).max().unwrap_or(0);
+        broken |= most > ALLOWED;
+        fleet.record.add(&format!(
+            "server {}: at most {most} requests in {WINDOW_MS} ms, {ALLOWED} are allowed",
+            server.id
+        ));
+    }
+    !broken
+}
--- a/review/standins/src/fleet.rs
+++ b/review/standins/src/fleet.rs
@@ -273,21 +273,6 @@
         }
     }
 
-    /// Starts the process again; the whole system doesn't start for the first time any more.
-    pub fn restart(&mut self) {
-        let text = fs::read_to_string(&self.settings).expect("the settings");
-        fs::write(&self.settings, text.replace("bootstrap = true\n", "")).expect("the settings");
-        self.start();
-    }
-
-    pub fn signal(&self, name: &str) {
-        if let Some(child) = &self.child {
-            let _ = Command::new("kill")
-                .args([name, &child.id().to_string()])
-                .status();
-        }
-    }
-
     fn ready(&self) -> u16 {
         let headers = [("Host", "ready")];
         send(
--- a/review/standins/src/server.rs
+++ b/review/standins/src/server.rs
@@ -224,7 +224,11 @@
             self.crash(id);
         }
         let seal = format!("{}.1", self.id);
-        let headers = [("X-Request-Id", id), ("X-Response-Seal", seal.as_str())];
+        let mut headers = vec![("X-Request-Id", id), ("X-Response-Seal", seal.as_str())];
+        let limit = self.arguments.text("limit");
+        if !limit.is_empty() {
+            headers.push(("Server-Limit", limit));
+        }
         write_answer(stream, 200, &headers, &[b'x'; 800]).map(|()| true)
     }
 
--- a/review/standins/src/store.rs
+++ b/review/standins/src/store.rs
@@ -23,6 +23,8 @@
     leases: BTreeMap<u64, (Duration, Instant)>,
     last_lease: u64,
     log: Vec<(u64, String)>,
+    is_down: bool,
+    renewals: u64,
 }
 
 /// The store; clones share their state.
@@ -65,15 +67,23 @@
         state.remove(revision, key);
     }
 
-    /// Keys that begin with `prefix`.
-    pub fn keys(&self, prefix: &str) -> Vec<String> {
-        let state = self.lock();
-        state
-            .items
-            .keys()
-            .filter(|key| key.starts_with(prefix))
-            .cloned()
-            .collect()
+    /// Answers 503 to every call from now on, which means that nothing was done. Leases run on.
+    pub fn go_down(&self) {
+        self.state.lock().expect("the store").is_down = true;
+    }
+
+    /// Answers again.
+    pub fn come_back(&self) {
+        self.state.lock().expect("the store").is_down = false;
+    }
+
+    /// Waits for the next renewal of a lease.
+    pub fn wait_for_renewal(&self) {
+        let renewals = || self.state.lock().expect("the store").renewals;
+        let before = renewals();
+        while renewals() == before {
+            thread::sleep(Duration::from_millis(5));
+        }
     }
 
     fn lock(&self) -> MutexGuard<'_, State> {
@@ -83,6 +93,9 @@
     }
 
     fn answer(&self, request: &Request) -> Reply {
+        if self.state.lock().expect("the store").is_down {
+            return (503, "{}".into());
+        }
         let path = request.path().to_owned();
         if let Some(id) = path.strip_prefix("/api/kv-keep/") {
             return self.keep(id.parse().unwrap_or(0));
@@ -113,6 +126,7 @@
     }
 
     fn keep(&self, id: u64) -> Reply {
+        self.lock().renewals += 1;
         match self.lock().leases.get_mut(&id) {
             Some((ttl, ends_at)) => {
                 *ends_at = Instant::now() + *ttl;
@@ -150,6 +164,9 @@
         let until = Instant::now() + Duration::from_millis(wait_ms);
         loop {
             let state = self.lock();
+            if state.is_down {
+                return (503, "{}".into());
+            }
             let events = state.log.iter().filter(|(revision, event)| {
                 *revision > after && event.starts_with(&format!("{{\"key\":\"{prefix}"))
             });
