--- a/review/standins/src/cases.rs
+++ b/review/standins/src/cases.rs
@@ -13,6 +13,7 @@
     match number {
         "1" => leaving_server(trouble),
         "2" => limits(trouble),
+        "3" => large_configurations(trouble),
         "4" => long_prompts(trouble),
         "5" => crashing_part(trouble),
         _ => crate::give_up(),
@@ -382,3 +383,72 @@
     }
     !broken
 }
+
+/// A machine with a slow link is cut off from the store while a large configuration changes.
+fn large_configurations(trouble: bool) -> bool {
+    const ROUTES: u64 = 1_450;
+    const APPLY_MS: u64 = 3_000;
+    const IN_TOUCH_MS: u64 = 4_000;
+    let version = |number: u64| {
+        let routes = (0..ROUTES + number)
+            .map(|index| route(&format!("path{index}"), "safe", "app", 1, false, 2_000));
+        config(number, &routes.collect::<Vec<_>>())
+    };
+    let mut fleet = Fleet::new("3", &version(1)).with_slow_links();
+    fleet.add_server("i-app1", "app", &[]);
+    for number in 1..=4 {
+        fleet.add_instance(&format!("front-{number}"));
+    }
+    fleet.wait_until_ready();
+    pause(4_000);
+    // The fourth is in the zone of the first, whose feed it follows.
+    let cut = 3;
+    if trouble {
+        fleet.record.add(&format!(
+            "{} is cut off from the store",
+            fleet.instances[cut].name
+        ));
+        fleet.links[cut].set_cut(true);
+    }
+    let mut acknowledged = 0;
+    for (number, wait_ms) in [
+        (2, 1_000),
+        (3, 1_000),
+        (4, 1_000),
+        (5, 850),
+        (6, 100),
+        (7, 1_000),
+    ] {
+        pause(wait_ms);
+        if number == 6 {
+            fleet.links[cut].set_cut(false);
+            fleet.record.add("the cut has healed");
+        }
+        fleet.store.put("op/config", &version(number));
+        acknowledged = unix_ms();
+        fleet
+            .record
+            .add(&format!("version {number} is acknowledged"));
+    }
+    // The route that the last version added.
+    let newest = format!("/path{}/2f", ROUTES + 6);
+    let from = acknowledged + APPLY_MS.max(IN_TOUCH_MS);
+    let (mut refused, mut last) = (0, 0);
+    for number in 0..110 {
+        for client in fleet.clients() {
+            let id = format!("probe-{number}-{}", client.name);
+            let sent = unix_ms();
+            let answer = client.send(&id, &newest, &[], b"", 1_500);
+            if answer.status == 404 && sent > from {
+                refused += 1;
+                last = sent - acknowledged;
+            }
+        }
+        pause(200);
+    }
+    fleet.record.add(&format!(
+        "{refused} requests get 404 on a route that was added more than {APPLY_MS} ms before, the last \
+         {last} ms after the acknowledgement"
+    ));
+    refused == 0
+}
--- a/review/standins/src/fleet.rs
+++ b/review/standins/src/fleet.rs
@@ -11,7 +11,7 @@
 
 use crate::http::{Answer, send};
 use crate::record::{Record, unix_ms};
-use crate::store::Store;
+use crate::store::{Link, Store};
 
 /// Name of the base model.
 pub const MODEL: &str = "daka51";
@@ -22,6 +22,9 @@
 /// `stability_window_ms` of the deployment.
 pub const STABILITY_MS: u64 = 3_000;
 
+/// A machine's link of 1,000 Mbit/s.
+const LINK_BYTES_PER_MS: usize = 125_000;
+
 /// The program of the deploy file.
 const PROGRAM: &str = "target/release/monsoonspread";
 const ZONES: [&str; 3] = ["zone-a", "zone-b", "zone-c"];
@@ -54,7 +57,9 @@
     pub record: Arc<Record>,
     folder: PathBuf,
     record_path: PathBuf,
-    store_address: SocketAddr,
+    pub links: Vec<Arc<Link>>,
+    bytes_per_ms: usize,
+    change_ms: u64,
 }
 
 fn free_address() -> SocketAddr {
@@ -81,7 +86,6 @@
         let _ = fs::remove_file(&record_path);
         let store = Store::default();
         store.put("op/config", config);
-        let store_address = store.start();
         Self {
             store,
             servers: Vec::new(),
@@ -89,10 +93,20 @@
             record: Arc::new(Record::open(&record_path)),
             folder,
             record_path,
-            store_address,
+            links: Vec::new(),
+            bytes_per_ms: LINK_BYTES_PER_MS,
+            change_ms: 2_000,
         }
     }
 
+    /// Sets the links of the machines to 10 Mbit/s and the bounds of changes to 3 s, as on the larger
+    /// deployments.
+    pub fn with_slow_links(mut self) -> Self {
+        self.bytes_per_ms = 1_250;
+        self.change_ms = 3_000;
+        self
+    }
+
     /// Adds a server of `service` in one of three zones, and lists it in the store.
     pub fn add_server(&mut self, id: &str, service: &str, arguments: &[&str]) {
         let mut server = Server {
@@ -161,6 +175,9 @@
 
     /// Starts the instance `name` in one of three zones.
     pub fn add_instance(&mut self, name: &str) {
+        let (store_address, link) = self.store.start(self.bytes_per_ms);
+        self.links.push(link);
+        let change_ms = self.change_ms;
         let zone = ZONES[self.instances.len() % ZONES.len()];
         let addresses: Vec<SocketAddr> = (0..4).map(|_| free_address()).collect();
         let settings = self.folder.join(format!("{name}.toml"));
@@ -169,8 +186,8 @@
             "instance = \"{name}\"\nzone = \"{zone}\"\nbootstrap = true\nstore = \"{}\"\n\n[listen]\n\
              callers = \"{}\"\nreadiness = \"{}\"\npeers = \"{}\"\nmetrics = \"{}\"\n\n[bounds]\n\
              order_gap_ms = 3000\nstop_grace_s = 8\nretry_ratio = 0.2\nretry_slack = 54\n\
-             version_ms = 5000\ndrain_ms = 2000\nconfig_ms = 2000\n",
-            self.store_address, addresses[0], addresses[1], addresses[2], addresses[3]
+             version_ms = 5000\ndrain_ms = {change_ms}\nconfig_ms = {change_ms}\n",
+            store_address, addresses[0], addresses[1], addresses[2], addresses[3]
         );
         fs::write(&settings, text).expect("the settings");
         let mut instance = Instance {
--- a/review/standins/src/http.rs
+++ b/review/standins/src/http.rs
@@ -153,7 +153,7 @@
 
 /// Writes an answer with a length.
 pub fn write_answer(
-    stream: &mut TcpStream,
+    stream: &mut impl Write,
     status: u16,
     headers: &[(&str, &str)],
     body: &[u8],
--- a/review/standins/src/store.rs
+++ b/review/standins/src/store.rs
@@ -1,7 +1,9 @@
 //! The platform's metadata store.
 
 use std::collections::BTreeMap;
-use std::net::{SocketAddr, TcpListener};
+use std::io::{self, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -22,7 +24,7 @@
     items: BTreeMap<String, Item>,
     leases: BTreeMap<u64, (Duration, Instant)>,
     last_lease: u64,
-    log: Vec<(u64, String)>,
+    log: Vec<(u64, Instant, String)>,
     is_down: bool,
     renewals: u64,
 }
@@ -35,23 +37,64 @@
 
 type Reply = (u16, String);
 
+/// How long the store keeps its history.
+const HISTORY: Duration = Duration::from_secs(20);
+/// How long a link is taken at a time.
+const SLICE_MS: u64 = 10;
+
+/// The link between the store and one machine.
+pub struct Link {
+    bytes_per_ms: usize,
+    is_cut: AtomicBool,
+    /// Taken by the connection that transmits.
+    busy: Mutex<()>,
+}
+
+impl Link {
+    /// Cuts the link, or heals it. What is under way meanwhile is delayed, as by retransmission.
+    pub fn set_cut(&self, is_cut: bool) {
+        self.is_cut.store(is_cut, Ordering::Relaxed);
+    }
+
+    fn wait_until_whole(&self) {
+        while self.is_cut.load(Ordering::Relaxed) {
+            thread::sleep(Duration::from_millis(5));
+        }
+    }
+
+    fn write(&self, bytes: &[u8], stream: &mut TcpStream) -> io::Result<()> {
+        for slice in bytes.chunks(self.bytes_per_ms * SLICE_MS as usize) {
+            self.wait_until_whole();
+            let _turn = self.busy.lock().expect("the link");
+            stream.write_all(slice)?;
+            let ms = slice.len() / self.bytes_per_ms;
+            thread::sleep(Duration::from_millis(ms as u64));
+        }
+        Ok(())
+    }
+}
+
 impl Store {
-    /// Serves the store on a free port.
-    pub fn start(&self) -> SocketAddr {
+    /// Serves the store to one machine, over the machine's own link.
+    pub fn start(&self, bytes_per_ms: usize) -> (SocketAddr, Arc<Link>) {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
         let address = listener.local_addr().expect("an address");
-        let store = self.clone();
+        let link = Arc::new(Link {
+            bytes_per_ms,
+            is_cut: AtomicBool::new(false),
+            busy: Mutex::default(),
+        });
+        let (store, own) = (self.clone(), Arc::clone(&link));
         serve(listener, move |request, stream| {
+            own.wait_until_whole();
             let (status, body) = store.answer(request);
-            write_answer(
-                stream,
-                status,
-                &[("Content-Type", "application/json")],
-                body.as_bytes(),
-            )?;
+            let mut bytes = Vec::new();
+            let json = [("Content-Type", "application/json")];
+            write_answer(&mut bytes, status, &json, body.as_bytes())?;
+            own.write(&bytes, stream)?;
             Ok(true)
         });
-        address
+        (address, link)
     }
 
     /// Writes a key as the operator and the servers do.
@@ -167,10 +210,13 @@
             if state.is_down {
                 return (503, "{}".into());
             }
-            let events = state.log.iter().filter(|(revision, event)| {
+            if after < state.forgotten() {
+                return (410, "{}".into());
+            }
+            let events = state.log.iter().filter(|(revision, _, event)| {
                 *revision > after && event.starts_with(&format!("{{\"key\":\"{prefix}"))
             });
-            let events: Vec<&str> = events.map(|(_, event)| event.as_str()).collect();
+            let events: Vec<&str> = events.map(|(_, _, event)| event.as_str()).collect();
             if !events.is_empty() || Instant::now() >= until {
                 let (events, revision) = (events.join(","), state.revision);
                 return (
@@ -239,6 +285,12 @@
 }
 
 impl State {
+    /// The last revision that is no longer in the history.
+    fn forgotten(&self) -> u64 {
+        let old = self.log.iter().filter(|(_, at, _)| at.elapsed() > HISTORY);
+        old.map(|(revision, _, _)| *revision).max().unwrap_or(0)
+    }
+
     fn write(&mut self, revision: u64, key: &str, value: String, lease: u64) {
         let created = self.items.get(key).map_or(revision, |item| item.created);
         let item = Item {
@@ -247,7 +299,7 @@
             created,
             lease,
         };
-        self.log.push((revision, item.json(key)));
+        self.log.push((revision, Instant::now(), item.json(key)));
         self.items.insert(key.to_owned(), item);
         self.revision = revision;
     }
@@ -255,7 +307,7 @@
     fn remove(&mut self, revision: u64, key: &str) {
         if self.items.remove(key).is_some() {
             let event = format!("{{\"key\":\"{key}\",\"revision\":{revision},\"removed\":true}}");
-            self.log.push((revision, event));
+            self.log.push((revision, Instant::now(), event));
             self.revision = revision;
         }
     }
