--- a/review/standins/src/cases.rs
+++ b/review/standins/src/cases.rs
@@ -115,7 +115,7 @@
         route("resumed", "streaming", "engine", 2, true, 10_000),
     ];
     let mut fleet = Fleet::new("1", &config(1, &routes));
-    for number in 1..=3 {
+    for number in 1..=8 {
         let arguments = ["engine=1", "unframed=1", "events=60", "gap_ms=100"];
         fleet.add_server(&format!("i-engine{number}"), "engine", &arguments);
     }
@@ -126,7 +126,7 @@
     pause(2_000);
     let mut broken = 0;
     for (round, path) in ["/once/2f", "/resumed/2f"].into_iter().enumerate() {
-        let sent = ids(&format!("stream-{round}"), 9);
+        let sent = ids(&format!("stream-{round}"), 24);
         let own = |index: usize| generation(index, &format!("{:x}", 0x900 + index), "a1:93,b2:62");
         let (answers, victim) = thread::scope(|scope| {
             let clients = fleet.clients();
