Confirm an unframed answer's end by its process, also at servers that leave

Cause: the check of such an end said 'complete' unless it found a crash, and gave up for servers that are leaving or not listed; any listener at the address and silence counted as life.

Now only an answer of the same process on a new connection confirms the end: an engine's report with its start, a plain server's health check. Everything else is resumed or cut.

--- a/crates/borders/src/relay/dialect.rs
+++ b/crates/borders/src/relay/dialect.rs
@@ -4,7 +4,7 @@
 use hyper::http::HeaderMap;
 use hyper::{Method, StatusCode, Uri};
 use monsoonspread_model::UpstreamName;
-use monsoonspread_model::fleet::{CallHead, RateLimit};
+use monsoonspread_model::fleet::{CallHead, RateLimit, RelayService};
 use thiserror::Error;
 
 /// Why the headers of a request are invalid.
@@ -112,6 +112,29 @@
     pub slowness_percent: u32,
 }
 
+/// A request to an upstream that it answers without running anything, to learn which process answers.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct IdentityRequest {
+    /// Path of the GET request.
+    pub path: String,
+    /// Headers of the request.
+    pub headers: HeaderMap,
+    /// Whether the body of the answer tells the start time of the process.
+    pub has_start: bool,
+}
+
+/// Which process answered an [`IdentityRequest`].
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum AnsweredBy {
+    /// The upstream that was asked.
+    Upstream {
+        /// Start time of its process; `None` if the answer doesn't tell.
+        started_unix_ms: Option<u64>,
+    },
+    /// Another upstream, which has the address now.
+    Other,
+}
+
 /// The platform's headers: how to read and write the metadata of requests and answers.
 pub trait Dialect {
     /// Reads the metadata of a request.
@@ -127,6 +150,23 @@
     /// Reads the metadata of an answer to the request `request_id`.
     fn read_answer(&self, status: StatusCode, headers: &HeaderMap, request_id: &str) -> AnswerHead;
 
+    /// Returns the request that asks `upstream` of `service` which process it is; `None` if the upstream can't be
+    /// named in one.
+    fn identity_request(
+        &self,
+        upstream: &UpstreamName,
+        service: &RelayService,
+    ) -> Option<IdentityRequest>;
+
+    /// Reads the answer to an [`IdentityRequest`] for `upstream`; `body` is empty if it wasn't read.
+    fn read_identity(
+        &self,
+        upstream: &UpstreamName,
+        status: StatusCode,
+        headers: &HeaderMap,
+        body: &[u8],
+    ) -> AnsweredBy;
+
     /// Returns whether this is the platform's readiness probe, which asks whether the instance
     /// accepts new connections.
     fn is_readiness(&self, method: &Method, uri: &Uri) -> bool;
--- a/crates/borders/src/relay/mod.rs
+++ b/crates/borders/src/relay/mod.rs
@@ -7,8 +7,8 @@
 mod fleet_store;
 
 pub use dialect::{
-    AnnouncedRate, AnswerHead, AnswerId, Backoff, BadCallHead, Dialect, ServerLoad,
-    UpstreamAnnouncement, UpstreamHead,
+    AnnouncedRate, AnswerHead, AnswerId, AnsweredBy, Backoff, BadCallHead, Dialect,
+    IdentityRequest, ServerLoad, UpstreamAnnouncement, UpstreamHead,
 };
 pub use engine_control::{EngineControl, EngineReply};
 pub use fleet_store::{
--- a/crates/decisions/src/answer_end/tests.rs
+++ b/crates/decisions/src/answer_end/tests.rs
@@ -1,6 +1,6 @@
 use super::EndVerdict::{BrokenOff, Complete, Unconfirmed};
 use super::Framing::{Chunks, Connection, Length};
-use super::{EndVerdict, Framing};
+use super::{EndVerdict, Framing, ProcessEvidence};
 use crate::event_splitter::EventScanner;
 use crate::event_splitter::StreamPosition::{BeforeFirst, BetweenEvents, InsideEvent};
 
@@ -53,3 +53,23 @@
     assert_eq!(Framing::new(["chunked, gzip"], true), Connection);
     assert_eq!(Framing::new([""], true), Length);
 }
+
+/// Guards against a stream that looks complete because nothing showed that its upstream had gone.
+#[test]
+fn only_an_answer_of_the_same_process_confirms_an_end() {
+    const STARTED: u64 = 7;
+    let answered = |started_unix_ms| ProcessEvidence::Answered { started_unix_ms };
+    let cases = [
+        (answered(Some(STARTED)), [true, true, true]),
+        (answered(Some(STARTED + 1)), [false, false, false]),
+        (answered(None), [true, true, false]),
+        (ProcessEvidence::OtherProcess, [false; 3]),
+        (ProcessEvidence::ConnectionRefused, [false; 3]),
+        (ProcessEvidence::NoAnswer, [false; 3]),
+    ];
+    for (evidence, expected) in cases {
+        let listed = [None, Some(STARTED), Some(STARTED + 1)];
+        let confirmed = listed.map(|listed| evidence.confirms_end(STARTED, listed));
+        assert_eq!(confirmed, expected, "{evidence:?}");
+    }
+}
--- a/crates/decisions/src/answer_end/verdict.rs
+++ b/crates/decisions/src/answer_end/verdict.rs
@@ -10,7 +10,8 @@
     Complete,
     /// The upstream broke the answer off.
     BrokenOff,
-    /// The connection closed where a complete answer may end: after a complete one, or in a crash.
+    /// The connection closed where a complete answer may end: after a complete one, or with the upstream's
+    /// process.
     Unconfirmed,
 }
 
--- a/crates/model/src/fleet/routing_config.rs
+++ b/crates/model/src/fleet/routing_config.rs
@@ -72,6 +72,8 @@
     pub name: ServiceName,
     /// Connections that each of its servers accepts, from all callers together.
     pub max_connections: u32,
+    /// Path of the health check; `None` if the service has none.
+    pub health_path: Option<String>,
     /// Capacity of its engines; `None` for a plain service.
     pub engine: Option<EngineShape>,
 }
--- a/crates/relay/src/call/answer.rs
+++ b/crates/relay/src/call/answer.rs
@@ -3,12 +3,12 @@
 use std::pin::Pin;
 use std::rc::Rc;
 
-use monsoonspread_decisions::answer_end::{EndVerdict, Framing};
+use monsoonspread_decisions::answer_end::{EndVerdict, Framing, ProcessEvidence};
 use monsoonspread_decisions::event_splitter::StreamPosition;
 use monsoonspread_model::fleet::PromptPart;
 use monsoonspread_model::{Fingerprint, UnixMs, UpstreamName};
 
-use super::end_check::has_crashed;
+use super::end_check::process_evidence;
 use super::request::part_list;
 use crate::connection::PooledSender;
 use crate::event::{Line, kind};
@@ -20,8 +20,8 @@
 /// given up on an unresponsive upstream: half of the shortest timeout of the platform's clients.
 const STALL_MS: u64 = 1_000;
 
-/// Check of an unconfirmed end; the result is whether the upstream crashed.
-pub(super) type EndCheck = Pin<Box<dyn Future<Output = bool>>>;
+/// Check of an unconfirmed end.
+pub(super) type EndCheck = Pin<Box<dyn Future<Output = ProcessEvidence>>>;
 
 /// Bookkeeping of one call to a server of a plain service.
 pub(super) struct ServiceSlot {
@@ -53,6 +53,8 @@
     framing: Framing,
     /// Where a stream of events ended.
     position: Option<StreamPosition>,
+    /// The result of the check of an unconfirmed end.
+    evidence: Option<ProcessEvidence>,
     outcome: &'static str,
     sender: Option<(PooledSender, Option<u64>)>,
     slot: Option<ServiceSlot>,
@@ -86,6 +88,7 @@
             status,
             framing: Framing::Length,
             position: None,
+            evidence: None,
             outcome: "left",
             sender: None,
             slot: None,
@@ -150,27 +153,39 @@
         verdict
     }
 
-    /// Checks whether the upstream ended the answer by crashing.
+    /// Checks whether the upstream's process runs on after the end of the answer.
     pub(super) fn check_end(&self) -> EndCheck {
         let shared = Rc::clone(&self.shared);
-        let incarnation = self.in_flight.as_ref().map(|sent| sent.incarnation);
-        let upstream = self.upstream.clone();
+        let record = self.in_flight.as_ref().map(|sent| sent.upstream.clone());
         Box::pin(async move {
-            match incarnation {
-                Some(incarnation) => has_crashed(shared, upstream, incarnation).await,
-                None => false,
+            match record {
+                Some(record) => process_evidence(shared, record).await,
+                None => ProcessEvidence::NoAnswer,
             }
         })
     }
 
     /// Settles an unconfirmed end, with the result of the check; returns whether the answer is complete.
-    pub(super) fn on_end_checked(&mut self, has_crashed: bool) -> bool {
-        if has_crashed {
-            self.on_upstream_disconnected();
+    pub(super) fn on_end_checked(&mut self, evidence: ProcessEvidence) -> bool {
+        self.evidence = Some(evidence);
+        let is_complete = self.in_flight.as_ref().is_some_and(|sent| {
+            let fleet = self.shared.fleet.borrow();
+            let listed = fleet.upstream(&self.upstream);
+            let listed_start = listed.map(|record| record.started_unix_ms);
+            evidence.confirms_end(sent.upstream.started_unix_ms, listed_start)
+        });
+        let outcome = if is_complete {
+            "confirmed"
         } else {
+            "unconfirmed"
+        };
+        self.shared.metrics.count("unframed_ends", outcome);
+        if is_complete {
             self.on_complete();
+        } else {
+            self.on_upstream_disconnected();
         }
-        !has_crashed
+        is_complete
     }
 
     /// Records that bytes of the body arrived.
@@ -269,6 +284,11 @@
             "ended",
             self.position.map_or(String::new(), |at| at.to_string()),
         )
+        .field(
+            "checked",
+            self.evidence
+                .map_or(String::new(), |found| found.to_string()),
+        )
         .field("parts", parts)
         .field("prompt_tokens", self.prompt_tokens)
         .field("granted_ms", self.granted_ms)
--- a/crates/relay/src/call/attempt.rs
+++ b/crates/relay/src/call/attempt.rs
@@ -166,8 +166,8 @@
         let id = &request.head.request_id;
         shared.on_announcement(
             AnswerSource::Request { id, sent_at },
-            &in_flight.upstream,
-            in_flight.incarnation,
+            &in_flight.upstream.name,
+            in_flight.upstream.started_unix_ms,
             &answer.announcement,
         );
     }
--- a/crates/relay/src/call/body.rs
+++ b/crates/relay/src/call/body.rs
@@ -105,9 +105,9 @@
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
         if let Some(check) = &mut self.check {
-            let has_crashed = ready!(check.as_mut().poll(cx));
+            let evidence = ready!(check.as_mut().poll(cx));
             self.check = None;
-            let is_complete = self.end.on_end_checked(has_crashed);
+            let is_complete = self.end.on_end_checked(evidence);
             return Poll::Ready((!is_complete).then_some(Err(BodyError::Unfinished)));
         }
         let frame = match Pin::new(&mut self.incoming).poll_frame(cx) {
--- a/crates/relay/src/call/resume.rs
+++ b/crates/relay/src/call/resume.rs
@@ -101,8 +101,8 @@
                         EndVerdict::Complete => true,
                         EndVerdict::BrokenOff => false,
                         EndVerdict::Unconfirmed => {
-                            let has_crashed = segment.end.check_end().await;
-                            segment.end.on_end_checked(has_crashed)
+                            let evidence = segment.end.check_end().await;
+                            segment.end.on_end_checked(evidence)
                         }
                     };
                     self.segment = None;
--- a/crates/relay/src/connection/sender.rs
+++ b/crates/relay/src/connection/sender.rs
@@ -47,6 +47,15 @@
             .await
             .map_err(|_| SendFailure::NotSent(format!("no connection to {address} in time")))?
             .map_err(|error| SendFailure::NotSent(error.to_string()))?;
+        Self::over(stream).await
+    }
+
+    /// Uses an established connection.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`SendFailure::NotSent`] if the connection can't be used.
+    pub async fn over(stream: TcpStream) -> Result<Self, SendFailure> {
         stream
             .set_nodelay(true)
             .map_err(|error| SendFailure::NotSent(error.to_string()))?;
--- a/crates/relay/src/event/catalogue.rs
+++ b/crates/relay/src/event/catalogue.rs
@@ -67,7 +67,7 @@
     REPORT_FAILED = 1403 Warn "report failed" "An engine's report can't be read; the read is retried.";
     PEER_LOST = 1501 Warn "instance unreachable" "Another instance doesn't answer; its engines are used without its grants.";
     PEER_CONNECTED = 1502 Info "instance connected" "A connection to another instance was established.";
-    CALL_ENDED = 2001 Info "call ended" "A request ended; `outcome` tells how, `framing` what marks the end of the answer (`length`, `chunks` or the end of its `connection`), and `ended` where the bytes of a stream of events ended (`before first event`, `between events`, `inside event`). If the upstream broke off, `parts` are the parts of the prompt that other requests may have in common.";
+    CALL_ENDED = 2001 Info "call ended" "A request ended; `outcome` tells how, `framing` what marks the end of the answer (`length`, `chunks` or the end of its `connection`), and `ended` where the bytes of a stream of events ended (`before first event`, `between events`, `inside event`). If a connection closed where an answer may end, `checked` is what its upstream showed then (`answered`, `another process`, `connection refused`, `no answer`); only `answered` by the same process confirms the end. If the upstream broke off, `parts` are the parts of the prompt that other requests may have in common.";
     ATTEMPT_FAILED = 2002 Info "attempt failed" "An upstream failed a request, or reported that it did not run it.";
     COPY_REQUEST_FAILED = 2003 Info "ask failed" "The holder of an engine did not grant a copy; the next engine is tried.";
     CALL_REFUSED = 2004 Info "call refused" "A request was refused without being run.";
--- a/crates/relay/src/suspects/in_flight.rs
+++ b/crates/relay/src/suspects/in_flight.rs
@@ -4,7 +4,7 @@
 
 use monsoonspread_model::fleet::UpstreamRecord;
 use monsoonspread_model::message::CrashNotice;
-use monsoonspread_model::{Fingerprint, UnixMs, UpstreamName};
+use monsoonspread_model::{Fingerprint, UnixMs};
 
 use crate::shared::Shared;
 
@@ -18,9 +18,8 @@
     pub fingerprint: Fingerprint,
     /// Prompt parts that other requests may have in common.
     parts: Rc<[Fingerprint]>,
-    pub upstream: UpstreamName,
-    /// Start time of the upstream process, which distinguishes its restarts.
-    pub incarnation: u64,
+    /// The upstream's entry when the request was sent.
+    pub upstream: UpstreamRecord,
     sent_at: UnixMs,
     first_byte_at: Option<UnixMs>,
     last_byte_at: Option<UnixMs>,
@@ -41,8 +40,7 @@
             shared: Rc::clone(shared),
             fingerprint,
             parts: Rc::clone(parts),
-            upstream: upstream.name.clone(),
-            incarnation: upstream.started_unix_ms,
+            upstream: upstream.clone(),
             sent_at: shared.now(),
             first_byte_at: None,
             last_byte_at: None,
@@ -99,8 +97,8 @@
     fn notice(&self) -> CrashNotice {
         CrashNotice {
             fingerprint: self.fingerprint,
-            upstream: self.upstream.clone(),
-            incarnation: self.incarnation,
+            upstream: self.upstream.name.clone(),
+            incarnation: self.upstream.started_unix_ms,
             sent_at_unix_ms: self.sent_at,
             seen_at_unix_ms: self.shared.now(),
         }
