--- a/crates/relay/src/call/model_call.rs
+++ b/crates/relay/src/call/model_call.rs
@@ -63,6 +63,8 @@
     is_over: bool,
     /// The engine that ran the request last.
     last: Option<UpstreamName>,
+    /// When the request began to wait for an engine: at its arrival, or when its stream broke.
+    waits_from: UnixMs,
 }
 
 /// Result of offering a request to one engine.
@@ -76,6 +78,7 @@
 
 impl ModelCall {
     fn new(shared: &Rc<Shared>, request: Rc<RelayRequest>, key: AdapterKey) -> Self {
+        let waits_from = request.arrived_at;
         Self {
             shared: Rc::clone(shared),
             request,
@@ -85,6 +88,7 @@
             outcome: StatusCode::BAD_GATEWAY,
             is_over: false,
             last: None,
+            waits_from,
         }
     }
 
@@ -103,8 +107,9 @@
 
     /// Records that the engine that ran the request last failed in the middle of its answer.
     pub(super) fn on_stream_broken(&mut self) {
+        let now = self.shared.now();
+        self.waits_from = now;
         if let Some(name) = self.last.take() {
-            let now = self.shared.now();
             self.shared.loads.borrow_mut().on_failed(now, &name);
         }
     }
@@ -230,7 +235,7 @@
             shared_parts: long_shared_parts(&self.request.head),
             objective_ms: self.request.route.objective_ms,
             patient,
-            arrived_at: self.request.arrived_at,
+            waits_from: self.waits_from,
             deadline: self.request.deadline,
         };
         request_copy(&self.shared, &wish).await
--- a/crates/relay/src/holding/copy_query.rs
+++ b/crates/relay/src/holding/copy_query.rs
@@ -35,8 +35,8 @@
     pub objective_ms: u64,
     /// Whether to queue behind other requests for a copy.
     pub patient: bool,
-    /// When the request arrived.
-    pub arrived_at: UnixMs,
+    /// When the request began to wait: at its arrival, or when its stream broke.
+    pub waits_from: UnixMs,
     /// When the request will be over at the latest.
     pub deadline: UnixMs,
 }
@@ -65,7 +65,7 @@
         prompt_tokens: query.prompt_tokens,
         shared_parts: query.shared_parts.to_vec(),
         patient: query.patient,
-        in_time_until: query.arrived_at + query.objective_ms.saturating_sub(READ_MS),
+        in_time_until: query.waits_from + query.objective_ms.saturating_sub(READ_MS),
         wait_until: wait_until(now, query),
         ends_by: query.deadline,
     };
@@ -94,7 +94,7 @@
 
 /// Returns when the request stops waiting: immediately if it has waited long enough elsewhere.
 fn wait_until(now: UnixMs, query: &CopyQuery<'_>) -> UnixMs {
-    let latest = query.arrived_at + query.objective_ms * WAIT_PERCENT / 100;
+    let latest = query.waits_from + query.objective_ms * WAIT_PERCENT / 100;
     query.deadline.min(latest).max(now)
 }
 
