Read the store's current state in place of a history that is too long

Cause: the watch returns every missed version in full, its whole answer had one second, and each try began at the same revision with a longer answer. Class: a bound on the time of a whole answer that grows with what was missed.

Now an instance that fell behind reads the current state (CatchUp), and an answer may take as long as its bytes need at a tenth of the slowest link, at most 10 s more (BodyPace); one that trickles ends at the old time-out.

--- a/crates/borders/src/http/http_client.rs
+++ b/crates/borders/src/http/http_client.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use hyper::header::{CONTENT_TYPE, HeaderValue};
@@ -12,8 +12,9 @@
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::{TokioExecutor, TokioTimer};
+use tokio::time::Instant;
 
-use super::{PEER_HEADER, Reply, SendError};
+use super::{BodyPace, PEER_HEADER, PacedError, Reply, SendError};
 
 const CONNECT_TIMEOUT_MS: u64 = 300;
 const IDLE_TIMEOUT_MS: u64 = 20_000;
@@ -100,6 +101,53 @@
         self.send(request, "", timeout_ms).await
     }
 
+    /// Like [`Self::get`], for answers of very different sizes: beyond `timeout_ms`, an answer may take as long
+    /// as `pace` allows for its bytes.
+    ///
+    /// # Errors
+    ///
+    /// Fails like [`Self::get`], and with [`PacedError::CutShort`] if the answer began in time and did not end so.
+    pub async fn get_paced(
+        &self,
+        address: SocketAddr,
+        path: &str,
+        timeout_ms: u64,
+        pace: BodyPace,
+    ) -> Result<Reply, PacedError> {
+        let started_at = Instant::now();
+        let request = self.request("GET", address, path);
+        let response = self.start(request, "", timeout_ms).await?;
+        let (head, mut body) = response.into_parts();
+        let mut bytes = BytesMut::new();
+        loop {
+            let ms = pace.max_ms(timeout_ms, bytes.len());
+            let ends_by = started_at + Duration::from_millis(ms);
+            let frame = tokio::time::timeout_at(ends_by, body.frame())
+                .await
+                .map_err(|_| PacedError::CutShort {
+                    bytes: bytes.len(),
+                    ms,
+                })?;
+            match frame {
+                None => break,
+                Some(Err(error)) => return Err(SendError::AnswerLost(error.to_string()).into()),
+                Some(Ok(frame)) => bytes.extend(frame.into_data().unwrap_or_default()),
+            }
+            if bytes.len() > self.max_reply_bytes {
+                let ms = started_at.elapsed().as_millis() as u64;
+                return Err(PacedError::CutShort {
+                    bytes: bytes.len(),
+                    ms,
+                });
+            }
+        }
+        Ok(Reply {
+            status: head.status,
+            headers: head.headers,
+            body: bytes.freeze(),
+        })
+    }
+
     /// Builds a request to `path` at `address` with the headers common to all requests.
     pub fn request(&self, method: &str, address: SocketAddr, path: &str) -> request::Builder {
         let builder = Request::builder()
--- a/crates/borders/src/http/mod.rs
+++ b/crates/borders/src/http/mod.rs
@@ -1,11 +1,15 @@
 //! The HTTP client shared by all network clients of this crate.
 
+mod body_pace;
 mod http_client;
+mod paced_error;
 mod reply;
 mod send_error;
 
+pub use body_pace::BodyPace;
 pub use http_client::HttpClient;
 pub(crate) use http_client::{MAX_REPLY_BYTES, read_reply};
+pub use paced_error::PacedError;
 pub use reply::Reply;
 pub use send_error::SendError;
 
--- a/crates/borders/src/relay/fleet_store.rs
+++ b/crates/borders/src/relay/fleet_store.rs
@@ -114,6 +114,8 @@
     Unreachable(String),
     /// the store's answer was lost, the call may have taken effect: {0}
     AnswerLost(String),
+    /// the store's answer didn't arrive in full in time: {0}
+    CutShort(String),
     /// the store rejected the call with status {0}
     Refused(u16),
     /// the store has compacted the changes after revision {0}
--- a/crates/decisions/src/change_feed/mod.rs
+++ b/crates/decisions/src/change_feed/mod.rs
@@ -6,6 +6,7 @@
 //! have failed, each instance watches the store itself, so that during an outage of the store no
 //! instance tries its whole zone.
 
+mod catch_up;
 mod publisher;
 mod split;
 #[cfg(test)]
@@ -16,6 +17,7 @@
 
 use monsoonspread_model::{InstanceName, UnixMs};
 
+pub use catch_up::{CatchUp, StoreRead};
 pub use publisher::{Notice, Publisher, SubscribeAnswer};
 pub use split::split_by_revision;
 pub use timing::FeedTiming;
--- a/crates/decisions/src/change_feed/tests.rs
+++ b/crates/decisions/src/change_feed/tests.rs
@@ -1,8 +1,8 @@
 use monsoonspread_model::{InstanceName, UnixMs};
 
 use super::{
-    ChangeSpan, FeedSourceSelector, FeedTiming, MAX_SOURCES, Notice, Publisher, SpanUse,
-    SubscribeAnswer, split_by_revision,
+    CatchUp, ChangeSpan, FeedSourceSelector, FeedTiming, MAX_SOURCES, Notice, Publisher, SpanUse,
+    StoreRead, SubscribeAnswer, split_by_revision,
 };
 use crate::store_health::StoreHealth;
 
@@ -236,3 +236,28 @@
         assert!(until_local_read_ms <= change_ms * 17 / 20);
     }
 }
+
+/// Guards against reading a history that grows with each interruption, when only its end is needed.
+#[test]
+fn an_instance_that_fell_behind_reads_the_current_state() {
+    let timing = FeedTiming::new(2_000);
+    let mut catch_up = CatchUp::new(timing, UnixMs(10_000));
+    let usual_ms = timing.coalesce_ms + timing.watch_ms;
+    assert_eq!(
+        catch_up.next_read(UnixMs(10_000) + usual_ms),
+        StoreRead::Changes
+    );
+    let late = UnixMs(10_000) + timing.max_history_ms + 1;
+    assert_eq!(catch_up.next_read(late), StoreRead::Everything);
+    catch_up.on_current(late);
+    assert_eq!(catch_up.next_read(late + usual_ms), StoreRead::Changes);
+    catch_up.on_cut_short();
+    assert_eq!(catch_up.next_read(late), StoreRead::Everything);
+    // An earlier answer that arrives late doesn't make the state more current.
+    catch_up.on_current(UnixMs(10_001));
+    assert_eq!(catch_up.next_read(late), StoreRead::Changes);
+    assert_eq!(
+        catch_up.next_read(late + timing.max_history_ms + 1),
+        StoreRead::Everything
+    );
+}
--- a/crates/decisions/src/change_feed/timing.rs
+++ b/crates/decisions/src/change_feed/timing.rs
@@ -25,6 +25,9 @@
     /// Time in which an instance that starts to watch the store must become a source, in milliseconds:
     /// one watch call without changes.
     pub start_ms: u64,
+    /// Age of the known state, in milliseconds, from which the whole state is read in place of all changes
+    /// since then: more than a watch call and the pause after it.
+    pub max_history_ms: u64,
     /// Maximum pause after failed calls, in milliseconds, so that the store's recovery is noticed early
     /// enough for the resulting changes.
     pub max_retry_ms: u64,
@@ -47,6 +50,7 @@
             heartbeat_ms: change_ms / 8,
             source_timeout_ms: change_ms * 2 / 5,
             start_ms: change_ms / 8,
+            max_history_ms: change_ms / 2,
             max_retry_ms: (change_ms / 4).min(change_ms.saturating_sub(BACK_WITHIN_MS)),
         }
     }
--- a/crates/relay/src/event/catalogue.rs
+++ b/crates/relay/src/event/catalogue.rs
@@ -50,6 +50,7 @@
     ENTRY_INVALID = 1104 Warn "entry invalid" "An entry of the store is malformed and was skipped.";
     FEED_SOURCE = 1105 Info "feed source" "From now on this instance receives changes from `source`: another instance of its zone, or the store itself.";
     FEED_LOST = 1106 Warn "feed lost" "The feed source is unresponsive, or doesn't read the store itself now; another one is chosen.";
+    STATE_READ = 1107 Info "state read" "The full state of the store was read in place of the changes since the revision `after`, which were too old or too many to arrive in time.";
     CONFIG_IN_FORCE = 1201 Info "configuration in force" "A newer configuration applies to requests from now on.";
     UPSTREAM_LISTED = 1202 Info "upstream listed" "An upstream was added, changed its stage, or restarted.";
     UPSTREAM_REMOVED = 1203 Info "upstream gone" "An upstream is no longer listed and gets no more requests.";
--- a/crates/relay/src/fleet/subscribers.rs
+++ b/crates/relay/src/fleet/subscribers.rs
@@ -71,19 +71,23 @@
     }
 
     /// Publishes the changes read between the revisions `after` and `up_to`; `changes` are the
-    /// relevant ones.
+    /// relevant ones, `None` if subscribers have to read them from the store.
     pub fn on_read(
         &self,
         shared: &Shared,
         (after, up_to): (u64, u64),
-        changes: Vec<RevisedChange>,
+        changes: Option<Vec<RevisedChange>>,
         status: StoreStatus,
     ) {
         self.last_read.set((up_to, status));
         self.publish(|publisher| publisher.on_read(shared.now()));
-        if changes.is_empty() && after == up_to {
+        if after == up_to && changes.as_ref().is_none_or(Vec::is_empty) {
             return;
         }
+        let Some(changes) = changes else {
+            self.send_changes(shared, (after, up_to), None, status);
+            return;
+        };
         let revisions: Vec<u64> = changes.iter().map(|change| change.revision).collect();
         if !revisions.is_sorted() {
             self.send_changes(shared, (after, up_to), None, status);
--- a/crates/relay/src/fleet/watcher.rs
+++ b/crates/relay/src/fleet/watcher.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use monsoonspread_borders::relay::{FleetChanges, FleetStoreError, RevisedChange};
-use monsoonspread_decisions::change_feed::{FeedTiming, SpanUse};
+use monsoonspread_decisions::change_feed::{CatchUp, FeedTiming, SpanUse, StoreRead};
 use monsoonspread_decisions::store_health::{StoreHealth, StoreStatus};
 use tokio::sync::mpsc::UnboundedReceiver;
 use tokio::time::{Instant, sleep, sleep_until};
@@ -26,6 +26,7 @@
     let mut first = true;
     let mut health = StoreHealth::default();
     loop {
+        let asked_at = shared.now();
         match shared.borders.store.read_all().await {
             Ok(snapshot) => {
                 on_answer(&shared, &mut health);
@@ -37,6 +38,7 @@
                     shared: &shared,
                     timing,
                     revision: snapshot.revision,
+                    catch_up: CatchUp::new(timing, asked_at),
                     health: &mut health,
                 };
                 known.keep_up(&mut feed).await;
@@ -55,6 +57,7 @@
     shared: &'a Rc<Shared>,
     timing: FeedTiming,
     revision: u64,
+    catch_up: CatchUp,
     health: &'a mut StoreHealth,
 }
 
@@ -105,7 +108,7 @@
 
     async fn on_feed(&mut self, update: PeerChanges) -> Result<(), HistoryLost> {
         match update.span().usage(self.revision) {
-            SpanUse::Known => {}
+            SpanUse::Known => self.catch_up.on_current(self.shared.now()),
             SpanUse::Read => {
                 self.read(NO_WAIT_MS).await?;
             }
@@ -122,14 +125,57 @@
                     self.shared.on_change(revised.change, status);
                 }
                 self.revision = update.up_to;
+                self.catch_up.on_current(now);
             }
         }
         Ok(())
     }
 
-    /// Reads changes from the store. Returns the relevant ones and the revision they follow, or
-    /// `None` if the store did not answer.
+    /// Reads what changed from the store, or all of it if that may be less. Returns the revision that the
+    /// changes follow and the relevant ones, or `None` if the store did not answer.
     async fn read(&mut self, wait_ms: u64) -> Result<Option<FreshChanges>, HistoryLost> {
+        let asked_at = self.shared.now();
+        let fresh = match self.catch_up.next_read(asked_at) {
+            StoreRead::Changes => self.read_changes(wait_ms).await?,
+            StoreRead::Everything => self.read_everything().await,
+        };
+        if fresh.is_some() {
+            self.catch_up.on_current(asked_at);
+        }
+        Ok(fresh)
+    }
+
+    async fn read_everything(&mut self) -> Option<FreshChanges> {
+        let after = self.revision;
+        match self.shared.borders.store.read_all().await {
+            Ok(snapshot) => {
+                on_answer(self.shared, self.health);
+                let status = self.health.status(self.shared.now());
+                self.shared.on_snapshot(&snapshot, false, status);
+                self.revision = snapshot.revision.max(after);
+                Line::new(&kind::STATE_READ)
+                    .field("after", after)
+                    .field("revision", self.revision)
+                    .log();
+                Some((after, None, status))
+            }
+            Err(error) => {
+                self.on_failed_read(&error).await;
+                None
+            }
+        }
+    }
+
+    async fn on_failed_read(&mut self, error: &FleetStoreError) {
+        if matches!(error, FleetStoreError::CutShort(_)) {
+            self.catch_up.on_cut_short();
+        }
+        on_failure(self.shared, self.health, error);
+        let pause_ms = self.health.retry_ms(self.timing.max_retry_ms);
+        sleep(Duration::from_millis(pause_ms)).await;
+    }
+
+    async fn read_changes(&mut self, wait_ms: u64) -> Result<Option<FreshChanges>, HistoryLost> {
         let after = self.revision;
         match self
             .shared
@@ -148,7 +194,7 @@
                     }
                 }
                 self.revision = revision.max(after);
-                Ok(Some((after, fresh, status)))
+                Ok(Some((after, Some(fresh), status)))
             }
             Err(FleetStoreError::HistoryCompacted(after)) => {
                 Line::new(&kind::HISTORY_COMPACTED)
@@ -157,17 +203,16 @@
                 Err(HistoryLost)
             }
             Err(error) => {
-                on_failure(self.shared, self.health, &error);
-                let pause_ms = self.health.retry_ms(self.timing.max_retry_ms);
-                sleep(Duration::from_millis(pause_ms)).await;
+                self.on_failed_read(&error).await;
                 Ok(None)
             }
         }
     }
 }
 
-/// The revision that the changes follow, the relevant changes, and the store's health.
-type FreshChanges = (u64, Vec<RevisedChange>, StoreStatus);
+/// The revision that the changes follow, the relevant changes, and the store's health. The changes are `None`
+/// if the whole state was read.
+type FreshChanges = (u64, Option<Vec<RevisedChange>>, StoreStatus);
 
 fn on_answer(shared: &Shared, health: &mut StoreHealth) {
     if health.on_answer(shared.now()) {
