Count crashes against all parts of a prompt, not against the first 32

Cause: only the first 32 parts were suspects. Class: a bound on memory that drops evidence in silence; the tables behind it had room for some 26 such requests.

All parts but the last are suspects now, which the header's limit bounds. A break keeps its request's parts together, crashes and what clears them are recorded at once and attributed once, the tables hold several of the longest prompts and no longer search all entries for each newcomer, and log and gossip name the strongest suspects first.

--- a/crates/decisions/src/quarantine/break_watch.rs
+++ b/crates/decisions/src/quarantine/break_watch.rs
@@ -1,6 +1,7 @@
 //! Requests lost at an upstream, until it is known whether the upstream crashed.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
+use std::rc::Rc;
 
 use monsoonspread_model::message::CrashNotice;
 use monsoonspread_model::{Fingerprint, UnixMs, UpstreamName};
@@ -8,7 +9,7 @@
 /// How long a break stays unconfirmed before it is dropped, in milliseconds: an unresponsive
 /// upstream is no longer listed after a few seconds, and a restarted one is listed as such.
 const BREAK_TIMEOUT_MS: u64 = 10_000;
-/// Maximum number of unconfirmed breaks; at most half of them may be missing answers.
+/// Maximum number of requests with unconfirmed breaks; at most half of them may be missing answers.
 const MAX_BREAKS: usize = 1_024;
 
 /// Known state of an upstream since a request was lost there.
@@ -25,9 +26,23 @@
 #[derive(Clone, Debug)]
 struct Break {
     notice: CrashNotice,
+    /// The prompt parts that a crash counts against; `None` if it counts against the request.
+    parts: Option<Rc<[Fingerprint]>>,
     state: BreakState,
 }
 
+impl Break {
+    /// Returns a notice for each suspect.
+    fn notices(&self) -> impl Iterator<Item = CrashNotice> {
+        let own = std::slice::from_ref(&self.notice.fingerprint);
+        let suspects = self.parts.as_deref().unwrap_or(own).iter();
+        suspects.map(|fingerprint| CrashNotice {
+            fingerprint: *fingerprint,
+            ..self.notice.clone()
+        })
+    }
+}
+
 /// Requests lost at an upstream, until it is known whether the upstream crashed.
 ///
 /// An upstream counts as crashed when it refuses connections just after one of them broke, is
@@ -40,12 +55,34 @@
 impl BreakWatch {
     /// The connection to an upstream broke under a request.
     pub fn on_break(&mut self, now: UnixMs, notice: CrashNotice) {
-        self.insert(now, notice, BreakState::Broken, MAX_BREAKS);
+        self.insert(now, notice, None, BreakState::Broken, MAX_BREAKS);
+    }
+
+    /// The connection to an upstream broke under a request, which may have been because of any of its prompt
+    /// `parts`; `notice` is that of the request.
+    pub fn on_break_of_parts(
+        &mut self,
+        now: UnixMs,
+        notice: CrashNotice,
+        parts: Rc<[Fingerprint]>,
+    ) {
+        self.insert(now, notice, Some(parts), BreakState::Broken, MAX_BREAKS);
     }
 
     /// An upstream did not answer a request within the waiting time.
     pub fn on_no_answer(&mut self, now: UnixMs, notice: CrashNotice) {
-        self.insert(now, notice, BreakState::Unanswered, MAX_BREAKS / 2);
+        self.insert(now, notice, None, BreakState::Unanswered, MAX_BREAKS / 2);
+    }
+
+    /// Like [`Self::on_break_of_parts`], for an answer that did not come.
+    pub fn on_no_answer_of_parts(
+        &mut self,
+        now: UnixMs,
+        notice: CrashNotice,
+        parts: Rc<[Fingerprint]>,
+    ) {
+        let max = MAX_BREAKS / 2;
+        self.insert(now, notice, Some(parts), BreakState::Unanswered, max);
     }
 
     /// The upstream refuses connections; returns the crashes.
@@ -117,15 +154,33 @@
         let (crashes, rest): (Vec<Break>, Vec<Break>) =
             std::mem::take(breaks).into_iter().partition(is_crash);
         *breaks = rest;
-        crashes.into_iter().map(|entry| entry.notice).collect()
+        let mut notices: Vec<CrashNotice> = crashes.iter().flat_map(Break::notices).collect();
+        if crashes.iter().any(|entry| entry.parts.is_some()) {
+            // Requests with the same part crash with their upstream once.
+            notices.sort_by_key(|notice| notice.sent_at_unix_ms);
+            let mut known = BTreeSet::new();
+            notices.retain(|notice| known.insert((notice.fingerprint, notice.incarnation)));
+        }
+        notices
     }
 
-    fn insert(&mut self, now: UnixMs, notice: CrashNotice, state: BreakState, max: usize) {
+    fn insert(
+        &mut self,
+        now: UnixMs,
+        notice: CrashNotice,
+        parts: Option<Rc<[Fingerprint]>>,
+        state: BreakState,
+        max: usize,
+    ) {
         self.on_tick(now);
         if self.breaks.values().map(Vec::len).sum::<usize>() >= max {
             return;
         }
         let breaks = self.breaks.entry(notice.upstream.clone()).or_default();
-        breaks.push(Break { notice, state });
+        breaks.push(Break {
+            notice,
+            parts,
+            state,
+        });
     }
 }
--- a/crates/decisions/src/quarantine/quarantined.rs
+++ b/crates/decisions/src/quarantine/quarantined.rs
@@ -16,13 +16,16 @@
 /// Crashes after which a request may be sent only once: a single crash is weak evidence against a
 /// request that ran beside others.
 const CRASHES_TO_SUSPECT: usize = 2;
-/// Maximum number of remembered fingerprints.
+/// Maximum number of remembered fingerprints of requests.
 pub(super) const MAX_FINGERPRINTS: usize = 1_024;
+/// Maximum number of remembered prompt parts: several prompts of the longest that fit into a request's headers.
+const MAX_PARTS: usize = 8_192;
 
 /// Crashes by request fingerprint.
 #[derive(Debug)]
 pub struct Quarantine {
     crashes_to_quarantine: usize,
+    max_suspects: usize,
     suspects: HashMap<Fingerprint, Suspect>,
     /// Crashes of those that are refused; `None` if each crash counts against all that ran there.
     attributed: Option<HashMap<Fingerprint, usize>>,
@@ -58,6 +61,7 @@
     pub fn with_crashes(crashes_to_quarantine: usize) -> Self {
         Self {
             crashes_to_quarantine,
+            max_suspects: MAX_FINGERPRINTS,
             suspects: HashMap::new(),
             attributed: None,
         }
@@ -73,37 +77,87 @@
     /// ```
     pub fn with_attribution(mut self) -> Self {
         self.attributed = Some(HashMap::new());
+        self.max_suspects = MAX_PARTS;
         self
     }
 
     /// Records a crash that this instance or a peer saw; true when it changes what is known.
     pub fn on_crash(&mut self, now: UnixMs, notice: &CrashNotice) -> bool {
-        if notice.seen_at_unix_ms + QUARANTINE_MS <= now {
-            return false;
+        !self
+            .on_crashes(now, std::slice::from_ref(notice))
+            .is_empty()
+    }
+
+    /// Records crashes that this instance or a peer saw, and attributes them together; returns those that
+    /// change what is known.
+    ///
+    /// ```
+    /// # use monsoonspread_decisions::quarantine::Quarantine;
+    /// # use monsoonspread_model::UnixMs;
+    /// assert!(Quarantine::new().on_crashes(UnixMs(0), &[]).is_empty());
+    /// ```
+    pub fn on_crashes<'a>(
+        &mut self,
+        now: UnixMs,
+        notices: &'a [CrashNotice],
+    ) -> Vec<&'a CrashNotice> {
+        let mut news = Vec::new();
+        for notice in notices {
+            if notice.seen_at_unix_ms + QUARANTINE_MS <= now {
+                continue;
+            }
+            self.evict_for(now, notice.fingerprint);
+            let suspect = self.suspects.entry(notice.fingerprint).or_default();
+            if suspect.add(notice) {
+                news.push(notice);
+            }
         }
-        self.evict_for(now, notice.fingerprint);
-        let suspect = self.suspects.entry(notice.fingerprint).or_default();
-        let is_changed = suspect.add(notice);
-        if is_changed {
+        if !news.is_empty() {
             self.attribute(now);
         }
-        is_changed
+        news
     }
 
     /// A copy of the request was served, or an operator or a peer cleared it; true when that changes
     /// what is known.
     pub fn on_cleared(&mut self, fingerprint: Fingerprint, at: UnixMs) -> bool {
-        let Some(suspect) = self.suspects.get_mut(&fingerprint) else {
-            return false;
-        };
-        let is_first = suspect.cleared_at().is_none();
-        let is_changed = suspect.clear(at);
-        // That a suspect was served before its crashes matters where crashes are attributed.
-        let is_news = is_changed || (is_first && self.attributed.is_some());
-        if is_news {
-            self.attribute(at);
+        !self.on_all_cleared(&[(fingerprint, at)]).is_empty()
+    }
+
+    /// Like [`Self::on_cleared`], for several fingerprints with the times up to which they are cleared; returns
+    /// those whose clearing changes what is known.
+    ///
+    /// ```
+    /// # use monsoonspread_decisions::quarantine::Quarantine;
+    /// # use monsoonspread_model::{Fingerprint, UnixMs};
+    /// let cleared = [(Fingerprint(7), UnixMs(0))];
+    /// assert!(Quarantine::new().on_all_cleared(&cleared).is_empty());
+    /// ```
+    pub fn on_all_cleared(&mut self, cleared: &[(Fingerprint, UnixMs)]) -> Vec<Fingerprint> {
+        let mut news = Vec::new();
+        let mut latest = UnixMs(0);
+        for (fingerprint, at) in cleared {
+            let Some(suspect) = self.suspects.get_mut(fingerprint) else {
+                continue;
+            };
+            let is_first = suspect.cleared_at().is_none();
+            let is_changed = suspect.clear(*at);
+            // That a suspect was served before its crashes matters where crashes are attributed.
+            if is_changed || (is_first && self.attributed.is_some()) {
+                news.push(*fingerprint);
+                latest = latest.max(*at);
+            }
+        }
+        if !news.is_empty() {
+            self.attribute(latest);
         }
-        is_news
+        news
+    }
+
+    /// Whether any request is refused because of a part of its prompt.
+    pub fn refuses_parts(&self) -> bool {
+        let attributed = self.attributed.as_ref();
+        attributed.is_some_and(|attributed| !attributed.is_empty())
     }
 
     fn attribute(&mut self, now: UnixMs) {
@@ -234,22 +288,26 @@
         dumps
     }
 
-    /// Evicts the request with the fewest crashes, and of these the oldest, if `newcomer` needs
-    /// space.
+    /// Evicts the requests with the fewest crashes, and of these the oldest, if `newcomer` needs
+    /// space: a sixteenth of them at once, as many newcomers may follow.
     fn evict_for(&mut self, now: UnixMs, newcomer: Fingerprint) {
-        if self.suspects.len() < MAX_FINGERPRINTS || self.suspects.contains_key(&newcomer) {
+        if self.suspects.len() < self.max_suspects || self.suspects.contains_key(&newcomer) {
             return;
         }
         self.suspects
             .retain(|_, suspect| now < suspect.expires_at());
-        if self.suspects.len() < MAX_FINGERPRINTS {
+        if self.suspects.len() < self.max_suspects {
             return;
         }
-        let least = self.suspects.iter().min_by_key(|(fingerprint, suspect)| {
-            (suspect.crash_count(), suspect.expires_at(), **fingerprint)
-        });
-        if let Some(least) = least.map(|(fingerprint, _)| *fingerprint) {
-            self.suspects.remove(&least);
+        let suspects = self.suspects.iter();
+        let mut weakest: Vec<_> = suspects
+            .map(|(fingerprint, suspect)| {
+                (suspect.crash_count(), suspect.expires_at(), *fingerprint)
+            })
+            .collect();
+        weakest.sort_unstable();
+        for (_, _, fingerprint) in weakest.iter().take(self.max_suspects / 16) {
+            self.suspects.remove(fingerprint);
         }
     }
 }
--- a/crates/decisions/src/quarantine/recent_times.rs
+++ b/crates/decisions/src/quarantine/recent_times.rs
@@ -4,28 +4,27 @@
 
 use monsoonspread_model::{Fingerprint, UnixMs};
 
-/// Maximum number of remembered fingerprints.
+/// Maximum number of fingerprints in a generation.
 const MAX_FINGERPRINTS: usize = 4_096;
 
-/// The last time of something for each fingerprint; the oldest are dropped first.
+/// The last time of something for each fingerprint, in two generations: a full one replaces the one before it,
+/// so that the most recent fingerprints are kept at the same cost however many there are.
 #[derive(Clone, Debug, Default)]
 pub(super) struct RecentTimes {
-    times: HashMap<Fingerprint, UnixMs>,
+    current: HashMap<Fingerprint, UnixMs>,
+    previous: HashMap<Fingerprint, UnixMs>,
 }
 
 impl RecentTimes {
     pub(super) fn record(&mut self, fingerprint: Fingerprint, at: UnixMs) {
-        let is_known = self.times.contains_key(&fingerprint);
-        if !is_known && self.times.len() >= MAX_FINGERPRINTS {
-            let oldest = self.times.iter().min_by_key(|(_, at)| **at);
-            if let Some(oldest) = oldest.map(|(fingerprint, _)| *fingerprint) {
-                self.times.remove(&oldest);
-            }
+        if self.current.len() >= MAX_FINGERPRINTS && !self.current.contains_key(&fingerprint) {
+            self.previous = std::mem::take(&mut self.current);
         }
-        self.times.insert(fingerprint, at);
+        self.current.insert(fingerprint, at);
     }
 
     pub(super) fn last(&self, fingerprint: Fingerprint) -> Option<UnixMs> {
-        self.times.get(&fingerprint).copied()
+        let current = self.current.get(&fingerprint);
+        current.or_else(|| self.previous.get(&fingerprint)).copied()
     }
 }
--- a/crates/decisions/src/quarantine/tests/break_watch.rs
+++ b/crates/decisions/src/quarantine/tests/break_watch.rs
@@ -1,8 +1,10 @@
+use std::rc::Rc;
+
 use monsoonspread_model::message::CrashNotice;
 use monsoonspread_model::{Fingerprint, UnixMs};
 
 use super::super::BreakWatch;
-use super::crash_of;
+use super::{crash, crash_of};
 
 const NOW: UnixMs = UnixMs(1_000);
 
@@ -103,3 +105,26 @@
     }
     assert_eq!(watch.unconfirmed(Fingerprint(7)), 1_024);
 }
+
+/// Guards against breaks that are dropped because the requests under them have many prompt parts.
+#[test]
+fn a_crash_counts_once_against_each_part_of_the_requests_that_ran() {
+    let mut breaks = BreakWatch::default();
+    for request in 0..100 {
+        let parts: Rc<[Fingerprint]> = (0..1_000)
+            .chain([10_000 + request])
+            .map(Fingerprint)
+            .collect();
+        let notice = crash(request, "engine-1", 1_000 + request);
+        breaks.on_break_of_parts(UnixMs(2_000), notice, parts);
+    }
+    let crashes = breaks.on_connection_refused(&"engine-1".into());
+    assert_eq!(crashes.len(), 1_100);
+    let shared = crashes
+        .iter()
+        .find(|notice| notice.fingerprint == Fingerprint(7));
+    assert_eq!(
+        shared.map(|notice| notice.sent_at_unix_ms),
+        Some(UnixMs(1_000))
+    );
+}
--- a/crates/decisions/src/quarantine/tests/part_attribution.rs
+++ b/crates/decisions/src/quarantine/tests/part_attribution.rs
@@ -1,5 +1,6 @@
 //! Attribution of crashes to prompt parts, and what instances know of them.
 
+use monsoonspread_model::message::CrashNotice;
 use monsoonspread_model::{Fingerprint, UnixMs};
 
 use super::crash;
@@ -57,3 +58,36 @@
         assert_eq!(is_refused, number == 5, "after {number} crashes");
     }
 }
+
+/// Guards against evidence that is dropped because a prompt has many parts: the part is found at any place of
+/// it, whether the others were served before or not.
+#[test]
+fn a_part_is_found_among_any_number_of_others() {
+    const PARTS: u64 = 4_000;
+    for guilty in [1, 33, PARTS / 2, PARTS] {
+        for are_served in [true, false] {
+            let mut parts = Quarantine::with_crashes(3).with_attribution();
+            let now = UnixMs(60_000);
+            for number in 1..=3 {
+                let at = number * 10_000;
+                // Without service between them, the others of each prompt are its own.
+                let offset = if are_served { 0 } else { number * 10_000 };
+                let notices: Vec<CrashNotice> = (1..=PARTS)
+                    .map(|part| if part == guilty { part } else { part + offset })
+                    .map(|part| crash(part, &format!("engine-{number}"), at))
+                    .collect();
+                parts.on_crashes(now, &notices);
+                if are_served {
+                    let others = (1..=PARTS).filter(|part| *part != guilty);
+                    let served: Vec<(Fingerprint, UnixMs)> = others
+                        .map(|part| (Fingerprint(part), UnixMs(at + 1_000)))
+                        .collect();
+                    parts.on_all_cleared(&served);
+                }
+            }
+            let dump = parts.dump(now);
+            let expected = vec![Fingerprint(guilty).to_string()];
+            assert_eq!(dump.quarantined, expected, "{guilty}, {are_served}");
+        }
+    }
+}
--- a/crates/relay/src/call/request.rs
+++ b/crates/relay/src/call/request.rs
@@ -1,5 +1,6 @@
 //! A fully read client request.
 
+use std::collections::HashSet;
 use std::rc::Rc;
 use std::sync::Arc;
 
@@ -15,8 +16,6 @@
 /// Maximum number of times that this wait is halved.
 const MAX_HALVINGS: u32 = 16;
 
-/// Maximum number of prompt parts of a request that crashes can count against.
-const MAX_SUSPECT_PARTS: usize = 32;
 /// Maximum number of prompt parts in a line of the log.
 const MAX_LOGGED_PARTS: usize = 16;
 
@@ -31,7 +30,7 @@
     pub(super) head: CallHead,
     /// Identifies all copies of the same request, whose request ids differ.
     pub(super) fingerprint: Fingerprint,
-    /// Prompt parts that other requests may have in common, as suspects.
+    /// Prompt parts that other requests may have in common, as suspects; the clients' header limit bounds them.
     pub(super) suspect_parts: Rc<[Fingerprint]>,
     pub(super) route: Arc<Route>,
     pub(super) service: ServiceName,
@@ -81,22 +80,23 @@
     }
 }
 
-/// Lists the parts of a prompt for the log, without the last one, which is the request's own.
+/// Lists the first parts of a prompt for the log, and how many there are, without the last one, which is the
+/// request's own.
 pub(super) fn part_list(parts: &[PromptPart]) -> String {
-    let ids = shared_parts(parts).iter().take(MAX_LOGGED_PARTS);
+    let parts = shared_parts(parts);
+    let ids = parts.iter().take(MAX_LOGGED_PARTS);
     let ids: Vec<String> = ids.map(|part| Fingerprint(part.id).to_string()).collect();
-    ids.join(",")
+    let more = parts.len() - ids.len();
+    match more {
+        0 => ids.join(","),
+        _ => format!("{},+{more}", ids.join(",")),
+    }
 }
 
 fn suspect_parts(parts: &[PromptPart]) -> Rc<[Fingerprint]> {
-    let mut suspects: Vec<Fingerprint> = Vec::new();
-    for part in shared_parts(parts) {
-        let fingerprint = Fingerprint(part.id);
-        if suspects.len() < MAX_SUSPECT_PARTS && !suspects.contains(&fingerprint) {
-            suspects.push(fingerprint);
-        }
-    }
-    suspects.into()
+    let mut known = HashSet::new();
+    let suspects = shared_parts(parts).iter().map(|part| Fingerprint(part.id));
+    suspects.filter(|part| known.insert(*part)).collect()
 }
 
 fn shared_parts(parts: &[PromptPart]) -> &[PromptPart] {
--- a/crates/relay/src/suspects/in_flight.rs
+++ b/crates/relay/src/suspects/in_flight.rs
@@ -57,13 +57,13 @@
     /// Records that the connection failed before the answer was complete.
     pub fn on_break(&self) {
         let suspects = &self.shared.suspects;
-        suspects.on_break(&self.shared, self.notice(), &self.part_notices());
+        suspects.on_break(&self.shared, self.notice(), self.blamed_parts());
     }
 
     /// Records that no answer came in time.
     pub fn on_no_answer(&self) {
         let suspects = &self.shared.suspects;
-        suspects.on_no_answer(&self.shared, self.notice(), &self.part_notices());
+        suspects.on_no_answer(&self.shared, self.notice(), self.blamed_parts());
     }
 
     /// Records that the outcome is known: an answer, or the notice that the request was not run.
@@ -77,21 +77,16 @@
         suspects.on_served(&self.shared, self.fingerprint, &self.parts);
     }
 
-    /// Notices on the prompt parts that may be the reason of a crash.
-    fn part_notices(&self) -> Vec<CrashNotice> {
+    /// The prompt parts that may be the reason of a crash.
+    fn blamed_parts(&self) -> Rc<[Fingerprint]> {
         let wrote_ms = match (self.first_byte_at, self.last_byte_at) {
             (Some(first), Some(last)) => last.ms_since(first),
             _ => 0,
         };
         if wrote_ms >= BEGINNING_MS {
-            return Vec::new();
+            return Rc::default();
         }
-        let notice = self.notice();
-        let parts = self.parts.iter().map(|part| CrashNotice {
-            fingerprint: *part,
-            ..notice.clone()
-        });
-        parts.collect()
+        Rc::clone(&self.parts)
     }
 
     fn notice(&self) -> CrashNotice {
--- a/crates/relay/src/suspects/ledger.rs
+++ b/crates/relay/src/suspects/ledger.rs
@@ -2,6 +2,7 @@
 
 use std::cell::RefCell;
 use std::cmp::Reverse;
+use std::collections::HashSet;
 use std::rc::Rc;
 
 use displaydoc::Display;
@@ -14,7 +15,10 @@
 use crate::gossip::PeerGossip;
 use crate::shared::Shared;
 
-/// Maximum number of suspects shared with other instances; those with the most crashes come first.
+/// Maximum number of suspects of a crash that are logged; those with the most crashes come first.
+const MAX_LOGGED: usize = 16;
+/// Maximum number of suspects shared with other instances; those that are refused, and then those with the most
+/// crashes, come first.
 const MAX_SHARED: usize = 64;
 
 /// What may crash upstreams.
@@ -96,20 +100,17 @@
         self.on_crashes(shared, &crashes, "restarted");
     }
 
-    /// Drops the evidence against a suspect up to `at`; returns false if there is none.
+    /// Drops the evidence against each suspect up to a time; returns false if there is none.
     pub(super) fn clear(
         &self,
         shared: &Rc<Shared>,
-        fingerprint: Fingerprint,
-        at: UnixMs,
+        suspects: &[(Fingerprint, UnixMs)],
         source: &str,
     ) -> bool {
-        let is_new = self.quarantine.borrow_mut().on_cleared(fingerprint, at);
-        if is_new {
-            self.log_cleared(shared, fingerprint, source);
-            self.send_to_feed_sources(shared, &[fingerprint]);
-        }
-        is_new
+        let news = self.quarantine.borrow_mut().on_all_cleared(suspects);
+        self.on_cleared(shared, &news, source);
+        self.send_to_feed_sources(shared, &news);
+        !news.is_empty()
     }
 
     /// Merges suspects received from another instance.
@@ -120,25 +121,26 @@
         suspects: &[PeerSuspect],
     ) {
         let now = shared.now();
-        for suspect in suspects {
-            for notice in suspect.notices(now) {
-                self.add(shared, &notice, peer.as_str());
-            }
-            if let Some(ago_ms) = suspect.cleared_ms_ago {
-                let at = now - ago_ms;
-                let fingerprint = suspect.fingerprint;
-                if self.quarantine.borrow_mut().on_cleared(fingerprint, at) {
-                    self.log_cleared(shared, fingerprint, peer.as_str());
-                }
-            }
-        }
+        let notices = suspects.iter().flat_map(|suspect| suspect.notices(now));
+        self.add(shared, &notices.collect::<Vec<_>>(), peer.as_str());
+        let cleared = suspects.iter().filter_map(|suspect| {
+            let ago_ms = suspect.cleared_ms_ago?;
+            Some((suspect.fingerprint, now - ago_ms))
+        });
+        let cleared: Vec<(Fingerprint, UnixMs)> = cleared.collect();
+        let news = self.quarantine.borrow_mut().on_all_cleared(&cleared);
+        self.on_cleared(shared, &news, peer.as_str());
     }
 
     /// Returns the suspects that every instance should know.
     pub(super) fn fleet_wide(&self, now: UnixMs) -> Vec<PeerSuspect> {
         let quarantine = self.quarantine.borrow();
         let mut known: Vec<_> = quarantine.fleet_wide(now).collect();
-        known.sort_by_key(|(fingerprint, suspect)| (Reverse(suspect.crash_count()), *fingerprint));
+        known.sort_by_key(|(fingerprint, suspect)| {
+            let is_refused = quarantine.refused_until(now, *fingerprint).is_some();
+            let crashes = suspect.crash_count();
+            (Reverse(is_refused), Reverse(crashes), *fingerprint)
+        });
         known.truncate(MAX_SHARED);
         known
             .into_iter()
@@ -147,68 +149,97 @@
     }
 
     fn on_crashes(&self, shared: &Rc<Shared>, crashes: &[CrashNotice], source: &str) {
-        let mut changed = Vec::new();
-        for notice in crashes {
-            if self.add(shared, notice, source) {
-                changed.push(notice.fingerprint);
-            }
-        }
+        let changed = self.add(shared, crashes, source);
         self.send_to_feed_sources(shared, &changed);
     }
 
-    /// Records a crash; returns false if it is already known.
-    fn add(&self, shared: &Rc<Shared>, notice: &CrashNotice, source: &str) -> bool {
+    /// Records crashes; returns the suspects of those that weren't known.
+    fn add(&self, shared: &Rc<Shared>, notices: &[CrashNotice], source: &str) -> Vec<Fingerprint> {
         let now = shared.now();
-        let fingerprint = notice.fingerprint;
         let mut quarantine = self.quarantine.borrow_mut();
-        let was_refused = quarantine.refused_until(now, fingerprint).is_some();
-        if !quarantine.on_crash(now, notice) {
-            return false;
-        }
-        shared.metrics.count("suspects", "crash");
-        if quarantine.is_fleet_wide(now, fingerprint) {
+        let suspects = notices.iter().map(|notice| notice.fingerprint);
+        let refused_before: HashSet<Fingerprint> = suspects
+            .filter(|suspect| quarantine.refused_until(now, *suspect).is_some())
+            .collect();
+        let mut news = quarantine.on_crashes(now, notices);
+        news.sort_by_key(|notice| Reverse(quarantine.crashes(now, notice.fingerprint)));
+        let changed: Vec<Fingerprint> = news.iter().map(|notice| notice.fingerprint).collect();
+        let mut is_shared = changed.iter();
+        if is_shared.any(|suspect| quarantine.is_fleet_wide(now, *suspect)) {
             shared.gossiper.on_change();
         }
-        let refused_until = quarantine.refused_until(now, fingerprint);
-        Line::new(&kind::UPSTREAM_CRASHED)
-            .field("suspect", self.kind)
-            .field("fingerprint", fingerprint)
-            .field("upstream", &notice.upstream)
-            .field("incarnation", notice.incarnation)
-            .field("source", source)
-            .field("ms_ago", now.ms_since(notice.seen_at_unix_ms))
-            .field("counted", quarantine.crashes(now, fingerprint))
-            .log();
+        for notice in &news {
+            shared.metrics.count("suspects", "crash");
+            let refused_until = quarantine.refused_until(now, notice.fingerprint);
+            if refused_until.is_some() && !refused_before.contains(&notice.fingerprint) {
+                shared.metrics.count("suspects", "quarantined");
+            }
+        }
+        for notice in news.iter().take(MAX_LOGGED) {
+            self.log_crash(shared, &quarantine, notice, (source, news.len()));
+        }
+        let newly_refused = changed.iter().filter_map(|suspect| {
+            let until = quarantine.refused_until(now, *suspect)?;
+            (!refused_before.contains(suspect)).then_some((*suspect, until))
+        });
+        let newly_refused: Vec<(Fingerprint, UnixMs)> = newly_refused.take(MAX_LOGGED).collect();
         drop(quarantine);
-        if let (false, Some(until)) = (was_refused, refused_until) {
-            shared.metrics.count("suspects", "quarantined");
+        for (suspect, until) in newly_refused {
             Line::new(&kind::REQUEST_QUARANTINED)
                 .field("suspect", self.kind)
-                .field("fingerprint", fingerprint)
-                .field("evidence", self.evidence(now, fingerprint))
+                .field("fingerprint", suspect)
+                .field("evidence", self.evidence(now, suspect))
                 .field("for_ms", until.ms_since(now))
                 .log();
         }
-        true
+        changed
     }
 
-    fn log_cleared(&self, shared: &Shared, fingerprint: Fingerprint, source: &str) {
-        if self
-            .quarantine
-            .borrow()
-            .is_fleet_wide(shared.now(), fingerprint)
-        {
-            shared.gossiper.on_change();
-        }
-        shared.metrics.count("suspects", "cleared");
-        Line::new(&kind::REQUEST_CLEARED)
+    fn log_crash(
+        &self,
+        shared: &Shared,
+        quarantine: &Quarantine,
+        notice: &CrashNotice,
+        (source, suspects): (&str, usize),
+    ) {
+        let now = shared.now();
+        Line::new(&kind::UPSTREAM_CRASHED)
             .field("suspect", self.kind)
-            .field("fingerprint", fingerprint)
+            .field("fingerprint", notice.fingerprint)
+            .field("of", suspects)
+            .field("upstream", &notice.upstream)
+            .field("incarnation", notice.incarnation)
             .field("source", source)
+            .field("ms_ago", now.ms_since(notice.seen_at_unix_ms))
+            .field("counted", quarantine.crashes(now, notice.fingerprint))
             .log();
     }
 
+    /// Logs suspects that were cleared, and tells the instances that should know.
+    fn on_cleared(&self, shared: &Shared, suspects: &[Fingerprint], source: &str) {
+        let quarantine = self.quarantine.borrow();
+        let now = shared.now();
+        let mut is_shared = suspects.iter();
+        if is_shared.any(|suspect| quarantine.is_fleet_wide(now, *suspect)) {
+            shared.gossiper.on_change();
+        }
+        for _ in suspects {
+            shared.metrics.count("suspects", "cleared");
+        }
+        for suspect in suspects.iter().take(MAX_LOGGED) {
+            Line::new(&kind::REQUEST_CLEARED)
+                .field("suspect", self.kind)
+                .field("fingerprint", suspect)
+                .field("of", suspects.len())
+                .field("source", source)
+                .log();
+        }
+    }
+
     fn send_to_feed_sources(&self, shared: &Rc<Shared>, fingerprints: &[Fingerprint]) {
+        if fingerprints.is_empty() {
+            return;
+        }
         let now = shared.now();
         let quarantine = self.quarantine.borrow();
         let changed = fingerprints.iter().filter_map(|fingerprint| {
--- a/crates/relay/src/suspects/table.rs
+++ b/crates/relay/src/suspects/table.rs
@@ -61,6 +61,9 @@
         parts: &[Fingerprint],
     ) -> Option<(Fingerprint, UnixMs)> {
         let quarantine = self.parts.quarantine.borrow();
+        if !quarantine.refuses_parts() {
+            return None;
+        }
         parts
             .iter()
             .find_map(|part| Some((*part, quarantine.refused_until(now, *part)?)))
@@ -123,7 +126,7 @@
         &self,
         shared: &Rc<Shared>,
         request: CrashNotice,
-        parts: &[CrashNotice],
+        parts: Rc<[Fingerprint]>,
     ) {
         let Some(record) = shared.fleet.borrow().upstream(&request.upstream).cloned() else {
             return;
@@ -134,8 +137,9 @@
         }
         let now = shared.now();
         let upstream = request.upstream.clone();
-        for part in parts {
-            self.parts.breaks.borrow_mut().on_break(now, part.clone());
+        if !parts.is_empty() {
+            let mut breaks = self.parts.breaks.borrow_mut();
+            breaks.on_break_of_parts(now, request.clone(), parts);
         }
         self.requests.breaks.borrow_mut().on_break(now, request);
         if self.probed.borrow_mut().insert(upstream.clone()) {
@@ -149,17 +153,15 @@
         &self,
         shared: &Shared,
         request: CrashNotice,
-        parts: &[CrashNotice],
+        parts: Rc<[Fingerprint]>,
     ) {
         let fleet = shared.fleet.borrow();
         let record = fleet.upstream(&request.upstream);
         if record.is_some_and(|record| record.stage == UpstreamStage::Ready) {
             let now = shared.now();
-            for part in parts {
-                self.parts
-                    .breaks
-                    .borrow_mut()
-                    .on_no_answer(now, part.clone());
+            if !parts.is_empty() {
+                let mut breaks = self.parts.breaks.borrow_mut();
+                breaks.on_no_answer_of_parts(now, request.clone(), parts);
             }
             self.requests.breaks.borrow_mut().on_no_answer(now, request);
         }
@@ -215,11 +217,14 @@
         parts: &[Fingerprint],
     ) {
         let now = shared.now();
-        self.requests.clear(shared, fingerprint, now, "served");
-        for part in parts {
-            self.history.borrow_mut().on_served(*part, now);
-            self.parts.clear(shared, *part, now, "served");
-        }
+        self.requests.clear(shared, &[(fingerprint, now)], "served");
+        let mut history = self.history.borrow_mut();
+        let served = parts.iter().map(|part| (*part, now));
+        let served: Vec<(Fingerprint, UnixMs)> = served
+            .inspect(|(part, at)| history.on_served(*part, *at))
+            .collect();
+        drop(history);
+        self.parts.clear(shared, &served, "served");
     }
 
     /// Clears a request or prompt part on an operator's behalf; returns false if there is no evidence
@@ -228,7 +233,7 @@
         let now = shared.now();
         let cleared = self
             .ledgers()
-            .map(|ledger| ledger.clear(shared, fingerprint, now, "operator"));
+            .map(|ledger| ledger.clear(shared, &[(fingerprint, now)], "operator"));
         cleared.contains(&true)
     }
 
@@ -275,8 +280,6 @@
             .filter_map(|(part, suspect)| Some((part, history.cleared_at(now, part, suspect)?)))
             .collect();
         drop(quarantine);
-        for (part, at) in cleared {
-            self.parts.clear(shared, part, at, "served");
-        }
+        self.parts.clear(shared, &cleared, "served");
     }
 }
