Refuse a request whose body ends late in the grace period of a planned stop

Whether a request may still complete was asked when its head arrived, and not when its body was complete.

It is refused as not run now, with Retry-After, and no server sees it.

--- a/crates/relay/src/call/handler.rs
+++ b/crates/relay/src/call/handler.rs
@@ -31,9 +31,8 @@
 
 async fn route(shared: &Rc<Shared>, request: Request<Incoming>) -> Response<RelayBody> {
     let arrived_at = shared.now();
-    if shared.rejects_requests() {
-        shared.metrics.count("calls", "stopping");
-        return refusal::not_run(STOPPING_RETRY_MS);
+    if let Some(refusal) = refused_while_stopping(shared) {
+        return refusal;
     }
     let routes = shared.fleet.borrow().routes().cloned();
     let Some(routes) = routes else {
@@ -61,6 +60,10 @@
         Err(BodyFailure::TooLong) => return refusal::plain(StatusCode::PAYLOAD_TOO_LARGE),
         Err(BodyFailure::ClientDisconnected) => return refusal::plain(StatusCode::BAD_REQUEST),
     };
+    // The body may have taken until late in the grace period.
+    if let Some(refusal) = refused_while_stopping(shared) {
+        return refusal;
+    }
     let Some(service) = pick_service(&route, &head.request_id).cloned() else {
         return refusal::not_run(NO_CONFIG_RETRY_MS);
     };
@@ -79,3 +82,11 @@
         service_call::relay(shared, request).await
     }
 }
+
+/// Returns the response to a request that might not complete before a planned stop ends; `None` if it may run.
+fn refused_while_stopping(shared: &Shared) -> Option<Response<RelayBody>> {
+    shared.rejects_requests().then(|| {
+        shared.metrics.count("calls", "stopping");
+        refusal::not_run(STOPPING_RETRY_MS)
+    })
+}
