--- a/crates/decisions/src/event_splitter/mod.rs
+++ b/crates/decisions/src/event_splitter/mod.rs
@@ -14,7 +14,7 @@
 
 /// Maximum length of an event, in bytes: many times the length of a model's events, and small compared
 /// with the memory of an instance.
-pub const MAX_EVENT_BYTES: usize = 256 * 1024;
+pub const MAX_EVENT_BYTES: usize = 64 * 1024;
 
 /// Why an upstream's events can't be forwarded.
 #[derive(Clone, Copy, Debug, Display, Eq, Error, PartialEq)]
--- a/crates/relay/src/connection/mod.rs
+++ b/crates/relay/src/connection/mod.rs
@@ -5,4 +5,4 @@
 mod sender;
 
 pub use pool::{Pool, PooledSender};
-pub use sender::{SendFailure, UpstreamSender};
+pub use sender::{MAX_BUFFER_BYTES, SendFailure, UpstreamSender};
--- a/crates/relay/src/connection/sender.rs
+++ b/crates/relay/src/connection/sender.rs
@@ -7,7 +7,7 @@
 use displaydoc::Display;
 use http_body_util::Full;
 use hyper::body::Incoming;
-use hyper::client::conn::http1::{SendRequest, handshake};
+use hyper::client::conn::http1::{Builder, SendRequest};
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
 use thiserror::Error;
@@ -19,6 +19,10 @@
 /// retransmitted after 200 to 1,000.
 const CONNECT_TIMEOUT_MS: u64 = 400;
 
+/// Size of a connection's buffer, in bytes, to a client or an upstream: a machine's memory allows for four on
+/// each of the connections that it may have open.
+pub const MAX_BUFFER_BYTES: usize = 32 * 1024;
+
 /// Why a request got no answer.
 #[derive(Debug, Display, Error)]
 pub enum SendFailure {
@@ -61,7 +65,9 @@
             .map_err(|error| SendFailure::NotSent(error.to_string()))?;
         let head_limit = HeadLimit::default();
         let stream = LimitedStream::new(stream, head_limit.clone());
-        let (sender, connection) = handshake(TokioIo::new(stream))
+        let (sender, connection) = Builder::new()
+            .max_buf_size(MAX_BUFFER_BYTES)
+            .handshake(TokioIo::new(stream))
             .await
             .map_err(|error| SendFailure::NotSent(error.to_string()))?;
         tokio::task::spawn_local(async move {
--- a/crates/relay/src/http/clients.rs
+++ b/crates/relay/src/http/clients.rs
@@ -15,6 +15,7 @@
 use tokio::sync::watch;
 
 use crate::call::{RelayBody, handle};
+use crate::connection::MAX_BUFFER_BYTES;
 use crate::shared::Shared;
 
 /// Maximum time to leave a connection idle or to send a head before a configuration sets a limit,
@@ -76,6 +77,7 @@
     let service = service_fn(move |request| answer(Rc::clone(&shared), request));
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
+        .max_buf_size(MAX_BUFFER_BYTES)
         .header_read_timeout(Duration::from_millis(head_timeout_ms))
         .serve_connection(TokioIo::new(stream), service);
     tokio::pin!(connection);
