--- a/crates/borders/src/http/http_client.rs
+++ b/crates/borders/src/http/http_client.rs
@@ -131,14 +131,17 @@
             match frame {
                 None => break,
                 Some(Err(error)) => return Err(SendError::AnswerLost(error.to_string()).into()),
-                Some(Ok(frame)) => bytes.extend(frame.into_data().unwrap_or_default()),
-            }
-            if bytes.len() > self.max_reply_bytes {
-                let ms = started_at.elapsed().as_millis() as u64;
-                return Err(PacedError::CutShort {
-                    bytes: bytes.len(),
-                    ms,
-                });
+                Some(Ok(frame)) => {
+                    let data = frame.into_data().unwrap_or_default();
+                    if bytes.len() + data.len() > self.max_reply_bytes {
+                        let ms = started_at.elapsed().as_millis() as u64;
+                        return Err(PacedError::CutShort {
+                            bytes: bytes.len() + data.len(),
+                            ms,
+                        });
+                    }
+                    bytes.extend_from_slice(&data);
+                }
             }
         }
         Ok(Reply {
--- a/crates/decisions/src/event_splitter/mod.rs
+++ b/crates/decisions/src/event_splitter/mod.rs
@@ -19,7 +19,7 @@
 /// Why an upstream's events can't be forwarded.
 #[derive(Clone, Copy, Debug, Display, Eq, Error, PartialEq)]
 pub enum EventError {
-    /// an event is longer than 256 KB
+    /// an event is longer than 64 KB
     TooLong,
     /// a resumed stream repeats events
     Repeated,
@@ -57,13 +57,16 @@
     /// ```
     pub fn push(&mut self, bytes: &[u8]) -> Result<Vec<u8>, EventError> {
         let scanned = self.partial.len();
-        self.partial.extend_from_slice(bytes);
         let Some(end) = self.scanner.scan(bytes) else {
-            if self.partial.len() > MAX_EVENT_BYTES {
+            if scanned + bytes.len() > MAX_EVENT_BYTES {
+                self.partial = Vec::new();
                 return Err(EventError::TooLong);
             }
+            self.grow_for(bytes.len());
+            self.partial.extend_from_slice(bytes);
             return Ok(Vec::new());
         };
+        self.partial.extend_from_slice(bytes);
         let end = scanned + end;
         let rest = self.partial.split_off(end);
         let complete = std::mem::replace(&mut self.partial, rest);
@@ -91,9 +94,20 @@
     /// upstream that resumes the stream.
     pub fn resume(&mut self) {
         self.resumed_after = self.last_id;
-        self.partial.clear();
+        self.partial = Vec::new();
         self.scanner = EventScanner::new();
     }
+
+    /// Makes room for `more` bytes of an incomplete event: at most the length of the longest one, which doubling
+    /// the room would exceed.
+    fn grow_for(&mut self, more: usize) {
+        let needed = self.partial.len() + more;
+        let doubled = self.partial.capacity() * 2;
+        let room = needed.max(doubled.min(MAX_EVENT_BYTES));
+        if needed > self.partial.capacity() {
+            self.partial.reserve_exact(room - self.partial.len());
+        }
+    }
 }
 
 /// The numeric ids in complete events.
