Workspaces, keys, quotas and one order of merit at the borders

Without workspaces headers go on as sent and ranks are those of the routes. Settings gain the bounds on keys and quotas and the limits of the machine.

--- a/crates/borders/src/relay/dialect.rs
+++ b/crates/borders/src/relay/dialect.rs
@@ -3,8 +3,8 @@
 use displaydoc::Display;
 use hyper::http::HeaderMap;
 use hyper::{Method, StatusCode, Uri};
-use monsoonspread_model::UpstreamName;
 use monsoonspread_model::fleet::{CallHead, RateLimit, RelayService};
+use monsoonspread_model::{UpstreamName, WorkspaceName};
 use thiserror::Error;
 
 /// Why the headers of a request are invalid.
@@ -16,11 +16,24 @@
     Unreadable(&'static str, String),
 }
 
+/// How a request tells an upstream who called.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum CallerMark<'a> {
+    /// With the headers that the client sent, as there are no workspaces.
+    AsSent,
+    /// Not at all: the route is public.
+    None,
+    /// By the workspace, in place of the key.
+    Workspace(&'a WorkspaceName),
+}
+
 /// Metadata that is sent to an upstream in addition to the client's headers.
 #[derive(Clone, Debug, PartialEq)]
 pub struct UpstreamHead<'a> {
     /// The intended upstream; any other upstream at the same address rejects the request.
     pub upstream: &'a UpstreamName,
+    /// Who called.
+    pub caller: CallerMark<'a>,
     /// How long the answer is useful, in milliseconds.
     pub remaining_ms: u64,
     /// Rank among requests, 0 is served first; `None` if the upstream doesn't support ranks.
@@ -108,6 +121,8 @@
     pub running: u32,
     /// Number of queued requests.
     pub waiting: u32,
+    /// Number of requests that it runs at once; `None` if not reported.
+    pub places: Option<u32>,
     /// Current time per unit of work, in percent of the usual time.
     pub slowness_percent: u32,
 }
--- a/crates/borders/src/relay/mod.rs
+++ b/crates/borders/src/relay/mod.rs
@@ -7,7 +7,7 @@
 mod fleet_store;
 
 pub use dialect::{
-    AnnouncedRate, AnswerHead, AnswerId, AnsweredBy, Backoff, BadCallHead, Dialect,
+    AnnouncedRate, AnswerHead, AnswerId, AnsweredBy, Backoff, BadCallHead, CallerMark, Dialect,
     IdentityRequest, ServerLoad, UpstreamAnnouncement, UpstreamHead,
 };
 pub use engine_control::{EngineControl, EngineReply};
--- a/crates/decisions/src/route_table/mod.rs
+++ b/crates/decisions/src/route_table/mod.rs
@@ -7,7 +7,8 @@
 use std::sync::Arc;
 
 use monsoonspread_model::ServiceName;
-use monsoonspread_model::fleet::{Route, RoutingConfig};
+use monsoonspread_model::fleet::{CallerKey, Route, RoutingConfig, Workspace};
+use sha2::{Digest, Sha256};
 use xxhash_rust::xxh3::xxh3_64;
 
 /// The routes of one configuration version, indexed by host and sorted by prefix length.
@@ -15,6 +16,8 @@
 pub struct RouteTable {
     config: RoutingConfig,
     by_host: HashMap<String, Vec<Arc<Route>>>,
+    /// Index of the workspace of each key, by the key's digest: the time of a lookup tells nothing of the keys.
+    by_key: HashMap<[u8; 32], usize>,
 }
 
 impl RouteTable {
@@ -31,7 +34,28 @@
         for routes in by_host.values_mut() {
             routes.sort_by_key(|route| std::cmp::Reverse(route.path_prefix.len()));
         }
-        Self { config, by_host }
+        let mut by_key = HashMap::new();
+        for (index, workspace) in config.workspaces.iter().enumerate() {
+            for key in workspace
+                .keys
+                .iter()
+                .filter(|key| !key.as_bytes().is_empty())
+            {
+                // A key in two workspaces belongs to the first.
+                by_key.entry(digest(key)).or_insert(index);
+            }
+        }
+        Self {
+            config,
+            by_host,
+            by_key,
+        }
+    }
+
+    /// Returns the workspace that holds `key`; `None` if no workspace does. An empty key is held by none.
+    pub fn workspace_of(&self, key: &CallerKey) -> Option<&Workspace> {
+        let index = self.by_key.get(&digest(key))?;
+        self.config.workspaces.get(*index)
     }
 
     /// Returns the configuration that the table was built from.
@@ -51,6 +75,10 @@
     }
 }
 
+fn digest(key: &CallerKey) -> [u8; 32] {
+    Sha256::digest(key.as_bytes()).into()
+}
+
 /// Picks a target service of `route` by weight; `None` if the route has no targets.
 ///
 /// The same request id always gets the same service.
--- a/crates/decisions/src/route_table/tests.rs
+++ b/crates/decisions/src/route_table/tests.rs
@@ -19,6 +19,7 @@
         timeout_ms: 1_000,
         objective_ms: 100,
         rank: 0,
+        is_public: false,
     }
 }
 
@@ -33,6 +34,7 @@
             header_timeout_ms: 1,
             idle_timeout_ms: 1,
         },
+        workspaces: Vec::new(),
     })
 }
 
--- a/crates/model/src/fleet/call_head.rs
+++ b/crates/model/src/fleet/call_head.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::AdapterKey;
+use super::{AdapterKey, PresentedKey};
 
 /// A part of a prompt that other requests may have in common.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
@@ -37,6 +37,8 @@
     pub max_output_tokens: u32,
     /// Parts of the prompt, in order; the last belongs to this request alone.
     pub prompt_parts: Vec<PromptPart>,
+    /// The key that identifies the caller.
+    pub key: PresentedKey,
     /// The last event that the client received from an earlier run; `None` to start over.
     pub resume_after: Option<u64>,
 }
--- a/crates/model/src/fleet/route.rs
+++ b/crates/model/src/fleet/route.rs
@@ -70,4 +70,7 @@
     pub objective_ms: u64,
     /// Rank of its requests within a service; 0 is served first.
     pub rank: u32,
+    /// Whether its requests need no key, also where there are workspaces.
+    #[serde(default)]
+    pub is_public: bool,
 }
--- a/crates/model/src/fleet/routing_config.rs
+++ b/crates/model/src/fleet/routing_config.rs
@@ -4,7 +4,7 @@
 
 use crate::{BaseModelName, ServiceName};
 
-use super::Route;
+use super::{Route, Workspace};
 
 /// A base model that the engines of a service can hold.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
@@ -102,6 +102,9 @@
     pub services: Vec<RelayService>,
     /// Limits on client requests and connections.
     pub limits: ClientLimits,
+    /// All workspaces; without any, requests need no key.
+    #[serde(default)]
+    pub workspaces: Vec<Workspace>,
 }
 
 impl RoutingConfig {
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -28,7 +28,8 @@
 pub use load_report::LoadReport;
 pub use message::MeshMessage;
 pub use name::{
-    AdapterName, BaseModelName, CallerName, InstanceName, ServiceName, UpstreamName, ZoneName,
+    AdapterName, BaseModelName, CallerName, InstanceName, ServiceName, UpstreamName, WorkspaceName,
+    ZoneName,
 };
 pub use ownership_table::{OwnershipTable, Succession};
 pub use refusal::{Refusal, RefusalReason};
--- a/crates/model/src/name.rs
+++ b/crates/model/src/name.rs
@@ -27,6 +27,9 @@
     /// A model engine or a server of a plain service.
     #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
     pub enum Upstream {}
+    /// A workspace, whose callers share keys, a rank and a quota.
+    #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+    pub enum Workspace {}
     /// An availability zone.
     #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
     pub enum Zone {}
@@ -44,6 +47,8 @@
 pub type ServiceName = Name<kind::Service>;
 /// Name of an upstream.
 pub type UpstreamName = Name<kind::Upstream>;
+/// Name of a workspace.
+pub type WorkspaceName = Name<kind::Workspace>;
 /// Name of an availability zone.
 pub type ZoneName = Name<kind::Zone>;
 
--- a/crates/relay/src/call/attempt.rs
+++ b/crates/relay/src/call/attempt.rs
@@ -135,6 +135,7 @@
     let mut headers = request.headers.clone();
     let head = UpstreamHead {
         upstream: &upstream.name,
+        caller: request.caller.mark(),
         remaining_ms: request.deadline.ms_since(shared.now()),
         rank: options.rank,
         adapter_version: options.adapter_version,
--- a/crates/relay/src/call/handler.rs
+++ b/crates/relay/src/call/handler.rs
@@ -7,6 +7,7 @@
 use hyper::{Request, Response, StatusCode};
 use monsoonspread_decisions::route_table::pick_service;
 
+use super::caller::identify;
 use super::client_body::{BodyFailure, read_body};
 use super::request::RelayRequest;
 use super::{RelayBody, model_call, refusal, service_call, suspect};
@@ -55,6 +56,10 @@
             return refusal::plain(StatusCode::BAD_REQUEST);
         }
     };
+    let Some(caller) = identify(&routes, &route, &head) else {
+        shared.metrics.count("calls", "unknown_key");
+        return refusal::plain(StatusCode::UNAUTHORIZED);
+    };
     let body = match read_body(body, routes.config().limits.max_body_bytes).await {
         Ok(body) => body,
         Err(BodyFailure::TooLong) => return refusal::plain(StatusCode::PAYLOAD_TOO_LARGE),
@@ -71,7 +76,7 @@
         .config()
         .service(&service)
         .is_some_and(|s| s.engine.is_some());
-    let request = RelayRequest::new(parts, body, head, route, service, arrived_at);
+    let request = RelayRequest::new(parts, body, head, caller, route, service, arrived_at);
     if let Some(refusal) = suspect::refused(shared, &request) {
         return refusal;
     }
--- a/crates/relay/src/call/mod.rs
+++ b/crates/relay/src/call/mod.rs
@@ -4,6 +4,7 @@
 mod attempt;
 mod body;
 mod body_kind;
+mod caller;
 mod candidates;
 mod client_body;
 mod end_check;
--- a/crates/relay/src/call/model_call.rs
+++ b/crates/relay/src/call/model_call.rs
@@ -230,7 +230,7 @@
         let wish = CopyQuery {
             upstream: name,
             key: &self.key,
-            rank: self.request.route.rank,
+            rank: self.request.merit.rank(),
             prompt_tokens: self.request.head.prompt_tokens,
             shared_parts: long_shared_parts(&self.request.head),
             objective_ms: self.request.route.objective_ms,
@@ -250,7 +250,7 @@
         let (shared, request) = (Rc::clone(&self.shared), Rc::clone(&self.request));
         let granted_ms = shared.now().ms_since(request.arrived_at);
         let options = AttemptOptions {
-            rank: Some(request.route.rank.min(LOWEST_RANK) as u8),
+            rank: Some(request.merit.rank().min(LOWEST_RANK) as u8),
             adapter_version: self.checked_version(),
             resume_after,
             times_out_at: request.deadline,
--- a/crates/relay/src/call/request.rs
+++ b/crates/relay/src/call/request.rs
@@ -7,9 +7,11 @@
 use bytes::Bytes;
 use hyper::http::request::Parts;
 use hyper::{HeaderMap, Method, Uri};
-use monsoonspread_model::fleet::{CallHead, PromptPart, Route};
+use monsoonspread_model::fleet::{CallHead, Merit, PromptPart, Route};
 use monsoonspread_model::{Fingerprint, ServiceName, UnixMs};
 
+use super::caller::Caller;
+
 /// How long a request of the most urgent rank waits for an upstream at its limit, in percent of its
 /// objective.
 const PERMIT_WAIT_PERCENT: u64 = 50;
@@ -28,6 +30,9 @@
     pub(super) headers: HeaderMap,
     pub(super) body: Bytes,
     pub(super) head: CallHead,
+    pub(super) caller: Caller,
+    /// The order in which it is served when there isn't room for all.
+    pub(super) merit: Merit,
     /// Identifies all copies of the same request, whose request ids differ.
     pub(super) fingerprint: Fingerprint,
     /// Prompt parts that other requests may have in common, as suspects; the clients' header limit bounds them.
@@ -46,6 +51,7 @@
         parts: Parts,
         body: Bytes,
         head: CallHead,
+        caller: Caller,
         route: Arc<Route>,
         service: ServiceName,
         arrived_at: UnixMs,
@@ -61,6 +67,8 @@
             body,
             suspect_parts: suspect_parts(&head.prompt_parts),
             head,
+            merit: caller.merit(&route),
+            caller,
             fingerprint,
             route,
             service,
@@ -75,7 +83,7 @@
     /// it, so that the less urgent are refused first.
     pub(super) fn permit_wait_until(&self, now: UnixMs) -> UnixMs {
         let patience_ms = self.route.objective_ms * PERMIT_WAIT_PERCENT / 100;
-        let patience_ms = patience_ms >> self.route.rank.min(MAX_HALVINGS);
+        let patience_ms = patience_ms >> self.merit.rank().min(MAX_HALVINGS);
         self.deadline.min(now + patience_ms)
     }
 }
--- a/crates/relay/src/settings.rs
+++ b/crates/relay/src/settings.rs
@@ -35,6 +35,19 @@
     /// Limits set by the operators.
     #[serde(default)]
     pub bounds: BoundSettings,
+    /// The machine that the process runs on.
+    #[serde(default)]
+    pub machine: MachineSettings,
+}
+
+/// The machine that the process runs on; a limit that isn't set is taken from the operating system.
+#[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq)]
+#[serde(default, deny_unknown_fields)]
+pub struct MachineSettings {
+    /// Memory that the process may use, in megabytes.
+    pub memory_mb: Option<u64>,
+    /// File descriptors that the process may open.
+    pub max_descriptors: Option<u64>,
 }
 
 /// Addresses to listen on.
@@ -70,6 +83,16 @@
     pub drain_ms: u64,
     /// Time within which a configuration must be in force, in milliseconds.
     pub config_ms: u64,
+    /// Time within which a key that was taken away admits no more requests, in milliseconds.
+    pub revoke_ms: u64,
+    /// Whether that also holds for instances that have lost the store.
+    pub revoke_strict: bool,
+    /// Span over which quotas are counted, in seconds.
+    pub quota_window_s: f64,
+    /// How much a workspace may use beyond its quota, as a share of it.
+    pub quota_overage: f64,
+    /// How much a workspace may use beyond that, in units of its quota.
+    pub quota_slack: f64,
 }
 
 impl BoundSettings {
@@ -89,6 +112,11 @@
             version_ms: 5_000,
             drain_ms: 2_000,
             config_ms: 2_000,
+            revoke_ms: 5_000,
+            revoke_strict: false,
+            quota_window_s: 8.0,
+            quota_overage: 0.1,
+            quota_slack: 0.0,
         }
     }
 }
