Keep idle connections of all instances within what an upstream accepts

Cause: each instance kept up to 16 idle connections to each upstream, 80 instances 1,280 before 540. Now they keep at most half of what the upstream accepts together, and one each at least.

--- a/crates/relay/src/connection/pool.rs
+++ b/crates/relay/src/connection/pool.rs
@@ -35,6 +35,8 @@
 pub struct Pool {
     clock: SteadyClock,
     idle: Rc<RefCell<HashMap<SocketAddr, Vec<Idle>>>>,
+    /// Maximum number of idle connections to upstreams that accept fewer than [`MAX_IDLE`] of each instance.
+    max_idle: Rc<RefCell<HashMap<SocketAddr, usize>>>,
 }
 
 impl Pool {
@@ -43,9 +45,16 @@
         Self {
             clock,
             idle: Rc::default(),
+            max_idle: Rc::default(),
         }
     }
 
+    /// Sets how many connections each upstream accepts of this instance.
+    pub fn on_shares(&self, shares: impl Iterator<Item = (SocketAddr, usize)>) {
+        let scarce = shares.filter(|(_, share)| *share < MAX_IDLE);
+        *self.max_idle.borrow_mut() = scarce.collect();
+    }
+
     /// Takes the most recently used connection, or opens one.
     ///
     /// # Errors
@@ -95,9 +104,10 @@
         let now = self.clock.now();
         let kept_ms = keep_alive_ms.unwrap_or(DEFAULT_KEEP_ALIVE_MS);
         let until = now + kept_ms.saturating_sub(KEEP_ALIVE_MARGIN_MS);
+        let max_idle = self.max_idle.borrow().get(&address).copied();
         let mut idle = self.idle.borrow_mut();
         let senders = idle.entry(address).or_default();
-        if senders.len() < MAX_IDLE {
+        if senders.len() < max_idle.unwrap_or(MAX_IDLE) {
             senders.push(Idle {
                 sender,
                 since: now,
--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -7,6 +7,7 @@
 
 use monsoonspread_borders::relay::{FleetChange, FleetChanges};
 use monsoonspread_decisions::change_feed::FeedTiming;
+use monsoonspread_decisions::connection_share::idle_connections;
 use monsoonspread_decisions::copies::{CopyRequest, CopyRequestId, KnownCopies};
 use monsoonspread_decisions::load_choice::LoadChoice;
 use monsoonspread_decisions::placement::{CandidateUpstream, Placement, PlacementSettings};
@@ -291,6 +292,11 @@
         let mut placement = self.placement.borrow_mut();
         placement.on_upstreams(candidates.collect());
         placement.on_sharing_instances(self.holding.members());
+        self.pool.on_shares(fleet.all_ready().filter_map(|record| {
+            let service = fleet.routes()?.config().service(&record.service)?;
+            let share = idle_connections(service.max_connections, self.holding.members());
+            Some((record.address, share))
+        }));
         self.retries.on_instances(self.holding.members());
         self.loads
             .borrow_mut()
