Admit callers only by a configuration known to be recent

An instance that lost the store went on with the keys that it knew, without end, and answered 401 for keys that a newer configuration might hold. It now keeps when its configuration was last known to be the newest, by the time at which the store was asked, told on by feed sources against their subscribers' own clocks, and checks keys at a request's arrival and at each moment of sending.

--- /dev/null
+++ b/crates/decisions/src/config_age/bounds.rs
@@ -0,0 +1,36 @@
+//! How old the knowledge of a configuration may be.
+
+/// Share of the time within which a removed key must admit nothing, in percent, for which an instance vouches
+/// for the keys that it knows.
+///
+/// The rest is for the way of an admitted request to its upstream, where it may wait for half a second in a
+/// congested link. An instance that is cut off just before the store's next answer still serves for three
+/// fifths of the time.
+const VOUCH_PERCENT: u64 = 85;
+
+/// How old the knowledge of a configuration may be.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct AgeBounds {
+    /// Maximum age at which known keys admit requests, in milliseconds; `None` without a limit.
+    pub vouch_ms: Option<u64>,
+    /// Maximum age at which a key that isn't known counts as held by nobody, in milliseconds.
+    pub current_ms: u64,
+}
+
+impl AgeBounds {
+    /// Returns the bounds for keys that must work within `config_ms` after they are added and, if
+    /// `revoke_ms` is given, admit nothing later than that after they are removed.
+    ///
+    /// ```
+    /// use monsoonspread_decisions::config_age::AgeBounds;
+    ///
+    /// let bounds = AgeBounds::new(3_000, Some(5_000));
+    /// assert_eq!((bounds.current_ms, bounds.vouch_ms), (3_000, Some(4_250)));
+    /// ```
+    pub fn new(config_ms: u64, revoke_ms: Option<u64>) -> Self {
+        Self {
+            vouch_ms: revoke_ms.map(|ms| ms * VOUCH_PERCENT / 100),
+            current_ms: config_ms,
+        }
+    }
+}
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod bundle_spread;
 pub mod change_feed;
 pub mod claims;
+pub mod config_age;
 pub mod copies;
 pub mod dispatch;
 pub mod event_splitter;
--- a/crates/relay/src/call/attempt.rs
+++ b/crates/relay/src/call/attempt.rs
@@ -34,7 +34,7 @@
         /// The upstream lacks the adapter or model, or another upstream now has its address.
         misdirected: bool,
     },
-    /// Not sent, because the request is suspected or quarantined.
+    /// Not sent, because the request is suspected or quarantined, or its key admits it no longer.
     Withheld,
     /// The upstream may have run the request.
     Unknown,
@@ -59,7 +59,9 @@
     upstream: &UpstreamRecord,
     options: AttemptOptions,
 ) -> Attempt {
-    if !super::suspect::may_be_sent(shared, request) {
+    if !super::suspect::may_be_sent(shared, request)
+        || !super::admission::may_be_sent(shared, request)
+    {
         return Attempt::Withheld;
     }
     let mut in_flight = InFlightRequest::new(
@@ -90,7 +92,8 @@
             in_flight.on_break();
             return Attempt::Unknown;
         }
-        Ok(Ok((response, sender))) => {
+        Ok(Ok(None)) => return Attempt::Withheld,
+        Ok(Ok(Some((response, sender)))) => {
             classify_answer(shared, request, sent_at, response, sender, in_flight)
         }
     };
@@ -104,18 +107,23 @@
     outcome
 }
 
+/// Returns the head of the answer; `None` if the request's key ceased to admit it while a connection was opened.
 async fn exchange(
     shared: &Shared,
     request: &RelayRequest,
     upstream: &UpstreamRecord,
     options: AttemptOptions,
-) -> Result<(Response<Incoming>, PooledSender), SendFailure> {
+) -> Result<Option<(Response<Incoming>, PooledSender)>, SendFailure> {
     let repeatable = request.route.repeat.may_run_again();
     let mut sender = shared.pool.take(upstream.address, repeatable).await?;
+    if !super::admission::may_be_sent(shared, request) {
+        sender.return_to_pool(None);
+        return Ok(None);
+    }
     let message = build_message(shared, request, upstream, options)
         .map_err(|error| SendFailure::NotSent(error.to_string()))?;
     let response = sender.sender.send(message).await?;
-    Ok((response, sender))
+    Ok(Some((response, sender)))
 }
 
 fn build_message(
--- a/crates/relay/src/call/caller.rs
+++ b/crates/relay/src/call/caller.rs
@@ -20,6 +20,8 @@
 #[derive(Clone, Debug, PartialEq)]
 pub(super) struct Member {
     pub(super) workspace: WorkspaceName,
+    /// Version of the configuration by which the workspace holds the key.
+    pub(super) config_version: u64,
     /// The key that the request presented.
     pub(super) key: CallerKey,
     /// Rank of the workspace.
@@ -62,6 +64,7 @@
     let workspace = routes.workspace_of(key)?;
     Some(Caller::Member(Box::new(Member {
         workspace: workspace.name.clone(),
+        config_version: routes.config().version,
         key: key.clone(),
         rank: workspace.rank,
         quota: workspace.quota,
--- a/crates/relay/src/call/handler.rs
+++ b/crates/relay/src/call/handler.rs
@@ -7,7 +7,7 @@
 use hyper::{Request, Response, StatusCode};
 use monsoonspread_decisions::route_table::pick_service;
 
-use super::caller::identify;
+use super::admission::admit;
 use super::client_body::{BodyFailure, read_body};
 use super::request::RelayRequest;
 use super::{RelayBody, model_call, refusal, service_call, suspect};
@@ -56,9 +56,9 @@
             return refusal::plain(StatusCode::BAD_REQUEST);
         }
     };
-    let Some(caller) = identify(&routes, &route, &head) else {
-        shared.metrics.count("calls", "unknown_key");
-        return refusal::plain(StatusCode::UNAUTHORIZED);
+    let caller = match admit(shared, &routes, &route, &head) {
+        Ok(caller) => caller,
+        Err(refusal) => return *refusal,
     };
     let body = match read_body(body, routes.config().limits.max_body_bytes).await {
         Ok(body) => body,
--- a/crates/relay/src/call/mod.rs
+++ b/crates/relay/src/call/mod.rs
@@ -1,5 +1,6 @@
 //! The life of a request, from its head to the end of its answer.
 
+mod admission;
 mod answer;
 mod attempt;
 mod body;
--- a/crates/relay/src/call/model_call.rs
+++ b/crates/relay/src/call/model_call.rs
@@ -12,7 +12,7 @@
 use super::forward::{forward, log_end};
 use super::request::RelayRequest;
 use super::upstream_answer::UpstreamAnswer;
-use super::{RelayBody, refusal, resume, suspect};
+use super::{RelayBody, admission, refusal, resume, suspect};
 use crate::event::{Line, kind};
 use crate::holding::{CopyQuery, request_copy};
 use crate::limits::Permit;
@@ -321,7 +321,9 @@
             log_end(&self.shared, &self.request, "failed", self.outcome);
             return refusal::plain(self.outcome);
         }
-        if let Some(refusal) = suspect::refused(&self.shared, &self.request) {
+        if let Some(refusal) = suspect::refused(&self.shared, &self.request)
+            .or_else(|| admission::refused(&self.shared, &self.request))
+        {
             return refusal;
         }
         let unavailable = refusal::unavailable(&self.shared, &self.request);
--- a/crates/relay/src/call/service_call.rs
+++ b/crates/relay/src/call/service_call.rs
@@ -11,7 +11,7 @@
 use super::forward::{forward, log_end};
 use super::request::RelayRequest;
 use super::upstream_answer::UpstreamAnswer;
-use super::{RelayBody, refusal, suspect};
+use super::{RelayBody, admission, refusal, suspect};
 use crate::limits::Permit;
 use crate::shared::Shared;
 
@@ -83,7 +83,9 @@
     if runs > 0 {
         return failed(shared, &request);
     }
-    suspect::refused(shared, &request).unwrap_or_else(|| refused(shared, &request))
+    suspect::refused(shared, &request)
+        .or_else(|| admission::refused(shared, &request))
+        .unwrap_or_else(|| refused(shared, &request))
 }
 
 /// Picks a server that permits the request: at once if there is one, otherwise the one whose next
--- a/crates/relay/src/event/catalogue.rs
+++ b/crates/relay/src/event/catalogue.rs
@@ -51,6 +51,8 @@
     FEED_SOURCE = 1105 Info "feed source" "From now on this instance receives changes from `source`: another instance of its zone, or the store itself.";
     FEED_LOST = 1106 Warn "feed lost" "The feed source is unresponsive, or doesn't read the store itself now; another one is chosen.";
     STATE_READ = 1107 Info "state read" "The full state of the store was read in place of the changes since the revision `after`, which were too old or too many to arrive in time.";
+    CONFIG_UNCONFIRMED = 1108 Warn "configuration unconfirmed" "Neither the store nor a feed source has confirmed for `confirmed_ms_ago` that the configuration is the newest, so a key that it holds may have been taken away: requests with keys get 503 until it is confirmed. Check this instance's way to the store.";
+    CONFIG_CONFIRMED = 1109 Info "configuration confirmed" "The configuration is known to be recent; requests with keys are served again.";
     CONFIG_IN_FORCE = 1201 Info "configuration in force" "A newer configuration applies to requests from now on.";
     UPSTREAM_LISTED = 1202 Info "upstream listed" "An upstream was added, changed its stage, or restarted.";
     UPSTREAM_REMOVED = 1203 Info "upstream gone" "An upstream is no longer listed and gets no more requests.";
@@ -77,6 +79,7 @@
     REQUEST_QUARANTINED = 2007 Error "request quarantined" "Three upstreams crashed under the request or the prompt part, so its copies, or all requests with the part, are refused. Inspect the requests; release it if it is innocent.";
     REQUEST_CLEARED = 2008 Info "request cleared" "The evidence against the request or prompt part was dropped: a copy of it, or a request with the part, was served, or an operator released it.";
     LIMIT_REACHED = 2009 Info "limit reached" "An upstream accepts `per_s` requests per second from all instances. The request waited for its turn (`granted`, `waited_ms`), or went on to another upstream because the turn came too late (`denied`), the instance that issues the permits didn't answer (`no answer`), or the upstream left while the request waited (`upstream gone`).";
+    CALLER_REFUSED = 2010 Info "caller refused" "A request was refused without being run because of its key, which is `present`, `absent` or `malformed` (several, or unreadable). `reason` is `unknown_key` (401: no workspace holds it), `unconfirmed` (503: a newer configuration than `version` may say otherwise, as this one was last confirmed `confirmed_ms_ago`) or `changed` (503: a newer configuration treats the caller in another way than the one at the request's arrival).";
 }
 
 /// The catalogue as a Markdown table.
--- a/crates/relay/src/fleet/mod.rs
+++ b/crates/relay/src/fleet/mod.rs
@@ -1,6 +1,7 @@
 //! Known state of the operators' configuration, upstreams and instances.
 
 mod changes;
+mod confirmation;
 mod subscribers;
 mod subscription;
 mod view;
--- a/crates/relay/src/fleet/subscribers.rs
+++ b/crates/relay/src/fleet/subscribers.rs
@@ -7,6 +7,7 @@
 use monsoonspread_decisions::change_feed::{
     FeedTiming, Notice, Publisher, SubscribeAnswer, split_by_revision,
 };
+use monsoonspread_decisions::config_age::ConfirmationSource;
 use monsoonspread_decisions::store_health::StoreStatus;
 use monsoonspread_model::{InstanceName, UnixMs};
 
@@ -26,6 +27,8 @@
     until: RefCell<BTreeMap<InstanceName, UnixMs>>,
     /// Last revision read from the store, and the store's health at that time.
     last_read: Cell<(u64, StoreStatus)>,
+    /// Subscribers that ask when the store was last asked.
+    confirmations: RefCell<ConfirmationSource>,
 }
 
 impl Subscribers {
@@ -35,6 +38,7 @@
             publisher: Cell::new(Publisher::new(timing)),
             until: RefCell::default(),
             last_read: Cell::default(),
+            confirmations: RefCell::default(),
         }
     }
 
@@ -70,9 +74,40 @@
         }
     }
 
-    /// Publishes the changes read between the revisions `after` and `up_to`; `changes` are the
-    /// relevant ones, `None` if subscribers have to read them from the store.
+    /// Publishes what was read between the revisions `after` and `up_to` with a call made after `asked_at`;
+    /// `changes` are the relevant ones, `None` if subscribers have to read them from the store.
     pub fn on_read(
+        &self,
+        shared: &Shared,
+        asked_at: UnixMs,
+        (after, up_to): (u64, u64),
+        changes: Option<Vec<RevisedChange>>,
+        status: StoreStatus,
+    ) {
+        self.publish_changes(shared, (after, up_to), changes, status);
+        // After the changes, so that subscribers know them when they go by the confirmation.
+        let mut confirmations = self.confirmations.borrow_mut();
+        for (instance, confirmation) in confirmations.on_read(shared.now(), asked_at, up_to) {
+            let reply = PeerReply::Confirmed(confirmation);
+            shared.incoming.reply(&instance, reply);
+        }
+    }
+
+    /// Answers a request for confirmation.
+    pub fn on_confirm(&self, shared: &Shared, instance: &InstanceName, number: u64) {
+        let mut confirmations = self.confirmations.borrow_mut();
+        if let Some(confirmation) = confirmations.on_request(shared.now(), instance, number) {
+            let reply = PeerReply::Confirmed(confirmation);
+            shared.incoming.reply(instance, reply);
+        }
+    }
+
+    /// `instance` connected.
+    pub fn on_connected(&self, instance: &InstanceName) {
+        self.confirmations.borrow_mut().on_connected(instance);
+    }
+
+    fn publish_changes(
         &self,
         shared: &Shared,
         (after, up_to): (u64, u64),
--- a/crates/relay/src/fleet/subscription.rs
+++ b/crates/relay/src/fleet/subscription.rs
@@ -5,12 +5,13 @@
 use std::time::Duration;
 
 use monsoonspread_decisions::change_feed::{FeedSourceSelector, FeedTiming};
+use monsoonspread_decisions::config_age::{Confirmation, ConfirmationRequests};
 use monsoonspread_model::{InstanceName, UnixMs};
 use tokio::sync::mpsc::UnboundedReceiver;
 use tokio::time::timeout;
 
 use crate::event::{Line, kind};
-use crate::peers::{FeedMessage, PeerChanges};
+use crate::peers::{FeedMessage, FeedNews, PeerChanges, PeerRequest};
 use crate::shared::Shared;
 
 /// How often the subscription is renewed, in milliseconds.
@@ -19,6 +20,8 @@
 /// Result of waiting for the feed source.
 pub(super) enum FeedUpdate {
     Changes(PeerChanges),
+    /// When the source last asked the store.
+    Confirmed(Confirmation),
     /// The source has no feed; another one is needed.
     Declined,
     /// The source was unresponsive for too long; another one is needed.
@@ -32,12 +35,15 @@
     messages: UnboundedReceiver<FeedMessage>,
     current: Option<InstanceName>,
     ask_at: UnixMs,
+    confirmations: ConfirmationRequests,
 }
 
 impl FeedSubscription {
-    /// Creates a subscription of the instance `local`; feed messages arrive on `messages`.
+    /// Creates a subscription of the instance `local`, whose process started at `started_at`; feed messages
+    /// arrive on `messages`.
     pub(super) fn new(
         local: InstanceName,
+        started_at: UnixMs,
         timing: FeedTiming,
         messages: UnboundedReceiver<FeedMessage>,
     ) -> Self {
@@ -47,6 +53,7 @@
             messages,
             current: None,
             ask_at: UnixMs(0),
+            confirmations: ConfirmationRequests::new(started_at.0),
         }
     }
 
@@ -78,22 +85,28 @@
         if now >= self.ask_at {
             self.ask_at = now + RENEW_INTERVAL_MS;
             shared.peers.subscribe(name, *address);
+            if shared.fleet.borrow().has_workspaces() {
+                let number = self.confirmations.on_send(now);
+                let request = PeerRequest::Confirm(number);
+                shared.peers.send(name, *address, request);
+            }
         }
         let update = async {
             loop {
                 match self.messages.recv().await {
-                    Some((from, changes)) if from == *name => return changes,
+                    Some((from, news)) if from == *name => return news,
                     Some(_) => {}
                     // The channel is closed: wait for the timeout, as with an unresponsive source.
                     None => pending().await,
                 }
             }
         };
-        let changes = timeout(Duration::from_millis(self.timeout_ms), update).await;
+        let news = timeout(Duration::from_millis(self.timeout_ms), update).await;
         let now = shared.now();
-        let update = match changes {
-            Ok(Some(changes)) => return FeedUpdate::Changes(changes),
-            Ok(None) => {
+        let update = match news {
+            Ok(FeedNews::Changes(changes)) => return FeedUpdate::Changes(changes),
+            Ok(FeedNews::Confirmed(confirmation)) => return FeedUpdate::Confirmed(confirmation),
+            Ok(FeedNews::Unavailable) => {
                 self.choice.on_declined(now, name.clone());
                 FeedUpdate::Declined
             }
@@ -105,4 +118,14 @@
         Line::new(&kind::FEED_LOST).field("source", name).log();
         update
     }
+
+    /// Returns when the known state, which has `revision`, was the newest; `None` if `confirmation` doesn't tell.
+    pub(super) fn confirmed_at(
+        &self,
+        now: UnixMs,
+        revision: u64,
+        confirmation: &Confirmation,
+    ) -> Option<UnixMs> {
+        self.confirmations.confirmed_at(now, revision, confirmation)
+    }
 }
--- a/crates/relay/src/fleet/watcher.rs
+++ b/crates/relay/src/fleet/watcher.rs
@@ -5,9 +5,10 @@
 
 use monsoonspread_borders::relay::{FleetChanges, FleetStoreError, RevisedChange};
 use monsoonspread_decisions::change_feed::{CatchUp, FeedTiming, SpanUse, StoreRead};
+use monsoonspread_decisions::config_age::Confirmation;
 use monsoonspread_decisions::store_health::{StoreHealth, StoreStatus};
 use tokio::sync::mpsc::UnboundedReceiver;
-use tokio::time::{Instant, sleep, sleep_until};
+use tokio::time::sleep;
 
 use crate::event::{Line, kind};
 use crate::peers::{FeedMessage, PeerChanges};
@@ -22,7 +23,8 @@
 /// the zone.
 pub async fn watch_store(shared: Rc<Shared>, messages: UnboundedReceiver<FeedMessage>) {
     let timing = FeedTiming::new(shared.settings.bounds.change_ms());
-    let mut feed = FeedSubscription::new(shared.settings.instance.clone(), timing, messages);
+    let local = shared.settings.instance.clone();
+    let mut feed = FeedSubscription::new(local, shared.now(), timing, messages);
     let mut first = true;
     let mut health = StoreHealth::default();
     loop {
@@ -34,6 +36,7 @@
                 first = false;
                 let status = health.status(shared.now());
                 shared.on_snapshot(&snapshot, complete, status);
+                shared.on_config_confirmed(asked_at);
                 let mut known = StoreView {
                     shared: &shared,
                     timing,
@@ -71,6 +74,10 @@
                     self.shared.subscribers.on_uses_feed_source(self.shared);
                     match feed.next(self.shared, &named).await {
                         FeedUpdate::Changes(update) => self.on_feed(update).await,
+                        FeedUpdate::Confirmed(confirmation) => {
+                            self.on_confirmed(feed, &confirmation);
+                            Ok(())
+                        }
                         FeedUpdate::Declined => Ok(()),
                         // The time within which changes must be known is nearly over, so the store
                         // is read directly.
@@ -87,7 +94,7 @@
     /// Waits for changes in the store itself.
     async fn watch(&mut self) -> Result<(), HistoryLost> {
         self.shared.subscribers.on_reads_store(self.shared);
-        let asked_at = Instant::now();
+        let asked_at = self.shared.now();
         // After a failed call, subscribers need an answer more urgently than changes.
         let wait_ms = if self.health.is_lost() {
             NO_WAIT_MS
@@ -98,14 +105,23 @@
             let span = (after, self.revision);
             self.shared
                 .subscribers
-                .on_read(self.shared, span, changes, status);
-            sleep_until(asked_at + Duration::from_millis(self.timing.coalesce_ms)).await;
+                .on_read(self.shared, asked_at, span, changes, status);
+            let next_at = asked_at + self.timing.coalesce_ms;
+            sleep(Duration::from_millis(next_at.ms_since(self.shared.now()))).await;
         } else {
             self.shared.subscribers.on_failed(self.shared);
         }
         Ok(())
     }
 
+    /// The feed source told when it last asked the store.
+    fn on_confirmed(&self, feed: &FeedSubscription, confirmation: &Confirmation) {
+        let now = self.shared.now();
+        if let Some(at) = feed.confirmed_at(now, self.revision, confirmation) {
+            self.shared.on_config_confirmed(at);
+        }
+    }
+
     async fn on_feed(&mut self, update: PeerChanges) -> Result<(), HistoryLost> {
         match update.span().usage(self.revision) {
             SpanUse::Known => self.catch_up.on_current(self.shared.now()),
@@ -141,6 +157,7 @@
         };
         if fresh.is_some() {
             self.catch_up.on_current(asked_at);
+            self.shared.on_config_confirmed(asked_at);
         }
         Ok(fresh)
     }
--- a/crates/relay/src/peers/link.rs
+++ b/crates/relay/src/peers/link.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use futures_util::StreamExt;
+use monsoonspread_decisions::config_age::Confirmation;
 use monsoonspread_decisions::copies::{CopyRefusal, EngineQuote};
 use monsoonspread_model::InstanceName;
 use tokio::net::TcpStream;
@@ -85,8 +86,19 @@
     gossip: UnboundedSender<ReceivedGossip>,
 }
 
-/// The feed source and its changes; `None` if it has no feed.
-pub type FeedMessage = (InstanceName, Option<PeerChanges>);
+/// A feed source and what it sent.
+pub type FeedMessage = (InstanceName, FeedNews);
+
+/// What a feed source sends its subscribers.
+#[derive(Clone, Debug, PartialEq)]
+pub enum FeedNews {
+    /// Changes in the store.
+    Changes(PeerChanges),
+    /// When the source last asked the store.
+    Confirmed(Confirmation),
+    /// The source has no feed.
+    Unavailable,
+}
 
 impl PeerLinks {
     /// Creates the links without connections. `feed` receives changes published by other instances,
@@ -331,8 +343,11 @@
                     let _ = request.send(permit);
                 }
             }
-            PeerReply::Changes(feed) => self.on_feed_message(Some(feed)),
-            PeerReply::Unavailable => self.on_feed_message(None),
+            PeerReply::Changes(changes) => self.on_feed_news(FeedNews::Changes(changes)),
+            PeerReply::Confirmed(confirmation) => {
+                self.on_feed_news(FeedNews::Confirmed(confirmation));
+            }
+            PeerReply::Unavailable => self.on_feed_news(FeedNews::Unavailable),
             PeerReply::Gossip(gossip) => {
                 // The receiver lives as long as the process.
                 let _ = self.gossip.send((self.peer.clone(), gossip));
@@ -347,8 +362,8 @@
         }
     }
 
-    fn on_feed_message(&self, feed: Option<PeerChanges>) {
+    fn on_feed_news(&self, news: FeedNews) {
         // The receiver lives as long as the process.
-        let _ = self.feed.send((self.peer.clone(), feed));
+        let _ = self.feed.send((self.peer.clone(), news));
     }
 }
--- a/crates/relay/src/peers/message.rs
+++ b/crates/relay/src/peers/message.rs
@@ -2,6 +2,7 @@
 
 use monsoonspread_borders::relay::RevisedChange;
 use monsoonspread_decisions::change_feed::ChangeSpan;
+use monsoonspread_decisions::config_age::Confirmation;
 use monsoonspread_decisions::copies::{CopyRefusal, EngineQuote, QuoteQuestion};
 use monsoonspread_model::fleet::{AdapterKey, PromptPart};
 use monsoonspread_model::{InstanceName, UpstreamName};
@@ -128,6 +129,9 @@
     /// Subscribes to the change feed for a limited time.
     #[serde(rename = "Follow")]
     Subscribe,
+    /// Asks a feed source when it last asked the store; the number of the request.
+    #[serde(rename = "c")]
+    Confirm(u64),
     /// Gossip about upstreams and requests.
     #[serde(rename = "Beliefs")]
     Gossip(PeerGossip),
@@ -169,6 +173,9 @@
     /// Changes in the store.
     #[serde(rename = "News")]
     Changes(PeerChanges),
+    /// When a feed source last asked the store, to a subscriber that asked for it.
+    #[serde(rename = "c")]
+    Confirmed(Confirmation),
     /// Gossip about upstreams and requests, to a subscriber.
     #[serde(rename = "Beliefs")]
     Gossip(PeerGossip),
--- a/crates/relay/src/peers/mod.rs
+++ b/crates/relay/src/peers/mod.rs
@@ -11,7 +11,7 @@
 
 pub use frame::fits;
 pub use incoming::{Incoming, PeerHandler, accept_peers};
-pub use link::{CopyRequestFailure, FeedMessage, PeerLinks};
+pub use link::{CopyRequestFailure, FeedMessage, FeedNews, PeerLinks};
 pub use message::{
     PeerChanges, PeerCopyRequest, PeerPermit, PeerPermitRequest, PeerReply, PeerRequest,
 };
--- a/crates/relay/src/settings.rs
+++ b/crates/relay/src/settings.rs
@@ -4,6 +4,7 @@
 use std::path::{Path, PathBuf};
 
 use displaydoc::Display;
+use monsoonspread_decisions::config_age::AgeBounds;
 use monsoonspread_model::{InstanceName, ZoneName};
 use serde::Deserialize;
 use thiserror::Error;
@@ -98,7 +99,22 @@
 impl BoundSettings {
     /// Returns the time within which every instance must know any change, in milliseconds.
     pub fn change_ms(&self) -> u64 {
-        self.drain_ms.min(self.config_ms)
+        let change_ms = self.drain_ms.min(self.config_ms);
+        match self.strict_revoke_ms() {
+            Some(revoke_ms) => change_ms.min(revoke_ms),
+            None => change_ms,
+        }
+    }
+
+    /// Returns how old the knowledge of a configuration may be.
+    pub fn config_age(&self) -> AgeBounds {
+        AgeBounds::new(self.config_ms, self.strict_revoke_ms())
+    }
+
+    /// Returns the time within which every instance must know that a key was taken away, in milliseconds;
+    /// `None` if instances that have lost the store need not.
+    fn strict_revoke_ms(&self) -> Option<u64> {
+        self.revoke_strict.then_some(self.revoke_ms)
     }
 }
 
--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -7,6 +7,7 @@
 
 use monsoonspread_borders::relay::{FleetChange, FleetChanges};
 use monsoonspread_decisions::change_feed::FeedTiming;
+use monsoonspread_decisions::config_age::ConfigAge;
 use monsoonspread_decisions::copies::{CopyRequest, CopyRequestId, KnownCopies};
 use monsoonspread_decisions::load_choice::LoadChoice;
 use monsoonspread_decisions::placement::{CandidateUpstream, Placement, PlacementSettings};
@@ -59,6 +60,8 @@
     pub clock: SteadyClock,
     /// Known state of the fleet.
     pub fleet: RefCell<FleetView>,
+    /// How recently the configuration in force was known to be the newest.
+    pub config_age: RefCell<ConfigAge>,
     /// Held engines and copy requests.
     pub holding: Holding,
     /// Connections to other instances.
@@ -111,6 +114,7 @@
             borders,
             clock,
             fleet: RefCell::default(),
+            config_age: RefCell::new(ConfigAge::new(bounds.config_age())),
             holding: Holding::new(local.clone(), bounds.order_gap_ms),
             peers: PeerLinks::new(local, feed, gossip),
             incoming: Incoming::default(),
@@ -208,6 +212,7 @@
         let events = self.fleet.borrow_mut().on_tick(self.now());
         self.on_events(&events);
         self.subscribers.on_tick(self);
+        self.check_config_age();
         self.suspects.on_tick(self);
         self.gossiper.on_tick(self);
         self.permits.on_tick(self.now());
@@ -307,13 +312,19 @@
         let shared = &self.0;
         match request {
             PeerRequest::Heartbeat => {}
-            PeerRequest::Hello(_) => shared.gossiper.on_connected(instance),
+            PeerRequest::Hello(_) => {
+                shared.subscribers.on_connected(instance);
+                shared.gossiper.on_connected(instance);
+            }
             PeerRequest::Gossip(gossip) => shared.on_gossip(instance, &gossip),
             PeerRequest::Permit(request) => {
                 let permit = shared.on_permit_request(&request);
                 shared.incoming.reply(instance, PeerReply::Permit(permit));
             }
             PeerRequest::Subscribe => shared.subscribers.on_subscribe(shared, instance),
+            PeerRequest::Confirm(number) => {
+                shared.subscribers.on_confirm(shared, instance, number);
+            }
             PeerRequest::CopyRequest(copy_request) => {
                 let now = shared.now();
                 shared
