--- a/crates/decisions/src/config_age/bounds.rs
+++ b/crates/decisions/src/config_age/bounds.rs
@@ -28,9 +28,11 @@
     /// assert_eq!((bounds.current_ms, bounds.vouch_ms), (3_000, Some(4_250)));
     /// ```
     pub fn new(config_ms: u64, revoke_ms: Option<u64>) -> Self {
+        let vouch_ms = revoke_ms.map(|ms| ms * VOUCH_PERCENT / 100);
         Self {
-            vouch_ms: revoke_ms.map(|ms| ms * VOUCH_PERCENT / 100),
-            current_ms: config_ms,
+            vouch_ms,
+            // An instance that admits no key that it knows turns none away for good either.
+            current_ms: vouch_ms.map_or(config_ms, |ms| ms.min(config_ms)),
         }
     }
 }
--- a/crates/relay/src/call/request.rs
+++ b/crates/relay/src/call/request.rs
@@ -22,7 +22,7 @@
 const MAX_LOGGED_PARTS: usize = 16;
 
 /// A fully read client request.
-#[derive(Clone, Debug)]
+#[derive(Clone)]
 pub(super) struct RelayRequest {
     pub(super) method: Method,
     pub(super) uri: Uri,
--- a/crates/relay/src/http/metrics.rs
+++ b/crates/relay/src/http/metrics.rs
@@ -74,12 +74,28 @@
     for (upstream, per_s) in shared.permits.issued_rates(shared.now()) {
         gauge("permits_issued", &upstream, per_s);
     }
+    if let Some(age_ms) = shared.config_age_ms() {
+        let _ = writeln!(text, "monsoonspread_config_confirmed_age_ms {age_ms}");
+    }
     text
 }
 
-/// State dump: held engines, suspect requests and upstreams' announcements.
+/// The configuration in force.
+#[derive(Serialize)]
+struct ConfigDump {
+    version: u64,
+    /// Number of workspaces.
+    workspaces: usize,
+    /// How long ago it was known to be the newest, in milliseconds.
+    confirmed_ms_ago: Option<u64>,
+    /// Whether known keys admit requests.
+    vouches: bool,
+}
+
+/// State dump: configuration, held engines, suspect requests and upstreams' announcements.
 #[derive(Serialize)]
 struct Dump {
+    configuration: Option<ConfigDump>,
     engines: BTreeMap<UpstreamName, CopyControlDump>,
     suspects: Vec<SuspectDump>,
     suspect_parts: Vec<SuspectDump>,
@@ -87,8 +103,20 @@
     announcements: BTreeMap<UpstreamName, Announcement>,
 }
 
+fn config_dump(shared: &Shared) -> Option<ConfigDump> {
+    let fleet = shared.fleet.borrow();
+    let config = fleet.routes()?.config();
+    Some(ConfigDump {
+        version: config.version,
+        workspaces: config.workspaces.len(),
+        confirmed_ms_ago: shared.config_age_ms(),
+        vouches: shared.config_age.borrow().vouches(shared.now()),
+    })
+}
+
 fn dump(shared: &Shared) -> (StatusCode, String) {
     let dump = Dump {
+        configuration: config_dump(shared),
         engines: shared.holding.dump(),
         suspects: shared.suspects.dump(shared.now()),
         suspect_parts: shared.suspects.dump_parts(shared.now()),
