--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -7,6 +7,7 @@
 
 use monsoonspread_borders::relay::{FleetChange, FleetChanges};
 use monsoonspread_decisions::change_feed::FeedTiming;
+use monsoonspread_decisions::config_age::ConfigAge;
 use monsoonspread_decisions::connection_share::idle_connections;
 use monsoonspread_decisions::copies::{CopyRequest, CopyRequestId, KnownCopies};
 use monsoonspread_decisions::load_choice::LoadChoice;
@@ -60,6 +61,8 @@
     pub clock: SteadyClock,
     /// Known state of the fleet.
     pub fleet: RefCell<FleetView>,
+    /// How recently the configuration in force was known to be the newest.
+    pub config_age: RefCell<ConfigAge>,
     /// Held engines and copy requests.
     pub holding: Holding,
     /// Connections to other instances.
@@ -112,6 +115,7 @@
             borders,
             clock,
             fleet: RefCell::default(),
+            config_age: RefCell::new(ConfigAge::new(bounds.config_age())),
             holding: Holding::new(local.clone(), bounds.order_gap_ms),
             peers: PeerLinks::new(local, feed, gossip),
             incoming: Incoming::default(),
@@ -209,6 +213,7 @@
         let events = self.fleet.borrow_mut().on_tick(self.now());
         self.on_events(&events);
         self.subscribers.on_tick(self);
+        self.check_config_age();
         self.suspects.on_tick(self);
         self.gossiper.on_tick(self);
         self.permits.on_tick(self.now());
@@ -313,13 +318,19 @@
         let shared = &self.0;
         match request {
             PeerRequest::Heartbeat => {}
-            PeerRequest::Hello(_) => shared.gossiper.on_connected(instance),
+            PeerRequest::Hello(_) => {
+                shared.subscribers.on_connected(instance);
+                shared.gossiper.on_connected(instance);
+            }
             PeerRequest::Gossip(gossip) => shared.on_gossip(instance, &gossip),
             PeerRequest::Permit(request) => {
                 let permit = shared.on_permit_request(&request);
                 shared.incoming.reply(instance, PeerReply::Permit(permit));
             }
             PeerRequest::Subscribe => shared.subscribers.on_subscribe(shared, instance),
+            PeerRequest::Confirm(number) => {
+                shared.subscribers.on_confirm(shared, instance, number);
+            }
             PeerRequest::CopyRequest(copy_request) => {
                 let now = shared.now();
                 shared
