Keep instances listed whose announcements ran out in an outage of the store

Instances now lapse like upstreams, at the time by which live owners are back, and an instance whose announcement is gone renews within 0.7 s.

--- a/crates/decisions/src/store_health/tests.rs
+++ b/crates/decisions/src/store_health/tests.rs
@@ -1,6 +1,6 @@
 use monsoonspread_model::UnixMs;
 
-use super::{BACK_WITHIN_MS, StoreHealth};
+use super::{BACK_WITHIN_MS, Disappearance, LapsingEntries, StoreHealth};
 
 /// Time after which no request may reach a removed upstream, in milliseconds.
 const BOUND_MS: u64 = 2_000;
@@ -31,3 +31,29 @@
     let back_by = health.status(UnixMs(4_000)).back_by;
     assert_eq!(back_by, UnixMs(4_000 + BACK_WITHIN_MS));
 }
+
+/// Guards against instances that see themselves alone after an outage of the store in which the
+/// announcements of all lapsed, so that each of them issues all permits.
+#[test]
+fn announcements_that_ran_out_in_an_outage_stay_listed_until_their_owners_are_back() {
+    let mut health = StoreHealth::default();
+    health.on_failure(UnixMs(1_000));
+    health.on_answer(UnixMs(9_000));
+    let status = health.status(UnixMs(9_000));
+    let mut lapsing = LapsingEntries::default();
+    for name in ["node-1", "node-2", "node-3"] {
+        let gone = lapsing.on_gone(UnixMs(9_000), name, status);
+        assert_eq!(gone, Disappearance::Lapsing);
+    }
+    let again = lapsing.on_gone(UnixMs(9_500), "node-3", status);
+    assert_eq!(again, Disappearance::Known);
+    lapsing.on_listed(&"node-1");
+    lapsing.on_listed(&"node-2");
+    let last = UnixMs(9_000 + BACK_WITHIN_MS);
+    assert!(lapsing.take_lapsed(UnixMs(last.0 - 1)).is_empty());
+    assert_eq!(lapsing.take_lapsed(last), ["node-3"]);
+    assert_eq!(
+        lapsing.on_gone(last, "node-1", status),
+        Disappearance::Ended
+    );
+}
--- a/crates/relay/src/fleet/changes.rs
+++ b/crates/relay/src/fleet/changes.rs
@@ -24,6 +24,8 @@
     Version(AdapterKey, u64),
     /// An instance announced itself.
     Member(InstanceName, ZoneName),
+    /// An instance's entry disappeared during an outage of the store; it may come back.
+    MemberLapsing(InstanceName),
     /// An instance was removed.
     MemberRemoved(InstanceName),
     /// An engine's holder was recorded.
--- a/crates/relay/src/fleet/mod.rs
+++ b/crates/relay/src/fleet/mod.rs
@@ -1,5 +1,6 @@
 //! Known state of the operators' configuration, upstreams and instances.
 
+mod announcements;
 mod changes;
 mod subscribers;
 mod subscription;
--- a/crates/relay/src/fleet/view.rs
+++ b/crates/relay/src/fleet/view.rs
@@ -5,16 +5,15 @@
 use std::rc::Rc;
 
 use monsoonspread_borders::relay::{FleetChange, FleetChanges, FleetMember};
-use monsoonspread_decisions::announced::{Announcement, Announcements, RateChange};
+use monsoonspread_decisions::announced::Announcements;
 use monsoonspread_decisions::change_feed::MAX_SOURCES;
 use monsoonspread_decisions::route_table::RouteTable;
-use monsoonspread_decisions::store_health::StoreStatus;
+use monsoonspread_decisions::store_health::{Disappearance, LapsingEntries, StoreStatus};
 use monsoonspread_model::fleet::{AdapterKey, RateLimit, UpstreamRecord, UpstreamStage};
 use monsoonspread_model::{InstanceName, ServiceName, UnixMs, UpstreamName, ZoneName};
 
 use super::FleetEvent;
 use crate::event::{Line, kind};
-use crate::gossip::LeavingUpstream;
 
 /// An upstream that is listed in the store, or was until recently.
 #[derive(Clone, Debug)]
@@ -29,12 +28,14 @@
 #[derive(Debug, Default)]
 pub struct FleetView {
     routes: Option<Rc<RouteTable>>,
-    upstreams: BTreeMap<UpstreamName, KnownUpstream>,
+    pub(super) upstreams: BTreeMap<UpstreamName, KnownUpstream>,
     members: BTreeMap<InstanceName, FleetMember>,
+    /// Instances whose announcements disappeared during an outage of the store.
+    lapsing_members: LapsingEntries<InstanceName>,
     holders: BTreeMap<UpstreamName, u64>,
     versions: BTreeMap<AdapterKey, (u64, UnixMs)>,
     /// Announcements that upstreams made in their answers.
-    announcements: Announcements,
+    pub(super) announcements: Announcements,
 }
 
 impl FleetView {
@@ -75,93 +76,6 @@
         self.announcements.rate_limit(upstream, incarnation)
     }
 
-    /// Returns the listed upstreams that announced that they are leaving.
-    pub fn announced_leaving(&self) -> Vec<LeavingUpstream> {
-        let announcements = self.announcements.iter();
-        announcements
-            .filter(|(name, announcement)| {
-                let listed = self.upstream(name);
-                announcement.leaving_since.is_some()
-                    && listed.is_some_and(|up| up.started_unix_ms == announcement.incarnation)
-            })
-            .map(|(name, announcement)| LeavingUpstream {
-                upstream: name.clone(),
-                incarnation: announcement.incarnation,
-            })
-            .collect()
-    }
-
-    /// Returns the announcement of an upstream.
-    pub fn announcement(&self, upstream: &UpstreamName) -> Option<&Announcement> {
-        self.announcements.get(upstream)
-    }
-
-    /// Returns the listed upstreams that have a rate limit or had one.
-    pub fn with_announced_rate(&self) -> Vec<UpstreamName> {
-        let announcements = self.announcements.iter();
-        announcements
-            .filter(|(name, announcement)| {
-                announcement.rate_observed_at.is_some() && self.upstream(name).is_some()
-            })
-            .map(|(name, _)| name.clone())
-            .collect()
-    }
-
-    /// Returns the announcements of all upstreams.
-    pub fn announcements(&self) -> BTreeMap<UpstreamName, Announcement> {
-        let announcements = self.announcements.iter();
-        announcements
-            .map(|(name, announcement)| (name.clone(), *announcement))
-            .collect()
-    }
-
-    /// Records that an upstream announced that it is leaving. Returns `None` if that was known, and
-    /// an event if the upstream is listed.
-    pub fn on_leaving(
-        &mut self,
-        now: UnixMs,
-        upstream: &UpstreamName,
-        incarnation: u64,
-    ) -> Option<Option<FleetEvent>> {
-        if !self.announcements.on_leaving(now, upstream, incarnation) {
-            return None;
-        }
-        let listed = self.upstreams.get_mut(upstream);
-        let Some(known) = listed.filter(|known| known.record.started_unix_ms == incarnation) else {
-            return Some(None);
-        };
-        known.record.stage = UpstreamStage::Leaving;
-        Some(Some(FleetEvent::Upstream {
-            record: known.record.clone(),
-            restarted: false,
-            complete: false,
-        }))
-    }
-
-    /// Records an observation of an upstream's rate limit; returns the change, if it is one.
-    pub fn on_rate_limit(
-        &mut self,
-        observed_at: UnixMs,
-        upstream: &UpstreamName,
-        incarnation: u64,
-        limit: Option<RateLimit>,
-    ) -> Option<RateChange> {
-        self.announcements
-            .on_rate_limit(observed_at, upstream, incarnation, limit)
-    }
-
-    /// Records that an upstream is backing off for `backoff_ms`; returns until when.
-    pub fn on_backoff(
-        &mut self,
-        now: UnixMs,
-        upstream: &UpstreamName,
-        incarnation: u64,
-        backoff_ms: u64,
-    ) -> Option<UnixMs> {
-        self.announcements
-            .on_backoff(now, upstream, incarnation, backoff_ms)
-    }
-
     /// Returns the peer address of another instance.
     pub fn member(&self, name: &InstanceName) -> Option<SocketAddr> {
         self.members.get(name).map(|member| member.peer_address)
@@ -217,7 +131,7 @@
         complete: bool,
         status: StoreStatus,
     ) -> Vec<FleetEvent> {
-        let mut events = self.missing_from(snapshot, status);
+        let mut events = self.missing_from(now, snapshot, status);
         for change in &snapshot.changes {
             let change = change.change.clone();
             events.extend(self.on_change(now, change, complete, StoreStatus::default()));
@@ -268,13 +182,11 @@
                 Some(FleetEvent::Version(key, version))
             }
             FleetChange::Member(member) => {
+                self.lapsing_members.on_listed(&member.name);
                 self.members.insert(member.name.clone(), member.clone());
                 Some(FleetEvent::Member(member.name, member.zone))
             }
-            FleetChange::MemberGone(name) => {
-                self.members.remove(&name);
-                Some(FleetEvent::MemberRemoved(name))
-            }
+            FleetChange::MemberGone(name) => self.on_member_gone(now, name, status),
             FleetChange::Holder(record) => {
                 self.holders.insert(record.upstream.clone(), record.fence);
                 Some(FleetEvent::Holder(record))
@@ -293,7 +205,7 @@
         }
     }
 
-    /// Removes upstreams whose entries lapsed and did not reappear.
+    /// Removes upstreams and instances whose entries lapsed and did not reappear.
     pub fn on_tick(&mut self, now: UnixMs) -> Vec<FleetEvent> {
         let lapsed: Vec<UpstreamName> = self
             .upstreams
@@ -301,7 +213,12 @@
             .filter(|(_, known)| known.lapses_at.is_some_and(|at| at <= now))
             .map(|(name, _)| name.clone())
             .collect();
-        lapsed.iter().filter_map(|name| self.remove(name)).collect()
+        let members = self.lapsing_members.take_lapsed(now);
+        self.members.retain(|name, _| !members.contains(name));
+        let removed = lapsed.iter().filter_map(|name| self.remove(name));
+        removed
+            .chain(members.into_iter().map(FleetEvent::MemberRemoved))
+            .collect()
     }
 
     /// Applies an upstream's entry; `None` if nothing changed.
@@ -354,6 +271,25 @@
         }
     }
 
+    fn on_member_gone(
+        &mut self,
+        now: UnixMs,
+        name: InstanceName,
+        status: StoreStatus,
+    ) -> Option<FleetEvent> {
+        if !self.members.contains_key(&name) {
+            return Some(FleetEvent::MemberRemoved(name));
+        }
+        match self.lapsing_members.on_gone(now, name.clone(), status) {
+            Disappearance::Lapsing => Some(FleetEvent::MemberLapsing(name)),
+            Disappearance::Known => None,
+            Disappearance::Ended => {
+                self.members.remove(&name);
+                Some(FleetEvent::MemberRemoved(name))
+            }
+        }
+    }
+
     fn remove(&mut self, name: &UpstreamName) -> Option<FleetEvent> {
         self.upstreams.remove(name)?;
         Line::new(&kind::UPSTREAM_REMOVED)
@@ -362,7 +298,12 @@
         Some(FleetEvent::UpstreamRemoved(name.clone()))
     }
 
-    fn missing_from(&mut self, snapshot: &FleetChanges, status: StoreStatus) -> Vec<FleetEvent> {
+    fn missing_from(
+        &mut self,
+        now: UnixMs,
+        snapshot: &FleetChanges,
+        status: StoreStatus,
+    ) -> Vec<FleetEvent> {
         let mut upstreams: Vec<UpstreamName> = self.upstreams.keys().cloned().collect();
         let mut members: Vec<InstanceName> = self.members.keys().cloned().collect();
         let mut holders: Vec<UpstreamName> = self.holders.keys().cloned().collect();
@@ -378,14 +319,15 @@
             // Without a store outage the entry lapses immediately, at the next tick.
             self.lapse(name, status.back_by);
         }
-        for name in &members {
-            self.members.remove(name);
-        }
         for name in &holders {
             self.holders.remove(name);
         }
-        let members = members.into_iter().map(FleetEvent::MemberRemoved);
+        let members: Vec<FleetEvent> = members
+            .into_iter()
+            .filter_map(|name| self.on_member_gone(now, name, status))
+            .collect();
         members
+            .into_iter()
             .chain(
                 holders
                     .into_iter()
--- a/crates/relay/src/holding/controller.rs
+++ b/crates/relay/src/holding/controller.rs
@@ -12,7 +12,7 @@
 use monsoonspread_decisions::holders::{Confirmation, HolderPlan};
 use monsoonspread_model::fleet::UpstreamStage;
 use monsoonspread_model::{InstanceName, UnixMs, UpstreamName};
-use tokio::sync::oneshot;
+use tokio::sync::{Notify, oneshot};
 
 use super::engine::HeldEngine;
 use super::engine_calls::{read_report, send_order};
@@ -29,6 +29,8 @@
     pub(super) engines: RefCell<BTreeMap<UpstreamName, HeldEngine>>,
     pub(super) confirmation: RefCell<Confirmation>,
     pub(super) lease: Cell<Option<LeaseId>>,
+    /// Wakes the renewal of the lease before its time.
+    pub(super) renewal: Notify,
     /// Orders to released engines that may still be carried out.
     pub(super) late_orders: RefCell<BTreeMap<UpstreamName, LateOrders>>,
     local_requests: RefCell<HashMap<u64, LocalAnswer>>,
@@ -44,6 +46,7 @@
             engines: RefCell::default(),
             confirmation: RefCell::default(),
             lease: Cell::new(None),
+            renewal: Notify::new(),
             late_orders: RefCell::default(),
             local_requests: RefCell::default(),
             last_number: Cell::new(0),
@@ -66,6 +69,11 @@
         self.confirmation.borrow().holds(now)
     }
 
+    /// The announcement of this instance disappeared: its lease is renewed, or opened again, soon.
+    pub fn on_announcement_gone(&self) {
+        self.renewal.notify_one();
+    }
+
     /// Describes the held engines for the state dump.
     pub fn dump(&self) -> BTreeMap<UpstreamName, CopyControlDump> {
         let engines = self.engines.borrow();
@@ -119,6 +127,7 @@
                 drop(plan);
                 self.release_engine(shared, name, CopyRefusal::Leaving);
             }
+            FleetEvent::MemberLapsing(_) => {}
             FleetEvent::Member(name, zone) => plan.on_member(name.clone(), zone.clone()),
             FleetEvent::MemberRemoved(name) => {
                 plan.on_member_removed(name);
--- a/crates/relay/src/holding/lease.rs
+++ b/crates/relay/src/holding/lease.rs
@@ -5,6 +5,7 @@
 
 use monsoonspread_borders::relay::{FleetMember, FleetStoreError, LeaseId};
 use monsoonspread_decisions::holders::CONFIRMED_FOR_MS;
+use monsoonspread_model::Fingerprint;
 
 use crate::event::{Line, kind};
 use crate::shared::Shared;
@@ -13,6 +14,9 @@
 const RENEW_MS: u64 = 2_000;
 /// Pause after a failed call, in milliseconds.
 const RETRY_MS: u64 = 300;
+/// Time over which instances renew whose announcements disappeared together, in milliseconds: short
+/// enough that all are back while they are still listed, and no more calls a second than the store bears.
+const RENEW_SPREAD_MS: u64 = 700;
 
 /// Keeps the lease and the announcement alive for the life of the process.
 pub async fn keep_lease(shared: Rc<Shared>) {
@@ -23,6 +27,8 @@
             shared.holding.confirmation.borrow_mut().on_lost();
             shared.holding.release_all_engines(&shared);
             Line::new(&kind::LEASE_LOST).field("lease", lease.0).log();
+            // The announcement ended with the lease: the next one is opened at once.
+            continue;
         }
         tokio::time::sleep(Duration::from_millis(RETRY_MS)).await;
     }
@@ -54,7 +60,7 @@
 /// Renews the lease until the store reports that it has ended.
 async fn renew(shared: &Rc<Shared>, lease: LeaseId) {
     loop {
-        tokio::time::sleep(Duration::from_millis(RENEW_MS)).await;
+        wait_for_renewal(shared).await;
         let sent_at = shared.now();
         match shared.borders.store.renew_lease(lease).await {
             Ok(()) => shared.holding.confirmation.borrow_mut().on_renewed(sent_at),
@@ -66,3 +72,16 @@
         }
     }
 }
+
+/// Waits for the time of the next renewal, which comes early if the announcement disappeared.
+async fn wait_for_renewal(shared: &Shared) {
+    let wait = Duration::from_millis(RENEW_MS);
+    if tokio::time::timeout(wait, shared.holding.renewal.notified())
+        .await
+        .is_ok()
+    {
+        let name = shared.settings.instance.as_str();
+        let draw = Fingerprint::of([name.as_bytes()]).0;
+        tokio::time::sleep(Duration::from_millis(draw % RENEW_SPREAD_MS)).await;
+    }
+}
--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -228,8 +228,11 @@
             {
                 self.known_copies.borrow_mut().on_engine_removed(name);
             }
-            if matches!(event, FleetEvent::MemberRemoved(name) if *name == self.settings.instance) {
+            if let FleetEvent::MemberRemoved(name) | FleetEvent::MemberLapsing(name) = event
+                && *name == self.settings.instance
+            {
                 self.set_needs_announcement();
+                self.holding.on_announcement_gone();
             }
         }
         if !events.is_empty() {
