Quotas of workspaces in tokens, with one bucket for permits and quotas

A workspace has one primary issuer with a token bucket; accounts settle afterwards within an overdraft, or ask first; backup issuers of each zone, overdrafts and returned tokens draw on fixed shares of the rule's spare.

--- a/crates/decisions/src/rate_limit/mod.rs
+++ b/crates/decisions/src/rate_limit/mod.rs
@@ -1,4 +1,6 @@
-//! Keeps the requests of all instances to an upstream within the rate that the upstream announced.
+//! Limits that all instances share: the rate that an upstream announced, and the quota of a workspace.
+//!
+//! # Upstreams
 //!
 //! One instance, the issuer, issues the permits for an upstream: the first of all listed instances by
 //! rendezvous hash, so that instances agree without a message. An instance that knows a limit sends
@@ -12,14 +14,32 @@
 //! most one issuer whose lease it confirmed, apart from the time in which a change becomes known. An
 //! issuer that isn't confirmed, for example in an availability zone that is partitioned from the store,
 //! issues permits at [`UNCONFIRMED_SHARE`] of the rate.
+//!
+//! # Quotas
+//!
+//! The requests of a workspace that run within any window of the rule stay within its limit, over all
+//! instances: rate x window + burst, plus the rule's spare. Each workspace has one primary issuer, whose bucket
+//! holds the rate and the burst ([`QuotaIssuer`]). Everything else draws on shares of the spare that hold
+//! whatever fails ([`QuotaTerms`]): the overdrafts of the instances' accounts ([`QuotaAccount`]), the backup
+//! issuer of each availability zone, and tokens that come back.
 
+mod issuer_table;
 mod permit_issuer;
+mod quota_account;
+mod quota_issuer;
+mod quota_terms;
 mod return_schedule;
 #[cfg(test)]
 mod tests;
+mod token_bucket;
 
+pub use issuer_table::{IssuerTable, Role};
 pub use permit_issuer::{PermitAnswer, PermitIssuer, PermitTerms};
+pub use quota_account::{Admission, QuotaAccount, Settlement};
+pub use quota_issuer::{QuotaAnswer, QuotaIssuer, QuotaRequest};
+pub use quota_terms::{QuotaRule, QuotaTerms};
 pub use return_schedule::ReturnSchedule;
+pub use token_bucket::{BucketTerms, TokenBucket};
 
 use monsoonspread_model::{InstanceName, UpstreamName};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
@@ -42,7 +62,15 @@
     upstream: &UpstreamName,
     instances: impl Iterator<Item = &'a InstanceName>,
 ) -> Option<&'a InstanceName> {
-    let seed = xxh3_64_with_seed(upstream.as_str().as_bytes(), 0);
+    first_by_hash(upstream.as_str(), instances)
+}
+
+/// Returns the first instance for `key` by rendezvous hash.
+fn first_by_hash<'a>(
+    key: &str,
+    instances: impl Iterator<Item = &'a InstanceName>,
+) -> Option<&'a InstanceName> {
+    let seed = xxh3_64_with_seed(key.as_bytes(), 0);
     instances.max_by_key(|instance| {
         let score = xxh3_64_with_seed(instance.as_str().as_bytes(), seed);
         (score, *instance)
--- a/crates/decisions/src/rate_limit/permit_issuer.rs
+++ b/crates/decisions/src/rate_limit/permit_issuer.rs
@@ -5,7 +5,7 @@
 use monsoonspread_model::fleet::RateLimit;
 use monsoonspread_model::{UnixMs, UpstreamName};
 
-use super::UNCONFIRMED_SHARE;
+use super::{BucketTerms, TokenBucket, UNCONFIRMED_SHARE};
 use crate::placement::DemandSketch;
 
 /// Lowest rate at which permits are issued, per second: an upstream that announces less still gets a
@@ -45,8 +45,7 @@
 #[derive(Clone, Copy, Debug)]
 struct Schedule {
     incarnation: u64,
-    /// Time of the next permit in Unix milliseconds. Fractional, as the interval between permits is.
-    next_at_ms: f64,
+    bucket: TokenBucket,
     requested_at: UnixMs,
 }
 
@@ -92,10 +91,9 @@
         terms: PermitTerms,
     ) -> PermitAnswer {
         self.evict_for(upstream);
-        let now_ms = now.0 as f64;
         let fresh = Schedule {
             incarnation: terms.incarnation,
-            next_at_ms: now_ms,
+            bucket: TokenBucket::new(now),
             requested_at: now,
         };
         let schedule = self.schedules.entry(upstream.clone()).or_insert(fresh);
@@ -103,12 +101,13 @@
             *schedule = fresh;
         }
         schedule.requested_at = now;
-        schedule.next_at_ms = schedule.next_at_ms.max(now_ms - BURST_MS);
-        let send_at = now.max(UnixMs(schedule.next_at_ms.ceil() as u64));
+        let bucket_terms = bucket_terms(terms);
+        // A permit may be issued before its cost is paid, for the time at which nothing is owed.
+        let send_at = now.max(schedule.bucket.ready_at(bucket_terms, 0.0));
         if send_at > terms.wait_until {
             return PermitAnswer::Denied(send_at);
         }
-        schedule.next_at_ms += interval_ms(terms);
+        schedule.bucket.take(now, bucket_terms, 1.0);
         self.issued.on_arrival(now, upstream);
         PermitAnswer::SendAt(send_at)
     }
@@ -131,12 +130,15 @@
     }
 }
 
-/// Time between two permits, in milliseconds.
-fn interval_ms(terms: PermitTerms) -> f64 {
+fn bucket_terms(terms: PermitTerms) -> BucketTerms {
     let share = if terms.is_confirmed {
         1.0
     } else {
         UNCONFIRMED_SHARE
     };
-    1_000.0 / (terms.limit.per_s() * share).max(MIN_PER_S)
+    let per_s = (terms.limit.per_s() * share).max(MIN_PER_S);
+    BucketTerms {
+        per_s,
+        depth: per_s * BURST_MS / 1_000.0,
+    }
 }
--- /dev/null
+++ b/crates/decisions/src/rate_limit/quota_issuer.rs
@@ -0,0 +1,151 @@
+//! Issues the credit of workspaces with a quota.
+
+use std::collections::BTreeMap;
+
+use monsoonspread_model::{InstanceName, UnixMs, WorkspaceName};
+
+use super::{QuotaTerms, Role, Settlement, TokenBucket};
+
+/// A request for credit, or a settlement alone if its cost is 0.
+#[derive(Clone, Copy, Debug)]
+pub struct QuotaRequest<'a> {
+    /// The instance that asks.
+    pub instance: &'a InstanceName,
+    /// Tells the processes of an instance apart, whose totals begin at 0.
+    pub process: u64,
+    /// What the instance used and returned.
+    pub settlement: Settlement,
+    /// Units that it wants to use.
+    pub cost: f64,
+}
+
+/// Answer of an issuer.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum QuotaAnswer {
+    /// The units may be used.
+    Granted,
+    /// There is no credit before this time.
+    Denied(UnixMs),
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Seen {
+    process: u64,
+    used: f64,
+    returned: f64,
+}
+
+#[derive(Debug)]
+struct Credit {
+    role: Role,
+    since: UnixMs,
+    bucket: TokenBucket,
+    returns: TokenBucket,
+    seen: BTreeMap<InstanceName, Seen>,
+}
+
+impl Credit {
+    fn new(role: Role, since: UnixMs) -> Self {
+        Self {
+            role,
+            since,
+            bucket: TokenBucket::new(since),
+            returns: TokenBucket::new(since),
+            seen: BTreeMap::new(),
+        }
+    }
+
+    /// Applies what an instance reports; returns what it used and returned since its last report.
+    fn on_report(&mut self, request: &QuotaRequest<'_>) -> (f64, f64) {
+        let settlement = request.settlement;
+        let unseen = Seen {
+            process: request.process,
+            used: settlement.confirmed,
+            returned: settlement.returns_confirmed,
+        };
+        let seen = self.seen.entry(request.instance.clone()).or_insert(unseen);
+        if seen.process != request.process {
+            *seen = unseen;
+        }
+        let last_used = seen.used.max(settlement.confirmed);
+        let last_returned = seen.returned.max(settlement.returns_confirmed);
+        seen.used = last_used.max(settlement.used);
+        seen.returned = last_returned.max(settlement.returned);
+        (seen.used - last_used, seen.returned - last_returned)
+    }
+}
+
+/// Issues the credit of the workspaces of which this instance is an issuer.
+#[derive(Debug, Default)]
+pub struct QuotaIssuer {
+    credits: BTreeMap<WorkspaceName, Credit>,
+}
+
+impl QuotaIssuer {
+    /// An instance reports what it used, and requests credit. This instance has its `role` since a time at
+    /// which no other had it; the bucket begins empty then.
+    ///
+    /// ```
+    /// # use monsoonspread_decisions::rate_limit::*;
+    /// # use monsoonspread_model::{UnixMs, fleet::{QuotaUnit, TokenQuota}};
+    /// let quota = TokenQuota { unit: QuotaUnit::Requests, per_s: 10.0, burst: 20.0 };
+    /// let rule = QuotaRule { window_ms: 8_000, overage: 0.0, slack: 0.0 };
+    /// let terms = QuotaTerms::new(quota, rule, 3, 1);
+    /// let (instance, settlement) = ("node-1".into(), Settlement::default());
+    /// let request = QuotaRequest { instance: &instance, process: 1, settlement, cost: 20.0 };
+    /// let mut issuer = QuotaIssuer::default();
+    /// let mut ask = |now| issuer.on_request(now, &"crm".into(), (Role::Primary, UnixMs(0)), &terms, &request);
+    /// assert_eq!(ask(UnixMs(2_000)), QuotaAnswer::Granted);
+    /// assert_eq!(ask(UnixMs(2_500)), QuotaAnswer::Denied(UnixMs(4_000)));
+    /// ```
+    pub fn on_request(
+        &mut self,
+        now: UnixMs,
+        workspace: &WorkspaceName,
+        (role, since): (Role, UnixMs),
+        terms: &QuotaTerms,
+        request: &QuotaRequest<'_>,
+    ) -> QuotaAnswer {
+        let fresh = || Credit::new(role, since);
+        let credit = self.credits.entry(workspace.clone()).or_insert_with(fresh);
+        if (credit.role, credit.since) != (role, since) {
+            *credit = fresh();
+        }
+        let bucket_terms = match role {
+            Role::Primary => terms.primary(),
+            Role::Backup => terms.backup(),
+        };
+        if role == Role::Primary {
+            let (used, returned) = credit.on_report(request);
+            let accepted = returned.min(credit.returns.level(now, terms.returns()));
+            let accepted = accepted.max(0.0);
+            if used > 0.0 || accepted > 0.0 {
+                credit.returns.take(now, terms.returns(), accepted);
+                credit.bucket.take(now, bucket_terms, used - accepted);
+            }
+        }
+        let ready_at = credit.bucket.ready_at(bucket_terms, request.cost);
+        if ready_at > now {
+            return QuotaAnswer::Denied(ready_at);
+        }
+        credit.bucket.take(now, bucket_terms, request.cost);
+        QuotaAnswer::Granted
+    }
+
+    /// Drops what is known of workspaces and instances that are no more.
+    pub fn retain(
+        &mut self,
+        is_issued: impl Fn(&WorkspaceName) -> bool,
+        is_listed: impl Fn(&InstanceName) -> bool,
+    ) {
+        self.credits.retain(|workspace, _| is_issued(workspace));
+        for credit in self.credits.values_mut() {
+            credit.seen.retain(|instance, _| is_listed(instance));
+        }
+    }
+
+    /// Number of workspaces for which credit was issued.
+    pub fn workspaces(&self) -> usize {
+        self.credits.len()
+    }
+}
--- a/crates/decisions/src/rate_limit/tests.rs
+++ b/crates/decisions/src/rate_limit/tests.rs
@@ -1,3 +1,6 @@
+mod fleet;
+mod quotas;
+
 use monsoonspread_model::fleet::RateLimit;
 use monsoonspread_model::{InstanceName, UnixMs, UpstreamName};
 
@@ -141,7 +144,7 @@
 #[test]
 fn refused_clients_return_in_order_at_the_rate_of_the_service() {
     let mut schedule = ReturnSchedule::default();
-    let service = "records".into();
+    let service = "records";
     let mut returns = Vec::new();
     for number in 0..200 {
         let now = NOW + number * 10;
--- /dev/null
+++ b/crates/decisions/src/rate_limit/tests/fleet.rs
@@ -0,0 +1,314 @@
+//! Instances, their issuers and the links between them, in virtual time.
+
+use std::collections::BTreeSet;
+
+use monsoonspread_model::fleet::{QuotaUnit, TokenQuota};
+use monsoonspread_model::{InstanceName, UnixMs, WorkspaceName, ZoneName};
+use rand::{RngExt as _, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+use super::super::{
+    Admission, IssuerTable, QuotaAccount, QuotaAnswer, QuotaIssuer, QuotaRequest, QuotaRule,
+    QuotaTerms, Role,
+};
+
+/// Span over which the platform counts, in milliseconds.
+pub const WINDOW_MS: u64 = 8_000;
+/// The rule of the platform's sites.
+pub const RULE: QuotaRule = QuotaRule {
+    window_ms: WINDOW_MS,
+    overage: 0.1,
+    slack: 72_000.0,
+};
+/// Time after which a lease ends that isn't renewed, in milliseconds.
+const LEASE_MS: u64 = 8_000;
+/// Interval of renewals, in milliseconds.
+const RENEW_MS: u64 = 2_000;
+/// Longest time until a change of the list is known, in milliseconds.
+const LIST_LAG_MS: u64 = 600;
+/// How long an unresponsive issuer isn't asked again, in milliseconds.
+const UNRESPONSIVE_MS: u64 = 1_000;
+/// Time after which accounts may use their overdraft, in milliseconds.
+const LISTED_MS: u64 = 3_000;
+/// Interval of settlements, in milliseconds.
+const SETTLE_MS: u64 = 200;
+
+/// One instance.
+struct Instance {
+    name: InstanceName,
+    zone: ZoneName,
+    process: u64,
+    account: QuotaAccount,
+    issuer: QuotaIssuer,
+    table: IssuerTable,
+    confirmed_at: UnixMs,
+    refresh_at: UnixMs,
+    unresponsive: Vec<(InstanceName, UnixMs)>,
+    is_frozen: bool,
+}
+
+/// How a request ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Outcome {
+    Run,
+    Refused,
+    /// The instance is frozen.
+    Unserved,
+}
+
+/// Instances that serve one workspace.
+pub struct QuotaFleet {
+    pub now: UnixMs,
+    pub quota: TokenQuota,
+    instances: Vec<Instance>,
+    /// Instances that reach neither the store nor those on the other side.
+    cut: BTreeSet<usize>,
+    /// Instances that reach all others but not the store.
+    without_store: BTreeSet<usize>,
+    /// Share of answers that are lost.
+    pub lost_answers: f64,
+    pub random: ChaCha8Rng,
+    workspace: WorkspaceName,
+    /// Units that ran, with the time of their admission.
+    pub run: Vec<(UnixMs, f64)>,
+}
+
+impl QuotaFleet {
+    /// Starts `number` instances in three availability zones.
+    pub fn new(number: usize, quota: TokenQuota, seed: u64) -> Self {
+        let now = UnixMs(1_000_000);
+        let instances = (0..number).map(|index| Instance {
+            name: format!("node-{index}").as_str().into(),
+            zone: format!("zone-{}", index % 3).as_str().into(),
+            process: 1,
+            account: QuotaAccount::default(),
+            issuer: QuotaIssuer::default(),
+            table: IssuerTable::default(),
+            confirmed_at: now,
+            refresh_at: now,
+            unresponsive: Vec::new(),
+            is_frozen: false,
+        });
+        let mut fleet = Self {
+            now,
+            quota,
+            instances: instances.collect(),
+            cut: BTreeSet::new(),
+            without_store: BTreeSet::new(),
+            lost_answers: 0.0,
+            random: ChaCha8Rng::seed_from_u64(seed),
+            workspace: "crm".into(),
+            run: Vec::new(),
+        };
+        fleet.pass(14_000);
+        fleet
+    }
+
+    /// Terms as seen with all instances listed.
+    pub fn terms(&self) -> QuotaTerms {
+        QuotaTerms::new(self.quota, RULE, self.instances.len(), 3)
+    }
+
+    pub fn len(&self) -> usize {
+        self.instances.len()
+    }
+
+    /// Cuts instances off from the store and all others that aren't cut off with them.
+    pub fn cut(&mut self, instances: impl IntoIterator<Item = usize>) {
+        self.cut = instances.into_iter().collect();
+    }
+
+    /// Cuts instances off from the store.
+    pub fn cut_from_store(&mut self, instances: impl IntoIterator<Item = usize>) {
+        self.without_store = instances.into_iter().collect();
+    }
+
+    pub fn freeze(&mut self, index: usize, is_frozen: bool) {
+        self.instances[index].is_frozen = is_frozen;
+    }
+
+    /// Kills and starts an instance; it stays listed.
+    pub fn restart(&mut self, index: usize) {
+        let now = self.now;
+        let instance = &mut self.instances[index];
+        instance.process += 1;
+        instance.account = QuotaAccount::default();
+        instance.issuer = QuotaIssuer::default();
+        instance.table = IssuerTable::default();
+        instance.refresh_at = now;
+        instance.is_frozen = false;
+        instance.unresponsive.clear();
+    }
+
+    /// Index of the primary issuer as the first instance knows it.
+    pub fn primary(&self) -> usize {
+        let table = &self.instances[0].table;
+        let issuer = table.issuer(&self.workspace, Role::Primary);
+        let mut names = self.instances.iter().map(|instance| &instance.name);
+        names
+            .position(|name| Some(name) == issuer)
+            .expect("an issuer")
+    }
+
+    /// Lets time pass, in steps of 5 ms.
+    pub fn pass(&mut self, ms: u64) {
+        let until = self.now + ms;
+        while self.now < until {
+            self.now = self.now + 5;
+            self.tick();
+        }
+    }
+
+    fn tick(&mut self) {
+        let now = self.now;
+        let listed: Vec<(InstanceName, ZoneName)> = self
+            .instances
+            .iter()
+            .filter(|instance| now.ms_since(instance.confirmed_at) < LEASE_MS)
+            .map(|instance| (instance.name.clone(), instance.zone.clone()))
+            .collect();
+        let listed: Vec<(&InstanceName, &ZoneName)> =
+            listed.iter().map(|(name, zone)| (name, zone)).collect();
+        for index in 0..self.instances.len() {
+            let has_store = !self.cut.contains(&index) && !self.without_store.contains(&index);
+            let lag_ms = self.random.random_range(50..LIST_LAG_MS);
+            let workspace = self.workspace.clone();
+            let instance = &mut self.instances[index];
+            if instance.is_frozen {
+                continue;
+            }
+            instance.account.on_tick(now, WINDOW_MS);
+            if has_store && now.ms_since(instance.confirmed_at) >= RENEW_MS {
+                instance.confirmed_at = now;
+            }
+            if has_store && now >= instance.refresh_at {
+                instance.refresh_at = now + lag_ms;
+                let zone = instance.zone.clone();
+                let table = &mut instance.table;
+                table.refresh(now, [&workspace], &listed, &zone);
+            }
+            if now.0 % SETTLE_MS == 0 && instance.account.has_news() {
+                self.ask(index, Role::Primary, 0.0);
+            }
+        }
+    }
+
+    /// A request arrives at an instance. If `runs` is false, it is admitted and then refused by upstreams.
+    pub fn request(&mut self, index: usize, cost: f64, runs: bool) -> Outcome {
+        if self.instances[index].is_frozen {
+            return Outcome::Unserved;
+        }
+        if !self.admit(index, cost) {
+            return Outcome::Refused;
+        }
+        match runs {
+            true => self.run.push((self.now, cost)),
+            false => self.instances[index].account.on_returned(cost),
+        }
+        Outcome::Run
+    }
+
+    fn admit(&mut self, index: usize, cost: f64) -> bool {
+        let now = self.now;
+        let quota = self.quota;
+        let instance = &mut self.instances[index];
+        let (count, zones) = (instance.table.instances(), instance.table.zones());
+        let overdraft = match instance.table.is_settled(now, LISTED_MS) {
+            true => QuotaTerms::new(quota, RULE, count, zones).overdraft(),
+            false => 0.0,
+        };
+        match instance.account.on_request(now, cost, overdraft) {
+            Admission::Admitted => return true,
+            Admission::Refused(_) => return false,
+            Admission::Ask => {}
+        }
+        let answer = self.ask(index, Role::Primary, cost);
+        let answer = answer.or_else(|| self.ask(index, Role::Backup, cost));
+        answer == Some(QuotaAnswer::Granted)
+    }
+
+    fn ask(&mut self, from: usize, role: Role, cost: f64) -> Option<QuotaAnswer> {
+        let now = self.now;
+        let workspace = self.workspace.clone();
+        let instance = &mut self.instances[from];
+        let settlement = instance.account.settlement();
+        let process = instance.process;
+        let name = instance.name.clone();
+        let issuer = instance.table.issuer(&workspace, role)?.clone();
+        instance.unresponsive.retain(|(_, until)| now < *until);
+        if instance
+            .unresponsive
+            .iter()
+            .any(|(name, _)| *name == issuer)
+        {
+            return None;
+        }
+        let to = self.instances.iter().position(|to| to.name == issuer)?;
+        let reaches = self.cut.contains(&from) == self.cut.contains(&to);
+        if !reaches || self.instances[to].is_frozen {
+            let until = now + UNRESPONSIVE_MS;
+            self.instances[from].unresponsive.push((issuer, until));
+            return None;
+        }
+        let asked = QuotaRequest {
+            instance: &name,
+            process,
+            settlement,
+            cost,
+        };
+        let answer = self.issue(to, role, &asked)?;
+        if from != to && self.random.random_bool(self.lost_answers) {
+            return None;
+        }
+        let account = &mut self.instances[from].account;
+        if role == Role::Primary {
+            account.on_settled(now, &settlement);
+        }
+        if let QuotaAnswer::Denied(until) = answer {
+            account.on_denied(until);
+        }
+        Some(answer)
+    }
+
+    fn issue(&mut self, to: usize, role: Role, asked: &QuotaRequest<'_>) -> Option<QuotaAnswer> {
+        let now = self.now;
+        let quota = self.quota;
+        let issuer = &mut self.instances[to];
+        let is_confirmed = now.ms_since(issuer.confirmed_at) < LEASE_MS;
+        if role == Role::Primary && !is_confirmed {
+            return None;
+        }
+        let table = &issuer.table;
+        let since = table.role(now, &self.workspace, &issuer.name, role)?;
+        let terms = QuotaTerms::new(quota, RULE, table.instances(), table.zones());
+        let role = (role, since);
+        Some(
+            issuer
+                .issuer
+                .on_request(now, &self.workspace, role, &terms, asked),
+        )
+    }
+
+    /// Most units that ran in a window.
+    pub fn busiest_window(&self) -> f64 {
+        let (mut first, mut sum, mut most) = (0, 0.0, 0.0_f64);
+        for (at, units) in &self.run {
+            sum += units;
+            while at.ms_since(self.run[first].0) >= WINDOW_MS {
+                sum -= self.run[first].1;
+                first += 1;
+            }
+            most = most.max(sum);
+        }
+        most
+    }
+}
+
+/// A quota in tokens.
+pub fn tokens(per_s: f64, burst: f64) -> TokenQuota {
+    TokenQuota {
+        unit: QuotaUnit::Tokens { plain_tokens: 200 },
+        per_s,
+        burst,
+    }
+}
--- a/crates/relay/src/call/attempt.rs
+++ b/crates/relay/src/call/attempt.rs
@@ -68,6 +68,8 @@
         &request.suspect_parts,
         upstream,
     );
+    let charge = request.charge.as_deref();
+    charge.inspect(|charge| charge.on_sent());
     let sent_at = shared.now();
     let wait_ms = options.times_out_at.ms_since(sent_at);
     let sent = tokio::time::timeout(
@@ -83,6 +85,7 @@
         }
         Ok(Err(SendFailure::NotSent(why))) => {
             log_failure(request, upstream, "not sent", &why);
+            charge.inspect(|charge| charge.on_not_run());
             return Attempt::NotRun { misdirected: false };
         }
         Ok(Err(SendFailure::AnswerLost(why))) => {
@@ -94,6 +97,9 @@
             classify_answer(shared, request, sent_at, response, sender, in_flight)
         }
     };
+    if matches!(outcome, Attempt::NotRun { .. }) {
+        charge.inspect(|charge| charge.on_not_run());
+    }
     match &outcome {
         Attempt::Answered(_) | Attempt::Withheld => {}
         Attempt::NotRun { misdirected: true } => log_failure(request, upstream, "misdirected", ""),
--- a/crates/relay/src/call/handler.rs
+++ b/crates/relay/src/call/handler.rs
@@ -8,6 +8,7 @@
 use monsoonspread_decisions::route_table::pick_service;
 
 use super::caller::identify;
+use super::charge::charge;
 use super::client_body::{BodyFailure, read_body};
 use super::request::RelayRequest;
 use super::{RelayBody, model_call, refusal, service_call, suspect};
@@ -60,6 +61,10 @@
         shared.metrics.count("calls", "unknown_key");
         return refusal::plain(StatusCode::UNAUTHORIZED);
     };
+    let charge = match charge(shared, &caller, &head).await {
+        Ok(charge) => charge,
+        Err(refusal) => return *refusal,
+    };
     let body = match read_body(body, routes.config().limits.max_body_bytes).await {
         Ok(body) => body,
         Err(BodyFailure::TooLong) => return refusal::plain(StatusCode::PAYLOAD_TOO_LARGE),
@@ -76,7 +81,8 @@
         .config()
         .service(&service)
         .is_some_and(|s| s.engine.is_some());
-    let request = RelayRequest::new(parts, body, head, caller, route, service, arrived_at);
+    let request = RelayRequest::new(parts, body, head, caller, route, service, arrived_at)
+        .with_charge(charge);
     if let Some(refusal) = suspect::refused(shared, &request) {
         return refusal;
     }
--- a/crates/relay/src/call/mod.rs
+++ b/crates/relay/src/call/mod.rs
@@ -6,6 +6,7 @@
 mod body_kind;
 mod caller;
 mod candidates;
+mod charge;
 mod client_body;
 mod end_check;
 mod forward;
--- a/crates/relay/src/call/refusal.rs
+++ b/crates/relay/src/call/refusal.rs
@@ -22,7 +22,16 @@
 /// Returns a 503 response for a request that was not run and never will be; the client may retry
 /// after `retry_ms`.
 pub(super) fn not_run(retry_ms: u64) -> Response<RelayBody> {
-    let mut response = plain(StatusCode::SERVICE_UNAVAILABLE);
+    with_retry_after(plain(StatusCode::SERVICE_UNAVAILABLE), retry_ms)
+}
+
+/// Returns a 429 response for a request beyond the quota of its workspace; there is credit again after
+/// `retry_ms`.
+pub(super) fn over_quota(retry_ms: u64) -> Response<RelayBody> {
+    with_retry_after(plain(StatusCode::TOO_MANY_REQUESTS), retry_ms)
+}
+
+fn with_retry_after(mut response: Response<RelayBody>, retry_ms: u64) -> Response<RelayBody> {
     let seconds = format!("{:.3}", retry_ms as f64 / 1_000.0);
     if let Ok(value) = HeaderValue::from_str(&seconds) {
         response.headers_mut().insert(RETRY_AFTER, value);
--- a/crates/relay/src/call/request.rs
+++ b/crates/relay/src/call/request.rs
@@ -11,6 +11,7 @@
 use monsoonspread_model::{Fingerprint, ServiceName, UnixMs};
 
 use super::caller::Caller;
+use super::charge::QuotaCharge;
 
 /// How long a request of the most urgent rank waits for an upstream at its limit, in percent of its
 /// objective.
@@ -31,6 +32,8 @@
     pub(super) body: Bytes,
     pub(super) head: CallHead,
     pub(super) caller: Caller,
+    /// What it counts against the quota of its workspace.
+    pub(super) charge: Option<Rc<QuotaCharge>>,
     /// The order in which it is served when there isn't room for all.
     pub(super) merit: Merit,
     /// Identifies all copies of the same request, whose request ids differ.
@@ -69,6 +72,7 @@
             head,
             merit: caller.merit(&route),
             caller,
+            charge: None,
             fingerprint,
             route,
             service,
@@ -77,6 +81,12 @@
         }
     }
 
+    /// Sets what the request counts against the quota of its workspace.
+    pub(super) fn with_charge(mut self, charge: Option<QuotaCharge>) -> Self {
+        self.charge = charge.map(Rc::new);
+        self
+    }
+
     /// Returns until when a request that is otherwise ready may wait for an upstream at its limit.
     ///
     /// The rest of its objective is left for the answer. Each rank waits half as long as the one before
--- a/crates/relay/src/event/catalogue.rs
+++ b/crates/relay/src/event/catalogue.rs
@@ -77,6 +77,9 @@
     REQUEST_QUARANTINED = 2007 Error "request quarantined" "Three upstreams crashed under the request or the prompt part, so its copies, or all requests with the part, are refused. Inspect the requests; release it if it is innocent.";
     REQUEST_CLEARED = 2008 Info "request cleared" "The evidence against the request or prompt part was dropped: a copy of it, or a request with the part, was served, or an operator released it.";
     LIMIT_REACHED = 2009 Info "limit reached" "An upstream accepts `per_s` requests per second from all instances. The request waited for its turn (`granted`, `waited_ms`), or went on to another upstream because the turn came too late (`denied`), the instance that issues the permits didn't answer (`no answer`), or the upstream left while the request waited (`upstream gone`).";
+    QUOTA_REACHED = 2015 Warn "quota reached" "Requests of a workspace are refused with 429, as its quota is used up on all instances together. Logged once until it has credit again; `free_in_ms` tells when that is, `per_s` and `burst` are the quota.";
+    QUOTA_FREE = 2016 Info "quota free again" "A workspace that had reached its quota has had no request refused for two seconds; `refused` were since it was reached.";
+    QUOTA_ISSUER_SILENT = 2017 Warn "quota issuer silent" "The instance that issues a workspace's credit doesn't answer, or isn't confirmed by the store. This instance asks the backup issuer of its zone, which issues a small share only. Logged once until the issuer answers again; MR1501 tells whether the instance is unreachable.";
 }
 
 /// The catalogue as a Markdown table.
--- a/crates/relay/src/http/metrics.rs
+++ b/crates/relay/src/http/metrics.rs
@@ -15,10 +15,11 @@
 use monsoonspread_decisions::announced::Announcement;
 use monsoonspread_decisions::copies::CopyControlDump;
 use monsoonspread_decisions::quarantine::SuspectDump;
-use monsoonspread_model::{Fingerprint, UpstreamName};
+use monsoonspread_model::{Fingerprint, UpstreamName, WorkspaceName};
 use serde::Serialize;
 use tokio::net::TcpListener;
 
+use crate::limits::QuotaDump;
 use crate::shared::Shared;
 
 /// Path prefix of requests to release; the fingerprint follows.
@@ -77,7 +78,7 @@
     text
 }
 
-/// State dump: held engines, suspect requests and upstreams' announcements.
+/// State dump: held engines, suspect requests, upstreams' announcements and workspaces' quotas.
 #[derive(Serialize)]
 struct Dump {
     engines: BTreeMap<UpstreamName, CopyControlDump>,
@@ -85,6 +86,9 @@
     suspect_parts: Vec<SuspectDump>,
     #[serde(rename = "said")]
     announcements: BTreeMap<UpstreamName, Announcement>,
+    /// The quotas of workspaces that sent requests here.
+    #[serde(skip_serializing_if = "BTreeMap::is_empty")]
+    quotas: BTreeMap<WorkspaceName, QuotaDump>,
 }
 
 fn dump(shared: &Shared) -> (StatusCode, String) {
@@ -93,6 +97,7 @@
         suspects: shared.suspects.dump(shared.now()),
         suspect_parts: shared.suspects.dump_parts(shared.now()),
         announcements: shared.fleet.borrow().announcements(),
+        quotas: shared.quotas.dump(shared.now()),
     };
     match serde_json::to_string_pretty(&dump) {
         Ok(text) => (StatusCode::OK, text),
--- a/crates/relay/src/limits/permits.rs
+++ b/crates/relay/src/limits/permits.rs
@@ -4,7 +4,7 @@
 use std::collections::BTreeMap;
 
 use monsoonspread_decisions::rate_limit::{PermitIssuer, ReturnSchedule};
-use monsoonspread_model::{InstanceName, UnixMs, UpstreamName};
+use monsoonspread_model::{InstanceName, ServiceName, UnixMs, UpstreamName};
 
 /// How long an unresponsive issuer isn't asked again, in milliseconds.
 const UNRESPONSIVE_MS: u64 = 1_000;
@@ -16,7 +16,7 @@
     /// Times until which upstreams have no permit that can be used at once.
     exhausted_until: RefCell<BTreeMap<UpstreamName, UnixMs>>,
     unresponsive_until: RefCell<BTreeMap<InstanceName, UnixMs>>,
-    pub(super) returns: RefCell<ReturnSchedule>,
+    pub(super) returns: RefCell<ReturnSchedule<ServiceName>>,
 }
 
 impl Permits {
--- /dev/null
+++ b/crates/relay/src/limits/quota_issue.rs
@@ -0,0 +1,70 @@
+//! Issues credit of workspaces to instances.
+
+use monsoonspread_decisions::rate_limit::{QuotaAnswer, QuotaRequest, Role};
+use monsoonspread_model::InstanceName;
+use monsoonspread_model::fleet::TokenQuota;
+
+use crate::peers::{PeerQuota, PeerQuotaAnswer, PeerQuotaRequest};
+use crate::shared::Shared;
+
+impl Shared {
+    /// Answers another instance's request for credit.
+    pub fn on_quota_request(
+        &self,
+        instance: &InstanceName,
+        request: &PeerQuotaRequest,
+    ) -> PeerQuota {
+        let answer = match self.issue_credit(instance, request) {
+            Some(QuotaAnswer::Granted) => PeerQuotaAnswer::Granted,
+            Some(QuotaAnswer::Denied(until)) => PeerQuotaAnswer::Denied(until.ms_since(self.now())),
+            None => PeerQuotaAnswer::NotIssuer,
+        };
+        PeerQuota {
+            number: request.number,
+            answer,
+        }
+    }
+
+    /// Issues credit to `instance`; `None` if this instance isn't the issuer that was asked for, or the
+    /// store has not confirmed its lease recently, so that another may be the primary issuer.
+    pub(super) fn issue_credit(
+        &self,
+        instance: &InstanceName,
+        request: &PeerQuotaRequest,
+    ) -> Option<QuotaAnswer> {
+        let now = self.now();
+        let role = if request.is_backup {
+            Role::Backup
+        } else {
+            Role::Primary
+        };
+        if role == Role::Primary && !self.holding.is_confirmed(now) {
+            return None;
+        }
+        let workspace = &request.workspace;
+        let local = &self.settings.instance;
+        let since = self
+            .quotas
+            .table
+            .borrow()
+            .role(now, workspace, local, role)?;
+        let terms = self.quotas.terms(self.listed_quota(request)?);
+        let asked = QuotaRequest {
+            instance,
+            process: request.process,
+            settlement: request.settlement,
+            cost: request.cost,
+        };
+        let mut issuer = self.quotas.issuer.borrow_mut();
+        Some(issuer.on_request(now, workspace, (role, since), &terms, &asked))
+    }
+
+    fn listed_quota(&self, request: &PeerQuotaRequest) -> Option<TokenQuota> {
+        let fleet = self.fleet.borrow();
+        let workspaces = &fleet.routes()?.config().workspaces;
+        let listed = workspaces
+            .iter()
+            .find(|listed| listed.name == request.workspace);
+        listed?.quota
+    }
+}
--- a/crates/relay/src/peers/link.rs
+++ b/crates/relay/src/peers/link.rs
@@ -16,7 +16,8 @@
 
 use super::frame::{Frames, HEARTBEAT_INTERVAL_MS, HEARTBEAT_TIMEOUT_MS, decode, frames, send_all};
 use super::message::{
-    PeerChanges, PeerCopyRequest, PeerPermit, PeerPermitRequest, PeerReply, PeerRequest,
+    PeerChanges, PeerCopyRequest, PeerPermit, PeerPermitRequest, PeerQuota, PeerQuotaRequest,
+    PeerReply, PeerRequest,
 };
 use crate::event::{Line, kind};
 use crate::gossip::ReceivedGossip;
@@ -59,19 +60,21 @@
     queue: UnboundedSender<PeerRequest>,
     pending: Rc<RefCell<HashMap<u64, PendingRequest>>>,
     quotes: PendingQuotes,
-    permits: PendingPermits,
+    permits: Pending<PeerPermit>,
+    quotas: Pending<PeerQuota>,
 }
 
-impl Link {
-    fn add_permit_request(&self, number: u64, answer: oneshot::Sender<PeerPermit>) {
-        let mut permits = self.permits.borrow_mut();
-        permits.retain(|_, waiting| !waiting.is_closed());
-        permits.insert(number, answer);
-    }
-}
+/// Requests waiting for an answer, by number.
+type Pending<T> = Rc<RefCell<HashMap<u64, oneshot::Sender<T>>>>;
 
-/// Requests for permits waiting for an answer, by number.
-type PendingPermits = Rc<RefCell<HashMap<u64, oneshot::Sender<PeerPermit>>>>;
+/// Adds a request that waits for an answer, and drops those that stopped waiting.
+fn add_pending<T>(pending: &Pending<T>, number: u64) -> oneshot::Receiver<T> {
+    let (answer, answered) = oneshot::channel();
+    let mut pending = pending.borrow_mut();
+    pending.retain(|_, waiting| !waiting.is_closed());
+    pending.insert(number, answer);
+    answered
+}
 
 /// Quote requests waiting for an answer, by number.
 type PendingQuotes = Rc<RefCell<HashMap<u64, oneshot::Sender<Option<EngineQuote>>>>>;
@@ -169,12 +172,24 @@
         request: PeerPermitRequest,
     ) -> Option<PeerPermit> {
         let link = self.link(peer, address);
-        let (answer, answered) = oneshot::channel();
-        link.add_permit_request(request.number, answer);
+        let answered = add_pending(&link.permits, request.number);
         link.queue.send(PeerRequest::Permit(request)).ok()?;
         answered.await.ok()
     }
 
+    /// Requests credit from `peer`; `None` if the connection fails.
+    pub async fn request_quota(
+        &self,
+        peer: &InstanceName,
+        address: SocketAddr,
+        request: PeerQuotaRequest,
+    ) -> Option<PeerQuota> {
+        let link = self.link(peer, address);
+        let answered = add_pending(&link.quotas, request.number);
+        link.queue.send(PeerRequest::Quota(request)).ok()?;
+        answered.await.ok()
+    }
+
     /// Sends `peer` a message that needs no answer, if it is connected.
     pub fn send_if_connected(&self, peer: &InstanceName, request: PeerRequest) {
         if let Some(link) = self.links.borrow().get(peer) {
@@ -198,6 +213,7 @@
             pending: Rc::default(),
             quotes: Rc::default(),
             permits: Rc::default(),
+            quotas: Rc::default(),
         };
         links.insert(peer.clone(), link.clone());
         let replies = ReplyHandler {
@@ -205,6 +221,7 @@
             pending: Rc::clone(&link.pending),
             quotes: Rc::clone(&link.quotes),
             permits: Rc::clone(&link.permits),
+            quotas: Rc::clone(&link.quotas),
             feed: self.feed.clone(),
             gossip: self.gossip.clone(),
         };
@@ -258,6 +275,7 @@
     replies.pending.borrow_mut().clear();
     replies.quotes.borrow_mut().clear();
     replies.permits.borrow_mut().clear();
+    replies.quotas.borrow_mut().clear();
 }
 
 async fn run_connection(
@@ -301,7 +319,8 @@
     peer: InstanceName,
     pending: Rc<RefCell<HashMap<u64, PendingRequest>>>,
     quotes: PendingQuotes,
-    permits: PendingPermits,
+    permits: Pending<PeerPermit>,
+    quotas: Pending<PeerQuota>,
     feed: UnboundedSender<FeedMessage>,
     gossip: UnboundedSender<ReceivedGossip>,
 }
@@ -331,6 +350,12 @@
                     let _ = request.send(permit);
                 }
             }
+            PeerReply::Quota(quota) => {
+                if let Some(request) = self.quotas.borrow_mut().remove(&quota.number) {
+                    // The requester stopped waiting, and counts the credit as used.
+                    let _ = request.send(quota);
+                }
+            }
             PeerReply::Changes(feed) => self.on_feed_message(Some(feed)),
             PeerReply::Unavailable => self.on_feed_message(None),
             PeerReply::Gossip(gossip) => {
--- a/crates/relay/src/peers/message.rs
+++ b/crates/relay/src/peers/message.rs
@@ -3,8 +3,9 @@
 use monsoonspread_borders::relay::RevisedChange;
 use monsoonspread_decisions::change_feed::ChangeSpan;
 use monsoonspread_decisions::copies::{CopyRefusal, EngineQuote, QuoteQuestion};
+use monsoonspread_decisions::rate_limit::Settlement;
 use monsoonspread_model::fleet::{AdapterKey, PromptPart};
-use monsoonspread_model::{InstanceName, UpstreamName};
+use monsoonspread_model::{InstanceName, UpstreamName, WorkspaceName};
 use serde::{Deserialize, Serialize};
 
 use crate::gossip::{PeerGossip, RateObservation};
@@ -87,6 +88,51 @@
     pub in_ms: u64,
 }
 
+/// Reports what an instance used of a workspace's quota, and requests credit.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct PeerQuotaRequest {
+    /// Number of the request.
+    #[serde(rename = "n")]
+    pub number: u64,
+    #[serde(rename = "w")]
+    pub workspace: WorkspaceName,
+    /// Tells the processes of an instance apart.
+    #[serde(rename = "p")]
+    pub process: u64,
+    #[serde(rename = "s")]
+    pub settlement: Settlement,
+    /// Units that the instance wants to use; 0 only to settle.
+    #[serde(rename = "c")]
+    pub cost: f64,
+    /// Whether the backup issuer of the availability zone is asked.
+    #[serde(rename = "b", default)]
+    pub is_backup: bool,
+}
+
+/// Answer to a [`PeerQuotaRequest`].
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct PeerQuota {
+    /// Number of the request.
+    #[serde(rename = "n")]
+    pub number: u64,
+    #[serde(rename = "a")]
+    pub answer: PeerQuotaAnswer,
+}
+
+/// What an issuer answers.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum PeerQuotaAnswer {
+    /// The units may be used.
+    #[serde(rename = "g")]
+    Granted,
+    /// There is no credit for so many milliseconds.
+    #[serde(rename = "d")]
+    Denied(u64),
+    /// The instance doesn't issue this workspace's credit now.
+    #[serde(rename = "i")]
+    NotIssuer,
+}
+
 /// Messages to a holder or a feed source.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub enum PeerRequest {
@@ -125,6 +171,9 @@
     },
     /// A request for a permit.
     Permit(PeerPermitRequest),
+    /// A request for credit of a workspace's quota.
+    #[serde(rename = "U")]
+    Quota(PeerQuotaRequest),
     /// Subscribes to the change feed for a limited time.
     #[serde(rename = "Follow")]
     Subscribe,
@@ -166,6 +215,9 @@
     },
     /// Answers a request for a permit.
     Permit(PeerPermit),
+    /// Answers a request for credit.
+    #[serde(rename = "u")]
+    Quota(PeerQuota),
     /// Changes in the store.
     #[serde(rename = "News")]
     Changes(PeerChanges),
--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -22,7 +22,7 @@
 use crate::fleet::{FleetEvent, FleetView, Subscribers};
 use crate::gossip::{Gossiper, ReceivedGossip};
 use crate::holding::Holding;
-use crate::limits::Permits;
+use crate::limits::{Permits, Quotas};
 use crate::metrics::Metrics;
 use crate::peers::{FeedMessage, Incoming, PeerHandler, PeerLinks, PeerReply, PeerRequest};
 use crate::retries::RetryBudgets;
@@ -81,6 +81,8 @@
     pub retries: RetryBudgets,
     /// Permits for upstreams with a rate limit.
     pub permits: Permits,
+    /// Quotas of workspaces.
+    pub quotas: Quotas,
     /// Requests suspected of crashing upstreams.
     pub suspects: Suspects,
     /// Unknown and malformed announcements that were logged.
@@ -122,6 +124,7 @@
             router: RefCell::new(ServiceRouter::new(zone, ROUTER_SEED)),
             retries: RetryBudgets::new(bounds.retry_ratio, bounds.retry_slack),
             permits: Permits::default(),
+            quotas: Quotas::new(&bounds, clock.now()),
             suspects: Suspects::default(),
             logged_announcements: RefCell::default(),
             gossiper: Gossiper::default(),
@@ -211,6 +214,7 @@
         self.suspects.on_tick(self);
         self.gossiper.on_tick(self);
         self.permits.on_tick(self.now());
+        self.tick_quotas();
         self.holding.on_tick(self);
     }
 
@@ -237,6 +241,7 @@
         }
         if !events.is_empty() {
             self.refresh_choices();
+            self.quotas.on_fleet(events);
         }
     }
 
@@ -316,6 +321,10 @@
                 let permit = shared.on_permit_request(&request);
                 shared.incoming.reply(instance, PeerReply::Permit(permit));
             }
+            PeerRequest::Quota(request) => {
+                let quota = shared.on_quota_request(instance, &request);
+                shared.incoming.reply(instance, PeerReply::Quota(quota));
+            }
             PeerRequest::Subscribe => shared.subscribers.on_subscribe(shared, instance),
             PeerRequest::CopyRequest(copy_request) => {
                 let now = shared.now();
