Units come back when their request did not run, soon after admission

A budget for returned units let almost nothing come back where the slack is small. Units now count as unused if the issuer learns of it within the time in which its bucket refills a quarter of the spare, which bounds what a window can hold more.

--- a/crates/decisions/src/rate_limit/quota_account.rs
+++ b/crates/decisions/src/rate_limit/quota_account.rs
@@ -30,6 +30,9 @@
     /// The part of `returned` that an issuer confirmed before.
     #[serde(rename = "d")]
     pub returns_confirmed: f64,
+    /// Time since the first admission of the units that came back since then, in milliseconds.
+    #[serde(rename = "a")]
+    pub returns_age_ms: u64,
 }
 
 /// The account of a workspace at one instance.
@@ -41,6 +44,8 @@
     refused_until: UnixMs,
     /// When the oldest unsettled units may have been used; `None` if all are settled.
     unsettled_since: Option<UnixMs>,
+    /// When the first of the units was admitted that came back and aren't settled.
+    returns_since: Option<UnixMs>,
 }
 
 impl QuotaAccount {
@@ -53,7 +58,7 @@
     /// let mut account = QuotaAccount::default();
     /// assert_eq!(account.on_request(now, 700.0, overdraft), Admission::Admitted);
     /// assert_eq!(account.on_request(now, 700.0, overdraft), Admission::Ask);
-    /// let settlement = account.settlement();
+    /// let settlement = account.settlement(now);
     /// account.on_settled(now, &settlement);
     /// assert_eq!(account.on_request(now, 700.0, overdraft), Admission::Admitted);
     /// ```
@@ -69,14 +74,20 @@
         Admission::Admitted
     }
 
-    /// Units that were admitted came back, as their request didn't run.
-    pub fn on_returned(&mut self, units: f64) {
+    /// Units that were admitted at `admitted_at` came back, as their request didn't run.
+    pub fn on_returned(&mut self, admitted_at: UnixMs, units: f64) {
         self.known.returned += units;
+        let since = self.returns_since.unwrap_or(admitted_at);
+        self.returns_since = Some(since.min(admitted_at));
     }
 
     /// Returns what is reported to the primary issuer.
-    pub fn settlement(&self) -> Settlement {
-        self.known
+    pub fn settlement(&self, now: UnixMs) -> Settlement {
+        let since = self.returns_since.unwrap_or(now);
+        Settlement {
+            returns_age_ms: now.ms_since(since),
+            ..self.known
+        }
     }
 
     /// The primary issuer confirmed a settlement.
@@ -85,6 +96,9 @@
         known.confirmed = known.confirmed.max(settlement.used);
         known.returns_confirmed = known.returns_confirmed.max(settlement.returned);
         self.unsettled_since = (self.unsettled() > 0.0).then_some(now);
+        if !self.has_returns() {
+            self.returns_since = None;
+        }
     }
 
     /// An issuer has no credit before `until`.
@@ -116,7 +130,12 @@
 
     /// Whether something is to be reported.
     pub fn has_news(&self) -> bool {
-        self.unsettled() > 0.0 || self.known.returned > self.known.returns_confirmed
+        self.unsettled() > 0.0 || self.has_returns()
+    }
+
+    /// Whether units came back that aren't settled.
+    pub fn has_returns(&self) -> bool {
+        self.known.returned > self.known.returns_confirmed
     }
 
     /// Until when requests are refused.
--- a/crates/decisions/src/rate_limit/quota_issuer.rs
+++ b/crates/decisions/src/rate_limit/quota_issuer.rs
@@ -6,6 +6,9 @@
 
 use super::{QuotaTerms, Role, Settlement, TokenBucket};
 
+/// How long a report may be on its way, in milliseconds: several round trips to another zone.
+const TRANSIT_MS: u64 = 50;
+
 /// A request for credit, or a settlement alone if its cost is 0.
 #[derive(Clone, Copy, Debug)]
 pub struct QuotaRequest<'a> {
@@ -40,7 +43,6 @@
     role: Role,
     since: UnixMs,
     bucket: TokenBucket,
-    returns: TokenBucket,
     seen: BTreeMap<InstanceName, Seen>,
 }
 
@@ -50,7 +52,6 @@
             role,
             since,
             bucket: TokenBucket::new(since),
-            returns: TokenBucket::new(since),
             seen: BTreeMap::new(),
         }
     }
@@ -117,10 +118,10 @@
         };
         if role == Role::Primary {
             let (used, returned) = credit.on_report(request);
-            let accepted = returned.min(credit.returns.level(now, terms.returns()));
-            let accepted = accepted.max(0.0);
+            let age_ms = request.settlement.returns_age_ms + TRANSIT_MS;
+            let is_in_time = age_ms <= terms.returns_within_ms();
+            let accepted = if is_in_time { returned } else { 0.0 };
             if used > 0.0 || accepted > 0.0 {
-                credit.returns.take(now, terms.returns(), accepted);
                 credit.bucket.take(now, bucket_terms, used - accepted);
             }
         }
--- a/crates/decisions/src/rate_limit/quota_terms.rs
+++ b/crates/decisions/src/rate_limit/quota_terms.rs
@@ -5,16 +5,16 @@
 use super::BucketTerms;
 
 // The shares of the spare. In the worst window an account uses its overdraft three times (before an issuer fails,
-// and in two windows without one), and a bucket yields twice its depth:
-// 3 x 0.1 + 2 x 0.3 + 2 x 0.025 + 0.05 = 1.
+// and in two windows without one), and a backup's bucket yields twice its depth:
+// 3 x 0.1 + 2 x 0.2 + 0.25 + 0.05 = 1.
 
 /// Share of the spare that all accounts together may use before they settle.
 const OVERDRAFT_SHARE: f64 = 0.1;
 /// Share of the spare that the backup issuers of all availability zones issue in a window.
-const BACKUP_SHARE: f64 = 0.3;
-/// Share of the spare that may come back in a window: what ran in one window and is returned in the next
-/// would else count in neither.
-const RETURN_SHARE: f64 = 0.025;
+const BACKUP_SHARE: f64 = 0.2;
+/// Share of the spare for units that are admitted before a window begins and come back in it, so that they are
+/// used again in it.
+const RETURN_SHARE: f64 = 0.25;
 /// Share of the spare that adds to the burst, for quotas whose burst is less than one request.
 const DEPTH_SHARE: f64 = 0.05;
 
@@ -86,9 +86,11 @@
         self.share(BACKUP_SHARE / self.zones)
     }
 
-    /// The bucket of units that come back.
-    pub(super) fn returns(&self) -> BucketTerms {
-        self.share(RETURN_SHARE)
+    /// Time after their admission in which units may come back, in milliseconds. In this time the bucket
+    /// refills no more than their share of the spare, by which a window may hold more than without returns.
+    pub fn returns_within_ms(&self) -> u64 {
+        let refilled_s = RETURN_SHARE * self.spare / self.quota.per_s.max(1.0);
+        (refilled_s.min(self.window_s) * 1_000.0) as u64
     }
 
     fn share(&self, share: f64) -> BucketTerms {
--- a/crates/decisions/src/rate_limit/tests/fleet.rs
+++ b/crates/decisions/src/rate_limit/tests/fleet.rs
@@ -31,7 +31,7 @@
 /// Time after which accounts may use their overdraft, in milliseconds.
 const LISTED_MS: u64 = 3_000;
 /// Interval of settlements, in milliseconds.
-const SETTLE_MS: u64 = 200;
+const SETTLE_MS: u64 = 50;
 
 /// One instance.
 struct Instance {
@@ -69,6 +69,8 @@
     pub lost_answers: f64,
     pub random: ChaCha8Rng,
     workspace: WorkspaceName,
+    /// Requests that don't run: when their units come back, where, when they were admitted, and the units.
+    returns: Vec<(UnixMs, usize, u64, UnixMs, f64)>,
     /// Units that ran, with the time of their admission.
     pub run: Vec<(UnixMs, f64)>,
 }
@@ -98,6 +100,7 @@
             lost_answers: 0.0,
             random: ChaCha8Rng::seed_from_u64(seed),
             workspace: "crm".into(),
+            returns: Vec::new(),
             run: Vec::new(),
         };
         fleet.pass(14_000);
@@ -155,10 +158,22 @@
         let until = self.now + ms;
         while self.now < until {
             self.now = self.now + 5;
+            self.return_units();
             self.tick();
         }
     }
 
+    fn return_units(&mut self) {
+        let now = self.now;
+        let due = self.returns.extract_if(.., |(at, ..)| *at <= now);
+        for (_, index, process, admitted_at, units) in due {
+            let instance = &mut self.instances[index];
+            if instance.process == process && !instance.is_frozen {
+                instance.account.on_returned(admitted_at, units);
+            }
+        }
+    }
+
     fn tick(&mut self) {
         let now = self.now;
         let listed: Vec<(InstanceName, ZoneName)> = self
@@ -187,7 +202,7 @@
                 let table = &mut instance.table;
                 table.refresh(now, [&workspace], &listed, &zone);
             }
-            if now.0 % SETTLE_MS == 0 && instance.account.has_news() {
+            if now.0.is_multiple_of(SETTLE_MS) && instance.account.has_news() {
                 self.ask(index, Role::Primary, 0.0);
             }
         }
@@ -203,7 +218,12 @@
         }
         match runs {
             true => self.run.push((self.now, cost)),
-            false => self.instances[index].account.on_returned(cost),
+            false => {
+                let lasts_ms = self.random.random_range(0..2_000);
+                let process = self.instances[index].process;
+                self.returns
+                    .push((self.now + lasts_ms, index, process, self.now, cost));
+            }
         }
         Outcome::Run
     }
@@ -231,7 +251,7 @@
         let now = self.now;
         let workspace = self.workspace.clone();
         let instance = &mut self.instances[from];
-        let settlement = instance.account.settlement();
+        let settlement = instance.account.settlement(now);
         let process = instance.process;
         let name = instance.name.clone();
         let issuer = instance.table.issuer(&workspace, role)?.clone();
--- a/crates/relay/src/call/charge.rs
+++ b/crates/relay/src/call/charge.rs
@@ -5,8 +5,8 @@
 use std::rc::Rc;
 
 use hyper::Response;
-use monsoonspread_model::WorkspaceName;
 use monsoonspread_model::fleet::CallHead;
+use monsoonspread_model::{UnixMs, WorkspaceName};
 
 use super::caller::Caller;
 use super::{RelayBody, refusal};
@@ -18,6 +18,7 @@
     shared: Rc<Shared>,
     workspace: WorkspaceName,
     units: f64,
+    admitted_at: UnixMs,
     /// Number of upstreams that may have run the request.
     runs: Cell<u32>,
 }
@@ -46,7 +47,8 @@
     fn drop(&mut self) {
         if self.runs.get() == 0 {
             self.shared.metrics.count("quota", "returned");
-            self.shared.quotas.on_returned(&self.workspace, self.units);
+            let quotas = &self.shared.quotas;
+            quotas.on_returned(&self.workspace, self.admitted_at, self.units);
         }
     }
 }
@@ -73,6 +75,7 @@
             shared: Rc::clone(shared),
             workspace: member.workspace.clone(),
             units,
+            admitted_at: shared.now(),
             runs: Cell::new(0),
         })),
         Err(return_at) => {
--- a/crates/relay/src/limits/quota.rs
+++ b/crates/relay/src/limits/quota.rs
@@ -106,7 +106,7 @@
             number: self.holding.next_number(),
             workspace: workspace.clone(),
             process: self.quotas.process,
-            settlement: self.quotas.settlement(workspace),
+            settlement: self.quotas.settlement(self.now(), workspace),
             cost,
             is_backup: role == Role::Backup,
         };
--- a/crates/relay/src/limits/quotas.rs
+++ b/crates/relay/src/limits/quotas.rs
@@ -23,6 +23,8 @@
 const LISTED_MS: u64 = 3_000;
 /// Interval of reports to the issuer, in milliseconds: several in the time that a limit's bucket lasts.
 const SETTLE_MS: u64 = 200;
+/// Interval of reports of units that came back, in milliseconds: they count only soon after their admission.
+const SETTLE_RETURNS_MS: u64 = 50;
 /// Latest time for which an answer of an issuer holds, in milliseconds, as limits change.
 const MAX_DENIED_MS: u64 = 5_000;
 /// How long no request must be refused until a workspace counts as within its quota, in milliseconds.
@@ -194,17 +196,17 @@
     }
 
     /// Units of a request come back that didn't run.
-    pub fn on_returned(&self, workspace: &WorkspaceName, units: f64) {
+    pub fn on_returned(&self, workspace: &WorkspaceName, admitted_at: UnixMs, units: f64) {
         self.update(workspace, |state| {
-            state.account.on_returned(units);
+            state.account.on_returned(admitted_at, units);
             state.dump.returned += units;
         });
     }
 
-    pub(super) fn settlement(&self, workspace: &WorkspaceName) -> Settlement {
+    pub(super) fn settlement(&self, now: UnixMs, workspace: &WorkspaceName) -> Settlement {
         let accounts = self.accounts.borrow();
         let state = accounts.get(workspace);
-        state.map_or_else(Settlement::default, |state| state.account.settlement())
+        state.map_or_else(Settlement::default, |state| state.account.settlement(now))
     }
 
     /// Returns the workspaces whose use is to be reported now.
@@ -214,7 +216,11 @@
             state.account.on_tick(now, self.rule.window_ms);
             state.log_free(now, workspace);
             if state.account.has_news() && now >= state.settle_at {
-                state.settle_at = now + SETTLE_MS;
+                let pause_ms = match state.account.has_returns() {
+                    true => SETTLE_RETURNS_MS,
+                    false => SETTLE_MS,
+                };
+                state.settle_at = now + pause_ms;
                 due.push(workspace.clone());
             }
         }
