--- a/crates/relay/src/event/catalogue.rs
+++ b/crates/relay/src/event/catalogue.rs
@@ -80,6 +80,9 @@
     REQUEST_CLEARED = 2008 Info "request cleared" "The evidence against the request or prompt part was dropped: a copy of it, or a request with the part, was served, or an operator released it.";
     LIMIT_REACHED = 2009 Info "limit reached" "An upstream accepts `per_s` requests per second from all instances. The request waited for its turn (`granted`, `waited_ms`), or went on to another upstream because the turn came too late (`denied`), the instance that issues the permits didn't answer (`no answer`), or the upstream left while the request waited (`upstream gone`).";
     CALLER_REFUSED = 2010 Info "caller refused" "A request was refused without being run because of its key, which is `present`, `absent` or `malformed` (several, or unreadable). `reason` is `unknown_key` (401: no workspace holds it), `unconfirmed` (503: a newer configuration than `version` may say otherwise, as this one was last confirmed `confirmed_ms_ago`) or `changed` (503: a newer configuration treats the caller in another way than the one at the request's arrival).";
+    QUOTA_REACHED = 2015 Warn "quota reached" "Requests of a workspace are refused with 429, as its quota is used up on all instances together. Logged once until it has credit again; `free_in_ms` tells when that is, `per_s` and `burst` are the quota.";
+    QUOTA_FREE = 2016 Info "quota free again" "A workspace that had reached its quota has had no request refused for two seconds; `refused` were since it was reached.";
+    QUOTA_ISSUER_SILENT = 2017 Warn "quota issuer silent" "The instance that issues a workspace's credit doesn't answer, or isn't confirmed by the store. This instance asks the backup issuer of its zone, which issues a small share only. Logged once until the issuer answers again; MR1501 tells whether the instance is unreachable.";
 }
 
 /// The catalogue as a Markdown table.
--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -24,7 +24,7 @@
 use crate::fleet::{FleetEvent, FleetView, Subscribers};
 use crate::gossip::{Gossiper, ReceivedGossip};
 use crate::holding::Holding;
-use crate::limits::Permits;
+use crate::limits::{Permits, Quotas};
 use crate::metrics::Metrics;
 use crate::peers::{FeedMessage, Incoming, PeerHandler, PeerLinks, PeerReply, PeerRequest};
 use crate::retries::RetryBudgets;
@@ -85,6 +85,8 @@
     pub retries: RetryBudgets,
     /// Permits for upstreams with a rate limit.
     pub permits: Permits,
+    /// Quotas of workspaces.
+    pub quotas: Quotas,
     /// Requests suspected of crashing upstreams.
     pub suspects: Suspects,
     /// Unknown and malformed announcements that were logged.
@@ -127,6 +129,7 @@
             router: RefCell::new(ServiceRouter::new(zone, ROUTER_SEED)),
             retries: RetryBudgets::new(bounds.retry_ratio, bounds.retry_slack),
             permits: Permits::default(),
+            quotas: Quotas::new(&bounds, clock.now()),
             suspects: Suspects::default(),
             logged_announcements: RefCell::default(),
             gossiper: Gossiper::default(),
@@ -217,6 +220,7 @@
         self.suspects.on_tick(self);
         self.gossiper.on_tick(self);
         self.permits.on_tick(self.now());
+        self.tick_quotas();
         self.holding.on_tick(self);
     }
 
@@ -234,12 +238,16 @@
             {
                 self.known_copies.borrow_mut().on_engine_removed(name);
             }
-            if matches!(event, FleetEvent::MemberRemoved(name) if *name == self.settings.instance) {
+            if let FleetEvent::MemberRemoved(name) | FleetEvent::MemberLapsing(name) = event
+                && *name == self.settings.instance
+            {
                 self.set_needs_announcement();
+                self.holding.on_announcement_gone();
             }
         }
         if !events.is_empty() {
             self.refresh_choices();
+            self.quotas.on_fleet(events);
         }
     }
 
@@ -327,6 +335,10 @@
                 let permit = shared.on_permit_request(&request);
                 shared.incoming.reply(instance, PeerReply::Permit(permit));
             }
+            PeerRequest::Quota(request) => {
+                let quota = shared.on_quota_request(instance, &request);
+                shared.incoming.reply(instance, PeerReply::Quota(quota));
+            }
             PeerRequest::Subscribe => shared.subscribers.on_subscribe(shared, instance),
             PeerRequest::Confirm(number) => {
                 shared.subscribers.on_confirm(shared, instance, number);
