Log the load that servers of plain services report

Cause: nothing showed how full a server was when it rejected or answered a call. Change: MR2002 tells the load of a server that rejected, and MR2001 running requests and slowness of the server that answered. Not measured yet.

--- a/crates/relay/src/call/answer.rs
+++ b/crates/relay/src/call/answer.rs
@@ -3,6 +3,7 @@
 use std::pin::Pin;
 use std::rc::Rc;
 
+use monsoonspread_borders::relay::ServerLoad;
 use monsoonspread_decisions::answer_end::{EndVerdict, Framing, ProcessEvidence};
 use monsoonspread_decisions::event_splitter::StreamPosition;
 use monsoonspread_model::fleet::PromptPart;
@@ -134,6 +135,15 @@
         self
     }
 
+    /// Sets the load that a server of a plain service reported when it answered.
+    pub(super) fn with_load(mut self, load: Option<ServerLoad>) -> Self {
+        if let Some(load) = load {
+            self.running = load.running + load.waiting;
+            self.slowness_percent = Some(load.slowness_percent);
+        }
+        self
+    }
+
     /// Sets how the answer marks its end.
     pub(super) fn with_framing(mut self, framing: Framing) -> Self {
         self.framing = framing;
--- a/crates/relay/src/call/attempt.rs
+++ b/crates/relay/src/call/attempt.rs
@@ -6,7 +6,7 @@
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::{Request, Response};
-use monsoonspread_borders::relay::{AnswerHead, AnswerId, UpstreamHead};
+use monsoonspread_borders::relay::{AnswerHead, AnswerId, ServerLoad, UpstreamHead};
 use monsoonspread_model::UnixMs;
 use monsoonspread_model::fleet::UpstreamRecord;
 
@@ -33,6 +33,8 @@
     NotRun {
         /// The upstream lacks the adapter or model, or another upstream now has its address.
         misdirected: bool,
+        /// Load of the upstream, if it answered and reports one.
+        load: Option<ServerLoad>,
     },
     /// Not sent, because the request is suspected or quarantined.
     Withheld,
@@ -83,7 +85,10 @@
         }
         Ok(Err(SendFailure::NotSent(why))) => {
             log_failure(request, upstream, "not sent", &why);
-            return Attempt::NotRun { misdirected: false };
+            return Attempt::NotRun {
+                misdirected: false,
+                load: None,
+            };
         }
         Ok(Err(SendFailure::AnswerLost(why))) => {
             log_failure(request, upstream, "answer lost", &why);
@@ -96,8 +101,13 @@
     };
     match &outcome {
         Attempt::Answered(_) | Attempt::Withheld => {}
-        Attempt::NotRun { misdirected: true } => log_failure(request, upstream, "misdirected", ""),
-        Attempt::NotRun { .. } => log_failure(request, upstream, "not run", ""),
+        Attempt::NotRun {
+            misdirected: true, ..
+        } => log_failure(request, upstream, "misdirected", ""),
+        Attempt::NotRun { load, .. } => {
+            let load = load.map_or(String::new(), load_text);
+            log_failure(request, upstream, "not run", &load);
+        }
         Attempt::Unknown => log_failure(request, upstream, "not its answer", ""),
         Attempt::TooLate => log_failure(request, upstream, "too late", ""),
     }
@@ -177,7 +187,8 @@
     }
     if answer.not_run {
         let misdirected = answer.misdirected;
-        return Attempt::NotRun { misdirected };
+        let load = answer.load;
+        return Attempt::NotRun { misdirected, load };
     }
     Attempt::Answered(Box::new(Answered {
         response,
@@ -187,6 +198,14 @@
     }))
 }
 
+fn load_text(load: ServerLoad) -> String {
+    let places = load.places.unwrap_or(0);
+    format!(
+        "{} running, {} waiting, {places} places",
+        load.running, load.waiting
+    )
+}
+
 fn log_failure(request: &RelayRequest, upstream: &UpstreamRecord, outcome: &str, why: &str) {
     Line::new(&kind::ATTEMPT_FAILED)
         .field("id", &request.head.request_id)
--- a/crates/relay/src/call/model_call.rs
+++ b/crates/relay/src/call/model_call.rs
@@ -272,7 +272,7 @@
                     end,
                 }))
             }
-            Attempt::NotRun { misdirected: true } => {
+            Attempt::NotRun { misdirected: true, .. } => {
                 let mut known = shared.known_copies.borrow_mut();
                 known.on_absent(&record.name, &self.key);
                 if let Some(guard) = grant.guard.as_mut() {
@@ -280,7 +280,7 @@
                 }
                 OfferOutcome::Next
             }
-            Attempt::NotRun { misdirected: false } => {
+            Attempt::NotRun { .. } => {
                 self.on_failed(record);
                 OfferOutcome::Next
             }
--- a/crates/relay/src/call/service_call.rs
+++ b/crates/relay/src/call/service_call.rs
@@ -57,6 +57,7 @@
                     continue;
                 }
                 let end = AnswerEnd::new(shared, &request, &record.name, status.into())
+                    .with_load(answered.answer.load)
                     .with_slot(Some(slot));
                 let answer = UpstreamAnswer {
                     answered: *answered,
