Room for plain services: the keeper of a pool, and the concurrency of a server, as pure decisions

Cause: with 80 instances before 18 places nobody knows who is next, so calls are offered to one server after the other and rejected. Change: state machines only, not driven by the relay yet. Not measured yet.

--- /dev/null
+++ b/crates/decisions/src/capacity/concurrency.rs
@@ -0,0 +1,163 @@
+//! Number of concurrent calls up to which a server works at its best.
+
+use monsoonspread_model::UnixMs;
+
+/// Half-life of the weight of a sample, in milliseconds: short against the seconds for which servers turn
+/// slow, and long enough for some tens of calls.
+const HALF_LIFE_MS: f64 = 1_000.0;
+/// Weight of the samples of a level from which it is compared with others.
+const KNOWN_WEIGHT: f64 = 6.0;
+/// Highest level that is told apart; servers of plain services run fewer calls at once.
+const MAX_LEVEL: usize = 64;
+/// Share of the best throughput that a level with fewer calls must reach to be preferred.
+///
+/// Below one, as the mean of the few samples of a level is off by some percent.
+const ENOUGH: f64 = 0.97;
+/// Time between the end of a call and the start of the next one in its place, in milliseconds: three messages
+/// between availability zones.
+const TURN_MS: f64 = 4.0;
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Level {
+    weight: f64,
+    /// Weighted sum of the times of calls, in milliseconds.
+    sum_ms: f64,
+    seen_at: UnixMs,
+}
+
+impl Level {
+    fn decayed(&self, now: UnixMs) -> Self {
+        let age_ms = now.ms_since(self.seen_at) as f64;
+        let factor = 0.5_f64.powf(age_ms / HALF_LIFE_MS);
+        Self {
+            weight: self.weight * factor,
+            sum_ms: self.sum_ms * factor,
+            seen_at: now,
+        }
+    }
+
+    fn mean_ms(&self, now: UnixMs) -> Option<f64> {
+        let level = self.decayed(now);
+        (level.weight >= KNOWN_WEIGHT).then(|| level.sum_ms / level.weight)
+    }
+}
+
+/// Estimates from the times of calls how many a server runs at once with the most throughput.
+///
+/// The times are kept by the number of calls that ran, and forgotten within seconds. A level without recent
+/// samples is taken to be as fast as the one below it, so that the estimate rises again by itself.
+///
+/// ```
+/// # use monsoonspread_decisions::capacity::ConcurrencyEstimate;
+/// # use monsoonspread_model::UnixMs;
+/// let mut estimate = ConcurrencyEstimate::new(6);
+/// let now = UnixMs(1_000);
+/// assert_eq!(estimate.calls(now), 6);
+/// for _ in 0..20 {
+///     estimate.on_time(now, 4, 30.0);
+///     estimate.on_time(now, 5, 60.0);
+///     estimate.on_time(now, 6, 60.0);
+/// }
+/// assert_eq!(estimate.calls(now), 4);
+/// assert_eq!(estimate.calls(now + 10_000), 6);
+/// ```
+#[derive(Clone, Debug)]
+pub struct ConcurrencyEstimate {
+    places: u32,
+    levels: Vec<Level>,
+    all: Level,
+    /// Last estimate, and the time it was made.
+    last: Option<(UnixMs, u32)>,
+}
+
+impl ConcurrencyEstimate {
+    /// Starts with the number of calls that the server says it runs at once.
+    pub fn new(places: u32) -> Self {
+        Self {
+            places: places.clamp(1, MAX_LEVEL as u32),
+            levels: Vec::new(),
+            all: Level::default(),
+            last: None,
+        }
+    }
+
+    /// Sets the number of calls that the server says it runs at once.
+    pub fn set_places(&mut self, places: u32) {
+        let places = places.clamp(1, MAX_LEVEL as u32);
+        if places != self.places {
+            self.places = places;
+            self.last = None;
+        }
+    }
+
+    /// A call took `took_ms` while `running` calls ran, with it.
+    pub fn on_time(&mut self, now: UnixMs, running: u32, took_ms: f64) {
+        let index = (running.max(1) as usize).min(MAX_LEVEL) - 1;
+        if self.levels.len() <= index {
+            self.levels.resize(index + 1, Level::default());
+        }
+        for level in [&mut self.levels[index], &mut self.all] {
+            *level = level.decayed(now);
+            level.weight += 1.0;
+            level.sum_ms += took_ms;
+        }
+        self.last = None;
+    }
+
+    /// Mean time of a call, in milliseconds; `None` without recent samples.
+    pub fn mean_ms(&self, now: UnixMs) -> Option<f64> {
+        self.all.mean_ms(now)
+    }
+
+    /// Number of calls that the server runs at once with the most throughput.
+    pub fn calls(&mut self, now: UnixMs) -> u32 {
+        if let Some((_, calls)) = self.last.filter(|(at, _)| *at == now) {
+            return calls;
+        }
+        let throughputs = self.throughputs(now);
+        let best = throughputs.iter().copied().fold(0.0, f64::max);
+        let enough = throughputs.iter().position(|rate| *rate >= best * ENOUGH);
+        // Full throughput is also reached with fewer calls where the highest level is only a little better;
+        // the places that the server names are used unless a lower level is clearly as good.
+        let calls = match enough {
+            Some(index) if self.is_slow_above(now, index) => index as u32 + 1,
+            _ => self.places,
+        };
+        self.last = Some((now, calls));
+        calls
+    }
+
+    /// Number of calls that may be on their way to the server or running: some wait there, so that no place is
+    /// idle while the next call is sent.
+    pub fn limit(&mut self, now: UnixMs) -> u32 {
+        let calls = self.calls(now);
+        if calls < self.places {
+            return calls;
+        }
+        let mean_ms = self.mean_ms(now).unwrap_or(f64::MAX);
+        let turning = f64::from(calls) * TURN_MS / mean_ms.max(TURN_MS);
+        calls + turning.ceil().max(1.0) as u32
+    }
+
+    fn throughputs(&self, now: UnixMs) -> Vec<f64> {
+        let mut time_ms = 0.0;
+        let levels = 0..self.places as usize;
+        let rates = levels.map(|index| {
+            let known = self.levels.get(index).and_then(|level| level.mean_ms(now));
+            time_ms = known.unwrap_or(time_ms);
+            if time_ms == 0.0 {
+                return 0.0;
+            }
+            (index + 1) as f64 / time_ms
+        });
+        rates.collect()
+    }
+
+    /// Whether a level above the one at `index` is known.
+    fn is_slow_above(&self, now: UnixMs, index: usize) -> bool {
+        let above = self.levels.iter().skip(index + 1);
+        above
+            .take(self.places as usize - index - 1)
+            .any(|level| level.mean_ms(now).is_some())
+    }
+}
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod announced;
 pub mod answer_end;
 pub mod bundle_spread;
+pub mod capacity;
 pub mod change_feed;
 pub mod claims;
 pub mod copies;
@@ -20,6 +21,7 @@
 pub mod quarantine;
 pub mod rate_limit;
 pub mod retry_budget;
+pub mod room;
 pub mod route_table;
 pub mod service_route;
 pub mod store_health;
--- /dev/null
+++ b/crates/decisions/src/room/wait_queue.rs
@@ -0,0 +1,137 @@
+//! Requests that wait for a place.
+
+use std::collections::HashMap;
+
+use monsoonspread_model::{UnixMs, WorkspaceName};
+
+use super::{PlaceId, PlaceRequest};
+
+/// Half-life of the places that a workspace got, in milliseconds: a few objectives.
+const USE_HALF_LIFE_MS: f64 = 1_000.0;
+/// Every so many grants one goes to the least urgent that wait, so that they aren't starved.
+const LEAST_URGENT_EVERY: u32 = 16;
+/// Maximum number of workspaces whose use is kept.
+const MAX_WORKSPACES: usize = 1_024;
+
+/// Requests that wait for a place, in order of merit.
+///
+/// Those that still meet their objective go before the others; among them the more urgent, then those of the
+/// workspace that got the fewest places lately, then those whose objective ends first.
+#[derive(Debug, Default)]
+pub(super) struct WaitQueue {
+    waiting: Vec<PlaceRequest>,
+    used: HashMap<WorkspaceName, (f64, UnixMs)>,
+    grants: u32,
+}
+
+impl WaitQueue {
+    pub(super) fn len(&self) -> usize {
+        self.waiting.len()
+    }
+
+    pub(super) fn push(&mut self, request: PlaceRequest) {
+        self.waiting.push(request);
+    }
+
+    /// Removes a request; returns whether it waited.
+    pub(super) fn remove(&mut self, id: &PlaceId) -> bool {
+        let index = self.waiting.iter().position(|request| request.id == *id);
+        if let Some(index) = index {
+            self.waiting.swap_remove(index);
+        }
+        index.is_some()
+    }
+
+    pub(super) fn retain(&mut self, mut is_live: impl FnMut(&PlaceId) -> bool) {
+        self.waiting.retain(|request| is_live(&request.id));
+    }
+
+    /// Takes the request that is next, if a call takes `call_ms`.
+    pub(super) fn take_next(&mut self, now: UnixMs, call_ms: u64) -> Option<PlaceRequest> {
+        let mut next = self.first(now, call_ms)?;
+        if self.grants + 1 >= LEAST_URGENT_EVERY {
+            self.grants = 0;
+            next = self.least_urgent(now, call_ms).unwrap_or(next);
+        } else {
+            self.grants += 1;
+        }
+        let request = self.waiting.swap_remove(next);
+        self.on_used(now, request.workspace.as_ref());
+        Some(request)
+    }
+
+    /// A place was used for a workspace.
+    pub(super) fn on_used(&mut self, now: UnixMs, workspace: Option<&WorkspaceName>) {
+        let Some(workspace) = workspace else {
+            return;
+        };
+        if self.used.len() >= MAX_WORKSPACES {
+            self.used
+                .retain(|_, (_, at)| now.ms_since(*at) < 2 * USE_HALF_LIFE_MS as u64);
+        }
+        let used = self.used(now, workspace) + 1.0;
+        self.used.insert(workspace.clone(), (used, now));
+    }
+
+    /// Number of waiting requests that go before `request`: those that meet their objective, and all.
+    pub(super) fn ahead_of(
+        &self,
+        now: UnixMs,
+        call_ms: u64,
+        request: &PlaceRequest,
+    ) -> (usize, usize) {
+        let late = is_late(now, call_ms, request);
+        let mut ahead = (0, 0);
+        for other in &self.waiting {
+            let other_late = is_late(now, call_ms, other);
+            let is_before = (other_late, other.merit, other.in_time_until, &other.id)
+                < (late, request.merit, request.in_time_until, &request.id);
+            ahead.0 += usize::from(is_before && !other_late);
+            ahead.1 += usize::from(is_before);
+        }
+        ahead
+    }
+
+    /// Waiting requests.
+    pub(super) fn iter(&self) -> impl Iterator<Item = &PlaceRequest> {
+        self.waiting.iter()
+    }
+
+    fn used(&self, now: UnixMs, workspace: &WorkspaceName) -> f64 {
+        let Some((used, at)) = self.used.get(workspace) else {
+            return 0.0;
+        };
+        used * 0.5_f64.powf(now.ms_since(*at) as f64 / USE_HALF_LIFE_MS)
+    }
+
+    fn first(&self, now: UnixMs, call_ms: u64) -> Option<usize> {
+        let keys = self.waiting.iter().enumerate().map(|(index, request)| {
+            let used = request.workspace.as_ref();
+            let used = used.map_or(0.0, |workspace| self.used(now, workspace));
+            let late = is_late(now, call_ms, request);
+            // Whole places, so that small differences don't go before the objective.
+            let key = (late, request.merit, used as u64, request.in_time_until);
+            (key, index)
+        });
+        keys.min().map(|(_, index)| index)
+    }
+
+    /// The first of the least urgent rank, if there is more than one rank.
+    fn least_urgent(&self, now: UnixMs, call_ms: u64) -> Option<usize> {
+        let merits = self.waiting.iter().map(|request| request.merit);
+        let (most, least) = (merits.clone().min()?, merits.max()?);
+        if most == least {
+            return None;
+        }
+        let requests = self.waiting.iter().enumerate();
+        requests
+            .filter(|(_, request)| request.merit == least)
+            .min_by_key(|(_, request)| (is_late(now, call_ms, request), request.in_time_until))
+            .map(|(index, _)| index)
+    }
+}
+
+/// Whether a request misses its objective if it is sent now.
+pub(super) fn is_late(now: UnixMs, call_ms: u64, request: &PlaceRequest) -> bool {
+    now + call_ms > request.in_time_until
+}
