--- a/crates/relay/src/call/answer.rs
+++ b/crates/relay/src/call/answer.rs
@@ -6,6 +6,7 @@
 use monsoonspread_borders::relay::ServerLoad;
 use monsoonspread_decisions::answer_end::{EndVerdict, Framing, ProcessEvidence};
 use monsoonspread_decisions::event_splitter::StreamPosition;
+use monsoonspread_decisions::room::PlaceEnd;
 use monsoonspread_model::fleet::PromptPart;
 use monsoonspread_model::{Fingerprint, UnixMs, UpstreamName};
 
@@ -14,6 +15,7 @@
 use crate::connection::PooledSender;
 use crate::event::{Line, kind};
 use crate::holding::CopyRequestGuard;
+use crate::room::Place;
 use crate::shared::Shared;
 use crate::suspects::InFlightRequest;
 
@@ -29,6 +31,8 @@
     pub(super) server: UpstreamName,
     pub(super) repeatable: bool,
     pub(super) sent_at: UnixMs,
+    /// The place that a keeper granted; `None` if the call was sent without one.
+    pub(super) place: Option<Place>,
 }
 
 /// Permission to send a request to an engine.
@@ -235,6 +239,11 @@
             let latency_ms = now.ms_since(slot.sent_at);
             let mut router = self.shared.router.borrow_mut();
             router.on_end(now, &slot.server, slot.repeatable, Some(latency_ms));
+            drop(router);
+            // A server that answers errors quickly isn't fast.
+            if let Some(place) = slot.place.filter(|_| is_success) {
+                place.on_end(PlaceEnd::Served(latency_ms));
+            }
         }
     }
 
--- a/crates/relay/src/call/caller.rs
+++ b/crates/relay/src/call/caller.rs
@@ -38,6 +38,14 @@
         }
     }
 
+    /// The workspace that the caller belongs to, if any.
+    pub(super) fn workspace(&self) -> Option<&WorkspaceName> {
+        match self {
+            Self::Anybody | Self::Public => None,
+            Self::Member(member) => Some(&member.workspace),
+        }
+    }
+
     /// The order in which its request on `route` is served.
     pub(super) fn merit(&self, route: &Route) -> Merit {
         let merit = Merit::of_route(route.rank);
--- a/crates/relay/src/call/model_call.rs
+++ b/crates/relay/src/call/model_call.rs
@@ -272,7 +272,9 @@
                     end,
                 }))
             }
-            Attempt::NotRun { misdirected: true, .. } => {
+            Attempt::NotRun {
+                misdirected: true, ..
+            } => {
                 let mut known = shared.known_copies.borrow_mut();
                 known.on_absent(&record.name, &self.key);
                 if let Some(guard) = grant.guard.as_mut() {
--- a/crates/relay/src/call/service_call.rs
+++ b/crates/relay/src/call/service_call.rs
@@ -3,6 +3,8 @@
 use std::rc::Rc;
 
 use hyper::{Response, StatusCode};
+use monsoonspread_borders::relay::ServerLoad;
+use monsoonspread_decisions::room::PlaceEnd;
 use monsoonspread_model::fleet::UpstreamRecord;
 use monsoonspread_model::{UnixMs, UpstreamName};
 
@@ -13,6 +15,7 @@
 use super::upstream_answer::UpstreamAnswer;
 use super::{RelayBody, refusal, suspect};
 use crate::limits::Permit;
+use crate::room::{PlaceAsk, Placed};
 use crate::shared::Shared;
 
 /// `Retry-After` when no server accepted the request, in milliseconds: the time a server needs to
@@ -31,12 +34,18 @@
     let repeatable = request.route.repeat.may_run_again();
     let mut tried: Vec<UpstreamName> = Vec::new();
     let mut runs = 0;
+    let mut refused_by_keeper = None;
     for offer in 0..MAX_OFFERS {
         if offer > 0 && !shared.retries.spend(&request.service) {
             break;
         }
-        let Some((record, slot)) = permitted(shared, &request, repeatable, &tried).await else {
-            break;
+        let (record, slot) = match offered(shared, &request, repeatable, &tried).await {
+            Offer::To(record, slot) => (record, slot),
+            Offer::Refused(retry_ms) => {
+                refused_by_keeper = Some(retry_ms);
+                break;
+            }
+            Offer::Nobody => break,
         };
         tried.push(record.name.clone());
         let may_run_again = repeatable && runs + 1 < request.route.max_attempts;
@@ -50,6 +59,7 @@
             Attempt::Answered(answered) => {
                 runs += 1;
                 let status = answered.response.status();
+                on_load(shared, &request, &slot, answered.answer.load);
                 let failed = status.is_server_error();
                 if failed && may_run_again && shared.retries.has_one(&request.service) {
                     drop(answered);
@@ -65,7 +75,11 @@
                 };
                 return forward(shared, &request, answer);
             }
-            Attempt::NotRun { .. } => end(shared, slot, None),
+            Attempt::NotRun { load, .. } => {
+                on_load(shared, &request, &slot, load);
+                place_ended(&slot, load.map_or(PlaceEnd::Failed, |_| PlaceEnd::Rejected));
+                end(shared, slot, None);
+            }
             Attempt::Withheld => {
                 // A withheld request is no evidence about the server.
                 end(shared, slot, Some(0));
@@ -73,6 +87,7 @@
             }
             Attempt::Unknown | Attempt::TooLate => {
                 runs += 1;
+                place_ended(&slot, PlaceEnd::Failed);
                 end(shared, slot, None);
                 let may_run_again = may_run_again && suspect::may_be_repeated(shared, &request);
                 if !may_run_again || shared.now() >= request.deadline {
@@ -84,7 +99,65 @@
     if runs > 0 {
         return failed(shared, &request);
     }
-    suspect::refused(shared, &request).unwrap_or_else(|| refused(shared, &request))
+    if let Some(refusal) = suspect::refused(shared, &request) {
+        return refusal;
+    }
+    match refused_by_keeper {
+        Some(retry_ms) => refusal::refused(shared, &request, "no place in time", retry_ms),
+        None => refused(shared, &request),
+    }
+}
+
+/// Where a call may be sent.
+enum Offer {
+    To(UpstreamRecord, ServiceSlot),
+    /// No place is free in time; the caller may return after this many milliseconds.
+    Refused(u64),
+    Nobody,
+}
+
+/// Picks a server: the one that a keeper grants where the service is contended.
+async fn offered(
+    shared: &Rc<Shared>,
+    request: &RelayRequest,
+    repeatable: bool,
+    tried: &[UpstreamName],
+) -> Offer {
+    let ask = PlaceAsk {
+        id: &request.head.request_id,
+        service: &request.service,
+        merit: request.merit,
+        workspace: request.caller.workspace(),
+        in_time_until: request.arrived_at + request.route.objective_ms,
+        ends_by: request.deadline,
+    };
+    match shared.place(ask).await {
+        Placed::Refused { return_ms } => return Offer::Refused(return_ms),
+        Placed::At(server, place) => {
+            let is_granted =
+                |name: &UpstreamName| *name == server && shared.unavailable_until(name).is_none();
+            if let Some((record, mut slot)) = pick(shared, request, repeatable, &[], is_granted) {
+                slot.place = Some(place);
+                return Offer::To(record, slot);
+            }
+        }
+        Placed::Direct => {}
+    }
+    let permitted = permitted(shared, request, repeatable, tried).await;
+    permitted.map_or(Offer::Nobody, |(record, slot)| Offer::To(record, slot))
+}
+
+fn on_load(shared: &Shared, request: &RelayRequest, slot: &ServiceSlot, load: Option<ServerLoad>) {
+    shared.on_server_load(&request.service, &slot.server, load);
+    if let Some(place) = &slot.place {
+        place.on_load(load);
+    }
+}
+
+fn place_ended(slot: &ServiceSlot, end: PlaceEnd) {
+    if let Some(place) = &slot.place {
+        place.on_end(end);
+    }
 }
 
 /// Picks a server that permits the request: at once if there is one, otherwise the one whose next
@@ -147,6 +220,7 @@
         server,
         repeatable,
         sent_at: now,
+        place: None,
     };
     Some((record, slot))
 }
--- a/crates/relay/src/event/catalogue.rs
+++ b/crates/relay/src/event/catalogue.rs
@@ -77,6 +77,9 @@
     REQUEST_QUARANTINED = 2007 Error "request quarantined" "Three upstreams crashed under the request or the prompt part, so its copies, or all requests with the part, are refused. Inspect the requests; release it if it is innocent.";
     REQUEST_CLEARED = 2008 Info "request cleared" "The evidence against the request or prompt part was dropped: a copy of it, or a request with the part, was served, or an operator released it.";
     LIMIT_REACHED = 2009 Info "limit reached" "An upstream accepts `per_s` requests per second from all instances. The request waited for its turn (`granted`, `waited_ms`), or went on to another upstream because the turn came too late (`denied`), the instance that issues the permits didn't answer (`no answer`), or the upstream left while the request waited (`upstream gone`).";
+    POOL_KEPT = 2020 Info "pool kept" "This instance is asked for places at the `servers` of a pool of a contended service, and queues the requests that find none.";
+    SERVICE_CONTENDED = 2021 Info "service contended" "A server of a plain service was full (`calls` of its `places`). For some seconds this instance asks the keepers of the service's pools for a place before each call.";
+    KEEPER_SILENT = 2023 Warn "keeper silent" "The keeper of a pool didn't answer a request for a place in time; the call is sent without one, and the keeper isn't asked for a second.";
 }
 
 /// The catalogue as a Markdown table.
--- a/crates/relay/src/fleet/view.rs
+++ b/crates/relay/src/fleet/view.rs
@@ -167,6 +167,11 @@
         self.members.get(name).map(|member| member.peer_address)
     }
 
+    /// Returns the zone of another instance.
+    pub fn zone_of(&self, name: &InstanceName) -> Option<&ZoneName> {
+        self.members.get(name).map(|member| &member.zone)
+    }
+
     /// Returns the listed instances.
     pub fn members(&self) -> impl Iterator<Item = &FleetMember> {
         self.members.values()
--- a/crates/relay/src/http/metrics.rs
+++ b/crates/relay/src/http/metrics.rs
@@ -15,6 +15,7 @@
 use monsoonspread_decisions::announced::Announcement;
 use monsoonspread_decisions::copies::CopyControlDump;
 use monsoonspread_decisions::quarantine::SuspectDump;
+use monsoonspread_decisions::room::RoomDump;
 use monsoonspread_model::{Fingerprint, UpstreamName};
 use serde::Serialize;
 use tokio::net::TcpListener;
@@ -77,7 +78,7 @@
     text
 }
 
-/// State dump: held engines, suspect requests and upstreams' announcements.
+/// State dump: held engines, suspect requests, upstreams' announcements and kept pools of servers.
 #[derive(Serialize)]
 struct Dump {
     engines: BTreeMap<UpstreamName, CopyControlDump>,
@@ -85,6 +86,7 @@
     suspect_parts: Vec<SuspectDump>,
     #[serde(rename = "said")]
     announcements: BTreeMap<UpstreamName, Announcement>,
+    rooms: BTreeMap<String, RoomDump>,
 }
 
 fn dump(shared: &Shared) -> (StatusCode, String) {
@@ -93,6 +95,7 @@
         suspects: shared.suspects.dump(shared.now()),
         suspect_parts: shared.suspects.dump_parts(shared.now()),
         announcements: shared.fleet.borrow().announcements(),
+        rooms: shared.rooms.dump(shared.now()),
     };
     match serde_json::to_string_pretty(&dump) {
         Ok(text) => (StatusCode::OK, text),
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -19,6 +19,7 @@
 mod metrics;
 mod peers;
 mod retries;
+mod room;
 mod run;
 mod shared;
 mod suspects;
--- a/crates/relay/src/peers/link.rs
+++ b/crates/relay/src/peers/link.rs
@@ -16,7 +16,8 @@
 
 use super::frame::{Frames, HEARTBEAT_INTERVAL_MS, HEARTBEAT_TIMEOUT_MS, decode, frames, send_all};
 use super::message::{
-    PeerChanges, PeerCopyRequest, PeerPermit, PeerPermitRequest, PeerReply, PeerRequest,
+    PeerChanges, PeerCopyRequest, PeerPermit, PeerPermitRequest, PeerPlaceRequest, PeerReply,
+    PeerRequest, PlaceAnswer,
 };
 use crate::event::{Line, kind};
 use crate::gossip::ReceivedGossip;
@@ -60,6 +61,7 @@
     pending: Rc<RefCell<HashMap<u64, PendingRequest>>>,
     quotes: PendingQuotes,
     permits: PendingPermits,
+    places: PendingPlaces,
 }
 
 impl Link {
@@ -73,6 +75,9 @@
 /// Requests for permits waiting for an answer, by number.
 type PendingPermits = Rc<RefCell<HashMap<u64, oneshot::Sender<PeerPermit>>>>;
 
+/// Requests for places waiting for answers, by number.
+type PendingPlaces = Rc<RefCell<HashMap<u64, UnboundedSender<PlaceAnswer>>>>;
+
 /// Quote requests waiting for an answer, by number.
 type PendingQuotes = Rc<RefCell<HashMap<u64, oneshot::Sender<Option<EngineQuote>>>>>;
 
@@ -175,6 +180,22 @@
         answered.await.ok()
     }
 
+    /// Requests a place from `peer`; returns its answers, which end if the connection fails.
+    pub fn request_place(
+        &self,
+        peer: &InstanceName,
+        address: SocketAddr,
+        request: PeerPlaceRequest,
+    ) -> Option<UnboundedReceiver<PlaceAnswer>> {
+        let link = self.link(peer, address);
+        let (answer, answers) = unbounded_channel();
+        let mut places = link.places.borrow_mut();
+        places.retain(|_, waiting| !waiting.is_closed());
+        places.insert(request.number, answer);
+        link.queue.send(PeerRequest::Place(request)).ok()?;
+        Some(answers)
+    }
+
     /// Sends `peer` a message that needs no answer, if it is connected.
     pub fn send_if_connected(&self, peer: &InstanceName, request: PeerRequest) {
         if let Some(link) = self.links.borrow().get(peer) {
@@ -198,6 +219,7 @@
             pending: Rc::default(),
             quotes: Rc::default(),
             permits: Rc::default(),
+            places: Rc::default(),
         };
         links.insert(peer.clone(), link.clone());
         let replies = ReplyHandler {
@@ -205,6 +227,7 @@
             pending: Rc::clone(&link.pending),
             quotes: Rc::clone(&link.quotes),
             permits: Rc::clone(&link.permits),
+            places: Rc::clone(&link.places),
             feed: self.feed.clone(),
             gossip: self.gossip.clone(),
         };
@@ -258,6 +281,7 @@
     replies.pending.borrow_mut().clear();
     replies.quotes.borrow_mut().clear();
     replies.permits.borrow_mut().clear();
+    replies.places.borrow_mut().clear();
 }
 
 async fn run_connection(
@@ -302,6 +326,7 @@
     pending: Rc<RefCell<HashMap<u64, PendingRequest>>>,
     quotes: PendingQuotes,
     permits: PendingPermits,
+    places: PendingPlaces,
     feed: UnboundedSender<FeedMessage>,
     gossip: UnboundedSender<ReceivedGossip>,
 }
@@ -331,6 +356,12 @@
                     let _ = request.send(permit);
                 }
             }
+            PeerReply::Place(place) => {
+                if let Some(request) = self.places.borrow().get(&place.number) {
+                    // The requester stopped waiting, and its end was already sent.
+                    let _ = request.send(place.answer);
+                }
+            }
             PeerReply::Changes(feed) => self.on_feed_message(Some(feed)),
             PeerReply::Unavailable => self.on_feed_message(None),
             PeerReply::Gossip(gossip) => {
--- a/crates/relay/src/peers/message.rs
+++ b/crates/relay/src/peers/message.rs
@@ -3,8 +3,9 @@
 use monsoonspread_borders::relay::RevisedChange;
 use monsoonspread_decisions::change_feed::ChangeSpan;
 use monsoonspread_decisions::copies::{CopyRefusal, EngineQuote, QuoteQuestion};
-use monsoonspread_model::fleet::{AdapterKey, PromptPart};
-use monsoonspread_model::{InstanceName, UpstreamName};
+use monsoonspread_decisions::room::{PlaceEnd, ReportedLoad};
+use monsoonspread_model::fleet::{AdapterKey, Merit, PromptPart};
+use monsoonspread_model::{InstanceName, ServiceName, UpstreamName, WorkspaceName};
 use serde::{Deserialize, Serialize};
 
 use crate::gossip::{PeerGossip, RateObservation};
@@ -87,6 +88,85 @@
     pub in_ms: u64,
 }
 
+/// A request for a place at a server of a plain service. Times are durations, as the instances' clocks differ.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct PeerPlaceRequest {
+    /// Number of the request.
+    #[serde(rename = "n")]
+    pub number: u64,
+    #[serde(rename = "s")]
+    pub service: ServiceName,
+    /// Number of the pool of servers.
+    #[serde(rename = "p")]
+    pub pool: u32,
+    #[serde(rename = "m")]
+    pub merit: Merit,
+    #[serde(rename = "w", default, skip_serializing_if = "Option::is_none")]
+    pub workspace: Option<WorkspaceName>,
+    /// How long the answer may take to meet the objective, in milliseconds.
+    #[serde(rename = "t")]
+    pub in_time_ms: u64,
+    /// How long the answer is of use, in milliseconds.
+    #[serde(rename = "e")]
+    pub lasts_ms: u64,
+}
+
+/// The end of a call that had a place, or of the wait for one.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct PeerPlaceEnd {
+    /// Number of the request.
+    #[serde(rename = "n")]
+    pub number: u64,
+    #[serde(rename = "s")]
+    pub service: ServiceName,
+    /// Number of the pool of servers.
+    #[serde(rename = "p")]
+    pub pool: u32,
+    #[serde(rename = "e")]
+    pub end: PlaceEnd,
+    /// The load that the server told.
+    #[serde(rename = "l", default, skip_serializing_if = "Option::is_none")]
+    pub load: Option<ReportedLoad>,
+}
+
+/// Answer to a [`PeerPlaceRequest`].
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct PeerPlace {
+    /// Number of the request.
+    #[serde(rename = "n")]
+    pub number: u64,
+    #[serde(rename = "a")]
+    pub answer: PlaceAnswer,
+}
+
+/// What a keeper answers.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub enum PlaceAnswer {
+    /// The call may be sent.
+    #[serde(rename = "g")]
+    Granted {
+        #[serde(rename = "u")]
+        server: UpstreamName,
+        /// Whether nobody need ask.
+        #[serde(rename = "c")]
+        is_calm: bool,
+    },
+    /// The request waits; another answer follows.
+    #[serde(rename = "q")]
+    Queued {
+        /// The expected wait, in milliseconds.
+        #[serde(rename = "t")]
+        wait_ms: u64,
+    },
+    /// No place is free in time.
+    #[serde(rename = "r")]
+    Refused {
+        /// When the caller may return, in milliseconds from now.
+        #[serde(rename = "t")]
+        return_ms: u64,
+    },
+}
+
 /// Messages to a holder or a feed source.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub enum PeerRequest {
@@ -125,6 +205,12 @@
     },
     /// A request for a permit.
     Permit(PeerPermitRequest),
+    /// A request for a place.
+    #[serde(rename = "P")]
+    Place(PeerPlaceRequest),
+    /// The end of a call that had a place, or of the wait for one.
+    #[serde(rename = "E")]
+    PlaceEnd(PeerPlaceEnd),
     /// Subscribes to the change feed for a limited time.
     #[serde(rename = "Follow")]
     Subscribe,
@@ -166,6 +252,9 @@
     },
     /// Answers a request for a permit.
     Permit(PeerPermit),
+    /// Answers a request for a place.
+    #[serde(rename = "p")]
+    Place(PeerPlace),
     /// Changes in the store.
     #[serde(rename = "News")]
     Changes(PeerChanges),
--- a/crates/relay/src/peers/mod.rs
+++ b/crates/relay/src/peers/mod.rs
@@ -13,5 +13,6 @@
 pub use incoming::{Incoming, PeerHandler, accept_peers};
 pub use link::{CopyRequestFailure, FeedMessage, PeerLinks};
 pub use message::{
-    PeerChanges, PeerCopyRequest, PeerPermit, PeerPermitRequest, PeerReply, PeerRequest,
+    PeerChanges, PeerCopyRequest, PeerPermit, PeerPermitRequest, PeerPlace, PeerPlaceEnd,
+    PeerPlaceRequest, PeerReply, PeerRequest, PlaceAnswer,
 };
--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -26,6 +26,7 @@
 use crate::metrics::Metrics;
 use crate::peers::{FeedMessage, Incoming, PeerHandler, PeerLinks, PeerReply, PeerRequest};
 use crate::retries::RetryBudgets;
+use crate::room::Rooms;
 use crate::settings::RelaySettings;
 use crate::suspects::Suspects;
 
@@ -81,6 +82,8 @@
     pub retries: RetryBudgets,
     /// Permits for upstreams with a rate limit.
     pub permits: Permits,
+    /// Places at the servers of contended services.
+    pub rooms: Rooms,
     /// Requests suspected of crashing upstreams.
     pub suspects: Suspects,
     /// Unknown and malformed announcements that were logged.
@@ -122,6 +125,7 @@
             router: RefCell::new(ServiceRouter::new(zone, ROUTER_SEED)),
             retries: RetryBudgets::new(bounds.retry_ratio, bounds.retry_slack),
             permits: Permits::default(),
+            rooms: Rooms::default(),
             suspects: Suspects::default(),
             logged_announcements: RefCell::default(),
             gossiper: Gossiper::default(),
@@ -211,6 +215,7 @@
         self.suspects.on_tick(self);
         self.gossiper.on_tick(self);
         self.permits.on_tick(self.now());
+        self.on_room_tick();
         self.holding.on_tick(self);
     }
 
@@ -228,12 +233,16 @@
             {
                 self.known_copies.borrow_mut().on_engine_removed(name);
             }
+            if let FleetEvent::MemberRemoved(name) = event {
+                self.on_room_member_removed(name);
+            }
             if matches!(event, FleetEvent::MemberRemoved(name) if *name == self.settings.instance) {
                 self.set_needs_announcement();
             }
         }
         if !events.is_empty() {
             self.refresh_choices();
+            self.refresh_rooms();
         }
     }
 
@@ -313,6 +322,8 @@
                 let permit = shared.on_permit_request(&request);
                 shared.incoming.reply(instance, PeerReply::Permit(permit));
             }
+            PeerRequest::Place(request) => shared.on_place_request(instance, &request),
+            PeerRequest::PlaceEnd(end) => shared.on_place_end(instance, &end),
             PeerRequest::Subscribe => shared.subscribers.on_subscribe(shared, instance),
             PeerRequest::CopyRequest(copy_request) => {
                 let now = shared.now();
