--- a/crates/decisions/src/room/keeper.rs
+++ b/crates/decisions/src/room/keeper.rs
@@ -5,16 +5,17 @@
 use monsoonspread_model::{InstanceName, UnixMs, UpstreamName};
 use serde::Serialize;
 
+use super::arrivals::Arrivals;
 use super::server::ServerState;
 use super::wait_queue::{WaitQueue, is_late};
 use super::{PlaceEnd, PlaceId, PlaceRequest, ReportedLoad, RoomAction, RoomServer};
 
 /// Maximum number of requests that wait; bounds the memory and the time for each.
 const MAX_WAITING: usize = 512;
-/// Half-life of the rate of requests, in milliseconds: a few objectives.
-const RATE_HALF_LIFE_MS: f64 = 300.0;
 /// Share of the servers' throughput that counts as left for late requests at least.
 const MIN_SPARE: f64 = 0.02;
+/// Time within which most calls end, in multiples of the mean: work differs by half.
+const CAREFUL: f64 = 1.6;
 /// Share of the places in use below which nobody need ask.
 const CALM_SHARE: f64 = 0.5;
 /// Latest time at which a refused caller is told to return, in milliseconds: peaks end within seconds.
@@ -53,8 +54,7 @@
 pub struct RoomKeeper {
     servers: Vec<ServerState>,
     queue: WaitQueue,
-    /// Requests, decayed, and when the last one arrived.
-    arrivals: (f64, UnixMs),
+    arrivals: Arrivals,
     /// When the next refused caller may return, in Unix milliseconds. Fractional, as the interval is.
     next_return_ms: f64,
     used_at: UnixMs,
@@ -95,20 +95,28 @@
     /// ```
     pub fn on_request(&mut self, now: UnixMs, request: PlaceRequest) -> Vec<RoomAction> {
         self.used_at = now;
-        self.arrivals = (self.decayed_arrivals(now) + 1.0, now);
-        let id = request.id.clone();
-        if self.servers.is_empty() || self.queue.len() >= MAX_WAITING {
+        self.arrivals.on_arrival(now, request.merit);
+        let (id, ends_by) = (request.id.clone(), request.ends_by);
+        if self.servers.is_empty() {
             return vec![self.refuse(now, id, 0.0)];
         }
-        let wait_ms = self.expected_wait_ms(now, &request);
+        let mut actions = Vec::new();
+        let careful_ms = self.careful_ms(now);
+        if self.queue.len() >= MAX_WAITING {
+            let last = self.queue.take_last_after(now, careful_ms, &request);
+            let Some(last) = last else {
+                return vec![self.refuse(now, id, 0.0)];
+            };
+            actions.push(self.refuse(now, last.id, 0.0));
+        }
+        let (in_time, late) = self.queue.ahead_of(now, careful_ms, &request);
+        let wait_ms = self.wait_ms(now, &request, in_time, late);
         self.queue.push(request);
-        let mut actions = self.grant_all(now);
-        let is_queued = self.queue.iter().any(|request| request.id == id);
-        if !is_queued {
+        actions.extend(self.grant_all(now));
+        if !self.queue.contains(&id) {
             return actions;
         }
-        let hopeless = self.is_hopeless(now, &id, wait_ms);
-        if hopeless {
+        if now + (wait_ms + self.call_ms(now)) as u64 > ends_by {
             self.queue.remove(&id);
             actions.push(self.refuse(now, id, wait_ms));
         } else {
@@ -140,12 +148,18 @@
             server.expire(now);
         }
         let mut actions = self.grant_all(now);
-        let waiting: Vec<PlaceRequest> = self.queue.iter().cloned().collect();
-        for request in waiting {
-            let wait_ms = self.expected_wait_ms(now, &request);
-            if self.is_hopeless(now, &request.id, wait_ms) {
+        let call_ms = self.call_ms(now) as u64;
+        let careful_ms = self.careful_ms(now);
+        let (mut in_time, mut late) = (0, 0);
+        for request in self.queue.in_order(now, careful_ms) {
+            let wait_ms = self.wait_ms(now, &request, in_time, late);
+            if now + wait_ms as u64 + call_ms > request.ends_by {
                 self.queue.remove(&request.id);
                 actions.push(self.refuse(now, request.id, wait_ms));
+            } else if is_late(now, careful_ms, &request) {
+                late += 1;
+            } else {
+                in_time += 1;
             }
         }
         actions
@@ -180,16 +194,16 @@
         RoomDump {
             waiting: self.queue.len(),
             servers: servers.collect(),
-            per_s: self.arrivals_per_ms(now) * 1_000.0,
+            per_s: self.arrivals.per_ms(now) * 1_000.0,
             age_ms: now.ms_since(self.used_at),
         }
     }
 
     fn grant_all(&mut self, now: UnixMs) -> Vec<RoomAction> {
         let mut actions = Vec::new();
-        let call_ms = self.call_ms(now) as u64;
+        let careful_ms = self.careful_ms(now);
         while self.queue.len() > 0 && self.has_room(now) {
-            let Some(request) = self.queue.take_next(now, call_ms) else {
+            let Some(request) = self.queue.take_next(now, careful_ms) else {
                 break;
             };
             if request.ends_by <= now {
@@ -259,27 +273,26 @@
         calls / call_ms.max(1.0)
     }
 
-    /// How long a request is expected to wait, in milliseconds.
+    /// Time within which most calls end, in milliseconds.
+    fn careful_ms(&self, now: UnixMs) -> u64 {
+        (self.call_ms(now) * CAREFUL) as u64
+    }
+
+    /// How long a request is expected to wait, in milliseconds, that has these in front of it.
     ///
-    /// Requests that miss their objective get what the others leave.
-    fn expected_wait_ms(&mut self, now: UnixMs, request: &PlaceRequest) -> f64 {
-        let call_ms = self.call_ms(now) as u64;
-        let (in_time, all) = self.queue.ahead_of(now, call_ms, request);
+    /// Each rank gets what the more urgent ones leave, and requests that miss their objective what all others
+    /// leave.
+    fn wait_ms(&mut self, now: UnixMs, request: &PlaceRequest, in_time: usize, late: usize) -> f64 {
         let throughput = self.throughput(now).max(f64::MIN_POSITIVE);
-        let in_time_ms = (in_time + 1) as f64 / throughput;
-        let late = all - in_time;
-        if !is_late(now, call_ms, request) {
-            return in_time_ms;
+        let least = throughput * MIN_SPARE;
+        let urgent = self.arrivals.per_ms_before(now, request.merit);
+        let wait_ms = (in_time + 1) as f64 / (throughput - urgent).max(least);
+        let careful_ms = self.careful_ms(now);
+        if !is_late(now + wait_ms as u64, careful_ms, request) {
+            return wait_ms;
         }
-        let spare = throughput - self.arrivals_per_ms(now);
-        in_time_ms + late as f64 / spare.max(throughput * MIN_SPARE)
-    }
-
-    fn is_hopeless(&self, now: UnixMs, id: &PlaceId, wait_ms: f64) -> bool {
-        let mut waiting = self.queue.iter();
-        let request = waiting.find(|request| request.id == *id);
-        let call_ms = self.call_ms(now);
-        request.is_some_and(|request| now + (wait_ms + call_ms) as u64 > request.ends_by)
+        let spare = throughput - self.arrivals.per_ms(now);
+        wait_ms + (late + 1) as f64 / spare.max(least)
     }
 
     fn refuse(&mut self, now: UnixMs, id: PlaceId, wait_ms: f64) -> RoomAction {
@@ -294,14 +307,4 @@
             return_ms: (return_ms - now_ms).ceil() as u64,
         }
     }
-
-    fn decayed_arrivals(&self, now: UnixMs) -> f64 {
-        let (arrivals, at) = self.arrivals;
-        arrivals * 0.5_f64.powf(now.ms_since(at) as f64 / RATE_HALF_LIFE_MS)
-    }
-
-    fn arrivals_per_ms(&self, now: UnixMs) -> f64 {
-        // The decayed count of a steady rate is the rate times the mean lifetime.
-        self.decayed_arrivals(now) * std::f64::consts::LN_2 / RATE_HALF_LIFE_MS
-    }
 }
--- a/crates/decisions/src/room/mod.rs
+++ b/crates/decisions/src/room/mod.rs
@@ -6,6 +6,7 @@
 //! Instances ask only while answers show contention.
 
 mod action;
+mod arrivals;
 mod keeper;
 mod place_end;
 mod request;
--- a/crates/decisions/src/room/wait_queue.rs
+++ b/crates/decisions/src/room/wait_queue.rs
@@ -2,6 +2,7 @@
 
 use std::collections::HashMap;
 
+use monsoonspread_model::fleet::Merit;
 use monsoonspread_model::{UnixMs, WorkspaceName};
 
 use super::{PlaceId, PlaceRequest};
@@ -13,6 +14,9 @@
 /// Maximum number of workspaces whose use is kept.
 const MAX_WORKSPACES: usize = 1_024;
 
+/// Order of merit: whether the objective is missed, ranks, places that the workspace got, end of the objective.
+type Key = (bool, Merit, u64, UnixMs);
+
 /// Requests that wait for a place, in order of merit.
 ///
 /// Those that still meet their objective go before the others; among them the more urgent, then those of the
@@ -73,28 +77,54 @@
         self.used.insert(workspace.clone(), (used, now));
     }
 
-    /// Number of waiting requests that go before `request`: those that meet their objective, and all.
+    /// Number of waiting requests that go before `request`: those that meet their objective, and the others.
     pub(super) fn ahead_of(
         &self,
         now: UnixMs,
         call_ms: u64,
         request: &PlaceRequest,
     ) -> (usize, usize) {
-        let late = is_late(now, call_ms, request);
-        let mut ahead = (0, 0);
-        for other in &self.waiting {
-            let other_late = is_late(now, call_ms, other);
-            let is_before = (other_late, other.merit, other.in_time_until, &other.id)
-                < (late, request.merit, request.in_time_until, &request.id);
-            ahead.0 += usize::from(is_before && !other_late);
-            ahead.1 += usize::from(is_before);
+        let own = self.key(now, call_ms, request);
+        let keys = self.waiting.iter();
+        let keys = keys.map(|other| self.key(now, call_ms, other));
+        let (mut in_time, mut late) = (0, 0);
+        for key in keys.filter(|key| *key < own) {
+            in_time += usize::from(!key.0);
+            late += usize::from(key.0);
         }
-        ahead
+        (in_time, late)
+    }
+
+    /// Takes the last request in the order of merit if it goes after `request`.
+    pub(super) fn take_last_after(
+        &mut self,
+        now: UnixMs,
+        call_ms: u64,
+        request: &PlaceRequest,
+    ) -> Option<PlaceRequest> {
+        let keys = self.waiting.iter().enumerate();
+        let keys = keys.map(|(index, other)| (self.key(now, call_ms, other), index));
+        let (last, index) = keys.max()?;
+        (last > self.key(now, call_ms, request)).then(|| self.waiting.swap_remove(index))
     }
 
-    /// Waiting requests.
-    pub(super) fn iter(&self) -> impl Iterator<Item = &PlaceRequest> {
-        self.waiting.iter()
+    pub(super) fn contains(&self, id: &PlaceId) -> bool {
+        self.waiting.iter().any(|request| request.id == *id)
+    }
+
+    /// Waiting requests in the order of merit.
+    pub(super) fn in_order(&self, now: UnixMs, call_ms: u64) -> Vec<PlaceRequest> {
+        let mut waiting = self.waiting.clone();
+        waiting.sort_by_cached_key(|request| self.key(now, call_ms, request));
+        waiting
+    }
+
+    fn key(&self, now: UnixMs, call_ms: u64, request: &PlaceRequest) -> Key {
+        let used = request.workspace.as_ref();
+        let used = used.map_or(0.0, |workspace| self.used(now, workspace));
+        let late = is_late(now, call_ms, request);
+        // Whole places, so that small differences don't go before the objective.
+        (late, request.merit, used as u64, request.in_time_until)
     }
 
     fn used(&self, now: UnixMs, workspace: &WorkspaceName) -> f64 {
@@ -105,14 +135,8 @@
     }
 
     fn first(&self, now: UnixMs, call_ms: u64) -> Option<usize> {
-        let keys = self.waiting.iter().enumerate().map(|(index, request)| {
-            let used = request.workspace.as_ref();
-            let used = used.map_or(0.0, |workspace| self.used(now, workspace));
-            let late = is_late(now, call_ms, request);
-            // Whole places, so that small differences don't go before the objective.
-            let key = (late, request.merit, used as u64, request.in_time_until);
-            (key, index)
-        });
+        let requests = self.waiting.iter().enumerate();
+        let keys = requests.map(|(index, request)| (self.key(now, call_ms, request), index));
         keys.min().map(|(_, index)| index)
     }
 
