--- a/crates/relay/src/call/answer.rs
+++ b/crates/relay/src/call/answer.rs
@@ -3,8 +3,10 @@
 use std::pin::Pin;
 use std::rc::Rc;
 
+use monsoonspread_borders::relay::ServerLoad;
 use monsoonspread_decisions::answer_end::{EndVerdict, Framing, ProcessEvidence};
 use monsoonspread_decisions::event_splitter::StreamPosition;
+use monsoonspread_decisions::room::PlaceEnd;
 use monsoonspread_model::fleet::PromptPart;
 use monsoonspread_model::{Fingerprint, UnixMs, UpstreamName};
 
@@ -13,6 +15,7 @@
 use crate::connection::PooledSender;
 use crate::event::{Line, kind};
 use crate::holding::CopyRequestGuard;
+use crate::room::Place;
 use crate::shared::Shared;
 use crate::suspects::InFlightRequest;
 
@@ -28,6 +31,8 @@
     pub(super) server: UpstreamName,
     pub(super) repeatable: bool,
     pub(super) sent_at: UnixMs,
+    /// The place that a keeper granted; `None` if the call was sent without one.
+    pub(super) place: Option<Place>,
 }
 
 /// Permission to send a request to an engine.
@@ -134,6 +139,15 @@
         self
     }
 
+    /// Sets the load that a server of a plain service reported when it answered.
+    pub(super) fn with_load(mut self, load: Option<ServerLoad>) -> Self {
+        if let Some(load) = load {
+            self.running = load.running + load.waiting;
+            self.slowness_percent = Some(load.slowness_percent);
+        }
+        self
+    }
+
     /// Sets how the answer marks its end.
     pub(super) fn with_framing(mut self, framing: Framing) -> Self {
         self.framing = framing;
@@ -225,6 +239,11 @@
             let latency_ms = now.ms_since(slot.sent_at);
             let mut router = self.shared.router.borrow_mut();
             router.on_end(now, &slot.server, slot.repeatable, Some(latency_ms));
+            drop(router);
+            // A server that answers errors quickly isn't fast.
+            if let Some(place) = slot.place.filter(|_| is_success) {
+                place.on_end(PlaceEnd::Served(latency_ms));
+            }
         }
     }
 
--- a/crates/relay/src/event/catalogue.rs
+++ b/crates/relay/src/event/catalogue.rs
@@ -83,6 +83,9 @@
     QUOTA_REACHED = 2015 Warn "quota reached" "Requests of a workspace are refused with 429, as its quota is used up on all instances together. Logged once until it has credit again; `free_in_ms` tells when that is, `per_s` and `burst` are the quota.";
     QUOTA_FREE = 2016 Info "quota free again" "A workspace that had reached its quota has had no request refused for two seconds; `refused` were since it was reached.";
     QUOTA_ISSUER_SILENT = 2017 Warn "quota issuer silent" "The instance that issues a workspace's credit doesn't answer, or isn't confirmed by the store. This instance asks the backup issuer of its zone, which issues a small share only. Logged once until the issuer answers again; MR1501 tells whether the instance is unreachable.";
+    POOL_KEPT = 2020 Info "pool kept" "This instance is asked for places at the `servers` of a pool of a contended service, and queues the requests that find none.";
+    SERVICE_CONTENDED = 2021 Info "service contended" "A server of a plain service was full (`calls` of its `places`). For some seconds this instance asks the keepers of the service's pools for a place before each call.";
+    KEEPER_SILENT = 2023 Warn "keeper silent" "The keeper of a pool didn't answer a request for a place in time; the call is sent without one, and the keeper isn't asked for a second.";
 }
 
 /// The catalogue as a Markdown table.
--- a/crates/relay/src/http/metrics.rs
+++ b/crates/relay/src/http/metrics.rs
@@ -15,6 +15,7 @@
 use monsoonspread_decisions::announced::Announcement;
 use monsoonspread_decisions::copies::CopyControlDump;
 use monsoonspread_decisions::quarantine::SuspectDump;
+use monsoonspread_decisions::room::RoomDump;
 use monsoonspread_model::{Fingerprint, UpstreamName, WorkspaceName};
 use serde::Serialize;
 use tokio::net::TcpListener;
@@ -93,7 +94,8 @@
     vouches: bool,
 }
 
-/// State dump: configuration, held engines, suspect requests, upstreams' announcements and workspaces' quotas.
+/// State dump: configuration, held engines, suspect requests, upstreams' announcements, workspaces' quotas and kept
+/// pools of servers.
 #[derive(Serialize)]
 struct Dump {
     configuration: Option<ConfigDump>,
@@ -105,6 +107,7 @@
     /// The quotas of workspaces that sent requests here.
     #[serde(skip_serializing_if = "BTreeMap::is_empty")]
     quotas: BTreeMap<WorkspaceName, QuotaDump>,
+    rooms: BTreeMap<String, RoomDump>,
 }
 
 fn config_dump(shared: &Shared) -> Option<ConfigDump> {
@@ -126,6 +129,7 @@
         suspect_parts: shared.suspects.dump_parts(shared.now()),
         announcements: shared.fleet.borrow().announcements(),
         quotas: shared.quotas.dump(shared.now()),
+        rooms: shared.rooms.dump(shared.now()),
     };
     match serde_json::to_string_pretty(&dump) {
         Ok(text) => (StatusCode::OK, text),
--- a/crates/relay/src/peers/link.rs
+++ b/crates/relay/src/peers/link.rs
@@ -17,8 +17,8 @@
 
 use super::frame::{Frames, HEARTBEAT_INTERVAL_MS, HEARTBEAT_TIMEOUT_MS, decode, frames, send_all};
 use super::message::{
-    PeerChanges, PeerCopyRequest, PeerPermit, PeerPermitRequest, PeerQuota, PeerQuotaRequest,
-    PeerReply, PeerRequest,
+    PeerChanges, PeerCopyRequest, PeerPermit, PeerPermitRequest, PeerPlaceRequest, PeerQuota,
+    PeerQuotaRequest, PeerReply, PeerRequest, PlaceAnswer,
 };
 use crate::event::{Line, kind};
 use crate::gossip::ReceivedGossip;
@@ -63,6 +63,7 @@
     quotes: PendingQuotes,
     permits: Pending<PeerPermit>,
     quotas: Pending<PeerQuota>,
+    places: PendingPlaces,
 }
 
 /// Requests waiting for an answer, by number.
@@ -77,6 +78,9 @@
     answered
 }
 
+/// Requests for places waiting for answers, by number.
+type PendingPlaces = Rc<RefCell<HashMap<u64, UnboundedSender<PlaceAnswer>>>>;
+
 /// Quote requests waiting for an answer, by number.
 type PendingQuotes = Rc<RefCell<HashMap<u64, oneshot::Sender<Option<EngineQuote>>>>>;
 
@@ -202,6 +206,22 @@
         answered.await.ok()
     }
 
+    /// Requests a place from `peer`; returns its answers, which end if the connection fails.
+    pub fn request_place(
+        &self,
+        peer: &InstanceName,
+        address: SocketAddr,
+        request: PeerPlaceRequest,
+    ) -> Option<UnboundedReceiver<PlaceAnswer>> {
+        let link = self.link(peer, address);
+        let (answer, answers) = unbounded_channel();
+        let mut places = link.places.borrow_mut();
+        places.retain(|_, waiting| !waiting.is_closed());
+        places.insert(request.number, answer);
+        link.queue.send(PeerRequest::Place(request)).ok()?;
+        Some(answers)
+    }
+
     /// Sends `peer` a message that needs no answer, if it is connected.
     pub fn send_if_connected(&self, peer: &InstanceName, request: PeerRequest) {
         if let Some(link) = self.links.borrow().get(peer) {
@@ -226,6 +246,7 @@
             quotes: Rc::default(),
             permits: Rc::default(),
             quotas: Rc::default(),
+            places: Rc::default(),
         };
         links.insert(peer.clone(), link.clone());
         let replies = ReplyHandler {
@@ -234,6 +255,7 @@
             quotes: Rc::clone(&link.quotes),
             permits: Rc::clone(&link.permits),
             quotas: Rc::clone(&link.quotas),
+            places: Rc::clone(&link.places),
             feed: self.feed.clone(),
             gossip: self.gossip.clone(),
         };
@@ -288,6 +310,7 @@
     replies.quotes.borrow_mut().clear();
     replies.permits.borrow_mut().clear();
     replies.quotas.borrow_mut().clear();
+    replies.places.borrow_mut().clear();
 }
 
 async fn run_connection(
@@ -333,6 +356,7 @@
     quotes: PendingQuotes,
     permits: Pending<PeerPermit>,
     quotas: Pending<PeerQuota>,
+    places: PendingPlaces,
     feed: UnboundedSender<FeedMessage>,
     gossip: UnboundedSender<ReceivedGossip>,
 }
@@ -373,6 +397,12 @@
                     let _ = request.send(quota);
                 }
             }
+            PeerReply::Place(place) => {
+                if let Some(request) = self.places.borrow().get(&place.number) {
+                    // The requester stopped waiting, and its end was already sent.
+                    let _ = request.send(place.answer);
+                }
+            }
             PeerReply::Gossip(gossip) => {
                 // The receiver lives as long as the process.
                 let _ = self.gossip.send((self.peer.clone(), gossip));
--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -28,6 +28,7 @@
 use crate::metrics::Metrics;
 use crate::peers::{FeedMessage, Incoming, PeerHandler, PeerLinks, PeerReply, PeerRequest};
 use crate::retries::RetryBudgets;
+use crate::room::Rooms;
 use crate::settings::RelaySettings;
 use crate::suspects::Suspects;
 
@@ -87,6 +88,8 @@
     pub permits: Permits,
     /// Quotas of workspaces.
     pub quotas: Quotas,
+    /// Places at the servers of contended services.
+    pub rooms: Rooms,
     /// Requests suspected of crashing upstreams.
     pub suspects: Suspects,
     /// Unknown and malformed announcements that were logged.
@@ -130,6 +133,7 @@
             retries: RetryBudgets::new(bounds.retry_ratio, bounds.retry_slack),
             permits: Permits::default(),
             quotas: Quotas::new(&bounds, clock.now()),
+            rooms: Rooms::default(),
             suspects: Suspects::default(),
             logged_announcements: RefCell::default(),
             gossiper: Gossiper::default(),
@@ -221,6 +225,7 @@
         self.gossiper.on_tick(self);
         self.permits.on_tick(self.now());
         self.tick_quotas();
+        self.on_room_tick();
         self.holding.on_tick(self);
     }
 
@@ -238,6 +243,9 @@
             {
                 self.known_copies.borrow_mut().on_engine_removed(name);
             }
+            if let FleetEvent::MemberRemoved(name) = event {
+                self.on_room_member_removed(name);
+            }
             if let FleetEvent::MemberRemoved(name) | FleetEvent::MemberLapsing(name) = event
                 && *name == self.settings.instance
             {
@@ -248,6 +256,7 @@
         if !events.is_empty() {
             self.refresh_choices();
             self.quotas.on_fleet(events);
+            self.refresh_rooms();
         }
     }
 
@@ -339,6 +348,8 @@
                 let quota = shared.on_quota_request(instance, &request);
                 shared.incoming.reply(instance, PeerReply::Quota(quota));
             }
+            PeerRequest::Place(request) => shared.on_place_request(instance, &request),
+            PeerRequest::PlaceEnd(end) => shared.on_place_end(instance, &end),
             PeerRequest::Subscribe => shared.subscribers.on_subscribe(shared, instance),
             PeerRequest::Confirm(number) => {
                 shared.subscribers.on_confirm(shared, instance, number);
