Engines: own speed, memory and places counted at the holder (in progress)

The holder now measures each engine's reading and event pace against the median of the quotes, counts the memory of running requests, and keeps places for urgent work.

--- /dev/null
+++ b/crates/decisions/src/capacity/tests/mod.rs
@@ -0,0 +1,1 @@
+mod speed;
--- a/crates/decisions/src/copies/control.rs
+++ b/crates/decisions/src/copies/control.rs
@@ -7,8 +7,11 @@
 
 use super::copy::{Copy, CopyStage};
 use super::kept_prompts::KeptPrompts;
+use super::own_speed::OwnSpeed;
+use super::room::EngineRoom;
 use super::unread_prompts::UnreadPrompts;
 use super::{CopyAction, CopyControlDump, CopyRefusal, CopyRequest, CopyRequestId, LateOrders};
+use crate::capacity::EnginePaces;
 use crate::placement::DemandSketch;
 
 /// Tracks the copies on one engine for the instance that gives the engine its orders.
@@ -33,6 +36,8 @@
     pub(super) conflicts: u32,
     pub(super) prompts: UnreadPrompts,
     pub(super) kept: KeptPrompts,
+    pub(super) room: EngineRoom,
+    pub(super) speed: OwnSpeed,
     pub(super) demand: DemandSketch<AdapterKey>,
     actions: Vec<CopyAction>,
 }
@@ -59,6 +64,8 @@
             model_check_at: UnixMs(0),
             conflicts: 0,
             prompts: UnreadPrompts::default(),
+            room: EngineRoom::default(),
+            speed: OwnSpeed::default(),
             demand: DemandSketch::new(DEMAND_CAPACITY, DEMAND_HALF_LIFE_MS),
             actions: Vec::new(),
         }
@@ -93,6 +100,7 @@
             self.refuse(request.id, reason);
             return self.advance(now);
         }
+        self.room.on_arrival(now, request.rank);
         self.waiting.push(request);
         self.advance(now)
     }
@@ -106,6 +114,8 @@
     ) -> Vec<CopyAction> {
         self.waiting.retain(|waiting| waiting.id != *request);
         self.prompts.on_read(request);
+        self.room.on_done(request);
+        self.speed.on_done(now, request, NO_EVENTS);
         let mut used = None;
         for (key, copy) in &mut self.copies {
             if copy.remove_user(request) && copy.is_present() {
@@ -131,13 +141,20 @@
     ) -> Vec<CopyAction> {
         if let Some(percent) = slowness_percent {
             self.prompts.on_slowness(now, percent);
+            self.speed.on_load(now, percent);
         }
+        self.speed.on_started(now, request);
         if !self.prompts.on_read(request) {
             return Vec::new();
         }
         self.advance(now)
     }
 
+    /// A request is about to be reported as done, after `events` events of its stream.
+    pub fn on_streamed(&mut self, now: UnixMs, request: &CopyRequestId, events: u32) {
+        self.speed.on_done(now, request, events);
+    }
+
     /// An instance was removed; drops its waiting copy requests.
     pub fn on_instance_removed(&mut self, now: UnixMs, instance: &str) -> Vec<CopyAction> {
         self.waiting
@@ -162,6 +179,8 @@
     pub fn on_restart(&mut self, now: UnixMs) -> Vec<CopyAction> {
         self.copies.clear();
         self.kept.clear();
+        self.room.clear();
+        self.speed.clear();
         self.models.clear();
         self.accepted = None;
         self.unanswered = None;
@@ -194,6 +213,9 @@
         for copy in self.copies.values_mut() {
             copy.expire_users(now);
         }
+        self.room.expire(now);
+        self.speed.on_tick(now);
+        self.prompts.on_own_slowness(self.speed.slowness_percent());
         self.advance(now)
     }
 
@@ -221,6 +243,8 @@
             going: keys(|copy| !copy.is_present() && !copy.is_coming()),
             waiting: self.waiting.len(),
             running: self.running(),
+            running_tokens: self.room.tokens(),
+            speed: self.speed.dump(),
         }
     }
 
@@ -276,29 +300,6 @@
         self.actions.push(action);
     }
 
-    fn answer_requests(&mut self, now: UnixMs) {
-        let mut requests = std::mem::take(&mut self.waiting);
-        // Requests that already miss their objective come after those that can still meet it.
-        requests.sort_by_key(|request| (request.in_time_until < now, request.rank));
-        for request in requests {
-            let has_place = self.running() < self.shape.batch_places;
-            if has_place
-                && self.is_usable(&request.key)
-                && self.prompts.admit(now, request.prompt_tokens)
-            {
-                self.prompts.on_sent(now, &request);
-                self.kept
-                    .on_sent(&request.key, &request.shared_parts, request.prompt_tokens);
-                self.grant(now, request);
-            } else if request.wait_until <= now {
-                let reason = self.refusal_reason(&request.key);
-                self.refuse(request.id, reason);
-            } else {
-                self.waiting.push(request);
-            }
-        }
-    }
-
     /// Returns the reason to refuse a copy request without queueing it, if there is one.
     fn immediate_refusal(&self, now: UnixMs, request: &CopyRequest) -> Option<CopyRefusal> {
         if self.is_expected(&request.key) || request.key.adapter.is_none() {
@@ -320,7 +321,7 @@
         missing.collect::<BTreeSet<_>>().len()
     }
 
-    fn refusal_reason(&self, key: &AdapterKey) -> CopyRefusal {
+    pub(super) fn refusal_reason(&self, key: &AdapterKey) -> CopyRefusal {
         if self.is_usable(key) {
             return CopyRefusal::Busy;
         }
@@ -340,6 +341,16 @@
         CopyRefusal::Queued
     }
 
+    /// The usual paces over engines changed.
+    pub fn on_usual_paces(&mut self, usual: EnginePaces) {
+        self.speed.on_usual(usual);
+    }
+
+    /// Returns the engine's slowness before and after a change that has to be reported, in percent.
+    pub fn take_speed_change(&mut self, now: UnixMs) -> Option<(u32, u32)> {
+        self.speed.take_change(now)
+    }
+
     /// Whether a copy is present, loading or being removed.
     fn is_expected(&self, key: &AdapterKey) -> bool {
         self.copies
@@ -347,24 +358,13 @@
             .is_some_and(|copy| !copy.is_unconfirmed())
     }
 
-    fn is_usable(&self, key: &AdapterKey) -> bool {
+    pub(super) fn is_usable(&self, key: &AdapterKey) -> bool {
         if key.adapter.is_none() {
             return self.models.contains(&key.model);
         }
         self.copies.get(key).is_some_and(Copy::is_present)
     }
 
-    fn grant(&mut self, now: UnixMs, request: CopyRequest) {
-        if let Some(copy) = self.copies.get_mut(&request.key) {
-            copy.add_user(now, request.id.clone(), request.ends_by);
-        }
-        let running = self.running() + WAITING_WEIGHT * self.waiting.len() as u32;
-        self.act(CopyAction::Grant {
-            request: request.id,
-            running,
-        });
-    }
-
     pub(super) fn refuse(&mut self, request: CopyRequestId, reason: CopyRefusal) {
         self.act(CopyAction::Refuse { request, reason });
     }
@@ -373,8 +373,8 @@
 /// Number of queued loads beyond which a copy request that isn't patient is refused: together with
 /// the loads in progress they take about as long as a short request's objective.
 const MAX_QUEUED_LOADS: usize = 3;
-/// Number of running requests that a waiting request counts as when instances compare engines.
-const WAITING_WEIGHT: u32 = 2;
+/// Events of a request whose end was reported without them.
+const NO_EVENTS: u32 = 0;
 /// Number of adapters whose demand a holder tracks: many times the number of adapters for which one
 /// engine is the first candidate.
 const DEMAND_CAPACITY: usize = 1_024;
--- a/crates/decisions/src/copies/dump.rs
+++ b/crates/decisions/src/copies/dump.rs
@@ -3,6 +3,8 @@
 use monsoonspread_model::fleet::AdapterKey;
 use serde::Serialize;
 
+use super::SpeedDump;
+
 /// State of an engine's copies as shown in a state dump.
 #[derive(Clone, Debug, Default, PartialEq, Serialize)]
 pub struct CopyControlDump {
@@ -20,4 +22,8 @@
     pub waiting: usize,
     /// Number of granted requests that have not ended.
     pub running: u32,
+    /// Prompt and answer tokens that they may take of the engine's memory together.
+    pub running_tokens: u64,
+    /// Estimate of the engine's speed.
+    pub speed: SpeedDump,
 }
--- a/crates/decisions/src/copies/request.rs
+++ b/crates/decisions/src/copies/request.rs
@@ -25,6 +25,8 @@
     pub rank: u32,
     /// Length of the prompt in tokens.
     pub prompt_tokens: u32,
+    /// Maximum length of the answer in tokens; 0 if it isn't known.
+    pub answer_tokens: u32,
     /// Leading parts of the prompt that other requests may share; only long ones are listed.
     pub shared_parts: Vec<PromptPart>,
     /// Whether to wait behind other loads; otherwise the request is refused at once.
--- a/crates/decisions/src/copies/tests/mod.rs
+++ b/crates/decisions/src/copies/tests/mod.rs
@@ -4,4 +4,5 @@
 mod places;
 mod prompts;
 mod random_runs;
+mod room;
 mod world;
--- a/crates/decisions/src/copies/unread_prompts.rs
+++ b/crates/decisions/src/copies/unread_prompts.rs
@@ -39,15 +39,20 @@
     prompts: BTreeMap<CopyRequestId, Unread>,
     slowness_percent: u32,
     slow_until: UnixMs,
+    /// Slowness of the engine itself, without the load that it reports.
+    own_percent: u32,
 }
 
 impl UnreadPrompts {
     /// Whether a prompt may be sent now.
-    pub(super) fn admit(&mut self, now: UnixMs, tokens: u32) -> bool {
+    ///
+    /// Prompts of a rank that may take only a share of the engine leave the rest of the limit to
+    /// more urgent ones.
+    pub(super) fn admit(&mut self, now: UnixMs, tokens: u32, share_percent: u32) -> bool {
         self.prompts.retain(|_, unread| unread.until > now);
         let prompts = self.prompts.values();
         let unread: u32 = prompts.map(|unread| counted(unread.tokens)).sum();
-        unread == 0 || unread + counted(tokens) <= self.limit(now)
+        unread == 0 || unread + counted(tokens) <= self.limit(now) * share_percent / USUAL_PERCENT
     }
 
     /// Number of tokens in all unprocessed prompts.
@@ -62,9 +67,21 @@
         self.slow_until = now + SLOWNESS_MS;
     }
 
-    /// Processing time of the engine in percent of the usual time; `None` without a recent report.
+    /// The engine's own slowness was estimated, in percent of the usual time.
+    pub(super) fn on_own_slowness(&mut self, percent: u32) {
+        self.own_percent = percent;
+    }
+
+    /// Processing time of the engine in percent of the usual time: its own slowness and the load that
+    /// it reported. `None` without a recent report of an engine that isn't slow itself.
     pub(super) fn slowness_percent(&self, now: UnixMs) -> Option<u32> {
-        (now < self.slow_until).then_some(self.slowness_percent)
+        let reported = (now < self.slow_until).then_some(self.slowness_percent);
+        if self.own_percent <= USUAL_PERCENT {
+            return reported;
+        }
+        let percent = u64::from(reported.unwrap_or(USUAL_PERCENT)) * u64::from(self.own_percent);
+        let percent = percent / u64::from(USUAL_PERCENT);
+        Some(percent.min(u32::MAX.into()) as u32)
     }
 
     /// The prompt of a granted copy request is sent.
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod announced;
 pub mod answer_end;
 pub mod bundle_spread;
+pub mod capacity;
 pub mod change_feed;
 pub mod claims;
 pub mod copies;
--- a/crates/decisions/src/load_choice/mod.rs
+++ b/crates/decisions/src/load_choice/mod.rs
@@ -10,6 +10,7 @@
 
 use monsoonspread_model::{UnixMs, UpstreamName};
 
+use crate::capacity::{EnginePaces, usual_paces};
 use crate::copies::{EngineQuote, QuotedCopy};
 
 /// How long an engine is sorted last after it failed a request, in milliseconds.
@@ -21,6 +22,9 @@
 const HOLDER_UNRESPONSIVE_MS: u64 = 1_000;
 /// Half-life of the weight of a reported load, in milliseconds: the duration of a short request.
 const LOAD_HALF_LIFE_MS: f64 = 700.0;
+/// How long quoted paces count in the usual ones, in milliseconds: an instance that compares a few
+/// engines for each request has seen most of them by then.
+const PACES_MS: u64 = 10_000;
 /// Weight of one reported load in the moving mean over all engines.
 const MEAN_WEIGHT: f64 = 0.05;
 /// Cost of an additional copy, in running requests: how much busier an engine with a copy may be than
@@ -81,6 +85,8 @@
     seen_at: UnixMs,
     failed_until: UnixMs,
     unresponsive_until: UnixMs,
+    paces: EnginePaces,
+    paces_at: UnixMs,
 }
 
 /// Load of the engines as known to one instance.
@@ -117,6 +123,10 @@
         let view = self.views.entry(upstream.clone()).or_default();
         view.running = load;
         view.seen_at = now;
+        if let Some(quote) = quote {
+            view.paces = quote.paces;
+            view.paces_at = now;
+        }
     }
 
     /// This instance is about to send a request to an engine.
@@ -145,6 +155,14 @@
         view.is_some_and(|view| now < view.unresponsive_until)
     }
 
+    /// Returns the usual paces: the median over the engines that were quoted recently.
+    pub fn usual_paces(&self, now: UnixMs) -> EnginePaces {
+        let is_recent = |view: &&LoadView| now.ms_since(view.paces_at) < PACES_MS;
+        let recent = self.views.values().filter(is_recent);
+        let known: Vec<EnginePaces> = recent.map(|view| view.paces).collect();
+        usual_paces(&known)
+    }
+
     /// Removes the engines for which `is_live` returns false.
     pub fn retain(&mut self, mut is_live: impl FnMut(&UpstreamName) -> bool) {
         self.views.retain(|name, _| is_live(name));
--- a/crates/load/src/emulator/world.rs
+++ b/crates/load/src/emulator/world.rs
@@ -285,6 +285,7 @@
             key: request.key.clone(),
             rank: 0,
             prompt_tokens: self.settings.prompt_tokens,
+            answer_tokens: self.settings.answer_tokens,
             shared_parts: Vec::new(),
             patient,
             in_time_until: request.arrived_at + OBJECTIVE_MS,
--- a/crates/relay/src/call/answer.rs
+++ b/crates/relay/src/call/answer.rs
@@ -196,14 +196,23 @@
         }
         if self.first_byte_at.is_none() {
             self.first_byte_at = Some(now);
-            if let Some(guard) = &self.guard {
-                guard.on_started(self.slowness_percent);
-            }
+            self.on_started();
         } else {
             let pause_ms = now.ms_since(self.last_byte_at);
             self.longest_pause_ms = self.longest_pause_ms.max(pause_ms);
         }
         self.last_byte_at = now;
+        if let Some(guard) = &mut self.guard {
+            guard.on_event();
+        }
+    }
+
+    /// Tells the engine's holder that the answer began. An error says nothing about the engine's speed.
+    fn on_started(&self) {
+        let is_success = (200..300).contains(&self.status);
+        if let Some(guard) = self.guard.as_ref().filter(|_| is_success) {
+            guard.on_started(self.slowness_percent);
+        }
     }
 
     /// Records that the answer is complete and releases its resources.
--- a/crates/relay/src/call/model_call.rs
+++ b/crates/relay/src/call/model_call.rs
@@ -232,6 +232,7 @@
             key: &self.key,
             rank: self.request.merit.rank(),
             prompt_tokens: self.request.head.prompt_tokens,
+            answer_tokens: self.request.head.max_output_tokens,
             shared_parts: long_shared_parts(&self.request.head),
             objective_ms: self.request.route.objective_ms,
             patient,
--- a/crates/relay/src/holding/controller.rs
+++ b/crates/relay/src/holding/controller.rs
@@ -16,6 +16,7 @@
 
 use super::engine::HeldEngine;
 use super::engine_calls::{read_report, send_order};
+use super::engine_speed::log_speed_change;
 use crate::event::{Line, kind};
 use crate::fleet::FleetEvent;
 use crate::peers::{CopyRequestFailure, PeerReply};
@@ -201,16 +202,18 @@
         });
     }
 
-    /// Records that a request ended or was never sent.
+    /// Records that a request ended after `events` events of its stream, or was never sent.
     pub fn on_done(
         &self,
         shared: &Rc<Shared>,
         upstream: &UpstreamName,
         id: &CopyRequestId,
         absent: bool,
+        events: u32,
     ) {
         let now = shared.now();
         self.update(shared, upstream, |engine| {
+            engine.control.on_streamed(now, id, events);
             engine.control.on_done(now, id, absent)
         });
     }
@@ -222,11 +225,14 @@
         if self.may_order.replace(may_order) && !may_order {
             Line::new(&kind::ORDERS_PAUSED).log();
         }
+        let usual = shared.loads.borrow().usual_paces(now);
         self.update_all(shared, |name, engine| {
+            engine.control.on_usual_paces(usual);
             let is_open = engine.waits_until.is_none() && shared.backoff_until(name).is_none();
             let may_order = may_order && is_open;
             let mut actions = engine.control.on_may_order(now, may_order);
             actions.extend(engine.control.on_tick(now));
+            log_speed_change(shared, now, name, engine);
             actions
         });
     }
--- a/crates/relay/src/holding/copy_query.rs
+++ b/crates/relay/src/holding/copy_query.rs
@@ -29,6 +29,8 @@
     pub rank: u32,
     /// Length of its prompt, in tokens.
     pub prompt_tokens: u32,
+    /// Maximum length of its answer, in tokens.
+    pub answer_tokens: u32,
     /// Leading parts of the prompt that other requests may share, if they are long.
     pub shared_parts: &'a [PromptPart],
     /// Latency objective of the request, in milliseconds.
@@ -63,6 +65,7 @@
         key: query.key.clone(),
         rank: query.rank,
         prompt_tokens: query.prompt_tokens,
+        answer_tokens: query.answer_tokens,
         shared_parts: query.shared_parts.to_vec(),
         patient: query.patient,
         in_time_until: query.waits_from + query.objective_ms.saturating_sub(READ_MS),
--- a/crates/relay/src/holding/copy_request_guard.rs
+++ b/crates/relay/src/holding/copy_request_guard.rs
@@ -15,6 +15,7 @@
     upstream: UpstreamName,
     number: u64,
     absent: bool,
+    events: u32,
 }
 
 impl CopyRequestGuard {
@@ -30,6 +31,7 @@
             upstream: upstream.clone(),
             number,
             absent: false,
+            events: 0,
         }
     }
 
@@ -54,6 +56,11 @@
         self.shared.peers.send_if_connected(&self.holder, started);
     }
 
+    /// Counts bytes of the answer that arrived together: about one event of its stream.
+    pub fn on_event(&mut self) {
+        self.events = self.events.saturating_add(1);
+    }
+
     /// Records that the engine did not have the copy.
     pub fn on_absent(&mut self) {
         self.absent = true;
@@ -62,7 +69,7 @@
 
 impl Drop for CopyRequestGuard {
     fn drop(&mut self) {
-        let (number, absent) = (self.number, self.absent);
+        let (number, absent, events) = (self.number, self.absent, self.events);
         if self.holder == self.shared.settings.instance {
             let id = CopyRequestId {
                 instance: self.holder.clone(),
@@ -70,13 +77,14 @@
             };
             self.shared
                 .holding
-                .on_done(&self.shared, &self.upstream, &id, absent);
+                .on_done(&self.shared, &self.upstream, &id, absent, events);
             return;
         }
         let done = PeerRequest::Done {
             number,
             upstream: self.upstream.clone(),
             absent,
+            events,
         };
         self.shared.peers.send_if_connected(&self.holder, done);
     }
--- a/crates/relay/src/holding/copy_requests.rs
+++ b/crates/relay/src/holding/copy_requests.rs
@@ -25,6 +25,8 @@
     pub rank: u32,
     /// Length of its prompt, in tokens.
     pub prompt_tokens: u32,
+    /// Maximum length of its answer, in tokens.
+    pub answer_tokens: u32,
     /// Leading parts of the prompt that other requests may share, if they are long.
     pub shared_parts: Vec<PromptPart>,
     /// Whether to queue behind other requests for a copy.
@@ -64,6 +66,7 @@
                 key: request.key.clone(),
                 rank: request.rank,
                 prompt_tokens: request.prompt_tokens,
+                answer_tokens: request.answer_tokens,
                 shared_parts: request.shared_parts.clone(),
                 patient: request.patient,
                 in_time_ms: request.in_time_until.ms_since(now),
@@ -95,6 +98,7 @@
             key: request.key.clone(),
             rank: request.rank,
             prompt_tokens: request.prompt_tokens,
+            answer_tokens: request.answer_tokens,
             shared_parts: request.shared_parts.clone(),
             patient: request.patient,
             in_time_until: request.in_time_until,
--- a/crates/relay/src/holding/mod.rs
+++ b/crates/relay/src/holding/mod.rs
@@ -7,6 +7,7 @@
 mod copy_requests;
 mod engine;
 mod engine_calls;
+mod engine_speed;
 mod lease;
 mod quotes;
 
--- a/crates/relay/src/peers/message.rs
+++ b/crates/relay/src/peers/message.rs
@@ -21,6 +21,9 @@
     pub rank: u32,
     /// Length of its prompt, in tokens.
     pub prompt_tokens: u32,
+    /// Maximum length of its answer, in tokens; 0 if it isn't known.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub answer_tokens: u32,
     /// Leading parts of the prompt that other requests may share, if they are long.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub shared_parts: Vec<PromptPart>,
@@ -34,6 +37,10 @@
     pub lasts_ms: u64,
 }
 
+fn is_zero(number: &u32) -> bool {
+    *number == 0
+}
+
 /// Changes in the store, published by an instance that reads it.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct PeerChanges {
@@ -122,6 +129,9 @@
         upstream: UpstreamName,
         /// Whether the engine lacked the copy.
         absent: bool,
+        /// Number of times that bytes of the answer arrived, about one for each event.
+        #[serde(default, skip_serializing_if = "is_zero")]
+        events: u32,
     },
     /// A request for a permit.
     Permit(PeerPermitRequest),
--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -327,6 +327,7 @@
                     key: copy_request.key,
                     rank: copy_request.rank,
                     prompt_tokens: copy_request.prompt_tokens,
+                    answer_tokens: copy_request.answer_tokens,
                     shared_parts: copy_request.shared_parts,
                     patient: copy_request.patient,
                     in_time_until: now + copy_request.in_time_ms,
@@ -365,12 +366,14 @@
                 number,
                 upstream,
                 absent,
+                events,
             } => {
                 let id = CopyRequestId {
                     instance: instance.clone(),
                     number,
                 };
-                shared.holding.on_done(shared, &upstream, &id, absent);
+                let holding = &shared.holding;
+                holding.on_done(shared, &upstream, &id, absent, events);
             }
         }
     }
