--- a/crates/decisions/src/capacity/mod.rs
+++ b/crates/decisions/src/capacity/mod.rs
@@ -1,7 +1,9 @@
-//! What a server takes well: estimates from the answers of one server, kept where all of them are known.
+//! What upstreams take well, estimated where all answers of one upstream are known.
 
 mod concurrency;
+mod speed;
 #[cfg(test)]
 mod tests;
 
 pub use concurrency::ConcurrencyEstimate;
+pub use speed::{EnginePaces, EngineSpeed, usual_paces};
--- a/crates/decisions/src/capacity/tests.rs
+++ b/crates/decisions/src/capacity/tests/concurrency.rs
@@ -1,6 +1,6 @@
 use monsoonspread_model::UnixMs;
 
-use super::ConcurrencyEstimate;
+use super::super::ConcurrencyEstimate;
 
 const NOW: UnixMs = UnixMs(1_000_000);
 const PLACES: u32 = 6;
--- /dev/null
+++ b/crates/decisions/src/capacity/tests/mod.rs
@@ -0,0 +1,2 @@
+mod concurrency;
+mod speed;
