One budget for what a process holds for callers: bodies, connections, unread answers

Change: crates/decisions memory_budget splits the machine's memory and descriptors, reserves memory before a body is read (its announced length, or in steps), makes the bodies yield that hold most for longest, and closes the connections that are idle or unread for longest. Every listener accepts in crates/relay guard; bodies are copied into one buffer whose reservation ends with the last copy of its bytes. A body that hardly arrives gets 408, one without memory 503; max_header_bytes sets the buffer of a connection.

--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod holders;
 pub mod load_choice;
 pub mod membership;
+pub mod memory_budget;
 pub mod owner;
 pub mod ownership;
 pub mod placement;
--- /dev/null
+++ b/crates/decisions/src/memory_budget/tests/mod.rs
@@ -0,0 +1,6 @@
+//! Crowds of callers against the budgets, without a network.
+
+mod bodies;
+mod connections;
+mod machine;
+mod progress;
--- a/crates/relay/src/call/handler.rs
+++ b/crates/relay/src/call/handler.rs
@@ -8,7 +8,7 @@
 use monsoonspread_decisions::route_table::pick_service;
 
 use super::caller::identify;
-use super::client_body::{BodyFailure, read_body};
+use super::client_body::{self, read_body};
 use super::request::RelayRequest;
 use super::{RelayBody, model_call, refusal, service_call, suspect};
 use crate::event::{Line, kind};
@@ -60,10 +60,10 @@
         shared.metrics.count("calls", "unknown_key");
         return refusal::plain(StatusCode::UNAUTHORIZED);
     };
-    let body = match read_body(body, routes.config().limits.max_body_bytes).await {
+    let max_body_bytes = routes.config().limits.max_body_bytes;
+    let body = match read_body(shared, body, max_body_bytes).await {
         Ok(body) => body,
-        Err(BodyFailure::TooLong) => return refusal::plain(StatusCode::PAYLOAD_TOO_LARGE),
-        Err(BodyFailure::ClientDisconnected) => return refusal::plain(StatusCode::BAD_REQUEST),
+        Err(failure) => return client_body::refused(shared, failure),
     };
     // The body may have taken until late in the grace period.
     if let Some(refusal) = refused_while_stopping(shared) {
--- a/crates/relay/src/event/catalogue.rs
+++ b/crates/relay/src/event/catalogue.rs
@@ -44,6 +44,12 @@
     STOPPED = 1003 Info "instance stopped" "The planned stop has ended.";
     SETTINGS_READ = 1004 Info "settings read again" "The settings file was read again; `changed` tells whether it differs from the settings in force, which only a restart replaces.";
     SETTINGS_INVALID = 1005 Error "settings invalid" "The changed settings can't be used; the previous ones stay in force. Correct the file.";
+    MACHINE_LIMITS = 1009 Info "machine limits" "What the process may hold for others, from the memory and the descriptors of its machine: `body_bytes` of request bodies, connections of `callers` and of `peers`, and `unread` answers.";
+    BODY_REFUSED = 1010 Warn "body refused" "The memory for request bodies is in use by others; the request was refused without being run. At most one such line a second; `left_out` counts the others.";
+    BODY_YIELDED = 1011 Warn "body yielded" "The body that held most memory for longest was given up for others before it was complete; its request was refused without being run. At most one such line a second.";
+    BODY_STALLED = 1012 Warn "body stalled" "A body arrived too slowly (`callers.body_bytes_per_s`); its request was refused without being run. At most one such line a second.";
+    CONNECTION_CLOSED = 1013 Warn "connection closed" "Connections ran short: the one that was idle for longest was closed (`closed_idle`), or a new one at once (`refused`); or a client took nothing of its answer (`closed_unread`). At most one such line a second.";
+    ACCEPT_FAILED = 1014 Warn "accept failed" "A connection could not be accepted, usually because descriptors ran out; the listener tries again. At most one such line a second.";
     STORE_LOST = 1101 Warn "store lost" "The platform's store doesn't answer; the last known state stays in use. Check the store if this lasts.";
     STORE_RECOVERED = 1102 Info "store back" "The store answers again.";
     HISTORY_COMPACTED = 1103 Warn "history compacted" "The store compacted changes that were not read yet; the full state is read again.";
--- a/crates/relay/src/http/clients.rs
+++ b/crates/relay/src/http/clients.rs
@@ -11,18 +11,22 @@
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
-use tokio::net::{TcpListener, TcpStream};
+use monsoonspread_decisions::memory_budget::ConnectionKind;
+use tokio::net::TcpListener;
 use tokio::sync::watch;
 
 use crate::call::{RelayBody, handle};
 use crate::connection::MAX_BUFFER_BYTES;
+use crate::guard::{GuardedBody, GuardedConnection, GuardedStream};
 use crate::shared::Shared;
 
 /// Maximum time to leave a connection idle or to send a head before a configuration sets a limit,
 /// in milliseconds.
 const DEFAULT_HEAD_TIMEOUT_MS: u64 = 30_000;
-/// Pause after a failed accept, in milliseconds, usually because file descriptors ran out.
-const ACCEPT_RETRY_MS: u64 = 10;
+/// Smallest buffer that the HTTP library allows, in bytes.
+const MIN_BUFFER_BYTES: usize = 8 * 1024;
+/// Room for the request line and what surrounds the headers of a head at the limit, in bytes.
+const REQUEST_LINE_BYTES: usize = 1024;
 
 /// Open client connections.
 #[derive(Clone)]
@@ -53,31 +57,40 @@
 }
 
 /// Accepts connections of clients, and of the platform's readiness checks.
-pub async fn serve_clients(listener: TcpListener, shared: Rc<Shared>, connections: Connections) {
+pub async fn serve_clients(
+    listener: TcpListener,
+    kind: ConnectionKind,
+    shared: Rc<Shared>,
+    connections: Connections,
+) {
     loop {
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                let run = serve(stream, Rc::clone(&shared), connections.clone());
-                tokio::task::spawn_local(run);
-            }
-            Err(error) => {
-                log::debug!("a connection was not accepted: {error}");
-                tokio::time::sleep(Duration::from_millis(ACCEPT_RETRY_MS)).await;
-            }
-        }
+        let accepted = shared.guard.accept(&listener, kind, &shared.metrics).await;
+        let (stream, guarded) = accepted;
+        let run = serve(
+            stream,
+            Rc::clone(&guarded),
+            Rc::clone(&shared),
+            connections.clone(),
+        );
+        tokio::task::spawn_local(async move { guarded.run(run).await });
     }
 }
 
-async fn serve(stream: TcpStream, shared: Rc<Shared>, connections: Connections) {
-    // Without it events may be delayed; the connection still works.
-    let _ = stream.set_nodelay(true);
+async fn serve(
+    stream: GuardedStream,
+    guarded: Rc<GuardedConnection>,
+    shared: Rc<Shared>,
+    connections: Connections,
+) {
     let open = OpenConnection::new(&connections.open);
     let mut closing = connections.closing.subscribe();
     let head_timeout_ms = head_timeout_ms(&shared);
-    let service = service_fn(move |request| answer(Rc::clone(&shared), request));
+    let max_buffer_bytes = max_buffer_bytes(&shared);
+    let service =
+        service_fn(move |request| answer(Rc::clone(&shared), Rc::clone(&guarded), request));
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
-        .max_buf_size(MAX_BUFFER_BYTES)
+        .max_buf_size(max_buffer_bytes)
         .header_read_timeout(Duration::from_millis(head_timeout_ms))
         .serve_connection(TokioIo::new(stream), service);
     tokio::pin!(connection);
@@ -92,16 +105,17 @@
 
 async fn answer(
     shared: Rc<Shared>,
+    guarded: Rc<GuardedConnection>,
     request: Request<Incoming>,
-) -> Result<Response<RelayBody>, Infallible> {
-    if shared
-        .borders
-        .dialect
-        .is_readiness(request.method(), request.uri())
-    {
-        return Ok(readiness(&shared));
-    }
-    Ok(handle(shared, request).await)
+) -> Result<Response<GuardedBody<RelayBody>>, Infallible> {
+    guarded.on_request();
+    let dialect = &shared.borders.dialect;
+    let response = if dialect.is_readiness(request.method(), request.uri()) {
+        readiness(&shared)
+    } else {
+        handle(shared, request).await
+    };
+    Ok(response.map(|body| GuardedBody::new(body, guarded)))
 }
 
 fn readiness(shared: &Shared) -> Response<RelayBody> {
@@ -122,6 +136,15 @@
     })
 }
 
+/// Returns the size of a connection's buffer, which a head at the limit fits into.
+fn max_buffer_bytes(shared: &Shared) -> usize {
+    let fleet = shared.fleet.borrow();
+    let limits = fleet.routes().map(|routes| routes.config().limits);
+    limits.map_or(MAX_BUFFER_BYTES, |limits| {
+        (limits.max_header_bytes + REQUEST_LINE_BYTES).max(MIN_BUFFER_BYTES)
+    })
+}
+
 struct OpenConnection {
     open: Rc<Cell<usize>>,
 }
--- a/crates/relay/src/http/metrics.rs
+++ b/crates/relay/src/http/metrics.rs
@@ -14,11 +14,14 @@
 use hyper_util::rt::TokioIo;
 use monsoonspread_decisions::announced::Announcement;
 use monsoonspread_decisions::copies::CopyControlDump;
+use monsoonspread_decisions::memory_budget::ConnectionKind;
 use monsoonspread_decisions::quarantine::SuspectDump;
 use monsoonspread_model::{Fingerprint, UpstreamName};
 use serde::Serialize;
 use tokio::net::TcpListener;
 
+use crate::connection::MAX_BUFFER_BYTES;
+use crate::guard::{GuardedBody, GuardedConnection};
 use crate::shared::Shared;
 
 /// Path prefix of requests to release; the fingerprint follows.
@@ -27,23 +30,26 @@
 /// Serves `GET /metrics`, `GET /dump` and `DELETE /suspects/FINGERPRINT`.
 pub async fn serve_metrics(listener: TcpListener, shared: Rc<Shared>) {
     loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            continue;
-        };
-        let shared = Rc::clone(&shared);
-        let service = service_fn(move |request| answer(Rc::clone(&shared), request));
-        let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
-        tokio::task::spawn_local(async move {
-            // The client notices the failed connection itself.
-            let _ = connection.await;
-        });
+        let kind = ConnectionKind::Operator;
+        let accepted = shared.guard.accept(&listener, kind, &shared.metrics).await;
+        let (stream, guarded) = accepted;
+        let (used, shared) = (Rc::clone(&guarded), Rc::clone(&shared));
+        let service =
+            service_fn(move |request| answer(Rc::clone(&shared), Rc::clone(&used), request));
+        let connection = http1::Builder::new()
+            .max_buf_size(MAX_BUFFER_BYTES)
+            .serve_connection(TokioIo::new(stream), service);
+        // The client notices the failed connection itself.
+        tokio::task::spawn_local(async move { guarded.run(connection).await });
     }
 }
 
 async fn answer(
     shared: Rc<Shared>,
+    guarded: Rc<GuardedConnection>,
     request: Request<Incoming>,
-) -> Result<Response<Full<Bytes>>, Infallible> {
+) -> Result<Response<GuardedBody<Full<Bytes>>>, Infallible> {
+    guarded.on_request();
     let path = request.uri().path();
     let (status, text) = match (request.method(), path.strip_prefix(SUSPECTS_PATH)) {
         (&Method::DELETE, Some(fingerprint)) => release(&shared, fingerprint),
@@ -51,7 +57,8 @@
         (&Method::GET, None) if path == "/dump" => dump(&shared),
         _ => (StatusCode::NOT_FOUND, String::new()),
     };
-    let mut response = Response::new(Full::new(Bytes::from(text)));
+    let body = GuardedBody::new(Full::new(Bytes::from(text)), guarded);
+    let mut response = Response::new(body);
     *response.status_mut() = status;
     Ok(response)
 }
@@ -74,9 +81,24 @@
     for (upstream, per_s) in shared.permits.issued_rates(shared.now()) {
         gauge("permits_issued", &upstream, per_s);
     }
+    held_for_callers(shared, &mut text);
     text
 }
 
+/// Adds what the process holds for callers.
+fn held_for_callers(shared: &Shared, text: &mut String) {
+    let held_bytes = shared.guard.bodies.held_bytes();
+    let _ = writeln!(text, "monsoonspread_body_bytes {held_bytes}");
+    let kinds = [ConnectionKind::Caller, ConnectionKind::Peer];
+    for kind in kinds {
+        let (word, open) = (kind.word(), shared.guard.open_connections(kind));
+        let _ = writeln!(
+            text,
+            "monsoonspread_open_connections{{kind=\"{word}\"}} {open}"
+        );
+    }
+}
+
 /// State dump: held engines, suspect requests and upstreams' announcements.
 #[derive(Serialize)]
 struct Dump {
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -13,6 +13,7 @@
 mod error;
 mod fleet;
 mod gossip;
+mod guard;
 mod holding;
 mod http;
 mod limits;
--- a/crates/relay/src/peers/frame.rs
+++ b/crates/relay/src/peers/frame.rs
@@ -4,6 +4,7 @@
 use futures_util::SinkExt;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
+use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::net::TcpStream;
 use tokio::sync::mpsc::UnboundedReceiver;
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
@@ -17,10 +18,10 @@
 pub const HEARTBEAT_TIMEOUT_MS: u64 = 1_500;
 
 /// A connection that carries framed messages.
-pub type Frames = Framed<TcpStream, LengthDelimitedCodec>;
+pub type Frames<S = TcpStream> = Framed<S, LengthDelimitedCodec>;
 
 /// Wraps `stream` in the message framing.
-pub fn frames(stream: TcpStream) -> Frames {
+pub fn frames<S: AsyncRead + AsyncWrite>(stream: S) -> Frames<S> {
     let mut codec = LengthDelimitedCodec::new();
     codec.set_max_frame_length(MAX_FRAME_BYTES);
     Framed::new(stream, codec)
@@ -45,8 +46,8 @@
 }
 
 /// Writes `first` and all queued messages in one flush; `None` if the connection failed.
-pub async fn send_all<T: Serialize>(
-    frames: &mut Frames,
+pub async fn send_all<T: Serialize, S: AsyncWrite + Unpin>(
+    frames: &mut Frames<S>,
     first: &T,
     more: &mut UnboundedReceiver<T>,
 ) -> Option<()> {
--- a/crates/relay/src/peers/incoming.rs
+++ b/crates/relay/src/peers/incoming.rs
@@ -6,13 +6,16 @@
 use std::time::Duration;
 
 use futures_util::StreamExt;
+use monsoonspread_decisions::memory_budget::ConnectionKind;
 use monsoonspread_model::InstanceName;
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::TcpListener;
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
 use tokio::time::{Instant, interval, sleep_until};
 
 use super::frame::{Frames, HEARTBEAT_INTERVAL_MS, HEARTBEAT_TIMEOUT_MS, decode, frames, send_all};
 use super::message::{PeerReply, PeerRequest};
+use crate::guard::{GuardedConnection, GuardedStream};
+use crate::shared::Shared;
 
 /// Handles requests of other instances.
 pub trait PeerHandler {
@@ -37,19 +40,26 @@
 }
 
 /// Accepts connections of other instances for the life of the process.
-pub async fn accept_peers(listener: TcpListener, incoming: Incoming, handler: Rc<dyn PeerHandler>) {
+pub async fn accept_peers(listener: TcpListener, shared: Rc<Shared>, handler: Rc<dyn PeerHandler>) {
+    let kind = ConnectionKind::Peer;
     loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            continue;
-        };
-        let (incoming, handler) = (incoming.clone(), Rc::clone(&handler));
-        tokio::task::spawn_local(serve(stream, incoming, handler));
+        let accepted = shared.guard.accept(&listener, kind, &shared.metrics).await;
+        let (stream, guarded) = accepted;
+        let (incoming, handler) = (shared.incoming.clone(), Rc::clone(&handler));
+        tokio::task::spawn_local(async move {
+            guarded
+                .run(serve(stream, &guarded, incoming, handler))
+                .await;
+        });
     }
 }
 
-async fn serve(stream: TcpStream, incoming: Incoming, handler: Rc<dyn PeerHandler>) {
-    // Without it replies may be delayed; the connection still works.
-    let _ = stream.set_nodelay(true);
+async fn serve(
+    stream: GuardedStream,
+    guarded: &GuardedConnection,
+    incoming: Incoming,
+    handler: Rc<dyn PeerHandler>,
+) {
     let mut frames = frames(stream);
     let first =
         tokio::time::timeout(Duration::from_millis(HEARTBEAT_TIMEOUT_MS), frames.next()).await;
@@ -59,6 +69,7 @@
     let Some(PeerRequest::Hello(instance)) = decode(&bytes) else {
         return;
     };
+    guarded.on_request();
     let (queue, replies) = unbounded_channel();
     incoming
         .replies
@@ -76,7 +87,7 @@
 }
 
 async fn run_connection(
-    mut frames: Frames,
+    mut frames: Frames<GuardedStream>,
     mut replies: UnboundedReceiver<PeerReply>,
     instance: &InstanceName,
     handler: &dyn PeerHandler,
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -5,6 +5,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use monsoonspread_decisions::memory_budget::ConnectionKind;
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::mpsc::{UnboundedReceiver, unbounded_channel};
@@ -71,12 +72,18 @@
     let peers = bind(listen.peers).await?;
     spawn_local(serve_clients(
         callers,
+        ConnectionKind::Caller,
         Rc::clone(&shared),
         connections.clone(),
     ));
-    spawn_local(serve_clients(readiness, Rc::clone(&shared), platform));
+    spawn_local(serve_clients(
+        readiness,
+        ConnectionKind::Readiness,
+        Rc::clone(&shared),
+        platform,
+    ));
     let handler = Rc::new(PeerDispatcher(Rc::clone(&shared)));
-    spawn_local(accept_peers(peers, shared.incoming.clone(), handler));
+    spawn_local(accept_peers(peers, Rc::clone(&shared), handler));
     if let Some(address) = listen.metrics {
         spawn_local(serve_metrics(bind(address).await?, Rc::clone(&shared)));
     }
@@ -113,6 +120,7 @@
         if now >= sweep_at {
             sweep_at = now + SWEEP_MS;
             shared.pool.sweep();
+            shared.guard.on_tick(&shared.metrics);
         }
     }
 }
--- a/crates/relay/src/settings.rs
+++ b/crates/relay/src/settings.rs
@@ -38,6 +38,34 @@
     /// The machine that the process runs on.
     #[serde(default)]
     pub machine: MachineSettings,
+    /// Limits on how slowly callers may send and read.
+    #[serde(default)]
+    pub callers: CallerSettings,
+}
+
+/// Limits on how slowly callers may send and read.
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq)]
+#[serde(default, deny_unknown_fields)]
+pub struct CallerSettings {
+    /// Span over which the progress of a body is checked, in milliseconds.
+    pub body_window_ms: u64,
+    /// Minimum rate at which a body arrives in each such span, in bytes per second.
+    pub body_bytes_per_s: u64,
+    /// Time after which a connection is closed whose client takes nothing of its answer, in milliseconds.
+    pub unread_ms: u64,
+}
+
+impl Default for CallerSettings {
+    fn default() -> Self {
+        Self {
+            // Longer than the platform's clients wait for an answer to a request with a body.
+            body_window_ms: 10_000,
+            // About a thousandth of the slowest link.
+            body_bytes_per_s: 1_024,
+            // Longer than the platform's servers wait for a reader.
+            unread_ms: 10_000,
+        }
+    }
 }
 
 /// The machine that the process runs on; a limit that isn't set is taken from the operating system.
--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -21,6 +21,7 @@
 use crate::connection::Pool;
 use crate::fleet::{FleetEvent, FleetView, Subscribers};
 use crate::gossip::{Gossiper, ReceivedGossip};
+use crate::guard::Guard;
 use crate::holding::Holding;
 use crate::limits::Permits;
 use crate::metrics::Metrics;
@@ -87,6 +88,8 @@
     pub logged_announcements: RefCell<BTreeSet<String>>,
     /// Gossip to other instances.
     pub gossiper: Gossiper,
+    /// Bounds on what is held for callers.
+    pub guard: Guard,
     /// Counters and latencies.
     pub metrics: Metrics,
     stopping_since: Cell<Option<UnixMs>>,
@@ -125,6 +128,7 @@
             suspects: Suspects::default(),
             logged_announcements: RefCell::default(),
             gossiper: Gossiper::default(),
+            guard: Guard::new(&settings, clock),
             metrics: Metrics::default(),
             stopping_since: Cell::new(None),
             needs_announcement: Cell::new(false),
