--- a/crates/decisions/src/memory_budget/machine_shares.rs
+++ b/crates/decisions/src/memory_budget/machine_shares.rs
@@ -26,7 +26,9 @@
 /// Part of these that may belong to instances that haven't named themselves yet, as a divisor.
 const UNNAMED_PEER_DIVISOR: usize = 4;
 /// Part of the memory for bodies that is kept free of large ones, as a divisor.
-const SMALL_BODY_DIVISOR: usize = 4;
+const SMALL_BODY_DIVISOR: usize = 2;
+/// What a request holds of it: a head and a body.
+const PARTS_OF_A_REQUEST: usize = 2;
 /// Connections of readiness checks, and of operators, that may be open at once: they come one at a time.
 const FEW_CONNECTIONS: usize = 16;
 
@@ -44,7 +46,7 @@
     pub body_bytes: usize,
     /// Part of it that only small bodies may use, in bytes.
     pub small_bodies_bytes: usize,
-    /// Largest body that is small, in bytes: every connection of a caller may hold one.
+    /// Largest body or head that is small, in bytes: every connection of a caller may hold one of each.
     pub small_body_bytes: usize,
     /// Connections whose clients don't read their answers.
     pub max_unread: usize,
@@ -69,7 +71,7 @@
         Self {
             body_bytes,
             small_bodies_bytes,
-            small_body_bytes: small_bodies_bytes / max_callers,
+            small_body_bytes: small_bodies_bytes / max_callers / PARTS_OF_A_REQUEST,
             max_unread: (memory_bytes / ANSWER_DIVISOR / UNREAD_ANSWER_BYTES).max(1),
             max_callers,
             max_peers,
--- a/crates/decisions/src/memory_budget/tests/machine.rs
+++ b/crates/decisions/src/memory_budget/tests/machine.rs
@@ -17,7 +17,7 @@
         let held =
             shares.body_bytes + shares.max_callers * 24 * 1024 + shares.max_unread * 128 * 1024;
         assert!(held <= memory_mb * 1_000_000 * 5 / 8, "{memory_mb} MB");
-        assert!(shares.max_callers * shares.small_body_bytes <= shares.small_bodies_bytes);
+        assert!(2 * shares.max_callers * shares.small_body_bytes <= shares.small_bodies_bytes);
         // Each request takes a second descriptor to its upstream.
         assert!(
             2 * shares.max_callers + 200 <= descriptors,
--- a/crates/relay/src/call/client_body.rs
+++ b/crates/relay/src/call/client_body.rs
@@ -71,6 +71,11 @@
     Ok(read.finish())
 }
 
+/// Refuses a request whose head there is no memory for; it was not run.
+pub fn refuse_head(shared: &Shared) -> Response<RelayBody> {
+    refused(shared, BodyFailure::OutOfMemory)
+}
+
 /// Refuses a request whose body could not be read; it was not run.
 pub(super) fn refused(shared: &Shared, failure: BodyFailure) -> Response<RelayBody> {
     let now = shared.now();
--- a/crates/relay/src/call/mod.rs
+++ b/crates/relay/src/call/mod.rs
@@ -21,4 +21,5 @@
 
 pub use answer::Grant;
 pub use body::RelayBody;
+pub use client_body::refuse_head;
 pub use handler::handle;
--- a/crates/relay/src/guard/body_memory.rs
+++ b/crates/relay/src/guard/body_memory.rs
@@ -49,14 +49,26 @@
         let yields = Arc::new(Notify::new());
         state.readers.insert(id, Arc::clone(&yields));
         ReservedBody {
-            memory: self.clone(),
-            id,
+            reservation: self.reservation(id),
             max_bytes,
             buffer: Vec::new(),
             yields,
         }
     }
 
+    /// Reserves memory that doesn't yield, for what is kept of a head.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the memory is in use by bodies that don't yield.
+    pub fn hold(&self, now: UnixMs, bytes: usize) -> Result<Reservation, OutOfMemory> {
+        let id = self.state().budget.begin(now);
+        let reservation = self.reservation(id);
+        reservation.reserve(now, bytes)?;
+        self.state().budget.complete(id);
+        Ok(reservation)
+    }
+
     /// Makes the largest and slowest body yield; returns whether there is one.
     pub fn yield_one(&self, now: UnixMs) -> bool {
         let mut state = self.state();
@@ -72,6 +84,13 @@
         self.state().budget.held_bytes()
     }
 
+    fn reservation(&self, id: BodyId) -> Reservation {
+        Reservation {
+            memory: self.clone(),
+            id,
+        }
+    }
+
     fn state(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -85,11 +104,44 @@
     }
 }
 
-/// A body in reserved memory, which is released when the body is dropped.
+/// Reserved memory, which is released on drop.
 #[derive(Debug)]
-pub struct ReservedBody {
+pub struct Reservation {
     memory: BodyMemory,
     id: BodyId,
+}
+
+impl Reservation {
+    fn reserve(&self, now: UnixMs, bytes: usize) -> Result<(), OutOfMemory> {
+        let mut state = self.memory.state();
+        match state.budget.reserve(now, self.id, bytes) {
+            BodyReservation::Granted(yielding) => {
+                yielding.into_iter().for_each(|id| state.notify(id));
+                Ok(())
+            }
+            BodyReservation::Refused => Err(OutOfMemory),
+        }
+    }
+
+    fn complete(&self) {
+        let mut state = self.memory.state();
+        state.budget.complete(self.id);
+        state.readers.remove(&self.id);
+    }
+}
+
+impl Drop for Reservation {
+    fn drop(&mut self) {
+        let mut state = self.memory.state();
+        state.budget.release(self.id);
+        state.readers.remove(&self.id);
+    }
+}
+
+/// A body in reserved memory.
+#[derive(Debug)]
+pub struct ReservedBody {
+    reservation: Reservation,
     max_bytes: usize,
     buffer: Vec<u8>,
     yields: Arc<Notify>,
@@ -102,14 +154,7 @@
     ///
     /// Fails if the memory is in use by bodies that don't yield.
     pub fn reserve(&mut self, now: UnixMs, bytes: usize) -> Result<(), OutOfMemory> {
-        let mut state = self.memory.state();
-        match state.budget.reserve(now, self.id, bytes) {
-            BodyReservation::Granted(yielding) => {
-                yielding.into_iter().for_each(|id| state.notify(id));
-            }
-            BodyReservation::Refused => return Err(OutOfMemory),
-        }
-        drop(state);
+        self.reservation.reserve(now, bytes)?;
         self.buffer.reserve_exact(bytes - self.buffer.len());
         Ok(())
     }
@@ -141,10 +186,7 @@
 
     /// Ends the body, which no longer yields. Its memory is released with the last copy of the result.
     pub fn finish(self) -> Bytes {
-        let mut state = self.memory.state();
-        state.budget.complete(self.id);
-        state.readers.remove(&self.id);
-        drop(state);
+        self.reservation.complete();
         Bytes::from_owner(self)
     }
 }
@@ -154,11 +196,3 @@
         &self.buffer
     }
 }
-
-impl Drop for ReservedBody {
-    fn drop(&mut self) {
-        let mut state = self.memory.state();
-        state.budget.release(self.id);
-        state.readers.remove(&self.id);
-    }
-}
--- a/crates/relay/src/guard/guarded_body.rs
+++ b/crates/relay/src/guard/guarded_body.rs
@@ -6,18 +6,29 @@
 
 use hyper::body::{Body, Frame, SizeHint};
 
-use super::GuardedConnection;
+use super::{GuardedConnection, Reservation};
 
-/// Body of an answer; its connection is idle once the body is dropped.
+/// Body of an answer; its connection is idle, and the memory for the request's head free, once it is dropped.
 pub struct GuardedBody<B> {
     body: B,
+    _head: Option<Reservation>,
     connection: Rc<GuardedConnection>,
 }
 
 impl<B> GuardedBody<B> {
     /// Sends `body` on `connection`.
     pub fn new(body: B, connection: Rc<GuardedConnection>) -> Self {
-        Self { body, connection }
+        Self {
+            body,
+            _head: None,
+            connection,
+        }
+    }
+
+    /// Keeps the memory of the request's head until the answer is sent.
+    pub fn with_head(mut self, head: Option<Reservation>) -> Self {
+        self._head = head;
+        self
     }
 }
 
--- a/crates/relay/src/guard/mod.rs
+++ b/crates/relay/src/guard/mod.rs
@@ -11,7 +11,7 @@
 mod registry;
 mod throttled_log;
 
-pub use body_memory::{BodyMemory, OutOfMemory, ReservedBody};
+pub use body_memory::{BodyMemory, OutOfMemory, Reservation, ReservedBody};
 pub use connection::GuardedConnection;
 pub use guarded_body::GuardedBody;
 pub use guarded_stream::GuardedStream;
--- a/crates/relay/src/http/clients.rs
+++ b/crates/relay/src/http/clients.rs
@@ -15,14 +15,17 @@
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 
-use crate::call::{RelayBody, handle};
+use crate::call::{RelayBody, handle, refuse_head};
 use crate::connection::MAX_BUFFER_BYTES;
-use crate::guard::{GuardedBody, GuardedConnection, GuardedStream};
+use crate::guard::{GuardedBody, GuardedConnection, GuardedStream, OutOfMemory};
 use crate::shared::Shared;
 
 /// Maximum time to leave a connection idle or to send a head before a configuration sets a limit,
 /// in milliseconds.
 const DEFAULT_HEAD_TIMEOUT_MS: u64 = 30_000;
+/// Memory that a request holds for each byte of its headers: the parts of a prompt take six bytes or more
+/// there, and some fifty where they are kept.
+const HEAD_FACTOR: usize = 8;
 /// Smallest buffer that the HTTP library allows, in bytes.
 const MIN_BUFFER_BYTES: usize = 8 * 1024;
 /// Room for the request line and what surrounds the headers of a head at the limit, in bytes.
@@ -110,12 +113,24 @@
 ) -> Result<Response<GuardedBody<RelayBody>>, Infallible> {
     guarded.on_request();
     let dialect = &shared.borders.dialect;
-    let response = if dialect.is_readiness(request.method(), request.uri()) {
-        readiness(&shared)
-    } else {
-        handle(shared, request).await
+    if dialect.is_readiness(request.method(), request.uri()) {
+        let response = readiness(&shared);
+        return Ok(response.map(|body| GuardedBody::new(body, guarded)));
+    }
+    let held_bytes = head_bytes(&request) * HEAD_FACTOR;
+    let (head, response) = match shared.guard.bodies.hold(shared.now(), held_bytes) {
+        Ok(head) => (Some(head), handle(shared, request).await),
+        Err(OutOfMemory) => (None, refuse_head(&shared)),
     };
-    Ok(response.map(|body| GuardedBody::new(body, guarded)))
+    Ok(response.map(|body| GuardedBody::new(body, guarded).with_head(head)))
+}
+
+/// Size of a request's headers, in bytes.
+fn head_bytes(request: &Request<Incoming>) -> usize {
+    let headers = request.headers().iter();
+    headers
+        .map(|(name, value)| name.as_str().len() + value.len())
+        .sum()
 }
 
 fn readiness(shared: &Shared) -> Response<RelayBody> {
