--- a/crates/relay/src/call/admission.rs
+++ b/crates/relay/src/call/admission.rs
@@ -80,18 +80,25 @@
     head: &CallHead,
 ) -> Result<Caller, Box<Response<RelayBody>>> {
     let caller = identify(routes, route, head);
-    match &caller {
-        Some(Caller::Anybody) => {}
-        Some(Caller::Public) => shared.metrics.count("callers", "public"),
-        Some(Caller::Member(_)) | None => {
-            if let Some(refusal) = KeyRefusal::of(shared, caller.is_some()) {
-                return Err(Box::new(refusal.response(shared, route, head)));
-            }
+    let refusal = match &caller {
+        Some(Caller::Anybody) => return Ok(Caller::Anybody),
+        Some(Caller::Public) => {
+            shared.metrics.count("callers", "public");
+            return Ok(Caller::Public);
+        }
+        Some(Caller::Member(_)) => KeyRefusal::of(shared, true),
+        None => KeyRefusal::of(shared, false),
+    };
+    match (refusal, caller) {
+        (None, Some(caller)) => {
             shared.metrics.count("callers", "admitted");
+            Ok(caller)
+        }
+        (refusal, _) => {
+            let refusal = refusal.unwrap_or(KeyRefusal::Unknown);
+            Err(Box::new(refusal.response(shared, route, head)))
         }
     }
-    // Only a caller without a key that counts is refused above.
-    caller.ok_or_else(|| Box::new(refusal::plain(StatusCode::UNAUTHORIZED)))
 }
 
 /// Whether the request's key still admits it, now that it is about to be sent to an upstream.
