--- a/crates/decisions/src/capacity/speed.rs
+++ b/crates/decisions/src/capacity/speed.rs
@@ -207,8 +207,7 @@
 
 /// Time that work would have taken without the load of a neighbour on the engine's machine.
 fn own_ms(took_ms: u64, load_percent: u32) -> f64 {
-    let load_percent = load_percent.max(USUAL_PERCENT);
-    took_ms as f64 * f64::from(USUAL_PERCENT) / f64::from(load_percent)
+    took_ms as f64 * f64::from(USUAL_PERCENT) / f64::from(load_percent.max(1))
 }
 
 fn ratio_percent(pace: Option<u32>, usual: Option<u32>) -> Option<u32> {
--- a/crates/decisions/src/copies/own_speed.rs
+++ b/crates/decisions/src/copies/own_speed.rs
@@ -6,7 +6,7 @@
 use serde::Serialize;
 
 use super::CopyRequestId;
-use crate::capacity::{EnginePaces, EngineSpeed};
+use crate::capacity::{AnnouncedLevel, EnginePaces, EngineSpeed, SpeedClass};
 
 /// Slowness of an engine at its usual speed, in percent.
 const USUAL_PERCENT: u32 = 100;
@@ -29,6 +29,8 @@
 pub struct SpeedDump {
     /// Time of its work in percent of the usual time.
     pub slowness_percent: u32,
+    /// Its lasting time of work as announced, in percent of the usual time; `None` if it announced none.
+    pub announced_percent: Option<u32>,
     /// Its paces.
     pub paces: EnginePaces,
     /// The usual paces: the median over engines.
@@ -47,6 +49,7 @@
     runs: BTreeMap<CopyRequestId, Run>,
     load_percent: u32,
     load_until: UnixMs,
+    level: AnnouncedLevel,
     reported_percent: u32,
     reported_at: UnixMs,
 }
@@ -73,6 +76,7 @@
     pub(super) fn on_load(&mut self, now: UnixMs, load_percent: u32) {
         self.load_percent = load_percent;
         self.load_until = now + LOAD_MS;
+        self.level.on_announced(load_percent);
     }
 
     /// The first event of an answer arrived.
@@ -126,6 +130,11 @@
         self.slowness_percent = self.paces.slowness_percent(&self.usual);
     }
 
+    /// The lasting speed that the engine announces.
+    pub(super) fn class(&self) -> SpeedClass {
+        self.level.class()
+    }
+
     /// The paces as of the last tick.
     pub(super) fn paces(&self) -> EnginePaces {
         self.paces
@@ -152,6 +161,7 @@
     pub(super) fn dump(&self) -> SpeedDump {
         SpeedDump {
             slowness_percent: self.slowness_percent(),
+            announced_percent: self.level.percent(),
             paces: self.paces,
             usual: self.usual,
             sampled_at: self.speed.sampled_at(),
@@ -162,6 +172,6 @@
         if now < self.load_until {
             return self.load_percent;
         }
-        USUAL_PERCENT
+        self.level.percent().unwrap_or(USUAL_PERCENT)
     }
 }
--- a/crates/load/src/cli.rs
+++ b/crates/load/src/cli.rs
@@ -44,6 +44,15 @@
     /// Requests a second in the region.
     #[arg(long, value_name = "RATE", default_value_t = 670.0)]
     pub requests_per_s: f64,
+    /// Whether engines announce the time that work takes.
+    #[arg(long)]
+    pub announces: bool,
+    /// Every so manieth engine is of another speed; 0 for none.
+    #[arg(long, value_name = "NUMBER", default_value_t = 0)]
+    pub uneven_every: usize,
+    /// Time that work takes on those engines, in percent of the time on the others.
+    #[arg(long, value_name = "PERCENT", default_value_t = 200, value_parser = clap::value_parser!(u32).range(10..=1_000))]
+    pub uneven_percent: u32,
     /// Length of a run in virtual time.
     #[arg(long, value_name = "SECONDS", default_value_t = 30, value_parser = clap::value_parser!(u64).range(1..=3_600))]
     pub seconds: u64,
--- a/crates/load/src/commands.rs
+++ b/crates/load/src/commands.rs
@@ -60,6 +60,9 @@
         requests_per_s: args.requests_per_s,
         seconds: args.seconds,
         seed: args.seed,
+        announces: args.announces,
+        uneven_every: args.uneven_every,
+        uneven_percent: args.uneven_percent,
         ..EmulatorSettings::default()
     };
     let runs = args.instances.iter().flat_map(|instances| {
--- a/crates/load/src/emulator/engine.rs
+++ b/crates/load/src/emulator/engine.rs
@@ -29,6 +29,7 @@
     pub(super) served: u64,
     pub(super) loads: u64,
     pub(super) running: u32,
+    time_percent: u32,
     read_until: UnixMs,
     held: BTreeSet<AdapterKey>,
     coming: BTreeMap<AdapterKey, UnixMs>,
@@ -37,7 +38,7 @@
 }
 
 impl EmulatedEngine {
-    pub(super) fn new(settings: &EmulatorSettings) -> Self {
+    pub(super) fn new(settings: &EmulatorSettings, time_percent: u32) -> Self {
         let model = BaseModel {
             name: MODEL.into(),
             size_mb: 0.0,
@@ -55,6 +56,7 @@
             served: 0,
             loads: 0,
             running: 0,
+            time_percent,
             read_until: UnixMs(0),
             held: BTreeSet::new(),
             coming: BTreeMap::new(),
@@ -65,7 +67,8 @@
 
     /// A prompt arrives; returns when its first event comes.
     pub(super) fn on_prompt(&mut self, now: UnixMs, tokens: u32) -> UnixMs {
-        let read_ms = u64::from(tokens).div_ceil(READ_TOKENS_PER_MS);
+        let read_ms = u64::from(tokens) * u64::from(self.time_percent) / 100;
+        let read_ms = read_ms.div_ceil(READ_TOKENS_PER_MS);
         self.read_until = self.read_until.max(now) + read_ms;
         self.running += 1;
         self.read_until
@@ -74,7 +77,7 @@
     /// Time from the first event to the last, as the engine is now.
     pub(super) fn answer_ms(&self, tokens: u32) -> u64 {
         let step_ms = STEP_MS * (1.0 + STEP_GROWTH * f64::from(self.running));
-        (f64::from(tokens) * step_ms) as u64
+        (f64::from(tokens) * step_ms * f64::from(self.time_percent) / 100.0) as u64
     }
 
     pub(super) fn report(&mut self, now: UnixMs) -> Holdings {
--- a/crates/load/src/emulator/report.rs
+++ b/crates/load/src/emulator/report.rs
@@ -29,6 +29,8 @@
     pub first_event: Quantiles,
     /// Requests of the busiest engine over the mean.
     pub busiest_over_mean: f64,
+    /// The same by the time that requests take at the speed of each engine.
+    pub busiest_over_mean_work: f64,
     /// Adapters brought from the weight store.
     pub loads: u64,
     /// Messages between instances.
@@ -49,6 +51,7 @@
             grant: Quantiles::default(),
             first_event: Quantiles::default(),
             busiest_over_mean: 0.0,
+            busiest_over_mean_work: 0.0,
             loads: 0,
             messages: 0,
             grants_ms: Vec::new(),
@@ -71,7 +74,7 @@
 /// Writes runs as a table, a line each.
 pub fn run_table(runs: &[EmulatedRun]) -> String {
     let mut text = format!(
-        "{:<10}{:>10}{:>10}{:>9}{:>11}{:>11}{:>11}{:>11}{:>14}{:>8}{:>10}\n",
+        "{:<10}{:>10}{:>10}{:>9}{:>11}{:>11}{:>11}{:>11}{:>14}{:>9}{:>8}{:>10}\n",
         "choice",
         "instances",
         "requests",
@@ -81,12 +84,13 @@
         "first p50",
         "first p99",
         "busiest/mean",
+        "by work",
         "loads",
         "messages",
     );
     for run in runs {
         text.push_str(&format!(
-            "{:<10}{:>10}{:>10}{:>9}{:>11.0}{:>11.0}{:>11.0}{:>11.0}{:>14.2}{:>8}{:>10}\n",
+            "{:<10}{:>10}{:>10}{:>9}{:>11.0}{:>11.0}{:>11.0}{:>11.0}{:>14.2}{:>9.2}{:>8}{:>10}\n",
             run.choice,
             run.instances,
             run.arrivals,
@@ -96,6 +100,7 @@
             run.first_event.p50_ms,
             run.first_event.p99_ms,
             run.busiest_over_mean,
+            run.busiest_over_mean_work,
             run.loads,
             run.messages,
         ));
--- a/crates/load/src/emulator/settings.rs
+++ b/crates/load/src/emulator/settings.rs
@@ -23,6 +23,12 @@
     pub prompt_tokens: u32,
     /// Length of an answer, in tokens.
     pub answer_tokens: u32,
+    /// Every so manieth engine is of another speed; 0 for none.
+    pub uneven_every: usize,
+    /// Time that work takes on those engines, in percent of the time on the others.
+    pub uneven_percent: u32,
+    /// Whether engines announce the time that work takes.
+    pub announces: bool,
     /// Length of the run, in seconds of virtual time.
     pub seconds: u64,
     /// Seed of arrivals and of popularity.
@@ -43,6 +49,9 @@
             batch_places: 16,
             prompt_tokens: 880,
             answer_tokens: 69,
+            uneven_every: 0,
+            uneven_percent: 200,
+            announces: false,
             seconds: 30,
             seed: 1,
         }
@@ -50,6 +59,12 @@
 }
 
 impl EmulatorSettings {
+    /// Returns how long work takes on an engine, in percent of the time on most engines.
+    pub(super) fn time_percent(&self, engine: usize) -> u32 {
+        let is_other = self.uneven_every > 0 && engine.is_multiple_of(self.uneven_every);
+        if is_other { self.uneven_percent } else { 100 }
+    }
+
     /// The same with so many instances.
     #[must_use]
     pub fn with_instances(mut self, instances: usize) -> Self {
--- a/crates/load/src/emulator/tests.rs
+++ b/crates/load/src/emulator/tests.rs
@@ -26,6 +26,24 @@
     assert!(quoted < own, "{quoted} and {own}");
 }
 
+/// Every fourth engine works at half of the speed: by the time that requests take, none is filled
+/// much more than the others.
+#[test]
+fn slow_engines_get_less_work() {
+    let settings = EmulatorSettings {
+        seconds: RUN_S,
+        uneven_every: 4,
+        ..EmulatorSettings::default()
+    };
+    let even = busiest_over_mean(195, EngineChoice::Quotes);
+    let run = emulate(settings, EngineChoice::Quotes);
+    assert!(
+        run.busiest_over_mean_work < 1.25 * even,
+        "{} and {even}",
+        run.busiest_over_mean_work
+    );
+}
+
 #[test]
 fn a_run_depends_on_its_seed_only() {
     let settings = EmulatorSettings {
--- a/crates/load/src/emulator/world.rs
+++ b/crates/load/src/emulator/world.rs
@@ -116,7 +116,7 @@
         Self {
             instances: instances.collect(),
             engines: (0..settings.engines)
-                .map(|_| EmulatedEngine::new(&settings))
+                .map(|number| EmulatedEngine::new(&settings, settings.time_percent(number)))
                 .collect(),
             numbers: numbers.collect(),
             now: START,
@@ -181,6 +181,7 @@
             }
             Event::Tick => {
                 for engine in 0..self.engines.len() {
+                    self.share_paces(engine);
                     let actions = self.engines[engine].control.on_tick(self.now);
                     self.perform(engine, actions);
                 }
@@ -191,6 +192,13 @@
         }
     }
 
+    /// The instance that holds an engine knows the usual paces from its own quotes.
+    fn share_paces(&mut self, engine: usize) {
+        let holder = engine % self.instances.len();
+        let usual = self.instances[holder].loads.usual_paces(self.now);
+        self.engines[engine].control.on_usual_paces(usual);
+    }
+
     fn on_arrival(&mut self) {
         let mean_ms = 1_000.0 / self.settings.requests_per_s;
         let uniform: f64 = self.random.random();
@@ -240,6 +248,7 @@
                 let quote = control.on_quote(now, &question);
                 loads.on_quote(now, &name, quote.as_ref());
                 self.run.messages += 2;
+                placement.on_weight(&name, loads.speed(&name).weight());
                 let Some(quote) = quote else { continue };
                 quoted.push((name, quote));
                 if let Some(per_s) = quote.demand_per_s {
@@ -317,8 +326,10 @@
         let engine = request.engine;
         let first_ms = self.now.ms_since(request.arrived_at);
         self.run.firsts_ms.push(first_ms);
+        let time_percent = self.settings.time_percent(engine);
         let control = &mut self.engines[engine].control;
-        let actions = control.on_started(self.now, &copy_request_id(number), None);
+        let announced = self.settings.announces.then_some(time_percent);
+        let actions = control.on_started(self.now, &copy_request_id(number), announced);
         self.perform(engine, actions);
         let answer_ms = self.engines[engine].answer_ms(self.settings.answer_tokens);
         self.at(self.now + answer_ms, Event::Ended(number));
@@ -331,6 +342,10 @@
         let engine = &mut self.engines[request.engine];
         engine.served += 1;
         engine.running -= 1;
+        let events = self.settings.answer_tokens;
+        engine
+            .control
+            .on_streamed(self.now, &copy_request_id(number), events);
         let actions = engine
             .control
             .on_done(self.now, &copy_request_id(number), false);
@@ -366,10 +381,22 @@
     fn finish(self) -> EmulatedRun {
         let served: Vec<u64> = self.engines.iter().map(|engine| engine.served).collect();
         let loads = self.engines.iter().map(|engine| engine.loads).sum();
-        self.run.finished(self.arrivals, &served, loads)
+        let mut run = self.run.finished(self.arrivals, &served, loads);
+        run.busiest_over_mean_work = busiest_over_mean_work(&self.settings, &served);
+        run
     }
 }
 
+/// Busiest engine over the mean by the time that its requests take there.
+fn busiest_over_mean_work(settings: &EmulatorSettings, served: &[u64]) -> f64 {
+    let served = served.iter().enumerate();
+    let work = served.map(|(engine, count)| count * u64::from(settings.time_percent(engine)));
+    let work: Vec<u64> = work.collect();
+    let sum = work.iter().sum::<u64>().max(1) as f64;
+    let most = work.iter().max().copied().unwrap_or(0) as f64;
+    most * work.len() as f64 / sum
+}
+
 const PLACEMENT: PlacementSettings = PlacementSettings {
     requests_per_copy_per_s: 4.0,
     max_copies: 64,
--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -278,7 +278,7 @@
         let candidates = engines.iter().map(|record| CandidateUpstream {
             name: record.name.clone(),
             zone: record.zone.clone(),
-            weight: 1.0,
+            weight: self.loads.borrow().speed(&record.name).weight(),
         });
         let servers: Vec<ServiceServer> = servers
             .iter()
