Backup issuers take over the share of their zone when the primary issuer is silent

Backup issuers beat to the primary one, which issues only for zones heard within a second; a backup issues its zone's share after 1.5 s without an answer.

--- a/crates/decisions/src/rate_limit/issuer_table.rs
+++ b/crates/decisions/src/rate_limit/issuer_table.rs
@@ -11,12 +11,14 @@
 const HANDOVER_MS: u64 = 1_000;
 
 /// Role of an issuer.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub enum Role {
     /// Issues rate and burst of the quota to all instances.
     Primary,
     /// Issues a small share to the instances of its availability zone that can't reach the primary issuer.
     Backup,
+    /// The backup issuer issues the share of its zone, as the primary one doesn't answer it.
+    Zone,
 }
 
 #[derive(Clone, Debug)]
@@ -120,6 +122,29 @@
         (issuer.instance == *instance && now >= since).then_some(since)
     }
 
+    /// Returns the workspaces of which `instance` is the backup issuer, and since when.
+    pub fn backed_up<'a>(
+        &'a self,
+        instance: &'a InstanceName,
+    ) -> impl Iterator<Item = (&'a WorkspaceName, UnixMs)> {
+        self.issuers.iter().filter_map(|(workspace, issuers)| {
+            let backup = issuers.backup.as_ref()?;
+            (backup.instance == *instance).then_some((workspace, backup.since))
+        })
+    }
+
+    /// Returns the workspaces of which `instance` is the primary issuer and alone in its zone.
+    pub fn without_backup<'a>(
+        &'a self,
+        instance: &'a InstanceName,
+    ) -> impl Iterator<Item = &'a WorkspaceName> {
+        self.issuers.iter().filter_map(|(workspace, issuers)| {
+            let primary = issuers.primary.as_ref()?;
+            let is_alone = primary.instance == *instance && issuers.backup.is_none();
+            is_alone.then_some(workspace)
+        })
+    }
+
     /// Number of listed instances.
     pub fn instances(&self) -> usize {
         self.instances
@@ -141,7 +166,7 @@
         let issuers = self.issuers.get(workspace)?;
         match role {
             Role::Primary => issuers.primary.as_ref(),
-            Role::Backup => issuers.backup.as_ref(),
+            Role::Backup | Role::Zone => issuers.backup.as_ref(),
         }
     }
 }
--- a/crates/decisions/src/rate_limit/mod.rs
+++ b/crates/decisions/src/rate_limit/mod.rs
@@ -19,7 +19,8 @@
 //!
 //! The requests of a workspace that run within any window of the rule stay within its limit, over all
 //! instances: rate x window + burst, plus the rule's spare. Each workspace has one primary issuer, whose bucket
-//! holds the rate and the burst ([`QuotaIssuer`]). Everything else draws on shares of the spare that hold
+//! holds the rate and the burst ([`QuotaIssuer`]); the share of an availability zone that it doesn't reach is
+//! issued by the zone's backup issuer ([`ZoneLeases`]). Everything else draws on shares of the spare that hold
 //! whatever fails ([`QuotaTerms`]): the overdrafts of the instances' accounts ([`QuotaAccount`]), the backup
 //! issuer of each availability zone, and tokens that come back.
 
@@ -32,6 +33,7 @@
 #[cfg(test)]
 mod tests;
 mod token_bucket;
+mod zone_lease;
 
 pub use issuer_table::{IssuerTable, Role};
 pub use permit_issuer::{PermitAnswer, PermitIssuer, PermitTerms};
@@ -40,6 +42,7 @@
 pub use quota_terms::{QuotaRule, QuotaTerms};
 pub use return_schedule::ReturnSchedule;
 pub use token_bucket::{BucketTerms, TokenBucket};
+pub use zone_lease::{BEAT_MS, ZoneLeases, ZoneWatch};
 
 use monsoonspread_model::{InstanceName, UpstreamName};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
--- a/crates/decisions/src/rate_limit/quota_account.rs
+++ b/crates/decisions/src/rate_limit/quota_account.rs
@@ -3,6 +3,13 @@
 use monsoonspread_model::UnixMs;
 use serde::{Deserialize, Serialize};
 
+use super::Role;
+
+/// Latest time for which the denial of a primary issuer holds, in milliseconds: limits may be raised.
+const MAX_DENIED_MS: u64 = 5_000;
+/// The same for a backup issuer, in milliseconds, which issues more once it takes over.
+const MAX_BACKUP_DENIED_MS: u64 = 300;
+
 /// Decision on a request of a workspace with a quota.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Admission {
@@ -101,9 +108,16 @@
         }
     }
 
-    /// An issuer has no credit before `until`.
-    pub fn on_denied(&mut self, until: UnixMs) {
+    /// An issuer that was asked in this `role` has no credit before `until`; returns until when requests are
+    /// refused.
+    pub fn on_denied(&mut self, now: UnixMs, role: Role, until: UnixMs) -> UnixMs {
+        let latest_ms = match role {
+            Role::Primary => MAX_DENIED_MS,
+            Role::Backup | Role::Zone => MAX_BACKUP_DENIED_MS,
+        };
+        let until = until.min(now + latest_ms);
         self.refused_until = self.refused_until.max(until);
+        until
     }
 
     /// The limit changed: an earlier answer of an issuer counts no more.
--- a/crates/decisions/src/rate_limit/quota_issuer.rs
+++ b/crates/decisions/src/rate_limit/quota_issuer.rs
@@ -2,9 +2,9 @@
 
 use std::collections::BTreeMap;
 
-use monsoonspread_model::{InstanceName, UnixMs, WorkspaceName};
+use monsoonspread_model::{InstanceName, UnixMs, WorkspaceName, ZoneName};
 
-use super::{QuotaTerms, Role, Settlement, TokenBucket};
+use super::{BucketTerms, QuotaTerms, Role, Settlement, TokenBucket, ZoneLeases};
 
 /// How long a report may be on its way, in milliseconds: several round trips to another zone.
 const TRANSIT_MS: u64 = 50;
@@ -40,22 +40,32 @@
 
 #[derive(Debug)]
 struct Credit {
-    role: Role,
     since: UnixMs,
     bucket: TokenBucket,
+    terms: Option<BucketTerms>,
+    /// The zones that a primary issuer issues for.
+    zones: ZoneLeases,
     seen: BTreeMap<InstanceName, Seen>,
 }
 
 impl Credit {
-    fn new(role: Role, since: UnixMs) -> Self {
+    fn new(since: UnixMs) -> Self {
         Self {
-            role,
             since,
             bucket: TokenBucket::new(since),
+            terms: None,
+            zones: ZoneLeases::default(),
             seen: BTreeMap::new(),
         }
     }
 
+    /// Sets the terms in force; a bucket that is used for the first time has had them since its start.
+    fn set_terms(&mut self, now: UnixMs, terms: BucketTerms) {
+        if let Some(former) = self.terms.replace(terms).filter(|former| *former != terms) {
+            self.bucket.rescale(now, former, terms);
+        }
+    }
+
     /// Applies what an instance reports; returns what it used and returned since its last report.
     fn on_report(&mut self, request: &QuotaRequest<'_>) -> (f64, f64) {
         let settlement = request.settlement;
@@ -79,11 +89,11 @@
 /// Issues the credit of the workspaces of which this instance is an issuer.
 #[derive(Debug, Default)]
 pub struct QuotaIssuer {
-    credits: BTreeMap<WorkspaceName, Credit>,
+    credits: BTreeMap<(WorkspaceName, Role), Credit>,
 }
 
 impl QuotaIssuer {
-    /// An instance reports what it used, and requests credit. This instance has its `role` since a time at
+    /// An instance reports what it used, and requests credit; `None` if nothing is issued here now. This instance has its `role` since a time at
     /// which no other had it; the bucket begins empty then.
     ///
     /// ```
@@ -95,9 +105,10 @@
     /// let (instance, settlement) = ("node-1".into(), Settlement::default());
     /// let request = QuotaRequest { instance: &instance, process: 1, settlement, cost: 20.0 };
     /// let mut issuer = QuotaIssuer::default();
-    /// let mut ask = |now| issuer.on_request(now, &"crm".into(), (Role::Primary, UnixMs(0)), &terms, &request);
-    /// assert_eq!(ask(UnixMs(2_000)), QuotaAnswer::Granted);
-    /// assert_eq!(ask(UnixMs(2_500)), QuotaAnswer::Denied(UnixMs(4_000)));
+    /// let role = (Role::Zone, UnixMs(0));
+    /// let mut ask = |now| issuer.on_request(now, &"crm".into(), role, &terms, &request);
+    /// assert_eq!(ask(UnixMs(2_000)), Some(QuotaAnswer::Granted));
+    /// assert_eq!(ask(UnixMs(2_500)), Some(QuotaAnswer::Denied(UnixMs(4_000))));
     /// ```
     pub fn on_request(
         &mut self,
@@ -106,16 +117,14 @@
         (role, since): (Role, UnixMs),
         terms: &QuotaTerms,
         request: &QuotaRequest<'_>,
-    ) -> QuotaAnswer {
-        let fresh = || Credit::new(role, since);
-        let credit = self.credits.entry(workspace.clone()).or_insert_with(fresh);
-        if (credit.role, credit.since) != (role, since) {
-            *credit = fresh();
-        }
+    ) -> Option<QuotaAnswer> {
+        let credit = self.credit(workspace, role, since);
         let bucket_terms = match role {
-            Role::Primary => terms.primary(),
+            Role::Primary => terms.of_zones(credit.zones.zones(now)),
+            Role::Zone => terms.of_zones(1),
             Role::Backup => terms.backup(),
         };
+        credit.set_terms(now, bucket_terms);
         if role == Role::Primary {
             let (used, returned) = credit.on_report(request);
             let age_ms = request.settlement.returns_age_ms + TRANSIT_MS;
@@ -125,12 +134,41 @@
                 credit.bucket.take(now, bucket_terms, used - accepted);
             }
         }
+        if bucket_terms.per_s <= 0.0 {
+            return None;
+        }
         let ready_at = credit.bucket.ready_at(bucket_terms, request.cost);
         if ready_at > now {
-            return QuotaAnswer::Denied(ready_at);
+            return Some(QuotaAnswer::Denied(ready_at));
         }
         credit.bucket.take(now, bucket_terms, request.cost);
-        QuotaAnswer::Granted
+        Some(QuotaAnswer::Granted)
+    }
+
+    /// The backup issuer of `zone` beats to this instance, the primary issuer since `since`; its last answered
+    /// beat was sent `answered_ms` ago.
+    pub fn on_beat(
+        &mut self,
+        now: UnixMs,
+        workspace: &WorkspaceName,
+        since: UnixMs,
+        zone: &ZoneName,
+        answered_ms: u64,
+    ) {
+        let credit = self.credit(workspace, Role::Primary, since);
+        credit.zones.on_beat(now, zone, answered_ms);
+    }
+
+    fn credit(&mut self, workspace: &WorkspaceName, role: Role, since: UnixMs) -> &mut Credit {
+        let key = (workspace.clone(), role);
+        let credit = self
+            .credits
+            .entry(key)
+            .or_insert_with(|| Credit::new(since));
+        if credit.since != since {
+            *credit = Credit::new(since);
+        }
+        credit
     }
 
     /// Drops what is known of workspaces and instances that are no more.
@@ -139,14 +177,10 @@
         is_issued: impl Fn(&WorkspaceName) -> bool,
         is_listed: impl Fn(&InstanceName) -> bool,
     ) {
-        self.credits.retain(|workspace, _| is_issued(workspace));
+        self.credits
+            .retain(|(workspace, _), _| is_issued(workspace));
         for credit in self.credits.values_mut() {
             credit.seen.retain(|instance, _| is_listed(instance));
         }
     }
-
-    /// Number of workspaces for which credit was issued.
-    pub fn workspaces(&self) -> usize {
-        self.credits.len()
-    }
 }
--- a/crates/decisions/src/rate_limit/quota_terms.rs
+++ b/crates/decisions/src/rate_limit/quota_terms.rs
@@ -73,11 +73,12 @@
         OVERDRAFT_SHARE * self.spare / self.instances
     }
 
-    /// The bucket of the primary issuer.
-    pub(super) fn primary(&self) -> BucketTerms {
+    /// The bucket of an issuer that issues for so many availability zones.
+    pub(super) fn of_zones(&self, zones: usize) -> BucketTerms {
+        let share = (zones as f64 / self.zones).min(1.0);
         BucketTerms {
-            per_s: self.quota.per_s,
-            depth: self.quota.burst + DEPTH_SHARE * self.spare,
+            per_s: share * self.quota.per_s,
+            depth: share * (self.quota.burst + DEPTH_SHARE * self.spare),
         }
     }
 
--- a/crates/decisions/src/rate_limit/tests/fleet.rs
+++ b/crates/decisions/src/rate_limit/tests/fleet.rs
@@ -8,8 +8,8 @@
 use rand_chacha::ChaCha8Rng;
 
 use super::super::{
-    Admission, IssuerTable, QuotaAccount, QuotaAnswer, QuotaIssuer, QuotaRequest, QuotaRule,
-    QuotaTerms, Role,
+    Admission, BEAT_MS, IssuerTable, QuotaAccount, QuotaAnswer, QuotaIssuer, QuotaRequest,
+    QuotaRule, QuotaTerms, Role, ZoneWatch,
 };
 
 /// Span over which the platform counts, in milliseconds.
@@ -41,6 +41,7 @@
     account: QuotaAccount,
     issuer: QuotaIssuer,
     table: IssuerTable,
+    watch: Option<ZoneWatch>,
     confirmed_at: UnixMs,
     refresh_at: UnixMs,
     unresponsive: Vec<(InstanceName, UnixMs)>,
@@ -86,6 +87,7 @@
             account: QuotaAccount::default(),
             issuer: QuotaIssuer::default(),
             table: IssuerTable::default(),
+            watch: None,
             confirmed_at: now,
             refresh_at: now,
             unresponsive: Vec::new(),
@@ -138,6 +140,7 @@
         instance.account = QuotaAccount::default();
         instance.issuer = QuotaIssuer::default();
         instance.table = IssuerTable::default();
+        instance.watch = None;
         instance.refresh_at = now;
         instance.is_frozen = false;
         instance.unresponsive.clear();
@@ -202,12 +205,57 @@
                 let table = &mut instance.table;
                 table.refresh(now, [&workspace], &listed, &zone);
             }
+            if now.0.is_multiple_of(BEAT_MS) {
+                self.beat(index);
+            }
+            let instance = &self.instances[index];
             if now.0.is_multiple_of(SETTLE_MS) && instance.account.has_news() {
                 self.ask(index, Role::Primary, 0.0);
             }
         }
     }
 
+    /// Beats to the primary issuer if an instance is the backup issuer of its zone.
+    fn beat(&mut self, from: usize) {
+        let now = self.now;
+        let workspace = self.workspace.clone();
+        let instance = &mut self.instances[from];
+        let backed_up = instance.table.backed_up(&instance.name).next().is_some();
+        let is_lone_primary = instance.table.issuer(&workspace, Role::Backup).is_none();
+        if !backed_up && !is_lone_primary {
+            instance.watch = None;
+            return;
+        }
+        let watch = *instance.watch.get_or_insert_with(|| ZoneWatch::new(now));
+        let zone = instance.zone.clone();
+        let Some(issuer) = instance.table.issuer(&workspace, Role::Primary).cloned() else {
+            return;
+        };
+        let mut all = self.instances.iter();
+        let to = all.position(|to| to.name == issuer).expect("the issuer");
+        let reaches = self.cut.contains(&from) == self.cut.contains(&to);
+        let issuer = &mut self.instances[to];
+        let is_confirmed = now.ms_since(issuer.confirmed_at) < LEASE_MS;
+        if !reaches || issuer.is_frozen || !is_confirmed {
+            return;
+        }
+        let role = issuer
+            .table
+            .role(now, &workspace, &issuer.name, Role::Primary);
+        let Some(since) = role else {
+            return;
+        };
+        let answered_ms = watch.answered_ms(now);
+        let credit = &mut issuer.issuer;
+        credit.on_beat(now, &workspace, since, &zone, answered_ms);
+        if self.random.random_bool(self.lost_answers) {
+            return;
+        }
+        if let Some(watch) = &mut self.instances[from].watch {
+            watch.on_answered(now);
+        }
+    }
+
     /// A request arrives at an instance. If `runs` is false, it is admitted and then refused by upstreams.
     pub fn request(&mut self, index: usize, cost: f64, runs: bool) -> Outcome {
         if self.instances[index].is_frozen {
@@ -285,7 +333,7 @@
             account.on_settled(now, &settlement);
         }
         if let QuotaAnswer::Denied(until) = answer {
-            account.on_denied(until);
+            account.on_denied(now, role, until);
         }
         Some(answer)
     }
@@ -300,13 +348,15 @@
         }
         let table = &issuer.table;
         let since = table.role(now, &self.workspace, &issuer.name, role)?;
+        let issues_since = issuer.watch.and_then(|watch| watch.issues_since(now));
+        let (role, since) = match (role, issues_since) {
+            (Role::Backup, Some(zone_since)) => (Role::Zone, zone_since.max(since)),
+            _ => (role, since),
+        };
         let terms = QuotaTerms::new(quota, RULE, table.instances(), table.zones());
         let role = (role, since);
-        Some(
-            issuer
-                .issuer
-                .on_request(now, &self.workspace, role, &terms, asked),
-        )
+        let credit = &mut issuer.issuer;
+        credit.on_request(now, &self.workspace, role, &terms, asked)
     }
 
     /// Most units that ran in a window.
--- a/crates/decisions/src/rate_limit/token_bucket.rs
+++ b/crates/decisions/src/rate_limit/token_bucket.rs
@@ -65,4 +65,11 @@
         self.used_until_ms = self.used_until_ms.max(now.0 as f64 - full_ms);
         self.used_until_ms += units / terms.per_ms();
     }
+
+    /// The terms change from `old` to `new`, at an unknown time since the bucket was used last: the refill
+    /// since then is the lesser of both.
+    pub fn rescale(&mut self, now: UnixMs, old: BucketTerms, new: BucketTerms) {
+        let level = self.level(now, old).min(self.level(now, new));
+        self.used_until_ms = now.0 as f64 - level / new.per_ms();
+    }
 }
--- a/crates/relay/src/limits/mod.rs
+++ b/crates/relay/src/limits/mod.rs
@@ -5,6 +5,7 @@
 //! its requests to other upstreams without asking again.
 
 mod availability;
+mod beats;
 mod issue;
 mod permit;
 mod permits;
--- a/crates/relay/src/limits/quota.rs
+++ b/crates/relay/src/limits/quota.rs
@@ -80,6 +80,7 @@
         let now = self.now();
         let zone = &self.settings.zone;
         self.quotas.refresh(now, &self.fleet.borrow(), zone);
+        self.beat();
         for workspace in self.quotas.due(now) {
             let shared = Rc::clone(self);
             tokio::task::spawn_local(async move {
@@ -102,14 +103,7 @@
             .borrow()
             .issuer(workspace, role)
             .cloned()?;
-        let request = PeerQuotaRequest {
-            number: self.holding.next_number(),
-            workspace: workspace.clone(),
-            process: self.quotas.process,
-            settlement: self.quotas.settlement(self.now(), workspace),
-            cost,
-            is_backup: role == Role::Backup,
-        };
+        let request = self.quota_request(workspace, role, cost);
         let settlement = request.settlement;
         let answer = if issuer == self.settings.instance {
             self.issue_credit(&issuer, &request)
@@ -121,10 +115,27 @@
         if role == Role::Primary {
             self.quotas.on_settled(now, workspace, &settlement);
         }
-        self.quotas.on_answer(now, workspace, cost, answer);
+        self.quotas.on_answer(now, workspace, role, cost, answer);
         Some(answer)
     }
 
+    pub(super) fn quota_request(
+        &self,
+        workspace: &WorkspaceName,
+        role: Role,
+        cost: f64,
+    ) -> PeerQuotaRequest {
+        PeerQuotaRequest {
+            number: self.holding.next_number(),
+            workspace: workspace.clone(),
+            process: self.quotas.process,
+            settlement: self.quotas.settlement(self.now(), workspace),
+            cost,
+            is_backup: role == Role::Backup,
+            answered_ms: None,
+        }
+    }
+
     async fn request_remote(
         &self,
         issuer: &InstanceName,
@@ -133,6 +144,19 @@
         if self.permits.is_unresponsive(self.now(), issuer) {
             return None;
         }
+        match self.exchange(issuer, request).await? {
+            PeerQuotaAnswer::Granted => Some(QuotaAnswer::Granted),
+            PeerQuotaAnswer::Denied(in_ms) => Some(QuotaAnswer::Denied(self.now() + in_ms)),
+            PeerQuotaAnswer::NotIssuer => None,
+        }
+    }
+
+    /// Sends a request to another instance; `None` if it doesn't answer.
+    pub(super) async fn exchange(
+        &self,
+        issuer: &InstanceName,
+        request: PeerQuotaRequest,
+    ) -> Option<PeerQuotaAnswer> {
         let address = self.fleet.borrow().member(issuer)?;
         let answer = self.peers.request_quota(issuer, address, request);
         let timeout = Duration::from_millis(ANSWER_TIMEOUT_MS);
@@ -140,11 +164,7 @@
             self.permits.on_unresponsive(self.now(), issuer);
             return None;
         };
-        match quota.answer {
-            PeerQuotaAnswer::Granted => Some(QuotaAnswer::Granted),
-            PeerQuotaAnswer::Denied(in_ms) => Some(QuotaAnswer::Denied(self.now() + in_ms)),
-            PeerQuotaAnswer::NotIssuer => None,
-        }
+        Some(quota.answer)
     }
 
     fn on_silent_issuer(&self, workspace: &WorkspaceName) {
--- a/crates/relay/src/limits/quota_issue.rs
+++ b/crates/relay/src/limits/quota_issue.rs
@@ -14,7 +14,14 @@
         instance: &InstanceName,
         request: &PeerQuotaRequest,
     ) -> PeerQuota {
-        let answer = match self.issue_credit(instance, request) {
+        let issued = match request.answered_ms {
+            Some(answered_ms) => {
+                let is_issuer = self.on_quota_beat(instance, &request.workspace, answered_ms);
+                is_issuer.then_some(QuotaAnswer::Granted)
+            }
+            None => self.issue_credit(instance, request),
+        };
+        let answer = match issued {
             Some(QuotaAnswer::Granted) => PeerQuotaAnswer::Granted,
             Some(QuotaAnswer::Denied(until)) => PeerQuotaAnswer::Denied(until.ms_since(self.now())),
             None => PeerQuotaAnswer::NotIssuer,
@@ -48,6 +55,11 @@
             .table
             .borrow()
             .role(now, workspace, local, role)?;
+        let issues_since = self.quotas.beats.issues_since(now, workspace);
+        let (role, since) = match (role, issues_since) {
+            (Role::Backup, Some(zone_since)) => (Role::Zone, zone_since.max(since)),
+            _ => (role, since),
+        };
         let terms = self.quotas.terms(self.listed_quota(request)?);
         let asked = QuotaRequest {
             instance,
@@ -56,7 +68,7 @@
             cost: request.cost,
         };
         let mut issuer = self.quotas.issuer.borrow_mut();
-        Some(issuer.on_request(now, workspace, (role, since), &terms, &asked))
+        issuer.on_request(now, workspace, (role, since), &terms, &asked)
     }
 
     fn listed_quota(&self, request: &PeerQuotaRequest) -> Option<TokenQuota> {
--- a/crates/relay/src/limits/quotas.rs
+++ b/crates/relay/src/limits/quotas.rs
@@ -11,6 +11,7 @@
 use monsoonspread_model::{InstanceName, UnixMs, WorkspaceName, ZoneName};
 use serde::Serialize;
 
+use super::beats::Beats;
 use crate::event::{Line, kind};
 use crate::fleet::{FleetEvent, FleetView};
 use crate::settings::BoundSettings;
@@ -25,8 +26,6 @@
 const SETTLE_MS: u64 = 200;
 /// Interval of reports of units that came back, in milliseconds: they count only soon after their admission.
 const SETTLE_RETURNS_MS: u64 = 50;
-/// Latest time for which an answer of an issuer holds, in milliseconds, as limits change.
-const MAX_DENIED_MS: u64 = 5_000;
 /// How long no request must be refused until a workspace counts as within its quota, in milliseconds.
 const FREE_AFTER_MS: u64 = 2_000;
 
@@ -64,6 +63,7 @@
     pub(super) issuer: RefCell<QuotaIssuer>,
     pub(super) table: RefCell<IssuerTable>,
     pub(super) returns: RefCell<ReturnSchedule<WorkspaceName>>,
+    pub(super) beats: Beats,
     is_stale: Cell<bool>,
     refresh_at: Cell<UnixMs>,
 }
@@ -82,6 +82,7 @@
             issuer: RefCell::default(),
             table: RefCell::default(),
             returns: RefCell::default(),
+            beats: Beats::default(),
             is_stale: Cell::new(false),
             refresh_at: Cell::new(UnixMs(0)),
         }
@@ -168,13 +169,14 @@
         &self,
         now: UnixMs,
         workspace: &WorkspaceName,
+        role: Role,
         cost: f64,
         answer: QuotaAnswer,
     ) {
         self.update(workspace, |state| match answer {
             QuotaAnswer::Granted => state.dump.admitted += cost,
             QuotaAnswer::Denied(until) => {
-                state.account.on_denied(until.min(now + MAX_DENIED_MS));
+                state.account.on_denied(now, role, until);
                 if cost > 0.0 {
                     state.on_refused(now, workspace, cost);
                 }
--- a/crates/relay/src/peers/message.rs
+++ b/crates/relay/src/peers/message.rs
@@ -107,6 +107,18 @@
     /// Whether the backup issuer of the availability zone is asked.
     #[serde(rename = "b", default)]
     pub is_backup: bool,
+    /// The sender is the backup issuer of its zone and beats; its last answered beat was sent so many
+    /// milliseconds ago.
+    #[serde(rename = "h", default, skip_serializing_if = "Option::is_none")]
+    pub answered_ms: Option<u64>,
+}
+
+impl PeerQuotaRequest {
+    /// Makes the request a beat.
+    pub fn with_beat(mut self, answered_ms: u64) -> Self {
+        self.answered_ms = Some(answered_ms);
+        self
+    }
 }
 
 /// Answer to a [`PeerQuotaRequest`].
