Issuers hand over by the leases of zones alone, within 0.8 s

A new primary issuer waited 1 s and then for the zones' beats, so that each change of the list cost two seconds of small shares. The zones' leases already keep two issuers apart, and are shorter now.

--- a/crates/decisions/src/rate_limit/issuer_table.rs
+++ b/crates/decisions/src/rate_limit/issuer_table.rs
@@ -6,10 +6,6 @@
 
 use super::first_by_hash;
 
-/// How long a new issuer waits before it issues, in milliseconds: in this time the instances learn of the
-/// change that made it the issuer, and the former one stops.
-const HANDOVER_MS: u64 = 1_000;
-
 /// Role of an issuer.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub enum Role {
@@ -57,9 +53,8 @@
     /// table.refresh(UnixMs(1_000), [&workspace], &listed, &zone);
     /// let primary = table.issuer(&workspace, Role::Primary).expect("an issuer").clone();
     /// assert_ne!(table.issuer(&workspace, Role::Backup), Some(&primary));
-    /// // It issues once all instances know of it.
-    /// assert!(table.role(UnixMs(1_900), &workspace, &primary, Role::Primary).is_none());
-    /// assert!(table.role(UnixMs(2_000), &workspace, &primary, Role::Primary).is_some());
+    /// let since = table.role(&workspace, &primary, Role::Primary);
+    /// assert_eq!(since, Some(UnixMs(1_000)));
     /// ```
     pub fn refresh<'a>(
         &mut self,
@@ -77,17 +72,9 @@
         if !listed.is_empty() {
             self.listed_since.get_or_insert(now);
         }
-        // A workspace without a quota so far has no former issuer, unless this process has just started.
-        let fresh_since = if self.issuers.is_empty() {
-            now
-        } else {
-            UnixMs(0)
-        };
         let mut before = std::mem::take(&mut self.issuers);
         for workspace in workspaces {
-            let former = before.remove(workspace);
-            let now = former.as_ref().map_or(fresh_since, |_| now);
-            let former = former.unwrap_or_default();
+            let former = before.remove(workspace).unwrap_or_default();
             let all = listed.iter().map(|(instance, _)| *instance);
             let primary = first_by_hash(workspace.as_str(), all);
             let of_zone = listed.iter().filter(|(_, of)| *of == zone);
@@ -112,14 +99,12 @@
     /// Returns since when `instance` issues credit in this role; `None` if it doesn't.
     pub fn role(
         &self,
-        now: UnixMs,
         workspace: &WorkspaceName,
         instance: &InstanceName,
         role: Role,
     ) -> Option<UnixMs> {
         let issuer = self.assigned(workspace, role)?;
-        let since = issuer.since + HANDOVER_MS;
-        (issuer.instance == *instance && now >= since).then_some(since)
+        (issuer.instance == *instance).then_some(issuer.since)
     }
 
     /// Returns the workspaces of which `instance` is the backup issuer, and since when.
--- a/crates/decisions/src/rate_limit/quota_issuer.rs
+++ b/crates/decisions/src/rate_limit/quota_issuer.rs
@@ -42,26 +42,27 @@
 struct Credit {
     since: UnixMs,
     bucket: TokenBucket,
-    terms: Option<BucketTerms>,
+    /// Terms at its last use.
+    terms: BucketTerms,
     /// The zones that a primary issuer issues for.
     zones: ZoneLeases,
     seen: BTreeMap<InstanceName, Seen>,
 }
 
 impl Credit {
-    fn new(since: UnixMs) -> Self {
+    fn new(since: UnixMs, terms: BucketTerms) -> Self {
         Self {
             since,
             bucket: TokenBucket::new(since),
-            terms: None,
+            terms,
             zones: ZoneLeases::default(),
             seen: BTreeMap::new(),
         }
     }
 
-    /// Sets the terms in force; a bucket that is used for the first time has had them since its start.
     fn set_terms(&mut self, now: UnixMs, terms: BucketTerms) {
-        if let Some(former) = self.terms.replace(terms).filter(|former| *former != terms) {
+        let former = std::mem::replace(&mut self.terms, terms);
+        if former != terms {
             self.bucket.rescale(now, former, terms);
         }
     }
@@ -118,13 +119,8 @@
         terms: &QuotaTerms,
         request: &QuotaRequest<'_>,
     ) -> Option<QuotaAnswer> {
-        let credit = self.credit(workspace, role, since);
-        let bucket_terms = match role {
-            Role::Primary => terms.of_zones(credit.zones.zones(now)),
-            Role::Zone => terms.of_zones(1),
-            Role::Backup => terms.backup(),
-        };
-        credit.set_terms(now, bucket_terms);
+        let credit = self.credit(now, workspace, (role, since), terms);
+        let bucket_terms = credit.terms;
         if role == Role::Primary {
             let (used, returned) = credit.on_report(request);
             let age_ms = request.settlement.returns_age_ms + TRANSIT_MS;
@@ -152,22 +148,34 @@
         now: UnixMs,
         workspace: &WorkspaceName,
         since: UnixMs,
-        zone: &ZoneName,
-        answered_ms: u64,
+        terms: &QuotaTerms,
+        (zone, answered_ms): (&ZoneName, u64),
     ) {
-        let credit = self.credit(workspace, Role::Primary, since);
+        let credit = self.credit(now, workspace, (Role::Primary, since), terms);
         credit.zones.on_beat(now, zone, answered_ms);
     }
 
-    fn credit(&mut self, workspace: &WorkspaceName, role: Role, since: UnixMs) -> &mut Credit {
+    /// Returns the credit of a workspace with the terms in force now.
+    fn credit(
+        &mut self,
+        now: UnixMs,
+        workspace: &WorkspaceName,
+        (role, since): (Role, UnixMs),
+        terms: &QuotaTerms,
+    ) -> &mut Credit {
+        let bucket_terms = |zones| match role {
+            Role::Primary => terms.of_zones(zones),
+            Role::Zone => terms.of_zones(1),
+            Role::Backup => terms.backup(),
+        };
+        let fresh = || Credit::new(since, bucket_terms(0));
         let key = (workspace.clone(), role);
-        let credit = self
-            .credits
-            .entry(key)
-            .or_insert_with(|| Credit::new(since));
+        let credit = self.credits.entry(key).or_insert_with(fresh);
         if credit.since != since {
-            *credit = Credit::new(since);
+            *credit = fresh();
         }
+        let zones = credit.zones.zones(now);
+        credit.set_terms(now, bucket_terms(zones));
         credit
     }
 
--- a/crates/decisions/src/rate_limit/zone_lease.rs
+++ b/crates/decisions/src/rate_limit/zone_lease.rs
@@ -9,13 +9,13 @@
 
 use monsoonspread_model::{UnixMs, ZoneName};
 
-/// Interval of beats, in milliseconds: three may be lost before a lease ends.
-pub const BEAT_MS: u64 = 300;
+/// Interval of beats, in milliseconds: two may be lost before a lease ends.
+pub const BEAT_MS: u64 = 250;
 /// How long the primary issuer issues for a zone after a beat that it answered, in milliseconds.
-const LEASE_MS: u64 = 1_000;
-/// After how long the backup issuer issues for its zone, in milliseconds: the lease, and a message that is
-/// late or a timer that is.
-const TAKE_OVER_MS: u64 = 1_500;
+const LEASE_MS: u64 = 800;
+/// After how long the backup issuer issues for its zone, in milliseconds: the lease, and the time
+/// in which an answer of the primary issuer may be on its way.
+const TAKE_OVER_MS: u64 = 1_000;
 
 #[derive(Clone, Copy, Debug)]
 struct Lease {
@@ -37,11 +37,11 @@
     /// # use monsoonspread_decisions::rate_limit::ZoneLeases;
     /// # use monsoonspread_model::UnixMs;
     /// let mut leases = ZoneLeases::default();
-    /// leases.on_beat(UnixMs(1_000), &"a".into(), 300);
-    /// leases.on_beat(UnixMs(1_600), &"a".into(), 300);
-    /// assert_eq!(leases.zones(UnixMs(1_600)), 0);
-    /// assert_eq!(leases.zones(UnixMs(2_000)), 1);
-    /// assert_eq!(leases.zones(UnixMs(2_300)), 0);
+    /// leases.on_beat(UnixMs(1_000), &"a".into(), 250);
+    /// leases.on_beat(UnixMs(1_500), &"a".into(), 250);
+    /// assert_eq!(leases.zones(UnixMs(1_500)), 0);
+    /// assert_eq!(leases.zones(UnixMs(1_800)), 1);
+    /// assert_eq!(leases.zones(UnixMs(2_050)), 0);
     /// ```
     pub fn on_beat(&mut self, now: UnixMs, zone: &ZoneName, answered_ms: u64) {
         if answered_ms >= LEASE_MS {
@@ -80,8 +80,8 @@
     /// let mut watch = ZoneWatch::new(UnixMs(1_000));
     /// watch.on_answered(UnixMs(2_000));
     /// assert_eq!(watch.answered_ms(UnixMs(2_300)), 300);
-    /// assert_eq!(watch.issues_since(UnixMs(3_499)), None);
-    /// assert_eq!(watch.issues_since(UnixMs(4_000)), Some(UnixMs(3_500)));
+    /// assert_eq!(watch.issues_since(UnixMs(2_999)), None);
+    /// assert_eq!(watch.issues_since(UnixMs(4_000)), Some(UnixMs(3_000)));
     /// ```
     pub fn new(since: UnixMs) -> Self {
         Self { answered_at: since }
--- a/crates/relay/src/limits/beats.rs
+++ b/crates/relay/src/limits/beats.rs
@@ -110,13 +110,15 @@
             .quotas
             .table
             .borrow()
-            .role(now, workspace, local, Role::Primary)
+            .role(workspace, local, Role::Primary)
             .filter(|_| self.holding.is_confirmed(now));
-        let (Some(zone), Some(since)) = (zone, since) else {
+        let quota = self.listed_quota(workspace);
+        let (Some(zone), Some(since), Some(quota)) = (zone, since, quota) else {
             return false;
         };
+        let terms = self.quotas.terms(quota);
         let mut issuer = self.quotas.issuer.borrow_mut();
-        issuer.on_beat(now, workspace, since, &zone, answered_ms);
+        issuer.on_beat(now, workspace, since, &terms, (&zone, answered_ms));
         true
     }
 }
--- a/crates/relay/src/limits/quota_issue.rs
+++ b/crates/relay/src/limits/quota_issue.rs
@@ -1,8 +1,8 @@
 //! Issues credit of workspaces to instances.
 
 use monsoonspread_decisions::rate_limit::{QuotaAnswer, QuotaRequest, Role};
-use monsoonspread_model::InstanceName;
 use monsoonspread_model::fleet::TokenQuota;
+use monsoonspread_model::{InstanceName, WorkspaceName};
 
 use crate::peers::{PeerQuota, PeerQuotaAnswer, PeerQuotaRequest};
 use crate::shared::Shared;
@@ -50,17 +50,13 @@
         }
         let workspace = &request.workspace;
         let local = &self.settings.instance;
-        let since = self
-            .quotas
-            .table
-            .borrow()
-            .role(now, workspace, local, role)?;
+        let since = self.quotas.table.borrow().role(workspace, local, role)?;
         let issues_since = self.quotas.beats.issues_since(now, workspace);
         let (role, since) = match (role, issues_since) {
             (Role::Backup, Some(zone_since)) => (Role::Zone, zone_since.max(since)),
             _ => (role, since),
         };
-        let terms = self.quotas.terms(self.listed_quota(request)?);
+        let terms = self.quotas.terms(self.listed_quota(workspace)?);
         let asked = QuotaRequest {
             instance,
             process: request.process,
@@ -71,12 +67,10 @@
         issuer.on_request(now, workspace, (role, since), &terms, &asked)
     }
 
-    fn listed_quota(&self, request: &PeerQuotaRequest) -> Option<TokenQuota> {
+    pub(super) fn listed_quota(&self, workspace: &WorkspaceName) -> Option<TokenQuota> {
         let fleet = self.fleet.borrow();
         let workspaces = &fleet.routes()?.config().workspaces;
-        let listed = workspaces
-            .iter()
-            .find(|listed| listed.name == request.workspace);
+        let listed = workspaces.iter().find(|listed| listed.name == *workspace);
         listed?.quota
     }
 }
