--- a/crates/decisions/src/rate_limit/issuer_table.rs
+++ b/crates/decisions/src/rate_limit/issuer_table.rs
@@ -6,17 +6,15 @@
 
 use super::first_by_hash;
 
-/// How long a new issuer waits before it issues, in milliseconds: in this time the instances learn of the
-/// change that made it the issuer, and the former one stops.
-const HANDOVER_MS: u64 = 1_000;
-
 /// Role of an issuer.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub enum Role {
     /// Issues rate and burst of the quota to all instances.
     Primary,
     /// Issues a small share to the instances of its availability zone that can't reach the primary issuer.
     Backup,
+    /// The backup issuer issues the share of its zone, as the primary one doesn't answer it.
+    Zone,
 }
 
 #[derive(Clone, Debug)]
@@ -55,9 +53,8 @@
     /// table.refresh(UnixMs(1_000), [&workspace], &listed, &zone);
     /// let primary = table.issuer(&workspace, Role::Primary).expect("an issuer").clone();
     /// assert_ne!(table.issuer(&workspace, Role::Backup), Some(&primary));
-    /// // It issues once all instances know of it.
-    /// assert!(table.role(UnixMs(1_900), &workspace, &primary, Role::Primary).is_none());
-    /// assert!(table.role(UnixMs(2_000), &workspace, &primary, Role::Primary).is_some());
+    /// let since = table.role(&workspace, &primary, Role::Primary);
+    /// assert_eq!(since, Some(UnixMs(1_000)));
     /// ```
     pub fn refresh<'a>(
         &mut self,
@@ -75,17 +72,9 @@
         if !listed.is_empty() {
             self.listed_since.get_or_insert(now);
         }
-        // A workspace without a quota so far has no former issuer, unless this process has just started.
-        let fresh_since = if self.issuers.is_empty() {
-            now
-        } else {
-            UnixMs(0)
-        };
         let mut before = std::mem::take(&mut self.issuers);
         for workspace in workspaces {
-            let former = before.remove(workspace);
-            let now = former.as_ref().map_or(fresh_since, |_| now);
-            let former = former.unwrap_or_default();
+            let former = before.remove(workspace).unwrap_or_default();
             let all = listed.iter().map(|(instance, _)| *instance);
             let primary = first_by_hash(workspace.as_str(), all);
             let of_zone = listed.iter().filter(|(_, of)| *of == zone);
@@ -110,14 +99,35 @@
     /// Returns since when `instance` issues credit in this role; `None` if it doesn't.
     pub fn role(
         &self,
-        now: UnixMs,
         workspace: &WorkspaceName,
         instance: &InstanceName,
         role: Role,
     ) -> Option<UnixMs> {
         let issuer = self.assigned(workspace, role)?;
-        let since = issuer.since + HANDOVER_MS;
-        (issuer.instance == *instance && now >= since).then_some(since)
+        (issuer.instance == *instance).then_some(issuer.since)
+    }
+
+    /// Returns the workspaces of which `instance` is the backup issuer, and since when.
+    pub fn backed_up<'a>(
+        &'a self,
+        instance: &'a InstanceName,
+    ) -> impl Iterator<Item = (&'a WorkspaceName, UnixMs)> {
+        self.issuers.iter().filter_map(|(workspace, issuers)| {
+            let backup = issuers.backup.as_ref()?;
+            (backup.instance == *instance).then_some((workspace, backup.since))
+        })
+    }
+
+    /// Returns the workspaces of which `instance` is the primary issuer and alone in its zone.
+    pub fn without_backup<'a>(
+        &'a self,
+        instance: &'a InstanceName,
+    ) -> impl Iterator<Item = &'a WorkspaceName> {
+        self.issuers.iter().filter_map(|(workspace, issuers)| {
+            let primary = issuers.primary.as_ref()?;
+            let is_alone = primary.instance == *instance && issuers.backup.is_none();
+            is_alone.then_some(workspace)
+        })
     }
 
     /// Number of listed instances.
@@ -141,7 +151,7 @@
         let issuers = self.issuers.get(workspace)?;
         match role {
             Role::Primary => issuers.primary.as_ref(),
-            Role::Backup => issuers.backup.as_ref(),
+            Role::Backup | Role::Zone => issuers.backup.as_ref(),
         }
     }
 }
