--- a/crates/decisions/src/capacity/concurrency.rs
+++ b/crates/decisions/src/capacity/concurrency.rs
@@ -9,13 +9,14 @@
 const KNOWN_WEIGHT: f64 = 6.0;
 /// Highest level that is told apart; servers of plain services run fewer calls at once.
 const MAX_LEVEL: usize = 64;
-/// Share of the best throughput that a level with fewer calls must reach to be preferred.
-///
-/// Below one, as the mean of the few samples of a level is off by some percent.
-const ENOUGH: f64 = 0.97;
+/// Throughput of fewer calls, relative to that of all places, from which fewer are better: means of few samples
+/// are off by some percent.
+const BETTER: f64 = 1.1;
 /// Time between the end of a call and the start of the next one in its place, in milliseconds: three messages
 /// between availability zones.
 const TURN_MS: f64 = 4.0;
+/// Calls beyond those that wait at the server in any case: ends are told late by a busy instance.
+const MIN_TURNING: u32 = 1;
 
 #[derive(Clone, Copy, Debug, Default)]
 struct Level {
@@ -44,8 +45,8 @@
 
 /// Estimates from the times of calls how many a server runs at once with the most throughput.
 ///
-/// The times are kept by the number of calls that ran, and forgotten within seconds. A level without recent
-/// samples is taken to be as fast as the one below it, so that the estimate rises again by itself.
+/// The times are kept by the number of calls that ran, and forgotten within seconds. All places are used again
+/// once it isn't known any more how long calls take then.
 ///
 /// ```
 /// # use monsoonspread_decisions::capacity::ConcurrencyEstimate;
@@ -92,7 +93,8 @@
 
     /// A call took `took_ms` while `running` calls ran, with it.
     pub fn on_time(&mut self, now: UnixMs, running: u32, took_ms: f64) {
-        let index = (running.max(1) as usize).min(MAX_LEVEL) - 1;
+        // Calls beyond the places wait at the server.
+        let index = running.clamp(1, self.places) as usize - 1;
         if self.levels.len() <= index {
             self.levels.resize(index + 1, Level::default());
         }
@@ -114,15 +116,7 @@
         if let Some((_, calls)) = self.last.filter(|(at, _)| *at == now) {
             return calls;
         }
-        let throughputs = self.throughputs(now);
-        let best = throughputs.iter().copied().fold(0.0, f64::max);
-        let enough = throughputs.iter().position(|rate| *rate >= best * ENOUGH);
-        // Full throughput is also reached with fewer calls where the highest level is only a little better;
-        // the places that the server names are used unless a lower level is clearly as good.
-        let calls = match enough {
-            Some(index) if self.is_slow_above(now, index) => index as u32 + 1,
-            _ => self.places,
-        };
+        let calls = self.best(now).unwrap_or(self.places);
         self.last = Some((now, calls));
         calls
     }
@@ -136,28 +130,20 @@
         }
         let mean_ms = self.mean_ms(now).unwrap_or(f64::MAX);
         let turning = f64::from(calls) * TURN_MS / mean_ms.max(TURN_MS);
-        calls + turning.ceil().max(1.0) as u32
+        calls + turning.ceil() as u32 + MIN_TURNING
     }
 
-    fn throughputs(&self, now: UnixMs) -> Vec<f64> {
-        let mut time_ms = 0.0;
-        let levels = 0..self.places as usize;
-        let rates = levels.map(|index| {
-            let known = self.levels.get(index).and_then(|level| level.mean_ms(now));
-            time_ms = known.unwrap_or(time_ms);
-            if time_ms == 0.0 {
-                return 0.0;
-            }
-            (index + 1) as f64 / time_ms
-        });
-        rates.collect()
-    }
-
-    /// Whether a level above the one at `index` is known.
-    fn is_slow_above(&self, now: UnixMs, index: usize) -> bool {
-        let above = self.levels.iter().skip(index + 1);
-        above
-            .take(self.places as usize - index - 1)
-            .any(|level| level.mean_ms(now).is_some())
+    /// Number of calls below the places with clearly more throughput than all places.
+    fn best(&self, now: UnixMs) -> Option<u32> {
+        let rate = |index: usize| {
+            let mean_ms = self.levels.get(index)?.mean_ms(now)?;
+            Some((index + 1) as f64 / mean_ms)
+        };
+        let full = self.places as usize - 1;
+        let enough = rate(full)? * BETTER;
+        let rates = (0..full).filter_map(|index| Some((rate(index)?, index)));
+        let better = rates.filter(|(rate, _)| *rate > enough);
+        let best = better.max_by(|a, b| a.0.total_cmp(&b.0));
+        best.map(|(_, index)| index as u32 + 1)
     }
 }
--- a/crates/decisions/src/room/keeper.rs
+++ b/crates/decisions/src/room/keeper.rs
@@ -96,6 +96,7 @@
     pub fn on_request(&mut self, now: UnixMs, request: PlaceRequest) -> Vec<RoomAction> {
         self.used_at = now;
         self.arrivals.on_arrival(now, request.merit);
+        self.queue.on_asked(now, request.workspace.as_ref());
         let (id, ends_by) = (request.id.clone(), request.ends_by);
         if self.servers.is_empty() {
             return vec![self.refuse(now, id, 0.0)];
--- a/crates/decisions/src/room/wait_queue.rs
+++ b/crates/decisions/src/room/wait_queue.rs
@@ -7,24 +7,56 @@
 
 use super::{PlaceId, PlaceRequest};
 
-/// Half-life of the places that a workspace got, in milliseconds: a few objectives.
+/// Half-life of what a workspace asked for and got, in milliseconds: a few objectives.
 const USE_HALF_LIFE_MS: f64 = 1_000.0;
 /// Every so many grants one goes to the least urgent that wait, so that they aren't starved.
 const LEAST_URGENT_EVERY: u32 = 16;
+/// Steps in which what workspaces got is compared, for each unit.
+const USE_STEPS: f64 = 4.0;
 /// Maximum number of workspaces whose use is kept.
 const MAX_WORKSPACES: usize = 1_024;
 
 /// Order of merit: whether the objective is missed, ranks, places that the workspace got, end of the objective.
 type Key = (bool, Merit, u64, UnixMs);
 
+/// What a workspace asked for and got, decayed.
+#[derive(Clone, Copy, Debug, Default)]
+struct Use {
+    asked: f64,
+    got: f64,
+    at: UnixMs,
+}
+
+impl Use {
+    fn decay(&mut self, now: UnixMs) {
+        let factor = self.factor(now);
+        self.asked *= factor;
+        self.got *= factor;
+        self.at = now;
+    }
+
+    /// What it got for the root of what it asked for.
+    fn share(&self, now: UnixMs) -> f64 {
+        let factor = self.factor(now);
+        let asked = (self.asked * factor).max(1.0);
+        self.got * factor / asked.sqrt()
+    }
+
+    fn factor(&self, now: UnixMs) -> f64 {
+        0.5_f64.powf(now.ms_since(self.at) as f64 / USE_HALF_LIFE_MS)
+    }
+}
+
 /// Requests that wait for a place, in order of merit.
 ///
 /// Those that still meet their objective go before the others; among them the more urgent, then those of the
-/// workspace that got the fewest places lately, then those whose objective ends first.
+/// workspace that got the fewest places lately for the root of what it asked for, then those whose objective ends
+/// first. With the root, a workspace that sends several times its usual gets little more than usual, and a large
+/// one isn't held to the share of a small one.
 #[derive(Debug, Default)]
 pub(super) struct WaitQueue {
     waiting: Vec<PlaceRequest>,
-    used: HashMap<WorkspaceName, (f64, UnixMs)>,
+    used: HashMap<WorkspaceName, Use>,
     grants: u32,
 }
 
@@ -64,17 +96,26 @@
         Some(request)
     }
 
-    /// A place was used for a workspace.
-    pub(super) fn on_used(&mut self, now: UnixMs, workspace: Option<&WorkspaceName>) {
+    /// A workspace asks for a place, whether or not the request will wait.
+    pub(super) fn on_asked(&mut self, now: UnixMs, workspace: Option<&WorkspaceName>) {
         let Some(workspace) = workspace else {
             return;
         };
         if self.used.len() >= MAX_WORKSPACES {
-            self.used
-                .retain(|_, (_, at)| now.ms_since(*at) < 2 * USE_HALF_LIFE_MS as u64);
+            let lasts_ms = 2 * USE_HALF_LIFE_MS as u64;
+            self.used.retain(|_, used| now.ms_since(used.at) < lasts_ms);
+        }
+        let used = self.used.entry(workspace.clone()).or_default();
+        used.decay(now);
+        used.asked += 1.0;
+    }
+
+    fn on_used(&mut self, now: UnixMs, workspace: Option<&WorkspaceName>) {
+        let used = workspace.and_then(|workspace| self.used.get_mut(workspace));
+        if let Some(used) = used {
+            used.decay(now);
+            used.got += 1.0;
         }
-        let used = self.used(now, workspace) + 1.0;
-        self.used.insert(workspace.clone(), (used, now));
     }
 
     /// Number of waiting requests that go before `request`: those that meet their objective, and the others.
@@ -121,17 +162,16 @@
 
     fn key(&self, now: UnixMs, call_ms: u64, request: &PlaceRequest) -> Key {
         let used = request.workspace.as_ref();
-        let used = used.map_or(0.0, |workspace| self.used(now, workspace));
+        let used = used.and_then(|workspace| self.used.get(workspace));
+        let used = used.map_or(0.0, |used| used.share(now));
         let late = is_late(now, call_ms, request);
-        // Whole places, so that small differences don't go before the objective.
-        (late, request.merit, used as u64, request.in_time_until)
-    }
-
-    fn used(&self, now: UnixMs, workspace: &WorkspaceName) -> f64 {
-        let Some((used, at)) = self.used.get(workspace) else {
-            return 0.0;
-        };
-        used * 0.5_f64.powf(now.ms_since(*at) as f64 / USE_HALF_LIFE_MS)
+        // In steps, so that small differences don't go before the objective.
+        (
+            late,
+            request.merit,
+            (used * USE_STEPS) as u64,
+            request.in_time_until,
+        )
     }
 
     fn first(&self, now: UnixMs, call_ms: u64) -> Option<usize> {
--- a/crates/relay/src/call/request.rs
+++ b/crates/relay/src/call/request.rs
@@ -18,6 +18,9 @@
 /// Maximum number of times that this wait is halved.
 const MAX_HALVINGS: u32 = 16;
 
+/// Time that an answer takes to reach the client, in milliseconds.
+const CLIENT_WAY_MS: u64 = 5;
+
 /// Maximum number of prompt parts in a line of the log.
 const MAX_LOGGED_PARTS: usize = 16;
 
@@ -77,6 +80,16 @@
         }
     }
 
+    /// Returns when the answer must be complete to meet the objective.
+    ///
+    /// The objective counts from the client's first attempt. What the client still waits tells how long ago that
+    /// was, as it waits as long as the route allows.
+    pub(super) fn in_time_until(&self) -> UnixMs {
+        let began_at = self.deadline - self.route.timeout_ms;
+        let objective_ms = self.route.objective_ms.saturating_sub(CLIENT_WAY_MS);
+        began_at + objective_ms
+    }
+
     /// Returns until when a request that is otherwise ready may wait for an upstream at its limit.
     ///
     /// The rest of its objective is left for the answer. Each rank waits half as long as the one before
--- a/crates/relay/src/call/service_call.rs
+++ b/crates/relay/src/call/service_call.rs
@@ -128,7 +128,7 @@
         service: &request.service,
         merit: request.merit,
         workspace: request.caller.workspace(),
-        in_time_until: request.arrived_at + request.route.objective_ms,
+        in_time_until: request.in_time_until(),
         ends_by: request.deadline,
     };
     match shared.place(ask).await {
--- a/crates/relay/src/event/catalogue.rs
+++ b/crates/relay/src/event/catalogue.rs
@@ -79,7 +79,8 @@
     LIMIT_REACHED = 2009 Info "limit reached" "An upstream accepts `per_s` requests per second from all instances. The request waited for its turn (`granted`, `waited_ms`), or went on to another upstream because the turn came too late (`denied`), the instance that issues the permits didn't answer (`no answer`), or the upstream left while the request waited (`upstream gone`).";
     POOL_KEPT = 2020 Info "pool kept" "This instance is asked for places at the `servers` of a pool of a contended service, and queues the requests that find none.";
     SERVICE_CONTENDED = 2021 Info "service contended" "A server of a plain service was full (`calls` of its `places`). For some seconds this instance asks the keepers of the service's pools for a place before each call.";
-    KEEPER_SILENT = 2023 Warn "keeper silent" "The keeper of a pool didn't answer a request for a place in time; the call is sent without one, and the keeper isn't asked for a second.";
+    POOL_STATE = 2022 Info "pool state" "Each second, a pool that this instance keeps: `waiting` requests, requests `per_s`, and for each of the `servers` the calls with a place, those without one, the limit, and the mean time of a call in milliseconds (`6+0.0/8:30`).";
+    KEEPER_SILENT = 2023 Warn "keeper silent" "The keeper of a pool didn't answer a request for a place in time (`no answer`), or its answer to one that waits is `overdue`; the call is sent without one. A keeper that gave no answer isn't asked for a second.";
 }
 
 /// The catalogue as a Markdown table.
--- a/crates/relay/src/room/ask.rs
+++ b/crates/relay/src/room/ask.rs
@@ -22,8 +22,9 @@
 /// How long to wait for a keeper's first answer, in milliseconds: a few round trips to another zone, and well
 /// below the objectives of plain services.
 const ANSWER_TIMEOUT_MS: u64 = 50;
-/// How long a request waits for a place beyond twice the wait that the keeper expects, in milliseconds.
-const WAIT_SLACK_MS: u64 = 150;
+/// How long a request waits for a place beyond twice the wait that the keeper expects, in milliseconds: the
+/// keeper refuses it before, unless it has stopped.
+const WAIT_SLACK_MS: u64 = 400;
 /// Pools that a request asks for a place at most.
 const MAX_POOLS: usize = 2;
 
@@ -137,6 +138,7 @@
         // Ends the request for the place also if the client leaves.
         let place = Place::new(self, keeper.clone(), pool.clone(), number);
         let mut wait_ms = ANSWER_TIMEOUT_MS;
+        let mut is_queued = false;
         loop {
             match timeout(Duration::from_millis(wait_ms), answers.recv()).await {
                 Ok(Some(PlaceAnswer::Granted { server, is_calm })) => {
@@ -152,9 +154,10 @@
                     self.rooms.on_wait(&pool, expected);
                     let left_ms = ask.ends_by.ms_since(self.now());
                     wait_ms = left_ms.min(expected * 2 + WAIT_SLACK_MS);
+                    is_queued = true;
                 }
                 Ok(None) | Err(_) => {
-                    self.on_no_place_answer(ask, &keeper, asked_at);
+                    self.on_no_place_answer(ask, &keeper, asked_at, is_queued);
                     return Placed::Direct;
                 }
             }
@@ -190,16 +193,25 @@
         self.metrics.record_latency("place_wait", waited_ms);
     }
 
-    fn on_no_place_answer(&self, ask: &PlaceAsk<'_>, keeper: &InstanceName, asked_at: UnixMs) {
+    fn on_no_place_answer(
+        &self,
+        ask: &PlaceAsk<'_>,
+        keeper: &InstanceName,
+        asked_at: UnixMs,
+        is_queued: bool,
+    ) {
         let now = self.now();
-        if *keeper != self.settings.instance {
+        // A keeper that queued the request answers others.
+        if *keeper != self.settings.instance && !is_queued {
             self.rooms.on_unresponsive(now, keeper);
         }
-        self.metrics.count("places", "no answer");
+        let outcome = if is_queued { "overdue" } else { "no answer" };
+        self.metrics.count("places", outcome);
         Line::new(&kind::KEEPER_SILENT)
             .field("id", ask.id)
             .field("service", ask.service)
             .field("keeper", keeper)
+            .field("outcome", outcome)
             .field("waited_ms", now.ms_since(asked_at))
             .log();
     }
--- a/crates/relay/src/room/keep.rs
+++ b/crates/relay/src/room/keep.rs
@@ -1,7 +1,7 @@
 //! Pools that this instance keeps.
 
 use monsoonspread_decisions::room::{
-    PlaceId, PlaceRequest, RoomAction, RoomKeeper, RoomServer, pool_of, pools,
+    PlaceId, PlaceRequest, RoomAction, RoomDump, RoomKeeper, RoomServer, pool_of, pools,
 };
 use monsoonspread_model::fleet::Merit;
 use monsoonspread_model::{InstanceName, ServiceName};
@@ -64,6 +64,11 @@
         self.rooms.forget(now);
         let mut keepers = self.rooms.keepers.borrow_mut();
         keepers.retain(|_, keeper| !keeper.is_idle(now, IDLE_MS));
+        if self.rooms.is_log_due(now) {
+            for (key, keeper) in keepers.iter_mut() {
+                log_pool(key, &keeper.dump(now));
+            }
+        }
         let ticked = keepers.values_mut().map(|keeper| keeper.on_tick(now));
         let actions: Vec<Vec<RoomAction>> = ticked.collect();
         drop(keepers);
@@ -160,6 +165,27 @@
     }
 }
 
+fn log_pool((service, pool): &PoolKey, dump: &RoomDump) {
+    let servers = dump.servers.values();
+    let states = servers.map(|server| {
+        let call_ms = server.call_ms.unwrap_or(0.0);
+        format!(
+            "{}+{:.1}/{}:{call_ms:.0}",
+            server.granted,
+            server.running - server.granted as f64,
+            server.limit
+        )
+    });
+    let states: Vec<String> = states.collect();
+    Line::new(&kind::POOL_STATE)
+        .field("service", service)
+        .field("pool", pool)
+        .field("waiting", dump.waiting)
+        .field("per_s", format!("{:.0}", dump.per_s))
+        .field("servers", states.join(","))
+        .log();
+}
+
 /// Names a rank in metrics, which take fixed names only.
 fn rank_text(merit: Merit) -> &'static str {
     const RANKS: [&str; 6] = ["rank 0", "rank 1", "rank 2", "rank 3", "rank 4", "rank 5"];
--- a/crates/relay/src/room/rooms.rs
+++ b/crates/relay/src/room/rooms.rs
@@ -1,6 +1,6 @@
 //! What an instance knows of contended services, and the pools that it keeps.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashMap};
 
 use monsoonspread_decisions::room::{ReportedLoad, RoomDump, RoomKeeper};
@@ -14,6 +14,8 @@
 const CONTENDED_MS: u64 = 2_000;
 /// How long a keeper that didn't answer isn't asked, in milliseconds.
 const UNRESPONSIVE_MS: u64 = 1_000;
+/// Interval of the log lines on kept pools, in milliseconds.
+const LOG_EVERY_MS: u64 = 1_000;
 
 /// A pool of the servers of a service.
 pub(super) type PoolKey = (ServiceName, u32);
@@ -26,6 +28,7 @@
     pub(super) local: RefCell<HashMap<u64, UnboundedSender<PlaceAnswer>>>,
     contended_until: RefCell<BTreeMap<ServiceName, UnixMs>>,
     unresponsive_until: RefCell<BTreeMap<InstanceName, UnixMs>>,
+    logs_at: Cell<UnixMs>,
     /// Waits that keepers told last, in milliseconds.
     waits_ms: RefCell<BTreeMap<PoolKey, u64>>,
 }
@@ -72,6 +75,15 @@
             .collect()
     }
 
+    /// Whether the kept pools are to be logged again.
+    pub(super) fn is_log_due(&self, now: UnixMs) -> bool {
+        let is_due = now >= self.logs_at.get();
+        if is_due {
+            self.logs_at.set(now + LOG_EVERY_MS);
+        }
+        is_due
+    }
+
     pub(super) fn forget(&self, now: UnixMs) {
         self.contended_until
             .borrow_mut()
