--- a/crates/decisions/src/capacity/concurrency.rs
+++ b/crates/decisions/src/capacity/concurrency.rs
@@ -6,12 +6,12 @@
 /// slow, and long enough for some tens of calls.
 const HALF_LIFE_MS: f64 = 1_000.0;
 /// Weight of the samples of a level from which it is compared with others.
-const KNOWN_WEIGHT: f64 = 6.0;
+const KNOWN_WEIGHT: f64 = 12.0;
 /// Highest level that is told apart; servers of plain services run fewer calls at once.
 const MAX_LEVEL: usize = 64;
-/// Throughput of fewer calls, relative to that of all places, from which fewer are better: means of few samples
-/// are off by some percent.
-const BETTER: f64 = 1.1;
+/// Throughput of fewer calls, relative to that of all places, from which fewer are better: means of some tens of
+/// calls whose work differs by half are off by up to a tenth each.
+const BETTER: f64 = 1.2;
 /// Time between the end of a call and the start of the next one in its place, in milliseconds: three messages
 /// between availability zones.
 const TURN_MS: f64 = 4.0;
