--- a/crates/relay/src/event/catalogue.rs
+++ b/crates/relay/src/event/catalogue.rs
@@ -92,7 +92,8 @@
     QUOTA_ISSUER_SILENT = 2017 Warn "quota issuer silent" "The instance that issues a workspace's credit doesn't answer, or isn't confirmed by the store. This instance asks the backup issuer of its zone, which issues a small share only. Logged once until the issuer answers again; MR1501 tells whether the instance is unreachable.";
     POOL_KEPT = 2020 Info "pool kept" "This instance is asked for places at the `servers` of a pool of a contended service, and queues the requests that find none.";
     SERVICE_CONTENDED = 2021 Info "service contended" "A server of a plain service was full (`calls` of its `places`). For some seconds this instance asks the keepers of the service's pools for a place before each call.";
-    KEEPER_SILENT = 2023 Warn "keeper silent" "The keeper of a pool didn't answer a request for a place in time; the call is sent without one, and the keeper isn't asked for a second.";
+    POOL_STATE = 2022 Info "pool state" "Each second, a pool that this instance keeps: `waiting` requests, requests `per_s`, and for each of the `servers` the calls with a place, those without one, the limit, and the mean time of a call in milliseconds (`6+0.0/8:30`).";
+    KEEPER_SILENT = 2023 Warn "keeper silent" "The keeper of a pool didn't answer a request for a place in time (`no answer`), or its answer to one that waits is `overdue`; the call is sent without one. A keeper that gave no answer isn't asked for a second.";
 }
 
 /// The catalogue as a Markdown table.
