--- a/crates/decisions/src/rate_limit/quota_issuer.rs
+++ b/crates/decisions/src/rate_limit/quota_issuer.rs
@@ -42,8 +42,9 @@
 struct Credit {
     since: UnixMs,
     bucket: TokenBucket,
-    /// Terms at its last use.
+    /// Terms at its last use, and when that was.
     terms: BucketTerms,
+    terms_at: UnixMs,
     /// The zones that a primary issuer issues for.
     zones: ZoneLeases,
     seen: BTreeMap<InstanceName, Seen>,
@@ -55,16 +56,19 @@
             since,
             bucket: TokenBucket::new(since),
             terms,
+            terms_at: since,
             zones: ZoneLeases::default(),
             seen: BTreeMap::new(),
         }
     }
 
     fn set_terms(&mut self, now: UnixMs, terms: BucketTerms) {
-        let former = std::mem::replace(&mut self.terms, terms);
-        if former != terms {
-            self.bucket.rescale(now, former, terms);
+        let former = (self.terms_at, self.terms);
+        if self.terms != terms {
+            self.bucket.rescale(former, now, terms);
         }
+        self.terms = terms;
+        self.terms_at = now;
     }
 
     /// Applies what an instance reports; returns what it used and returned since its last report.
--- a/crates/decisions/src/rate_limit/tests/quotas.rs
+++ b/crates/decisions/src/rate_limit/tests/quotas.rs
@@ -95,6 +95,27 @@
     }
 }
 
+/// Guards against a debt that grows each time that beats of a zone are late and come again.
+#[test]
+fn lost_beats_cost_no_more_than_the_shares_of_their_zones() {
+    for size in SIZES {
+        let mut fleet = QuotaFleet::new(size, tokens(QUOTA.0, QUOTA.1), 6);
+        let primary = fleet.primary();
+        let mut run = 0.0;
+        for _ in 0..10 {
+            fleet.cut((0..size).filter(|index| index % 3 == (primary + 1) % 3));
+            run += send(&mut fleet, 1_000, 5.0, 1.0).0;
+            fleet.cut([]);
+            run += send(&mut fleet, 1_000, 5.0, 1.0).0;
+        }
+        assert_rule(&fleet, &format!("{size} instances"));
+        let share = run / (QUOTA.0 * 20.0);
+        println!("{size} instances, a zone comes and goes: {share:.3} of the quota");
+        // A third comes and goes, and its backup issuer takes over only after the cut.
+        assert!(share > 0.6, "{size} instances: {share}");
+    }
+}
+
 /// Guards against random series of cuts, freezes, restarts, lost answers and returned tokens that together
 /// break the rule.
 #[test]
--- a/crates/decisions/src/rate_limit/token_bucket.rs
+++ b/crates/decisions/src/rate_limit/token_bucket.rs
@@ -66,10 +66,24 @@
         self.used_until_ms += units / terms.per_ms();
     }
 
-    /// The terms change from `old` to `new`, at an unknown time since the bucket was used last: the refill
-    /// since then is the lesser of both.
-    pub fn rescale(&mut self, now: UnixMs, old: BucketTerms, new: BucketTerms) {
-        let level = self.level(now, old).min(self.level(now, new));
+    /// The terms change from `old`, which were in force at `old_at`, to `new`, at an unknown time since then: the
+    /// refill since is the lesser of both.
+    ///
+    /// ```
+    /// # use monsoonspread_decisions::rate_limit::{BucketTerms, TokenBucket};
+    /// # use monsoonspread_model::UnixMs;
+    /// let whole = BucketTerms { per_s: 100.0, depth: 30.0 };
+    /// let half = BucketTerms { per_s: 50.0, depth: 15.0 };
+    /// let mut bucket = TokenBucket::new(UnixMs(1_000));
+    /// bucket.take(UnixMs(1_000), whole, 40.0);
+    /// bucket.rescale((UnixMs(1_000), whole), UnixMs(1_200), half);
+    /// assert_eq!(bucket.level(UnixMs(1_200), half), -30.0);
+    /// bucket.rescale((UnixMs(1_200), half), UnixMs(1_200), whole);
+    /// assert_eq!(bucket.level(UnixMs(1_200), whole), -30.0);
+    /// ```
+    pub fn rescale(&mut self, (old_at, old): (UnixMs, BucketTerms), now: UnixMs, new: BucketTerms) {
+        let refill = old.per_ms().min(new.per_ms()) * now.ms_since(old_at) as f64;
+        let level = (self.level(old_at, old) + refill).min(new.depth);
         self.used_until_ms = now.0 as f64 - level / new.per_ms();
     }
 }
