Vouch for four fifths of the bound, and ask the store often enough for it

While the store drops its history, a watch may hear of changes a second late; at 85% of revoke_ms that second went beyond the bound.

--- a/crates/decisions/src/config_age/age.rs
+++ b/crates/decisions/src/config_age/age.rs
@@ -74,7 +74,7 @@
     /// assert_eq!(age.verdict(UnixMs(2_000), true), KeyVerdict::Admitted);
     /// assert_eq!(age.verdict(UnixMs(2_000), false), KeyVerdict::Unknown);
     /// assert_eq!(age.verdict(UnixMs(4_500), false), KeyVerdict::Unconfirmed);
-    /// assert_eq!(age.verdict(UnixMs(5_500), true), KeyVerdict::Unconfirmed);
+    /// assert_eq!(age.verdict(UnixMs(5_100), true), KeyVerdict::Unconfirmed);
     /// ```
     pub fn verdict(&self, now: UnixMs, is_held: bool) -> KeyVerdict {
         if is_held {
--- a/crates/relay/src/settings.rs
+++ b/crates/relay/src/settings.rs
@@ -101,7 +101,7 @@
     pub fn change_ms(&self) -> u64 {
         let change_ms = self.drain_ms.min(self.config_ms);
         match self.strict_revoke_ms() {
-            Some(revoke_ms) => change_ms.min(revoke_ms),
+            Some(revoke_ms) => change_ms.min(AgeBounds::max_change_ms(revoke_ms)),
             None => change_ms,
         }
     }
