Engines: adapters are placed without weights again; steadier estimate of own speed

An estimate now needs four prompts or three answers and half of the usual time on top. Pure tests of capacity, copies, load choice and placement pass (62).

--- a/crates/decisions/src/capacity/mod.rs
+++ b/crates/decisions/src/capacity/mod.rs
@@ -5,5 +5,5 @@
 #[cfg(test)]
 mod tests;
 
-pub use announced_level::{AnnouncedLevel, SpeedClass};
+pub use announced_level::AnnouncedLevel;
 pub use speed::{EnginePaces, EngineSpeed, usual_paces};
--- a/crates/decisions/src/capacity/speed.rs
+++ b/crates/decisions/src/capacity/speed.rs
@@ -13,10 +13,11 @@
 /// Work that beginning an answer adds to reading its prompt, in prompt tokens: the steps up to the
 /// first event, and the way of the messages.
 const BEGIN_TOKENS: f64 = 800.0;
-/// Weight below which a reading pace isn't used, in prompt tokens: two prompts of usual length.
-const MIN_READ_TOKENS: f64 = 3_000.0;
-/// Weight below which a step pace isn't used, in events: one short answer.
-const MIN_EVENTS: f64 = 12.0;
+/// Weight below which a reading pace isn't used, in prompt tokens: four prompts of usual length, as
+/// those of one moment share the engine's way.
+const MIN_READ_TOKENS: f64 = 7_000.0;
+/// Weight below which a step pace isn't used, in events: three short answers.
+const MIN_EVENTS: f64 = 36.0;
 /// Fewest events of an answer that count: an error is answered with one or two.
 const MIN_EVENTS_PER_ANSWER: u32 = 4;
 /// Fewest engines with a known pace from which the usual pace is taken.
@@ -24,7 +25,7 @@
 /// Usual slowness, in percent.
 const USUAL_PERCENT: u32 = 100;
 /// Slowness below which an engine counts as usual, in percent: uneven load alone causes as much.
-const SLOW_PERCENT: u32 = 135;
+const SLOW_PERCENT: u32 = 150;
 /// Largest slowness that is used, in percent.
 const MAX_PERCENT: u32 = 400;
 
@@ -125,11 +126,11 @@
     /// # use monsoonspread_decisions::capacity::EngineSpeed;
     /// # use monsoonspread_model::UnixMs;
     /// let mut speed = EngineSpeed::new();
-    /// for number in 0..4 {
+    /// for number in 0..8 {
     ///     speed.on_sent(UnixMs(1_000 + 100 * number));
     ///     speed.on_started(UnixMs(1_050 + 100 * number), 1_200, 100);
     /// }
-    /// assert_eq!(speed.paces(UnixMs(1_400)).read_ns, Some(25_000));
+    /// assert_eq!(speed.paces(UnixMs(1_800)).read_ns, Some(25_000));
     /// ```
     pub fn on_started(&mut self, now: UnixMs, tokens: u32, load_percent: u32) {
         if self.unread == 0 {
--- a/crates/decisions/src/capacity/tests/mod.rs
+++ b/crates/decisions/src/capacity/tests/mod.rs
@@ -1,1 +1,2 @@
+mod announced_level;
 mod speed;
--- a/crates/decisions/src/copies/own_speed.rs
+++ b/crates/decisions/src/copies/own_speed.rs
@@ -6,7 +6,7 @@
 use serde::Serialize;
 
 use super::CopyRequestId;
-use crate::capacity::{AnnouncedLevel, EnginePaces, EngineSpeed, SpeedClass};
+use crate::capacity::{AnnouncedLevel, EnginePaces, EngineSpeed};
 
 /// Slowness of an engine at its usual speed, in percent.
 const USUAL_PERCENT: u32 = 100;
@@ -130,11 +130,6 @@
         self.slowness_percent = self.paces.slowness_percent(&self.usual);
     }
 
-    /// The lasting speed that the engine announces.
-    pub(super) fn class(&self) -> SpeedClass {
-        self.level.class()
-    }
-
     /// The paces as of the last tick.
     pub(super) fn paces(&self) -> EnginePaces {
         self.paces
--- a/crates/decisions/src/copies/quote.rs
+++ b/crates/decisions/src/copies/quote.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::CopyControl;
-use crate::capacity::{EnginePaces, SpeedClass};
+use crate::capacity::EnginePaces;
 
 /// State of the requested adapter's copy on an engine.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -53,9 +53,6 @@
     /// Processing time in percent of the usual time; `None` without a recent report.
     #[serde(default, rename = "s")]
     pub slowness_percent: Option<u32>,
-    /// Lasting speed of the engine.
-    #[serde(default, rename = "v", skip_serializing_if = "SpeedClass::is_usual")]
-    pub speed: SpeedClass,
     /// Paces of the engine, from which instances take the usual ones.
     #[serde(default, rename = "w", skip_serializing_if = "EnginePaces::is_unknown")]
     pub paces: EnginePaces,
@@ -92,7 +89,6 @@
             unread_tokens: self.prompts.tokens(now).saturating_add(waiting),
             kept_tokens: self.kept.kept_tokens(key, shared_parts),
             slowness_percent: self.prompts.slowness_percent(now),
-            speed: self.speed.class(),
             paces: self.speed.paces(),
             copy: self.quoted_copy(key),
             demand_per_s: counts_demand.then(|| self.demand.per_second_before(now, key) as f32),
--- a/crates/decisions/src/load_choice/mod.rs
+++ b/crates/decisions/src/load_choice/mod.rs
@@ -10,7 +10,7 @@
 
 use monsoonspread_model::{UnixMs, UpstreamName};
 
-use crate::capacity::{EnginePaces, SpeedClass, usual_paces};
+use crate::capacity::{EnginePaces, usual_paces};
 use crate::copies::{EngineQuote, QuotedCopy};
 
 /// How long an engine is sorted last after it failed a request, in milliseconds.
@@ -85,7 +85,6 @@
     seen_at: UnixMs,
     failed_until: UnixMs,
     unresponsive_until: UnixMs,
-    speed: SpeedClass,
     paces: EnginePaces,
     paces_at: UnixMs,
 }
@@ -125,7 +124,6 @@
         view.running = load;
         view.seen_at = now;
         if let Some(quote) = quote {
-            view.speed = quote.speed;
             view.paces = quote.paces;
             view.paces_at = now;
         }
@@ -157,12 +155,6 @@
         view.is_some_and(|view| now < view.unresponsive_until)
     }
 
-    /// Returns the lasting speed of an engine, as quoted last.
-    pub fn speed(&self, upstream: &UpstreamName) -> SpeedClass {
-        let view = self.views.get(upstream);
-        view.map_or(SpeedClass::default(), |view| view.speed)
-    }
-
     /// Returns the usual paces: the median over the engines that were quoted recently.
     pub fn usual_paces(&self, now: UnixMs) -> EnginePaces {
         let is_recent = |view: &&LoadView| now.ms_since(view.paces_at) < PACES_MS;
--- a/crates/decisions/src/load_choice/tests.rs
+++ b/crates/decisions/src/load_choice/tests.rs
@@ -1,7 +1,7 @@
 use monsoonspread_model::{UnixMs, UpstreamName};
 
 use super::{LoadChoice, PromptCost};
-use crate::capacity::{EnginePaces, SpeedClass};
+use crate::capacity::EnginePaces;
 use crate::copies::{EngineQuote, QuotedCopy};
 
 /// A burst of requests for one adapter: those sent since the last reported load count.
@@ -39,7 +39,6 @@
         unread_tokens,
         kept_tokens: 0,
         slowness_percent: None,
-        speed: SpeedClass::default(),
         paces: EnginePaces::default(),
         copy,
         demand_per_s: None,
--- a/crates/decisions/src/placement/candidate.rs
+++ b/crates/decisions/src/placement/candidate.rs
@@ -96,14 +96,6 @@
         self.upstreams = upstreams;
     }
 
-    /// Sets the weight of an upstream; changes nothing if it isn't known.
-    pub fn on_weight(&mut self, upstream: &UpstreamName, weight: f64) {
-        let known = self.upstreams.iter_mut();
-        if let Some(known) = known.into_iter().find(|known| known.name == *upstream) {
-            known.weight = weight;
-        }
-    }
-
     /// Sets the number of instances in the region that share the demand, this one included.
     pub fn on_sharing_instances(&mut self, instances: usize) {
         self.sharing_instances = instances.max(1);
--- a/crates/load/src/emulator/world.rs
+++ b/crates/load/src/emulator/world.rs
@@ -194,6 +194,9 @@
 
     /// The instance that holds an engine knows the usual paces from its own quotes.
     fn share_paces(&mut self, engine: usize) {
+        if !self.settings.shares_paces {
+            return;
+        }
         let holder = engine % self.instances.len();
         let usual = self.instances[holder].loads.usual_paces(self.now);
         self.engines[engine].control.on_usual_paces(usual);
@@ -248,7 +251,6 @@
                 let quote = control.on_quote(now, &question);
                 loads.on_quote(now, &name, quote.as_ref());
                 self.run.messages += 2;
-                placement.on_weight(&name, loads.speed(&name).weight());
                 let Some(quote) = quote else { continue };
                 quoted.push((name, quote));
                 if let Some(per_s) = quote.demand_per_s {
--- a/crates/relay/src/holding/quotes.rs
+++ b/crates/relay/src/holding/quotes.rs
@@ -51,13 +51,7 @@
     let mut collected = QuoteList::new();
     for (engine, quote) in quotes {
         let mut loads = shared.loads.borrow_mut();
-        let before = loads.speed(engine);
         loads.on_quote(now, engine, quote.as_ref());
-        let speed = loads.speed(engine);
-        if speed != before {
-            let mut placement = shared.placement.borrow_mut();
-            placement.on_weight(engine, speed.weight());
-        }
         let Some(quote) = quote else { continue };
         collected.push((engine.clone(), quote));
         if let (Some(adapter), Some(per_s)) = (&key.adapter, quote.demand_per_s) {
--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -278,7 +278,7 @@
         let candidates = engines.iter().map(|record| CandidateUpstream {
             name: record.name.clone(),
             zone: record.zone.clone(),
-            weight: self.loads.borrow().speed(&record.name).weight(),
+            weight: 1.0,
         });
         let servers: Vec<ServiceServer> = servers
             .iter()
