--- a/crates/decisions/src/capacity/mod.rs
+++ b/crates/decisions/src/capacity/mod.rs
@@ -6,6 +6,6 @@
 #[cfg(test)]
 mod tests;
 
-pub use announced_level::{AnnouncedLevel, SpeedClass};
+pub use announced_level::AnnouncedLevel;
 pub use concurrency::ConcurrencyEstimate;
 pub use speed::{EnginePaces, EngineSpeed, usual_paces};
--- a/crates/decisions/src/capacity/tests/mod.rs
+++ b/crates/decisions/src/capacity/tests/mod.rs
@@ -1,2 +1,3 @@
+mod announced_level;
 mod concurrency;
 mod speed;
