--- a/crates/decisions/src/room/action.rs
+++ b/crates/decisions/src/room/action.rs
@@ -27,6 +27,8 @@
     Refuse {
         /// The request.
         id: PlaceId,
+        /// The expected wait, in milliseconds.
+        wait_ms: u64,
         /// When its caller may return, in milliseconds from now.
         return_ms: u64,
     },
--- a/crates/decisions/src/room/keeper.rs
+++ b/crates/decisions/src/room/keeper.rs
@@ -305,6 +305,7 @@
         self.next_return_ms = return_ms + 1.0 / per_ms.max(0.001);
         RoomAction::Refuse {
             id,
+            wait_ms: wait_ms.ceil() as u64,
             return_ms: (return_ms - now_ms).ceil() as u64,
         }
     }
--- a/crates/decisions/src/room/tests/simulation.rs
+++ b/crates/decisions/src/room/tests/simulation.rs
@@ -239,7 +239,7 @@
                     self.at(2 * MESSAGE_MS, Event::Send(id.number, server));
                 }
                 RoomAction::Queue { .. } => {}
-                RoomAction::Refuse { id, return_ms } => self.on_refused(id.number, return_ms),
+                RoomAction::Refuse { id, return_ms, .. } => self.on_refused(id.number, return_ms),
             }
         }
     }
--- a/crates/relay/src/call/refusal.rs
+++ b/crates/relay/src/call/refusal.rs
@@ -47,6 +47,25 @@
     not_run(retry_ms)
 }
 
+/// Refuses a request that would have waited too long for a place, and logs the refusal.
+pub(super) fn no_place(
+    shared: &Shared,
+    request: &RelayRequest,
+    wait_ms: u64,
+    retry_ms: u64,
+) -> Response<RelayBody> {
+    shared.metrics.count("calls", "refused");
+    Line::new(&kind::CALL_REFUSED)
+        .field("id", &request.head.request_id)
+        .field("route", &request.route.name)
+        .field("reason", "no place in time")
+        .field("rank", request.merit.rank())
+        .field("wait_ms", wait_ms)
+        .field("retry_ms", retry_ms)
+        .log();
+    not_run(retry_ms)
+}
+
 /// Why all upstreams of a service reject requests, and when a client should retry.
 pub(super) struct Unavailable {
     /// Whether at least one of them has a limit.
--- a/crates/relay/src/call/service_call.rs
+++ b/crates/relay/src/call/service_call.rs
@@ -34,15 +34,15 @@
     let repeatable = request.route.repeat.may_run_again();
     let mut tried: Vec<UpstreamName> = Vec::new();
     let mut runs = 0;
-    let mut refused_by_keeper = None;
+    let mut no_place = None;
     for offer in 0..MAX_OFFERS {
         if offer > 0 && !shared.retries.spend(&request.service) {
             break;
         }
         let (record, slot) = match offered(shared, &request, repeatable, &tried).await {
             Offer::To(record, slot) => (record, slot),
-            Offer::Refused(retry_ms) => {
-                refused_by_keeper = Some(retry_ms);
+            Offer::Refused { wait_ms, retry_ms } => {
+                no_place = Some((wait_ms, retry_ms));
                 break;
             }
             Offer::Nobody => break,
@@ -79,6 +79,10 @@
                 on_load(shared, &request, &slot, load);
                 place_ended(&slot, load.map_or(PlaceEnd::Failed, |_| PlaceEnd::Rejected));
                 end(shared, slot, None);
+                if !repeatable && offer > 0 && load.is_some() {
+                    // Full servers rejected it twice; more offers would cost others their retries.
+                    break;
+                }
             }
             Attempt::Withheld => {
                 // A withheld request is no evidence about the server.
@@ -102,8 +106,8 @@
     if let Some(refusal) = suspect::refused(shared, &request) {
         return refusal;
     }
-    match refused_by_keeper {
-        Some(retry_ms) => refusal::refused(shared, &request, "no place in time", retry_ms),
+    match no_place {
+        Some((wait_ms, retry_ms)) => refusal::no_place(shared, &request, wait_ms, retry_ms),
         None => refused(shared, &request),
     }
 }
@@ -111,8 +115,11 @@
 /// Where a call may be sent.
 enum Offer {
     To(UpstreamRecord, ServiceSlot),
-    /// No place is free in time; the caller may return after this many milliseconds.
-    Refused(u64),
+    /// No place is free in time.
+    Refused {
+        wait_ms: u64,
+        retry_ms: u64,
+    },
     Nobody,
 }
 
@@ -132,7 +139,10 @@
         ends_by: request.deadline,
     };
     match shared.place(ask).await {
-        Placed::Refused { return_ms } => return Offer::Refused(return_ms),
+        Placed::Refused {
+            wait_ms,
+            return_ms: retry_ms,
+        } => return Offer::Refused { wait_ms, retry_ms },
         Placed::At(server, place) => {
             let is_granted =
                 |name: &UpstreamName| *name == server && shared.unavailable_until(name).is_none();
--- a/crates/relay/src/peers/message.rs
+++ b/crates/relay/src/peers/message.rs
@@ -161,6 +161,9 @@
     /// No place is free in time.
     #[serde(rename = "r")]
     Refused {
+        /// The expected wait, in milliseconds.
+        #[serde(rename = "w")]
+        wait_ms: u64,
         /// When the caller may return, in milliseconds from now.
         #[serde(rename = "t")]
         return_ms: u64,
--- a/crates/relay/src/room/ask.rs
+++ b/crates/relay/src/room/ask.rs
@@ -51,6 +51,8 @@
     At(UpstreamName, Place),
     /// There is no place in time.
     Refused {
+        /// The expected wait, in milliseconds.
+        wait_ms: u64,
         /// When the caller may return, in milliseconds from now.
         return_ms: u64,
     },
@@ -67,7 +69,9 @@
         let mut refused = Placed::Direct;
         for pool in self.pools_for(&ask) {
             match self.place_in(&ask, pool).await {
-                Placed::Refused { return_ms } => refused = Placed::Refused { return_ms },
+                Placed::Refused { wait_ms, return_ms } => {
+                    refused = Placed::Refused { wait_ms, return_ms };
+                }
                 placed => return placed,
             }
         }
@@ -145,10 +149,10 @@
                     self.on_granted(ask, &pool, asked_at, is_calm);
                     return Placed::At(server, place);
                 }
-                Ok(Some(PlaceAnswer::Refused { return_ms })) => {
-                    self.rooms.on_wait(&pool, return_ms);
+                Ok(Some(PlaceAnswer::Refused { wait_ms, return_ms })) => {
+                    self.rooms.on_wait(&pool, wait_ms);
                     self.rooms.on_contended(self.now(), ask.service);
-                    return Placed::Refused { return_ms };
+                    return Placed::Refused { wait_ms, return_ms };
                 }
                 Ok(Some(PlaceAnswer::Queued { wait_ms: expected })) => {
                     self.rooms.on_wait(&pool, expected);
--- a/crates/relay/src/room/keep.rs
+++ b/crates/relay/src/room/keep.rs
@@ -133,7 +133,11 @@
                     is_calm,
                 } => (id, PlaceAnswer::Granted { server, is_calm }),
                 RoomAction::Queue { id, wait_ms } => (id, PlaceAnswer::Queued { wait_ms }),
-                RoomAction::Refuse { id, return_ms } => (id, PlaceAnswer::Refused { return_ms }),
+                RoomAction::Refuse {
+                    id,
+                    wait_ms,
+                    return_ms,
+                } => (id, PlaceAnswer::Refused { wait_ms, return_ms }),
             };
             let number = id.number;
             if id.instance != self.settings.instance {
