--- a/crates/relay/src/call/service_call.rs
+++ b/crates/relay/src/call/service_call.rs
@@ -40,7 +40,7 @@
             break;
         }
         let (record, slot) = match offered(shared, &request, repeatable, &tried).await {
-            Offer::To(record, slot) => (record, slot),
+            Offer::To(offered) => *offered,
             Offer::Refused { wait_ms, retry_ms } => {
                 no_place = Some((wait_ms, retry_ms));
                 break;
@@ -114,7 +114,7 @@
 
 /// Where a call may be sent.
 enum Offer {
-    To(UpstreamRecord, ServiceSlot),
+    To(Box<(UpstreamRecord, ServiceSlot)>),
     /// No place is free in time.
     Refused {
         wait_ms: u64,
@@ -148,13 +148,13 @@
                 |name: &UpstreamName| *name == server && shared.unavailable_until(name).is_none();
             if let Some((record, mut slot)) = pick(shared, request, repeatable, &[], is_granted) {
                 slot.place = Some(place);
-                return Offer::To(record, slot);
+                return Offer::To(Box::new((record, slot)));
             }
         }
         Placed::Direct => {}
     }
     let permitted = permitted(shared, request, repeatable, tried).await;
-    permitted.map_or(Offer::Nobody, |(record, slot)| Offer::To(record, slot))
+    permitted.map_or(Offer::Nobody, |offered| Offer::To(Box::new(offered)))
 }
 
 fn on_load(shared: &Shared, request: &RelayRequest, slot: &ServiceSlot, load: Option<ServerLoad>) {
--- a/crates/relay/src/fleet/view.rs
+++ b/crates/relay/src/fleet/view.rs
@@ -109,9 +109,8 @@
 
     /// Returns the announcements of all upstreams.
     pub fn announcements(&self) -> BTreeMap<UpstreamName, Announcement> {
-        let announcements = self.announcements.iter();
-        announcements
-            .map(|(name, announcement)| (name.clone(), *announcement))
+        let all = self.announcements.iter();
+        all.map(|(name, announcement)| (name.clone(), *announcement))
             .collect()
     }
 
@@ -202,9 +201,8 @@
 
     /// Returns the newest version of each adapter.
     pub fn versions(&self) -> impl Iterator<Item = (&AdapterKey, u64)> {
-        self.versions
-            .iter()
-            .map(|(key, (version, _))| (key, *version))
+        let versions = self.versions.iter();
+        versions.map(|(key, (version, _))| (key, *version))
     }
 
     /// Whether the configuration in force defines `service` as an engine service.
