--- a/crates/relay/src/fleet/view.rs
+++ b/crates/relay/src/fleet/view.rs
@@ -122,9 +122,8 @@
 
     /// Returns the newest version of each adapter.
     pub fn versions(&self) -> impl Iterator<Item = (&AdapterKey, u64)> {
-        self.versions
-            .iter()
-            .map(|(key, (version, _))| (key, *version))
+        let versions = self.versions.iter();
+        versions.map(|(key, (version, _))| (key, *version))
     }
 
     /// Whether the configuration in force defines `service` as an engine service.
