--- a/crates/decisions/src/capacity/tests/concurrency.rs
+++ b/crates/decisions/src/capacity/tests/concurrency.rs
@@ -4,14 +4,16 @@
 
 const NOW: UnixMs = UnixMs(1_000_000);
 const PLACES: u32 = 6;
+/// Calls in one swing of the load, from one call at once to twice the places.
+const SWING_CALLS: u64 = 200;
 
 /// Time of a call of 30 ms in the middle; they differ by half, in a fixed order.
 fn work_ms(number: u64) -> f64 {
     15.0 + (number * 7 % 31) as f64
 }
 
-/// Feeds calls, one each 5 ms, at all levels from 1 to the limit in turn; returns the estimates of the last
-/// second.
+/// Feeds calls, one each 5 ms, of a load that swings between one call and all that the limit allows once a
+/// second; returns the estimates of the last second.
 fn estimates(
     estimate: &mut ConcurrencyEstimate,
     from: UnixMs,
@@ -21,8 +23,8 @@
     let mut seen = Vec::new();
     for number in 0..for_ms / 5 {
         let now = from + number * 5;
-        let limit = estimate.limit(now);
-        let running = limit - (number % 3).min(u64::from(limit) - 1) as u32;
+        let offered = 1 + number % SWING_CALLS * 2 * u64::from(PLACES) / SWING_CALLS;
+        let running = estimate.limit(now).min(offered as u32);
         let took_ms = work_ms(number) * slowness(number * 5, running);
         estimate.on_time(now, running, took_ms);
         if number * 5 + 1_000 >= for_ms {
