Hold memory for large heads only

Cause: with eight times its headers reserved for every request, a head of 768 bytes counted as large on a machine of 120 MB, so a crowd of large bodies could keep out ordinary requests. Change: the first 2 KB of headers are part of a connection's share; only what exceeds them reserves memory.

--- a/crates/relay/src/http/clients.rs
+++ b/crates/relay/src/http/clients.rs
@@ -17,7 +17,7 @@
 
 use crate::call::{RelayBody, handle, refuse_head};
 use crate::connection::MAX_BUFFER_BYTES;
-use crate::guard::{GuardedBody, GuardedConnection, GuardedStream, OutOfMemory};
+use crate::guard::{GuardedBody, GuardedConnection, GuardedStream, OutOfMemory, Reservation};
 use crate::shared::Shared;
 
 /// Maximum time to leave a connection idle or to send a head before a configuration sets a limit,
@@ -26,6 +26,9 @@
 /// Memory that a request holds for each byte of its headers: the parts of a prompt take six bytes or more
 /// there, and some fifty where they are kept.
 const HEAD_FACTOR: usize = 8;
+/// Headers whose memory is part of a connection's share, in bytes: that share allows for a head of 16 KB, which
+/// these don't exceed once they are read.
+const ORDINARY_HEAD_BYTES: usize = 2 * 1024;
 /// Smallest buffer that the HTTP library allows, in bytes.
 const MIN_BUFFER_BYTES: usize = 8 * 1024;
 /// Room for the request line and what surrounds the headers of a head at the limit, in bytes.
@@ -117,14 +120,27 @@
         let response = readiness(&shared);
         return Ok(response.map(|body| GuardedBody::new(body, guarded)));
     }
-    let held_bytes = head_bytes(&request) * HEAD_FACTOR;
-    let (head, response) = match shared.guard.bodies.hold(shared.now(), held_bytes) {
-        Ok(head) => (Some(head), handle(shared, request).await),
+    let (head, response) = match hold_head(&shared, &request) {
+        Ok(head) => (head, handle(shared, request).await),
         Err(OutOfMemory) => (None, refuse_head(&shared)),
     };
     Ok(response.map(|body| GuardedBody::new(body, guarded).with_head(head)))
 }
 
+/// Reserves memory for what is kept of a large head; an ordinary one fits into its connection's share.
+fn hold_head(
+    shared: &Shared,
+    request: &Request<Incoming>,
+) -> Result<Option<Reservation>, OutOfMemory> {
+    let large_bytes = head_bytes(request).saturating_sub(ORDINARY_HEAD_BYTES);
+    if large_bytes == 0 {
+        return Ok(None);
+    }
+    let bodies = &shared.guard.bodies;
+    let held = bodies.hold(shared.now(), large_bytes * HEAD_FACTOR)?;
+    Ok(Some(held))
+}
+
 /// Size of a request's headers, in bytes.
 fn head_bytes(request: &Request<Incoming>) -> usize {
     let headers = request.headers().iter();
