--- a/crates/relay/src/fleet/confirmation.rs
+++ b/crates/relay/src/fleet/confirmation.rs
@@ -7,6 +7,13 @@
 use crate::shared::Shared;
 
 impl Shared {
+    /// Whether the configuration in force has workspaces.
+    pub fn has_workspaces(&self) -> bool {
+        let fleet = self.fleet.borrow();
+        let routes = fleet.routes();
+        routes.is_some_and(|routes| !routes.config().workspaces.is_empty())
+    }
+
     /// The configuration in force was the newest at `at`, a time before the store was asked.
     pub fn on_config_confirmed(&self, at: UnixMs) {
         self.config_age.borrow_mut().on_confirmed(at);
@@ -25,7 +32,7 @@
 
     /// Logs when known keys cease to admit requests, and when they do again.
     pub fn check_config_age(&self) {
-        if !self.fleet.borrow().has_workspaces() {
+        if !self.has_workspaces() {
             return;
         }
         let change = self.config_age.borrow_mut().on_tick(self.now());
--- a/crates/relay/src/fleet/subscription.rs
+++ b/crates/relay/src/fleet/subscription.rs
@@ -85,7 +85,7 @@
         if now >= self.ask_at {
             self.ask_at = now + RENEW_INTERVAL_MS;
             shared.peers.subscribe(name, *address);
-            if shared.fleet.borrow().has_workspaces() {
+            if shared.has_workspaces() {
                 let number = self.confirmations.on_send(now);
                 let request = PeerRequest::Confirm(number);
                 shared.peers.send(name, *address, request);
--- a/crates/relay/src/fleet/view.rs
+++ b/crates/relay/src/fleet/view.rs
@@ -43,12 +43,6 @@
         self.routes.as_ref()
     }
 
-    /// Whether the configuration in force has workspaces.
-    pub fn has_workspaces(&self) -> bool {
-        let routes = self.routes.as_ref();
-        routes.is_some_and(|routes| !routes.config().workspaces.is_empty())
-    }
-
     /// Returns the record of a known upstream.
     pub fn upstream(&self, name: &UpstreamName) -> Option<&UpstreamRecord> {
         self.upstreams.get(name).map(|known| &known.record)
