--- a/crates/decisions/src/copies/control.rs
+++ b/crates/decisions/src/copies/control.rs
@@ -215,7 +215,6 @@
         }
         self.room.expire(now);
         self.speed.on_tick(now);
-        self.prompts.on_own_slowness(self.speed.slowness_percent());
         self.advance(now)
     }
 
--- a/crates/decisions/src/copies/unread_prompts.rs
+++ b/crates/decisions/src/copies/unread_prompts.rs
@@ -39,8 +39,6 @@
     prompts: BTreeMap<CopyRequestId, Unread>,
     slowness_percent: u32,
     slow_until: UnixMs,
-    /// Slowness of the engine itself, without the load that it reports.
-    own_percent: u32,
 }
 
 impl UnreadPrompts {
@@ -67,21 +65,9 @@
         self.slow_until = now + SLOWNESS_MS;
     }
 
-    /// The engine's own slowness was estimated, in percent of the usual time.
-    pub(super) fn on_own_slowness(&mut self, percent: u32) {
-        self.own_percent = percent;
-    }
-
-    /// Processing time of the engine in percent of the usual time: its own slowness and the load that
-    /// it reported. `None` without a recent report of an engine that isn't slow itself.
+    /// Processing time of the engine in percent of the usual time; `None` without a recent report.
     pub(super) fn slowness_percent(&self, now: UnixMs) -> Option<u32> {
-        let reported = (now < self.slow_until).then_some(self.slowness_percent);
-        if self.own_percent <= USUAL_PERCENT {
-            return reported;
-        }
-        let percent = u64::from(reported.unwrap_or(USUAL_PERCENT)) * u64::from(self.own_percent);
-        let percent = percent / u64::from(USUAL_PERCENT);
-        Some(percent.min(u32::MAX.into()) as u32)
+        (now < self.slow_until).then_some(self.slowness_percent)
     }
 
     /// The prompt of a granted copy request is sent.
--- a/crates/load/src/cli.rs
+++ b/crates/load/src/cli.rs
@@ -44,9 +44,6 @@
     /// Requests a second in the region.
     #[arg(long, value_name = "RATE", default_value_t = 670.0)]
     pub requests_per_s: f64,
-    /// Leaves holders without the usual paces, so that no engine is known to be slow.
-    #[arg(long)]
-    pub without_paces: bool,
     /// Whether engines announce the time that work takes.
     #[arg(long)]
     pub announces: bool,
--- a/crates/load/src/commands.rs
+++ b/crates/load/src/commands.rs
@@ -60,7 +60,6 @@
         requests_per_s: args.requests_per_s,
         seconds: args.seconds,
         seed: args.seed,
-        shares_paces: !args.without_paces,
         announces: args.announces,
         uneven_every: args.uneven_every,
         uneven_percent: args.uneven_percent,
--- a/crates/load/src/emulator/settings.rs
+++ b/crates/load/src/emulator/settings.rs
@@ -27,8 +27,6 @@
     pub uneven_every: usize,
     /// Time that work takes on those engines, in percent of the time on the others.
     pub uneven_percent: u32,
-    /// Whether holders learn the usual paces.
-    pub shares_paces: bool,
     /// Whether engines announce the time that work takes.
     pub announces: bool,
     /// Length of the run, in seconds of virtual time.
@@ -53,7 +51,6 @@
             answer_tokens: 69,
             uneven_every: 0,
             uneven_percent: 200,
-            shares_paces: true,
             announces: false,
             seconds: 30,
             seed: 1,
--- a/crates/load/src/emulator/world.rs
+++ b/crates/load/src/emulator/world.rs
@@ -194,9 +194,6 @@
 
     /// The instance that holds an engine knows the usual paces from its own quotes.
     fn share_paces(&mut self, engine: usize) {
-        if !self.settings.shares_paces {
-            return;
-        }
         let holder = engine % self.instances.len();
         let usual = self.instances[holder].loads.usual_paces(self.now);
         self.engines[engine].control.on_usual_paces(usual);
