--- a/crates/load/src/emulator/report.rs
+++ b/crates/load/src/emulator/report.rs
@@ -59,18 +59,31 @@
         }
     }
 
-    pub(super) fn finished(mut self, arrivals: u64, served: &[u64], loads: u64) -> Self {
+    pub(super) fn finished(
+        mut self,
+        settings: &EmulatorSettings,
+        arrivals: u64,
+        served: &[u64],
+        loads: u64,
+    ) -> Self {
         self.arrivals = arrivals;
         self.loads = loads;
         self.grant = Quantiles::of(self.grants_ms.drain(..).map(|ms| ms * 1_000));
         self.first_event = Quantiles::of(self.firsts_ms.drain(..).map(|ms| ms * 1_000));
-        let busiest = served.iter().max().copied().unwrap_or(0) as f64;
-        let mean = served.iter().sum::<u64>() as f64 / served.len().max(1) as f64;
-        self.busiest_over_mean = if mean > 0.0 { busiest / mean } else { 0.0 };
+        self.busiest_over_mean = busiest_over_mean(served);
+        let work = served.iter().enumerate();
+        let work = work.map(|(engine, count)| count * u64::from(settings.time_percent(engine)));
+        self.busiest_over_mean_work = busiest_over_mean(&work.collect::<Vec<u64>>());
         self
     }
 }
 
+fn busiest_over_mean(shares: &[u64]) -> f64 {
+    let busiest = shares.iter().max().copied().unwrap_or(0) as f64;
+    let mean = shares.iter().sum::<u64>() as f64 / shares.len().max(1) as f64;
+    if mean > 0.0 { busiest / mean } else { 0.0 }
+}
+
 /// Writes runs as a table, a line each.
 pub fn run_table(runs: &[EmulatedRun]) -> String {
     let mut text = format!(
--- a/crates/load/src/emulator/world.rs
+++ b/crates/load/src/emulator/world.rs
@@ -380,22 +380,11 @@
     fn finish(self) -> EmulatedRun {
         let served: Vec<u64> = self.engines.iter().map(|engine| engine.served).collect();
         let loads = self.engines.iter().map(|engine| engine.loads).sum();
-        let mut run = self.run.finished(self.arrivals, &served, loads);
-        run.busiest_over_mean_work = busiest_over_mean_work(&self.settings, &served);
-        run
+        self.run
+            .finished(&self.settings, self.arrivals, &served, loads)
     }
 }
 
-/// Busiest engine over the mean by the time that its requests take there.
-fn busiest_over_mean_work(settings: &EmulatorSettings, served: &[u64]) -> f64 {
-    let served = served.iter().enumerate();
-    let work = served.map(|(engine, count)| count * u64::from(settings.time_percent(engine)));
-    let work: Vec<u64> = work.collect();
-    let sum = work.iter().sum::<u64>().max(1) as f64;
-    let most = work.iter().max().copied().unwrap_or(0) as f64;
-    most * work.len() as f64 / sum
-}
-
 const PLACEMENT: PlacementSettings = PlacementSettings {
     requests_per_copy_per_s: 4.0,
     max_copies: 64,
