--- a/crates/decisions/src/capacity/speed.rs
+++ b/crates/decisions/src/capacity/speed.rs
@@ -168,8 +168,8 @@
         let read_ms = self.reading.ms_per_unit(now, MIN_READ_TOKENS);
         let event_ms = self.streaming.ms_per_unit(now, MIN_EVENTS);
         EnginePaces {
-            read_ns: read_ms.map(|ms| (ms * 1_000_000.0) as u32),
-            event_us: event_ms.map(|ms| (ms * 1_000.0) as u32),
+            read_ns: read_ms.map(|ms| (ms * 1_000_000.0).round() as u32),
+            event_us: event_ms.map(|ms| (ms * 1_000.0).round() as u32),
         }
     }
 
--- a/crates/decisions/src/copies/room.rs
+++ b/crates/decisions/src/copies/room.rs
@@ -18,7 +18,7 @@
 const ARRIVING_MS: u64 = 1_000;
 /// Share of the batch places up to which a nearly late request comes before more urgent ones, in
 /// percent, so that less urgent work isn't starved.
-const KEPT_PERCENT: u32 = 12;
+const KEPT_PERCENT: u64 = 12;
 /// Time before a request is late in which it isn't overtaken, in milliseconds: an engine reads the
 /// longest prompts in about as much.
 const NEARLY_LATE_MS: u64 = 250;
@@ -97,7 +97,8 @@
             alike().map(|run| run.tokens).sum::<u64>(),
         );
         let has_place = (count + 1) * 100 <= u64::from(shape.batch_places) * share;
-        let has_memory = (held + wanted) * 100 <= shape.kv_tokens * share;
+        let has_memory =
+            (held + wanted).saturating_mul(100) <= shape.kv_tokens.saturating_mul(share);
         count == 0 || (has_place && has_memory)
     }
 
@@ -118,7 +119,7 @@
         let Some(first_rank) = waiting.first().map(|request| request.rank) else {
             return;
         };
-        let kept = (batch_places * KEPT_PERCENT / 100).max(1) as usize;
+        let kept = (u64::from(batch_places) * KEPT_PERCENT / 100).max(1) as usize;
         let running = self.runs.values().filter(|run| run.rank > first_rank);
         let mut spare = kept.saturating_sub(running.count());
         waiting.sort_by_cached_key(|request| {
--- a/crates/load/src/emulator/world.rs
+++ b/crates/load/src/emulator/world.rs
@@ -341,13 +341,9 @@
         let engine = &mut self.engines[request.engine];
         engine.served += 1;
         engine.running -= 1;
-        let events = self.settings.answer_tokens;
-        engine
-            .control
-            .on_streamed(self.now, &copy_request_id(number), events);
-        let actions = engine
-            .control
-            .on_done(self.now, &copy_request_id(number), false);
+        let (id, events) = (copy_request_id(number), self.settings.answer_tokens);
+        engine.control.on_streamed(self.now, &id, events);
+        let actions = engine.control.on_done(self.now, &id, false);
         self.perform(request.engine, actions);
     }
 
