--- a/crates/load/src/emulator/world.rs
+++ b/crates/load/src/emulator/world.rs
@@ -194,9 +194,6 @@
 
     /// The instance that holds an engine knows the usual paces from its own quotes.
     fn share_paces(&mut self, engine: usize) {
-        if !self.settings.shares_paces {
-            return;
-        }
         let holder = engine % self.instances.len();
         let usual = self.instances[holder].loads.usual_paces(self.now);
         self.engines[engine].control.on_usual_paces(usual);
@@ -344,13 +341,9 @@
         let engine = &mut self.engines[request.engine];
         engine.served += 1;
         engine.running -= 1;
-        let events = self.settings.answer_tokens;
-        engine
-            .control
-            .on_streamed(self.now, &copy_request_id(number), events);
-        let actions = engine
-            .control
-            .on_done(self.now, &copy_request_id(number), false);
+        let (id, events) = (copy_request_id(number), self.settings.answer_tokens);
+        engine.control.on_streamed(self.now, &id, events);
+        let actions = engine.control.on_done(self.now, &id, false);
         self.perform(request.engine, actions);
     }
 
@@ -383,22 +376,11 @@
     fn finish(self) -> EmulatedRun {
         let served: Vec<u64> = self.engines.iter().map(|engine| engine.served).collect();
         let loads = self.engines.iter().map(|engine| engine.loads).sum();
-        let mut run = self.run.finished(self.arrivals, &served, loads);
-        run.busiest_over_mean_work = busiest_over_mean_work(&self.settings, &served);
-        run
+        self.run
+            .finished(&self.settings, self.arrivals, &served, loads)
     }
 }
 
-/// Busiest engine over the mean by the time that its requests take there.
-fn busiest_over_mean_work(settings: &EmulatorSettings, served: &[u64]) -> f64 {
-    let served = served.iter().enumerate();
-    let work = served.map(|(engine, count)| count * u64::from(settings.time_percent(engine)));
-    let work: Vec<u64> = work.collect();
-    let sum = work.iter().sum::<u64>().max(1) as f64;
-    let most = work.iter().max().copied().unwrap_or(0) as f64;
-    most * work.len() as f64 / sum
-}
-
 const PLACEMENT: PlacementSettings = PlacementSettings {
     requests_per_copy_per_s: 4.0,
     max_copies: 64,
