Split the links between instances and the dispatch of their requests

What waits for an answer of an instance is one type now, cleared at one place when its connection ends; the handler of replies and the dispatcher of requests have files of their own.

--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -18,6 +18,7 @@
 mod http;
 mod limits;
 mod metrics;
+mod peer_dispatcher;
 mod peers;
 mod retries;
 mod room;
--- a/crates/relay/src/peers/link.rs
+++ b/crates/relay/src/peers/link.rs
@@ -18,8 +18,10 @@
 use super::frame::{Frames, HEARTBEAT_INTERVAL_MS, HEARTBEAT_TIMEOUT_MS, decode, frames, send_all};
 use super::message::{
     PeerChanges, PeerCopyRequest, PeerPermit, PeerPermitRequest, PeerPlaceRequest, PeerQuota,
-    PeerQuotaRequest, PeerReply, PeerRequest, PlaceAnswer,
+    PeerQuotaRequest, PeerRequest, PlaceAnswer,
 };
+use super::pending::{PendingAnswers, PendingRequest, add_pending};
+use super::reply_handler::ReplyHandler;
 use crate::event::{Line, kind};
 use crate::gossip::ReceivedGossip;
 
@@ -48,41 +50,15 @@
     }
 }
 
-type Answer = Result<u32, CopyRequestFailure>;
-
-struct PendingRequest {
-    received: Rc<Cell<bool>>,
-    answer: oneshot::Sender<Answer>,
-}
-
 #[derive(Clone)]
 struct Link {
     address: SocketAddr,
     queue: UnboundedSender<PeerRequest>,
-    pending: Rc<RefCell<HashMap<u64, PendingRequest>>>,
-    quotes: PendingQuotes,
-    permits: Pending<PeerPermit>,
-    quotas: Pending<PeerQuota>,
-    places: PendingPlaces,
+    pending: PendingAnswers,
 }
 
-/// Requests waiting for an answer, by number.
-type Pending<T> = Rc<RefCell<HashMap<u64, oneshot::Sender<T>>>>;
-
-/// Adds a request that waits for an answer, and drops those that stopped waiting.
-fn add_pending<T>(pending: &Pending<T>, number: u64) -> oneshot::Receiver<T> {
-    let (answer, answered) = oneshot::channel();
-    let mut pending = pending.borrow_mut();
-    pending.retain(|_, waiting| !waiting.is_closed());
-    pending.insert(number, answer);
-    answered
-}
-
-/// Requests for places waiting for answers, by number.
-type PendingPlaces = Rc<RefCell<HashMap<u64, UnboundedSender<PlaceAnswer>>>>;
-
-/// Quote requests waiting for an answer, by number.
-type PendingQuotes = Rc<RefCell<HashMap<u64, oneshot::Sender<Option<EngineQuote>>>>>;
+/// Answer to a copy request: the requests that run on the engine.
+pub(super) type Answer = Result<u32, CopyRequestFailure>;
 
 /// Connections to other instances, opened on first use.
 #[derive(Clone)]
@@ -149,12 +125,12 @@
             answer,
         };
         let (number, wait_ms) = (request.number, request.wait_ms);
-        link.pending.borrow_mut().insert(number, pending);
+        link.pending.copies.borrow_mut().insert(number, pending);
         if link.queue.send(PeerRequest::CopyRequest(request)).is_err() {
             return Err(CopyRequestFailure::Silent);
         }
         let answer = wait_for(answered, &received, wait_ms).await;
-        link.pending.borrow_mut().remove(&number);
+        link.pending.copies.borrow_mut().remove(&number);
         answer
     }
 
@@ -169,14 +145,14 @@
     ) -> Option<EngineQuote> {
         let link = self.link(peer, address);
         let (answer, answered) = oneshot::channel();
-        link.quotes.borrow_mut().insert(number, answer);
+        link.pending.quotes.borrow_mut().insert(number, answer);
         let sent = link.queue.send(question);
         let quote = match sent {
             Ok(()) => timeout_at(until, answered).await.ok(),
             // The connection is closing: no quote.
             Err(_) => None,
         };
-        link.quotes.borrow_mut().remove(&number);
+        link.pending.quotes.borrow_mut().remove(&number);
         quote?.ok()?
     }
 
@@ -188,7 +164,7 @@
         request: PeerPermitRequest,
     ) -> Option<PeerPermit> {
         let link = self.link(peer, address);
-        let answered = add_pending(&link.permits, request.number);
+        let answered = add_pending(&link.pending.permits, request.number);
         link.queue.send(PeerRequest::Permit(request)).ok()?;
         answered.await.ok()
     }
@@ -201,7 +177,7 @@
         request: PeerQuotaRequest,
     ) -> Option<PeerQuota> {
         let link = self.link(peer, address);
-        let answered = add_pending(&link.quotas, request.number);
+        let answered = add_pending(&link.pending.quotas, request.number);
         link.queue.send(PeerRequest::Quota(request)).ok()?;
         answered.await.ok()
     }
@@ -215,7 +191,7 @@
     ) -> Option<UnboundedReceiver<PlaceAnswer>> {
         let link = self.link(peer, address);
         let (answer, answers) = unbounded_channel();
-        let mut places = link.places.borrow_mut();
+        let mut places = link.pending.places.borrow_mut();
         places.retain(|_, waiting| !waiting.is_closed());
         places.insert(request.number, answer);
         link.queue.send(PeerRequest::Place(request)).ok()?;
@@ -242,20 +218,12 @@
         let link = Link {
             address,
             queue,
-            pending: Rc::default(),
-            quotes: Rc::default(),
-            permits: Rc::default(),
-            quotas: Rc::default(),
-            places: Rc::default(),
+            pending: PendingAnswers::default(),
         };
         links.insert(peer.clone(), link.clone());
         let replies = ReplyHandler {
             peer: peer.clone(),
-            pending: Rc::clone(&link.pending),
-            quotes: Rc::clone(&link.quotes),
-            permits: Rc::clone(&link.permits),
-            quotas: Rc::clone(&link.quotas),
-            places: Rc::clone(&link.places),
+            pending: link.pending.clone(),
             feed: self.feed.clone(),
             gossip: self.gossip.clone(),
         };
@@ -306,11 +274,7 @@
         .field("peer", &peer)
         .field("address", address)
         .log();
-    replies.pending.borrow_mut().clear();
-    replies.quotes.borrow_mut().clear();
-    replies.permits.borrow_mut().clear();
-    replies.quotas.borrow_mut().clear();
-    replies.places.borrow_mut().clear();
+    replies.pending.clear();
 }
 
 async fn run_connection(
@@ -348,77 +312,3 @@
         }
     }
 }
-
-/// Handles the replies of one instance.
-struct ReplyHandler {
-    peer: InstanceName,
-    pending: Rc<RefCell<HashMap<u64, PendingRequest>>>,
-    quotes: PendingQuotes,
-    permits: Pending<PeerPermit>,
-    quotas: Pending<PeerQuota>,
-    places: PendingPlaces,
-    feed: UnboundedSender<FeedMessage>,
-    gossip: UnboundedSender<ReceivedGossip>,
-}
-
-impl ReplyHandler {
-    fn on_reply(&self, reply: PeerReply) {
-        match reply {
-            PeerReply::Heartbeat => {}
-            PeerReply::Received(number) => {
-                if let Some(request) = self.pending.borrow().get(&number) {
-                    request.received.set(true);
-                }
-            }
-            PeerReply::Granted { number, running } => self.on_answer(number, Ok(running)),
-            PeerReply::Refused { number, reason } => {
-                self.on_answer(number, Err(CopyRequestFailure::Refused(reason)));
-            }
-            PeerReply::Quoted { number, quote } => {
-                if let Some(question) = self.quotes.borrow_mut().remove(&number) {
-                    // The requester has already decided without the quote.
-                    let _ = question.send(quote);
-                }
-            }
-            PeerReply::Permit(permit) => {
-                if let Some(request) = self.permits.borrow_mut().remove(&permit.number) {
-                    // The requester stopped waiting; the permit expires unused.
-                    let _ = request.send(permit);
-                }
-            }
-            PeerReply::Changes(changes) => self.on_feed_news(FeedNews::Changes(changes)),
-            PeerReply::Confirmed(confirmation) => {
-                self.on_feed_news(FeedNews::Confirmed(confirmation));
-            }
-            PeerReply::Unavailable => self.on_feed_news(FeedNews::Unavailable),
-            PeerReply::Quota(quota) => {
-                if let Some(request) = self.quotas.borrow_mut().remove(&quota.number) {
-                    // The requester stopped waiting, and counts the credit as used.
-                    let _ = request.send(quota);
-                }
-            }
-            PeerReply::Place(place) => {
-                if let Some(request) = self.places.borrow().get(&place.number) {
-                    // The requester stopped waiting, and its end was already sent.
-                    let _ = request.send(place.answer);
-                }
-            }
-            PeerReply::Gossip(gossip) => {
-                // The receiver lives as long as the process.
-                let _ = self.gossip.send((self.peer.clone(), gossip));
-            }
-        }
-    }
-
-    fn on_answer(&self, number: u64, answer: Answer) {
-        if let Some(request) = self.pending.borrow_mut().remove(&number) {
-            // The requester stopped waiting, and the end of its copy request was already sent.
-            let _ = request.answer.send(answer);
-        }
-    }
-
-    fn on_feed_news(&self, news: FeedNews) {
-        // The receiver lives as long as the process.
-        let _ = self.feed.send((self.peer.clone(), news));
-    }
-}
--- a/crates/relay/src/peers/mod.rs
+++ b/crates/relay/src/peers/mod.rs
@@ -8,6 +8,8 @@
 mod incoming;
 mod link;
 mod message;
+mod pending;
+mod reply_handler;
 
 pub use frame::fits;
 pub use incoming::{Incoming, PeerHandler, accept_peers};
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -19,9 +19,10 @@
 use crate::gossip::receive_gossip;
 use crate::holding::keep_lease;
 use crate::http::{Connections, serve_clients, serve_metrics};
+use crate::peer_dispatcher::PeerDispatcher;
 use crate::peers::{FeedMessage, accept_peers};
 use crate::settings::RelaySettings;
-use crate::shared::{PeerDispatcher, Shared};
+use crate::shared::Shared;
 
 /// Interval of the periodic checks of engines and lapsed entries, in milliseconds: the shortest
 /// time in which a copy is loaded.
