Let requests wait for credit while the issuer of a quota changes

Ruled out: debts of the bucket, which are kept now.

A request that is denied while its issuer is silent tries again each 100 ms within its objective, at most half a second; a denial of an issuer that answers stays final. What is refused is counted and logged once it is refused.

--- a/crates/decisions/src/config_check/changes.rs
+++ b/crates/decisions/src/config_check/changes.rs
@@ -2,7 +2,10 @@
 
 use std::collections::BTreeMap;
 
-use monsoonspread_model::fleet::{RelayService, Route, RoutingConfig, Workspace};
+use monsoonspread_model::fleet::{
+    ClientLimits, EngineShape, QuotaUnit, RelayService, RepeatRule, Route, RoutingConfig,
+    TokenQuota, Workspace,
+};
 
 use super::{Finding, Place};
 
@@ -41,7 +44,7 @@
         &mut findings,
     );
     if in_force.limits != new.limits {
-        let problem = format!("{:?}, before {:?}", new.limits, in_force.limits);
+        let problem = limit_changes(&in_force.limits, &new.limits).join(", ");
         findings.push(Finding::change(Place::Limits, problem));
     }
     findings
@@ -85,11 +88,7 @@
             old.path_prefix.clone(),
             new.path_prefix.clone(),
         ),
-        (
-            "kind",
-            format!("{:?}", old.repeat),
-            format!("{:?}", new.repeat),
-        ),
+        ("kind", kind(old.repeat), kind(new.repeat)),
         ("services", targets(old), targets(new)),
         (
             "attempts",
@@ -117,21 +116,18 @@
 }
 
 fn service_changes(old: &RelayService, new: &RelayService) -> Vec<String> {
+    let path = |service: &RelayService| service.health_path.clone().unwrap_or("none".to_owned());
     let fields: [(&str, String, String); 3] = [
         (
             "connections",
             old.max_connections.to_string(),
             new.max_connections.to_string(),
         ),
-        (
-            "health path",
-            format!("{:?}", old.health_path),
-            format!("{:?}", new.health_path),
-        ),
+        ("health path", path(old), path(new)),
         (
             "engine",
-            format!("{:?}", old.engine),
-            format!("{:?}", new.engine),
+            engine(old.engine.as_ref()),
+            engine(new.engine.as_ref()),
         ),
     ];
     changed(fields)
@@ -140,11 +136,7 @@
 fn workspace_changes(old: &Workspace, new: &Workspace) -> Vec<String> {
     let mut changes = changed([
         ("rank", old.rank.to_string(), new.rank.to_string()),
-        (
-            "quota",
-            format!("{:?}", old.quota),
-            format!("{:?}", new.quota),
-        ),
+        ("quota", quota(old.quota), quota(new.quota)),
     ]);
     let only_in = |a: &Workspace, b: &Workspace| {
         let keys = a.keys.iter().filter(|key| !b.keys.contains(key));
@@ -163,6 +155,68 @@
     changes
 }
 
+fn limit_changes(old: &ClientLimits, new: &ClientLimits) -> Vec<String> {
+    let bytes = |bytes: usize| format!("{bytes} B");
+    let ms = |ms: u64| format!("{ms} ms");
+    changed([
+        (
+            "header",
+            bytes(old.max_header_bytes),
+            bytes(new.max_header_bytes),
+        ),
+        ("body", bytes(old.max_body_bytes), bytes(new.max_body_bytes)),
+        (
+            "header timeout",
+            ms(old.header_timeout_ms),
+            ms(new.header_timeout_ms),
+        ),
+        (
+            "idle timeout",
+            ms(old.idle_timeout_ms),
+            ms(new.idle_timeout_ms),
+        ),
+    ])
+}
+
+fn kind(repeat: RepeatRule) -> String {
+    let kind = match repeat {
+        RepeatRule::Once => "at most once",
+        RepeatRule::Repeatable => "repeatable",
+        RepeatRule::Stream { resumable: false } => "stream",
+        RepeatRule::Stream { resumable: true } => "resumable stream",
+    };
+    kind.to_owned()
+}
+
+fn quota(quota: Option<TokenQuota>) -> String {
+    let Some(quota) = quota else {
+        return "none".to_owned();
+    };
+    let (per_s, burst) = (quota.per_s, quota.burst);
+    match quota.unit {
+        QuotaUnit::Requests => format!("{per_s} requests/s and a burst of {burst}"),
+        QuotaUnit::Tokens { plain_tokens } => format!(
+            "{per_s} tokens/s and a burst of {burst} ({plain_tokens} for a request without tokens)"
+        ),
+    }
+}
+
+fn engine(engine: Option<&EngineShape>) -> String {
+    let Some(engine) = engine else {
+        return "none".to_owned();
+    };
+    let models = engine.models.iter();
+    let models = models.map(|model| format!("{} of {} MB", model.name, model.size_mb));
+    format!(
+        "{} places, {} tokens, {} adapter slots, {} MB for {}",
+        engine.batch_places,
+        engine.kv_tokens,
+        engine.adapter_slots,
+        engine.weights_mb,
+        models.collect::<Vec<_>>().join(" and ")
+    )
+}
+
 /// Describes the fields whose values differ.
 fn changed<const N: usize>(fields: [(&str, String, String); N]) -> Vec<String> {
     let differing = fields.into_iter().filter(|(_, old, new)| old != new);
--- a/crates/decisions/src/rate_limit/mod.rs
+++ b/crates/decisions/src/rate_limit/mod.rs
@@ -24,6 +24,7 @@
 //! whatever fails ([`QuotaTerms`]): the overdrafts of the instances' accounts ([`QuotaAccount`]), the backup
 //! issuer of each availability zone, and tokens that come back.
 
+mod handover_wait;
 mod issuer_table;
 mod permit_issuer;
 mod quota_account;
@@ -35,6 +36,7 @@
 mod token_bucket;
 mod zone_lease;
 
+pub use handover_wait::HandoverWait;
 pub use issuer_table::{IssuerTable, Role};
 pub use permit_issuer::{PermitAnswer, PermitIssuer, PermitTerms};
 pub use quota_account::{Admission, QuotaAccount, Settlement};
--- a/crates/decisions/src/rate_limit/tests/quotas.rs
+++ b/crates/decisions/src/rate_limit/tests/quotas.rs
@@ -1,5 +1,7 @@
+use monsoonspread_model::UnixMs;
 use rand::RngExt as _;
 
+use super::super::HandoverWait;
 use super::fleet::{Outcome, QuotaFleet, tokens};
 
 /// Units of a request of the platform's sheets: prompt and answer.
@@ -153,3 +155,25 @@
         }
     }
 }
+
+/// Load: a workspace below its quota while its issuer is replaced within a second. Guards against refusals that a
+/// short wait spares, and against waits of a workspace that is at its quota.
+#[test]
+fn requests_wait_for_a_handover_and_not_for_a_used_quota() {
+    let (arrived_at, objective_ms) = (UnixMs(50_000), 500);
+    let wait = HandoverWait::new(arrived_at, objective_ms);
+    let replaced_at = arrived_at + 350;
+    let mut now = arrived_at;
+    while now < replaced_at {
+        now = wait.next_try(now, true).expect("another try");
+    }
+    assert!(now <= arrived_at + objective_ms);
+    assert_eq!(wait.next_try(arrived_at, false), None);
+    // Clients give up a request that isn't read for a second.
+    let patient = HandoverWait::new(arrived_at, 60_000);
+    let mut now = arrived_at;
+    while let Some(next) = patient.next_try(now, true) {
+        now = next;
+    }
+    assert!(now < arrived_at + 1_000);
+}
--- a/crates/relay/src/call/charge.rs
+++ b/crates/relay/src/call/charge.rs
@@ -5,6 +5,7 @@
 use std::rc::Rc;
 
 use hyper::Response;
+use monsoonspread_decisions::rate_limit::HandoverWait;
 use monsoonspread_model::fleet::CallHead;
 use monsoonspread_model::{UnixMs, WorkspaceName};
 
@@ -62,6 +63,7 @@
     shared: &Rc<Shared>,
     caller: &Caller,
     head: &CallHead,
+    wait: HandoverWait,
 ) -> Result<Option<QuotaCharge>, Box<Response<RelayBody>>> {
     let Caller::Member(member) = caller else {
         return Ok(None);
@@ -70,7 +72,7 @@
         return Ok(None);
     };
     let units = quota.cost(head.prompt_tokens, head.max_output_tokens);
-    match shared.admit(&member.workspace, quota, units).await {
+    match shared.admit(&member.workspace, quota, units, wait).await {
         Ok(()) => Ok(Some(QuotaCharge {
             shared: Rc::clone(shared),
             workspace: member.workspace.clone(),
--- a/crates/relay/src/call/handler.rs
+++ b/crates/relay/src/call/handler.rs
@@ -5,6 +5,7 @@
 use hyper::body::Incoming;
 use hyper::header::{CONNECTION, HOST, HeaderValue};
 use hyper::{Request, Response, StatusCode};
+use monsoonspread_decisions::rate_limit::HandoverWait;
 use monsoonspread_decisions::route_table::pick_service;
 
 use super::admission::admit;
@@ -61,7 +62,8 @@
         Ok(caller) => caller,
         Err(refusal) => return *refusal,
     };
-    let charge = match charge(shared, &caller, &head).await {
+    let wait = HandoverWait::new(arrived_at, route.objective_ms);
+    let charge = match charge(shared, &caller, &head, wait).await {
         Ok(charge) => charge,
         Err(refusal) => return *refusal,
     };
--- a/crates/relay/src/limits/quota.rs
+++ b/crates/relay/src/limits/quota.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use monsoonspread_decisions::rate_limit::{Admission, QuotaAnswer, Role};
+use monsoonspread_decisions::rate_limit::{Admission, HandoverWait, QuotaAnswer, Role};
 use monsoonspread_model::fleet::TokenQuota;
 use monsoonspread_model::{InstanceName, UnixMs, WorkspaceName};
 
@@ -19,7 +19,8 @@
 const NO_ISSUER_RETRY_MS: u64 = 1_000;
 
 impl Shared {
-    /// Decides whether a request of `workspace` may run that counts `cost` units.
+    /// Decides whether a request of `workspace` may run that counts `cost` units; tries again as long as `wait`
+    /// allows.
     ///
     /// # Errors
     ///
@@ -29,27 +30,43 @@
         workspace: &WorkspaceName,
         quota: TokenQuota,
         cost: f64,
+        wait: HandoverWait,
     ) -> Result<(), UnixMs> {
-        let now = self.now();
-        match self.quotas.on_request(now, workspace, quota, cost) {
-            Admission::Admitted => {
-                self.metrics.count("quota", "admitted");
-                Ok(())
-            }
-            Admission::Refused(until) => {
+        loop {
+            let Err(free_at) = self.try_admit(workspace, quota, cost).await else {
+                return Ok(());
+            };
+            let now = self.now();
+            let is_silent = self.quotas.is_issuer_silent(workspace);
+            let Some(next_at) = wait.next_try(now, is_silent) else {
                 self.metrics.count("quota", "refused");
-                Err(self.quota_return_at(workspace, quota, cost, until))
-            }
-            Admission::Ask => self.ask(workspace, quota, cost).await,
+                self.quotas.on_refused(now, workspace, cost);
+                return Err(self.quota_return_at(workspace, quota, cost, free_at));
+            };
+            self.metrics.count("quota", "waited");
+            tokio::time::sleep(Duration::from_millis(next_at.ms_since(now))).await;
         }
     }
 
-    async fn ask(
+    /// Like [`Self::admit`], without a wait; an error tells when there is credit again.
+    async fn try_admit(
         self: &Rc<Self>,
         workspace: &WorkspaceName,
         quota: TokenQuota,
         cost: f64,
     ) -> Result<(), UnixMs> {
+        let now = self.now();
+        match self.quotas.on_request(now, workspace, quota, cost) {
+            Admission::Admitted => {
+                self.metrics.count("quota", "admitted");
+                Ok(())
+            }
+            Admission::Refused(until) => Err(until),
+            Admission::Ask => self.ask(workspace, cost).await,
+        }
+    }
+
+    async fn ask(self: &Rc<Self>, workspace: &WorkspaceName, cost: f64) -> Result<(), UnixMs> {
         let answered = match self.request_credit(workspace, Role::Primary, cost).await {
             Some(answer) => Some(("asked", answer)),
             None => {
@@ -63,14 +80,10 @@
                 self.metrics.count("quota", outcome);
                 Ok(())
             }
-            Some((_, QuotaAnswer::Denied(until))) => {
-                self.metrics.count("quota", "refused");
-                Err(self.quota_return_at(workspace, quota, cost, until))
-            }
+            Some((_, QuotaAnswer::Denied(until))) => Err(until),
             None => {
                 self.metrics.count("quota", "no issuer");
-                let until = self.now() + NO_ISSUER_RETRY_MS;
-                Err(self.quota_return_at(workspace, quota, cost, until))
+                Err(self.now() + NO_ISSUER_RETRY_MS)
             }
         }
     }
--- a/crates/relay/src/limits/quotas.rs
+++ b/crates/relay/src/limits/quotas.rs
@@ -158,8 +158,7 @@
         let admission = state.account.on_request(now, cost, overdraft);
         match admission {
             Admission::Admitted => state.dump.admitted += cost,
-            Admission::Refused(_) => state.on_refused(now, workspace, cost),
-            Admission::Ask => {}
+            Admission::Ask | Admission::Refused(_) => {}
         }
         admission
     }
@@ -177,13 +176,15 @@
             QuotaAnswer::Granted => state.dump.admitted += cost,
             QuotaAnswer::Denied(until) => {
                 state.account.on_denied(now, role, until);
-                if cost > 0.0 {
-                    state.on_refused(now, workspace, cost);
-                }
             }
         });
     }
 
+    /// A request is refused that counts `cost` units.
+    pub(super) fn on_refused(&self, now: UnixMs, workspace: &WorkspaceName, cost: f64) {
+        self.update(workspace, |state| state.on_refused(now, workspace, cost));
+    }
+
     /// The primary issuer confirmed a settlement.
     pub(super) fn on_settled(
         &self,
@@ -238,6 +239,13 @@
         !was_silent
     }
 
+    /// Whether the primary issuer of a workspace doesn't answer now.
+    pub(super) fn is_issuer_silent(&self, workspace: &WorkspaceName) -> bool {
+        let accounts = self.accounts.borrow();
+        let state = accounts.get(workspace);
+        state.is_some_and(|state| state.is_issuer_silent)
+    }
+
     /// Describes the workspaces that sent requests, for the state dump.
     pub fn dump(&self, now: UnixMs) -> BTreeMap<WorkspaceName, QuotaDump> {
         let table = self.table.borrow();
