Begin a workspace's backup issuers with credit after all instances restarted

A backup that is one from the start of its process now begins with a full bucket, which the shares of the spare allow once in a window.

--- a/crates/decisions/src/rate_limit/issuer_table.rs
+++ b/crates/decisions/src/rate_limit/issuer_table.rs
@@ -6,6 +6,9 @@
 
 use super::first_by_hash;
 
+/// Time in which the bucket of a backup issuer fills, in milliseconds: longer than any window of quotas.
+const FILLED_MS: u64 = 60_000;
+
 /// Role of an issuer.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub enum Role {
@@ -97,6 +100,9 @@
     }
 
     /// Returns since when `instance` issues credit in this role; `None` if it doesn't.
+    ///
+    /// A backup issuer that is one from the start of its process counts as one for longer, so that its bucket is
+    /// full: it serves its zone while the primary issuer waits, which most are at once after a loss of power.
     pub fn role(
         &self,
         workspace: &WorkspaceName,
@@ -104,7 +110,16 @@
         role: Role,
     ) -> Option<UnixMs> {
         let issuer = self.assigned(workspace, role)?;
-        (issuer.instance == *instance).then_some(issuer.since)
+        if issuer.instance != *instance {
+            return None;
+        }
+        let is_first = Some(issuer.since) == self.listed_since;
+        let earlier_ms = if role == Role::Backup && is_first {
+            FILLED_MS
+        } else {
+            0
+        };
+        Some(issuer.since - earlier_ms)
     }
 
     /// Returns the workspaces of which `instance` is the backup issuer, and since when.
--- a/crates/decisions/src/rate_limit/tests/quotas.rs
+++ b/crates/decisions/src/rate_limit/tests/quotas.rs
@@ -177,3 +177,25 @@
     }
     assert!(now < arrived_at + 1_000);
 }
+
+/// Load: a workspace at five times its quota when all instances lose power twice within a window. Guards against
+/// backup issuers that begin with more than the rule has to spare.
+#[test]
+fn the_rule_holds_when_all_instances_restart() {
+    for size in SIZES {
+        let mut fleet = QuotaFleet::new(size, tokens(QUOTA.0, QUOTA.1), 8);
+        send(&mut fleet, 9_000, 5.0, 1.0);
+        let mut served = (0.0, 0.0);
+        for _ in 0..2 {
+            (0..size).for_each(|index| fleet.restart(index));
+            served = send(&mut fleet, 1_000, 0.55, 1.0);
+            send(&mut fleet, 2_500, 5.0, 1.0);
+        }
+        send(&mut fleet, 8_000, 5.0, 1.0);
+        assert_rule(&fleet, &format!("{size} instances"));
+        let share = served.0 / served.1;
+        println!(
+            "{size} instances, the second after a restart of all: {share:.3} of what was asked"
+        );
+    }
+}
