Log the version that an engine had to have, and the announcement before

The log told neither which version a request had to have nor how long before a version the previous one was named, so a check that starts late could not be told from a request that waits at its engine.

No decision changes.

--- a/crates/relay/src/call/answer.rs
+++ b/crates/relay/src/call/answer.rs
@@ -7,7 +7,7 @@
 use monsoonspread_decisions::answer_end::{EndVerdict, Framing, ProcessEvidence};
 use monsoonspread_decisions::event_splitter::StreamPosition;
 use monsoonspread_decisions::room::PlaceEnd;
-use monsoonspread_model::fleet::PromptPart;
+use monsoonspread_model::fleet::{AdapterKey, PromptPart};
 use monsoonspread_model::{Fingerprint, UnixMs, UpstreamName};
 
 use super::end_check::process_evidence;
@@ -63,6 +63,10 @@
     outcome: &'static str,
     sender: Option<(PooledSender, Option<u64>)>,
     slot: Option<ServiceSlot>,
+    /// Base model and adapter that the request ran on.
+    adapter: Option<AdapterKey>,
+    /// Version of it that the engine had to have; `None` for any.
+    expected_version: Option<u64>,
     in_flight: Option<InFlightRequest>,
     guard: Option<CopyRequestGuard>,
     prompt_tokens: u32,
@@ -97,6 +101,8 @@
             outcome: "left",
             sender: None,
             slot: None,
+            adapter: request.head.adapter.clone(),
+            expected_version: None,
             in_flight: None,
             guard: None,
             prompt_tokens: request.head.prompt_tokens,
@@ -133,6 +139,12 @@
         self
     }
 
+    /// Sets the version of the adapter that the engine had to have.
+    pub(super) fn with_expected_version(mut self, version: Option<u64>) -> Self {
+        self.expected_version = version;
+        self
+    }
+
     /// Sets how long work took at the upstream when it answered, in percent of the usual time.
     pub(super) fn with_slowness(mut self, slowness_percent: Option<u32>) -> Self {
         self.slowness_percent = slowness_percent;
@@ -297,6 +309,10 @@
             "upstream broke off" => part_list(&self.prompt_parts),
             _ => String::new(),
         };
+        let adapter = self
+            .adapter
+            .as_ref()
+            .map_or(String::new(), AdapterKey::to_string);
         Line::new(if self.outcome == "left" {
             &kind::CLIENT_LEFT
         } else {
@@ -318,6 +334,8 @@
                 .map_or(String::new(), |found| found.to_string()),
         )
         .field("parts", parts)
+        .field("adapter", adapter)
+        .field("expected_version", self.expected_version.unwrap_or(0))
         .field("prompt_tokens", self.prompt_tokens)
         .field("granted_ms", self.granted_ms)
         .field("running", self.running)
--- a/crates/relay/src/call/model_call.rs
+++ b/crates/relay/src/call/model_call.rs
@@ -267,6 +267,7 @@
                 self.last = Some(record.name.clone());
                 let end = AnswerEnd::new(&shared, &request, &record.name, status.into())
                     .with_grant(grant, granted_ms)
+                    .with_expected_version(options.adapter_version)
                     .with_slowness(answered.answer.load.map(|load| load.slowness_percent));
                 OfferOutcome::Answered(Box::new(UpstreamAnswer {
                     answered: *answered,
--- a/crates/relay/src/fleet/view.rs
+++ b/crates/relay/src/fleet/view.rs
@@ -171,17 +171,17 @@
             }
             FleetChange::UpstreamGone(name) => self.remove(&name),
             FleetChange::Version(key, version) => {
-                let newer = self
-                    .versions
-                    .get(&key)
-                    .is_none_or(|(known, _)| *known < version);
-                if !newer {
+                let previous = self.version(&key);
+                if previous.is_some_and(|(previous, _)| version <= previous) {
                     return None;
                 }
                 self.versions.insert(key.clone(), (version, now));
+                let (previous, named_at) = previous.unwrap_or((0, now));
                 Line::new(&kind::VERSION_NAMED)
                     .field("adapter", &key)
                     .field("version", version)
+                    .field("previous", previous)
+                    .field("previous_ms_ago", now.ms_since(named_at))
                     .log();
                 Some(FleetEvent::Version(key, version))
             }
