Give each announced adapter version a deadline of its own

Cause: an instance kept one version and one time for each adapter and named the version to the engine only 3.5 s after the time of the latest announcement. Each further announcement started these 3.5 s anew, so while versions followed each other faster, none was enforced. Copies stay old that long where their engine rejects the order to replace them, or where nobody may give it orders.

AdapterVersions keeps the deadlines of all versions that are not due yet; the newest one that is due is required. An engine can only be asked for one exact version, and an older one that is still allowed would be rejected for no reason if the newest were named. So copy requests and quotes name the oldest version that may be used, holders grant no copy that is older, and grants name the copy's version, which the engine then has to have. A request that needs a newer copy is refused at once while nobody may order one.

--- a/crates/decisions/src/copies/action.rs
+++ b/crates/decisions/src/copies/action.rs
@@ -18,6 +18,8 @@
         /// Requests granted on this engine, this one included; waiting ones are added with a higher
         /// weight.
         running: u32,
+        /// Version of the copy, if it is known.
+        version: Option<u64>,
     },
     /// The request gets no copy.
     Refuse {
--- a/crates/decisions/src/copies/control.rs
+++ b/crates/decisions/src/copies/control.rs
@@ -96,6 +96,10 @@
 
     /// An instance requests a copy.
     pub fn on_request(&mut self, now: UnixMs, request: CopyRequest) -> Vec<CopyAction> {
+        if let Some(version) = request.min_version {
+            // The requester may know of a version before this instance does.
+            self.on_newer(&request.key, version);
+        }
         if let Some(reason) = self.immediate_refusal(now, &request) {
             self.refuse(request.id, reason);
             return self.advance(now);
@@ -164,8 +168,7 @@
 
     /// A newer version of an adapter was requested.
     pub fn on_version(&mut self, now: UnixMs, key: &AdapterKey, version: u64) -> Vec<CopyAction> {
-        let newest = self.newest.entry(key.clone()).or_default();
-        *newest = version.max(*newest);
+        self.on_newer(key, version);
         // A pending load without a version loads the newest one; only a report of the engine shows
         // which version that was.
         let is_version_unknown = |copy: &Copy| copy.is_coming() && copy.ordered.is_none();
@@ -262,6 +265,11 @@
         self.copies.values().map(|copy| copy.users() as u32).sum()
     }
 
+    fn on_newer(&mut self, key: &AdapterKey, version: u64) {
+        let newest = self.newest.entry(key.clone()).or_default();
+        *newest = version.max(*newest);
+    }
+
     fn apply_report(&mut self, now: UnixMs, holdings: Holdings) {
         let mut previous = std::mem::take(&mut self.copies);
         self.models = holdings.models;
@@ -301,10 +309,10 @@
 
     /// Returns the reason to refuse a copy request without queueing it, if there is one.
     fn immediate_refusal(&self, now: UnixMs, request: &CopyRequest) -> Option<CopyRefusal> {
-        if self.is_expected(&request.key) || request.key.adapter.is_none() {
+        if self.is_expected(request) || request.key.adapter.is_none() {
             return None;
         }
-        match self.refusal_reason(&request.key) {
+        match self.refusal_reason(request) {
             CopyRefusal::Unread if now >= self.report_at => None,
             reason @ (CopyRefusal::OrdersPaused | CopyRefusal::Unread) => Some(reason),
             reason @ CopyRefusal::NoRoom if !request.patient => Some(reason),
@@ -320,11 +328,11 @@
         missing.collect::<BTreeSet<_>>().len()
     }
 
-    pub(super) fn refusal_reason(&self, key: &AdapterKey) -> CopyRefusal {
-        if self.is_usable(key) {
+    pub(super) fn refusal_reason(&self, request: &CopyRequest) -> CopyRefusal {
+        if self.is_usable_for(request) {
             return CopyRefusal::Busy;
         }
-        if self.is_expected(key) {
+        if self.is_expected(request) {
             return CopyRefusal::TooLate;
         }
         if self.accepted.is_none() {
@@ -350,11 +358,19 @@
         self.speed.take_change(now)
     }
 
-    /// Whether a copy is present, loading or being removed.
-    fn is_expected(&self, key: &AdapterKey) -> bool {
-        self.copies
-            .get(key)
-            .is_some_and(|copy| !copy.is_unconfirmed())
+    /// Whether a copy is present, loading or being removed, and can be of the version that the request needs.
+    fn is_expected(&self, request: &CopyRequest) -> bool {
+        self.copies.get(&request.key).is_some_and(|copy| {
+            let is_outdated = copy.is_present() && !copy.has_version(request.min_version);
+            !copy.is_unconfirmed() && (self.may_order || !is_outdated)
+        })
+    }
+
+    /// Whether the copy can be used by a request, which may need a newer version.
+    pub(super) fn is_usable_for(&self, request: &CopyRequest) -> bool {
+        let copy = self.copies.get(&request.key);
+        self.is_usable(&request.key)
+            && copy.is_none_or(|copy| copy.has_version(request.min_version))
     }
 
     pub(super) fn is_usable(&self, key: &AdapterKey) -> bool {
--- a/crates/decisions/src/copies/copy.rs
+++ b/crates/decisions/src/copies/copy.rs
@@ -12,6 +12,9 @@
 /// minutes over which demand shifts.
 const USE_HALF_LIFE_MS: f64 = 4_000.0;
 
+/// Version of an adapter that was never announced.
+const FIRST_VERSION: u64 = 1;
+
 /// Life cycle stage of a copy.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(super) enum CopyStage {
@@ -52,6 +55,11 @@
         }
     }
 
+    /// Whether requests that need `min_version` may begin on this version.
+    pub(super) fn has_version(&self, min_version: Option<u64>) -> bool {
+        min_version.is_none_or(|min| self.version.unwrap_or(FIRST_VERSION) >= min)
+    }
+
     pub(super) fn is_present(&self) -> bool {
         self.stage == CopyStage::Present
     }
--- a/crates/decisions/src/copies/grants.rs
+++ b/crates/decisions/src/copies/grants.rs
@@ -16,11 +16,11 @@
         self.room.sort(now, &mut requests, self.shape.batch_places);
         let mut held_back = HeldBack::default();
         for request in requests {
-            let is_usable = self.is_usable(&request.key);
+            let is_usable = self.is_usable_for(&request);
             if is_usable && !held_back.holds(&request) && self.has_room(now, &request) {
                 self.grant(now, request);
             } else if request.wait_until <= now {
-                let reason = self.refusal_reason(&request.key);
+                let reason = self.refusal_reason(&request);
                 self.refuse(request.id, reason);
             } else {
                 if is_usable {
@@ -50,13 +50,16 @@
         self.room.on_granted(&request);
         self.speed
             .on_sent(now, &request.id, read_tokens, request.ends_by);
+        let mut version = None;
         if let Some(copy) = self.copies.get_mut(&request.key) {
             copy.add_user(now, request.id.clone(), request.ends_by);
+            version = copy.version;
         }
         let running = self.running() + WAITING_WEIGHT * self.waiting.len() as u32;
         self.act(CopyAction::Grant {
             request: request.id,
             running,
+            version,
         });
     }
 }
--- a/crates/decisions/src/copies/orders.rs
+++ b/crates/decisions/src/copies/orders.rs
@@ -306,8 +306,7 @@
     fn outdated(&mut self) -> Option<(OrderKind, AdapterKey)> {
         let newest = &self.newest;
         let (key, copy) = self.copies.iter_mut().find(|(key, copy)| {
-            let latest = newest.get(*key).copied();
-            copy.is_present() && latest.is_some() && copy.version.unwrap_or(1) < latest.unwrap_or(0)
+            copy.is_present() && !copy.has_version(newest.get(*key).copied())
         })?;
         copy.stage = CopyStage::Ordered { replaces: true };
         Some((OrderKind::Load, key.clone()))
--- a/crates/decisions/src/copies/quote.rs
+++ b/crates/decisions/src/copies/quote.rs
@@ -27,6 +27,9 @@
     /// Base model and adapter of the request.
     #[serde(rename = "k")]
     pub key: AdapterKey,
+    /// Oldest version of the adapter on which the request may begin; `None` for any.
+    #[serde(default, rename = "v", skip_serializing_if = "Option::is_none")]
+    pub min_version: Option<u64>,
     /// Leading parts of the prompt that other requests may share; only long ones are listed.
     #[serde(default, rename = "p", skip_serializing_if = "Vec::is_empty")]
     pub shared_parts: Vec<PromptPart>,
@@ -74,6 +77,7 @@
     pub fn on_quote(&mut self, now: UnixMs, question: &QuoteQuestion) -> Option<EngineQuote> {
         let QuoteQuestion {
             key,
+            min_version,
             shared_parts,
             counts_demand,
         } = question;
@@ -90,14 +94,15 @@
             kept_tokens: self.kept.kept_tokens(key, shared_parts),
             slowness_percent: self.prompts.slowness_percent(now),
             paces: self.speed.paces(),
-            copy: self.quoted_copy(key),
+            copy: self.quoted_copy(key, *min_version),
             demand_per_s: counts_demand.then(|| self.demand.per_second_before(now, key) as f32),
         })
     }
 
-    fn quoted_copy(&self, key: &AdapterKey) -> QuotedCopy {
+    fn quoted_copy(&self, key: &AdapterKey, min_version: Option<u64>) -> QuotedCopy {
         match self.copies.get(key) {
-            Some(copy) if copy.is_present() => QuotedCopy::Present,
+            Some(copy) if copy.is_present() && copy.has_version(min_version) => QuotedCopy::Present,
+            Some(copy) if copy.is_present() && self.may_order => QuotedCopy::Coming,
             Some(copy) if copy.is_coming() => QuotedCopy::Coming,
             _ if self.waiting.iter().any(|request| request.key == *key) => QuotedCopy::Coming,
             _ => QuotedCopy::Absent,
--- a/crates/decisions/src/copies/request.rs
+++ b/crates/decisions/src/copies/request.rs
@@ -21,6 +21,8 @@
     pub id: CopyRequestId,
     /// Base model and adapter that the request runs on.
     pub key: AdapterKey,
+    /// Oldest version of the adapter on which the request may begin; `None` for any.
+    pub min_version: Option<u64>,
     /// Priority rank of the request; 0 is served first.
     pub rank: u32,
     /// Length of the prompt in tokens.
--- a/crates/decisions/src/copies/tests/kept.rs
+++ b/crates/decisions/src/copies/tests/kept.rs
@@ -36,6 +36,7 @@
 fn kept(world: &mut World, shared: &[PromptPart]) -> u32 {
     let question = QuoteQuestion {
         key: World::key(7),
+        min_version: None,
         shared_parts: shared.to_vec(),
         counts_demand: false,
     };
--- a/crates/decisions/src/copies/tests/mod.rs
+++ b/crates/decisions/src/copies/tests/mod.rs
@@ -5,4 +5,5 @@
 mod prompts;
 mod random_runs;
 mod room;
+mod versions;
 mod world;
--- a/crates/decisions/src/copies/tests/world.rs
+++ b/crates/decisions/src/copies/tests/world.rs
@@ -79,6 +79,7 @@
         CopyRequest {
             id: Self::id(number),
             key: Self::key(adapter),
+            min_version: None,
             rank: 0,
             prompt_tokens: 0,
             answer_tokens: 0,
@@ -96,6 +97,16 @@
         self.carry_out(actions);
     }
 
+    /// Requests a copy of at least `min_version`.
+    pub fn request_version(&mut self, number: u64, adapter: u64, min_version: u64) {
+        let request = CopyRequest {
+            min_version: Some(min_version),
+            ..self.new_request(number, adapter)
+        };
+        let actions = self.control.on_request(self.now, request);
+        self.carry_out(actions);
+    }
+
     /// Requests a copy for a prompt of `prompt_tokens` tokens.
     pub fn request_with_prompt(&mut self, number: u64, adapter: u64, prompt_tokens: u32) {
         let request = CopyRequest {
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -3,6 +3,7 @@
 //! A machine receives events with the current time and returns actions. Its driver delivers the
 //! events and carries out the actions. All randomness is seeded.
 
+pub mod adapter_versions;
 pub mod announced;
 pub mod answer_end;
 pub mod bundle_spread;
--- a/crates/load/src/emulator/world.rs
+++ b/crates/load/src/emulator/world.rs
@@ -242,6 +242,7 @@
                 let control = &mut self.engines[self.numbers[&name]].control;
                 let question = QuoteQuestion {
                     key: key.clone(),
+                    min_version: None,
                     shared_parts: Vec::new(),
                     counts_demand: rank == 0,
                 };
@@ -291,6 +292,7 @@
         let copy_request = CopyRequest {
             id: copy_request_id(number),
             key: request.key.clone(),
+            min_version: None,
             rank: 0,
             prompt_tokens: self.settings.prompt_tokens,
             answer_tokens: self.settings.answer_tokens,
@@ -354,7 +356,9 @@
                 CopyAction::Order(order) => self.at(then, Event::Ordered { engine, order }),
                 CopyAction::ReadReport => self.at(then, Event::Report { engine }),
                 CopyAction::Refuse { request, .. } => self.at(then, Event::Refused(request.number)),
-                CopyAction::Grant { request, running } => {
+                CopyAction::Grant {
+                    request, running, ..
+                } => {
                     self.on_running(engine, request.number, running);
                     self.at(then, Event::Granted(request.number));
                 }
--- a/crates/relay/src/call/answer.rs
+++ b/crates/relay/src/call/answer.rs
@@ -41,6 +41,8 @@
     pub guard: Option<CopyRequestGuard>,
     /// Requests that were running on the engine or about to run when the grant was issued.
     pub running: u32,
+    /// Version of the copy, if its holder told it.
+    pub version: Option<u64>,
 }
 
 /// Releases the resources held by an answer when it completes or is dropped, and logs its outcome.
--- a/crates/relay/src/call/model_call.rs
+++ b/crates/relay/src/call/model_call.rs
@@ -24,9 +24,6 @@
 /// `Retry-After` when no engine had a copy in time, in milliseconds: the time of one load from the
 /// weight store.
 const RETRY_MS: u64 = 300;
-/// When engines start to check for a newly named version, in percent of the time in which requests
-/// may still begin on the previous one.
-const VERSION_CHECK_PERCENT: u64 = 70;
 /// Lowest rank that engines support.
 const LOWEST_RANK: u32 = 9;
 
@@ -252,7 +249,7 @@
         let granted_ms = shared.now().ms_since(request.arrived_at);
         let options = AttemptOptions {
             rank: Some(request.merit.rank().min(LOWEST_RANK) as u8),
-            adapter_version: self.checked_version(),
+            adapter_version: self.expected_version(grant.version),
             resume_after,
             times_out_at: request.deadline,
         };
@@ -310,13 +307,11 @@
         self.shared.loads.borrow_mut().on_failed(now, &record.name);
     }
 
-    /// Returns the version that the engine must have, once requests may no longer begin on previous
-    /// versions.
-    fn checked_version(&self) -> Option<u64> {
-        let (version, named_at) = self.shared.fleet.borrow().version(&self.key)?;
-        let since_ms = self.shared.now().ms_since(named_at);
-        let bound_ms = self.shared.settings.bounds.version_ms;
-        (since_ms >= bound_ms * VERSION_CHECK_PERCENT / 100).then_some(version)
+    /// Returns the version that the engine must have for a copy granted at `granted`; `None` for any.
+    fn expected_version(&self, granted: Option<u64>) -> Option<u64> {
+        let fleet = self.shared.fleet.borrow();
+        let versions = fleet.versions();
+        versions.expected(self.shared.now(), &self.key, granted)
     }
 
     /// Returns the response for a request that no engine served.
--- a/crates/relay/src/fleet/view.rs
+++ b/crates/relay/src/fleet/view.rs
@@ -5,11 +5,12 @@
 use std::rc::Rc;
 
 use monsoonspread_borders::relay::{FleetChange, FleetChanges, FleetMember};
+use monsoonspread_decisions::adapter_versions::AdapterVersions;
 use monsoonspread_decisions::announced::Announcements;
 use monsoonspread_decisions::change_feed::MAX_SOURCES;
 use monsoonspread_decisions::route_table::RouteTable;
 use monsoonspread_decisions::store_health::{Disappearance, LapsingEntries, StoreStatus};
-use monsoonspread_model::fleet::{AdapterKey, RateLimit, UpstreamRecord, UpstreamStage};
+use monsoonspread_model::fleet::{RateLimit, UpstreamRecord, UpstreamStage};
 use monsoonspread_model::{InstanceName, ServiceName, UnixMs, UpstreamName, ZoneName};
 
 use super::FleetEvent;
@@ -33,12 +34,23 @@
     /// Instances whose announcements disappeared during an outage of the store.
     lapsing_members: LapsingEntries<InstanceName>,
     holders: BTreeMap<UpstreamName, u64>,
-    versions: BTreeMap<AdapterKey, (u64, UnixMs)>,
+    versions: AdapterVersions,
+    /// Time after an announcement in which requests may begin on older versions, in milliseconds.
+    version_leeway_ms: u64,
     /// Announcements that upstreams made in their answers.
     pub(super) announcements: Announcements,
 }
 
 impl FleetView {
+    /// Creates the state with nothing known. Requests may begin on older versions of an adapter for
+    /// `version_leeway_ms` after an announcement.
+    pub fn new(version_leeway_ms: u64) -> Self {
+        Self {
+            version_leeway_ms,
+            ..Self::default()
+        }
+    }
+
     /// Returns the routes in force; `None` before the first configuration.
     pub fn routes(&self) -> Option<&Rc<RouteTable>> {
         self.routes.as_ref()
@@ -109,15 +121,9 @@
         })
     }
 
-    /// Returns the newest version of an adapter, and when it was named.
-    pub fn version(&self, key: &AdapterKey) -> Option<(u64, UnixMs)> {
-        self.versions.get(key).copied()
-    }
-
-    /// Returns the newest version of each adapter.
-    pub fn versions(&self) -> impl Iterator<Item = (&AdapterKey, u64)> {
-        let versions = self.versions.iter();
-        versions.map(|(key, (version, _))| (key, *version))
+    /// Returns the announced versions of adapters.
+    pub fn versions(&self) -> &AdapterVersions {
+        &self.versions
     }
 
     /// Whether the configuration in force defines `service` as an engine service.
@@ -171,17 +177,16 @@
             }
             FleetChange::UpstreamGone(name) => self.remove(&name),
             FleetChange::Version(key, version) => {
-                let previous = self.version(&key);
-                if previous.is_some_and(|(previous, _)| version <= previous) {
+                let previous = self.versions.newest(&key);
+                let required_from = now + self.version_leeway_ms;
+                if !self.versions.on_announced(&key, version, required_from) {
                     return None;
                 }
-                self.versions.insert(key.clone(), (version, now));
-                let (previous, named_at) = previous.unwrap_or((0, now));
                 Line::new(&kind::VERSION_NAMED)
                     .field("adapter", &key)
                     .field("version", version)
-                    .field("previous", previous)
-                    .field("previous_ms_ago", now.ms_since(named_at))
+                    .field("previous", previous.unwrap_or(0))
+                    .field("required_in_ms", required_from.ms_since(now))
                     .log();
                 Some(FleetEvent::Version(key, version))
             }
--- a/crates/relay/src/holding/claims.rs
+++ b/crates/relay/src/holding/claims.rs
@@ -126,9 +126,8 @@
                 .field("orders_in_ms", claim.orders_from.ms_since(now))
                 .log();
             let fleet = shared.fleet.borrow();
-            let versions = fleet
-                .versions()
-                .map(|(key, version)| (key.clone(), version));
+            let versions = fleet.versions().all_newest();
+            let versions = versions.map(|(key, version)| (key.clone(), version));
             let late_orders = self
                 .late_orders
                 .borrow_mut()
--- a/crates/relay/src/holding/controller.rs
+++ b/crates/relay/src/holding/controller.rs
@@ -19,10 +19,10 @@
 use super::engine_speed::log_speed_change;
 use crate::event::{Line, kind};
 use crate::fleet::FleetEvent;
-use crate::peers::{CopyRequestFailure, PeerReply};
+use crate::peers::{CopyRequestFailure, GrantedCopy, PeerReply};
 use crate::shared::Shared;
 
-type LocalAnswer = oneshot::Sender<Result<u32, CopyRequestFailure>>;
+type LocalAnswer = oneshot::Sender<Result<GrantedCopy, CopyRequestFailure>>;
 
 /// The engines that this instance gives orders to.
 pub struct Holding {
@@ -311,7 +311,11 @@
     fn perform(&self, shared: &Rc<Shared>, name: &UpstreamName, actions: Vec<CopyAction>) {
         for action in actions {
             match action {
-                CopyAction::Grant { request, running } => self.answer(shared, request, Ok(running)),
+                CopyAction::Grant {
+                    request,
+                    running,
+                    version,
+                } => self.answer(shared, request, Ok(GrantedCopy { running, version })),
                 CopyAction::Refuse { request, reason } => self.answer(shared, request, Err(reason)),
                 CopyAction::Order(order) => {
                     let (shared, name) = (Rc::clone(shared), name.clone());
@@ -325,7 +329,7 @@
         }
     }
 
-    fn answer(&self, shared: &Shared, id: CopyRequestId, answer: Result<u32, CopyRefusal>) {
+    fn answer(&self, shared: &Shared, id: CopyRequestId, answer: Result<GrantedCopy, CopyRefusal>) {
         if id.instance == shared.settings.instance {
             if let Some(waiting) = self.local_requests.borrow_mut().remove(&id.number) {
                 // The requester stopped waiting; its guard ends the copy request.
@@ -335,7 +339,11 @@
         }
         let number = id.number;
         let reply = match answer {
-            Ok(running) => PeerReply::Granted { number, running },
+            Ok(GrantedCopy { running, version }) => PeerReply::Granted {
+                number,
+                running,
+                version,
+            },
             Err(reason) => PeerReply::Refused { number, reason },
         };
         shared.incoming.reply(&id.instance, reply);
--- a/crates/relay/src/holding/copy_query.rs
+++ b/crates/relay/src/holding/copy_query.rs
@@ -63,6 +63,7 @@
     let request = LocalCopyRequest {
         upstream: query.upstream.clone(),
         key: query.key.clone(),
+        min_version: shared.required_version(query.key),
         rank: query.rank,
         prompt_tokens: query.prompt_tokens,
         answer_tokens: query.answer_tokens,
@@ -73,15 +74,16 @@
         ends_by: query.deadline,
     };
     match shared.holding.request_copy(shared, &request).await {
-        Ok((guard, running)) => {
+        Ok((guard, copy)) => {
             let now = shared.now();
             let mut known = shared.known_copies.borrow_mut();
-            known.on_granted(now, query.upstream, query.key);
+            known.on_granted(now, query.upstream, query.key, copy.version);
             let mut loads = shared.loads.borrow_mut();
-            loads.on_running(now, query.upstream, running);
+            loads.on_running(now, query.upstream, copy.running);
             Ok(Grant {
                 guard: Some(guard),
-                running,
+                running: copy.running,
+                version: copy.version,
             })
         }
         Err(failure) if failure.is_holder_unavailable() => {
@@ -104,6 +106,7 @@
 const UNGUARDED: Grant = Grant {
     guard: None,
     running: 0,
+    version: None,
 };
 
 fn use_known_copy(
@@ -113,7 +116,10 @@
 ) -> Result<Grant, CopyRequestFailure> {
     let known = shared.known_copies.borrow();
     if known.is_known(shared.now(), query.upstream, query.key) {
-        return Ok(UNGUARDED);
+        return Ok(Grant {
+            version: known.version(query.upstream, query.key),
+            ..UNGUARDED
+        });
     }
     Err(failure)
 }
--- a/crates/relay/src/holding/copy_requests.rs
+++ b/crates/relay/src/holding/copy_requests.rs
@@ -9,7 +9,7 @@
 use tokio::sync::oneshot;
 
 use super::{CopyRequestGuard, Holding};
-use crate::peers::{CopyRequestFailure, PeerCopyRequest};
+use crate::peers::{CopyRequestFailure, GrantedCopy, PeerCopyRequest};
 use crate::shared::Shared;
 
 /// Extra time to wait for a refusal by the state machine, in milliseconds.
@@ -21,6 +21,8 @@
     pub upstream: UpstreamName,
     /// Adapter or base model that the request runs on.
     pub key: AdapterKey,
+    /// Oldest version of the adapter on which the request may begin; `None` for any.
+    pub min_version: Option<u64>,
     /// Rank of the request; 0 is served first.
     pub rank: u32,
     /// Length of its prompt, in tokens.
@@ -42,19 +44,19 @@
 impl Holding {
     /// Requests a copy from the holder of an engine.
     ///
-    /// Returns the guard of the grant, and the number of requests running on the engine.
+    /// Returns the guard of the grant, and the copy.
     pub async fn request_copy(
         &self,
         shared: &Rc<Shared>,
         request: &LocalCopyRequest,
-    ) -> Result<(CopyRequestGuard, u32), CopyRequestFailure> {
+    ) -> Result<(CopyRequestGuard, GrantedCopy), CopyRequestFailure> {
         let Some(holder) = self.holder(&request.upstream) else {
             return Err(CopyRequestFailure::Refused(CopyRefusal::NotHolder));
         };
         let number = self.next_number();
         let guard = CopyRequestGuard::new(shared, &holder, &request.upstream, number);
         let now = shared.now();
-        let running = if holder == shared.settings.instance {
+        let copy = if holder == shared.settings.instance {
             self.request_from_self(shared, request, number).await?
         } else {
             let Some(address) = shared.fleet.borrow().member(&holder) else {
@@ -64,6 +66,7 @@
                 number,
                 upstream: request.upstream.clone(),
                 key: request.key.clone(),
+                min_version: request.min_version,
                 rank: request.rank,
                 prompt_tokens: request.prompt_tokens,
                 answer_tokens: request.answer_tokens,
@@ -78,7 +81,7 @@
                 .request_copy(&holder, address, peer_ask)
                 .await?
         };
-        Ok((guard, running))
+        Ok((guard, copy))
     }
 
     async fn request_from_self(
@@ -86,7 +89,7 @@
         shared: &Rc<Shared>,
         request: &LocalCopyRequest,
         number: u64,
-    ) -> Result<u32, CopyRequestFailure> {
+    ) -> Result<GrantedCopy, CopyRequestFailure> {
         let (answer, answered) = oneshot::channel();
         self.add_local_request(number, answer);
         let id = CopyRequestId {
@@ -96,6 +99,7 @@
         let engine_request = CopyRequest {
             id,
             key: request.key.clone(),
+            min_version: request.min_version,
             rank: request.rank,
             prompt_tokens: request.prompt_tokens,
             answer_tokens: request.answer_tokens,
--- a/crates/relay/src/holding/quotes.rs
+++ b/crates/relay/src/holding/quotes.rs
@@ -29,6 +29,7 @@
     engines: &[UpstreamName],
 ) -> QuoteList {
     let until = Instant::now() + Duration::from_millis(QUOTE_WAIT_MS);
+    let min_version = shared.required_version(key);
     let asked = engines.iter().enumerate().filter(|(_, engine)| {
         let now = shared.now();
         !shared.loads.borrow().is_unresponsive(now, engine)
@@ -36,6 +37,7 @@
     let questions = asked.map(|(rank, engine)| async move {
         let question = QuoteQuestion {
             key: key.clone(),
+            min_version,
             shared_parts: shared_parts.to_vec(),
             counts_demand: rank == 0,
         };
--- a/crates/relay/src/peer_dispatcher.rs
+++ b/crates/relay/src/peer_dispatcher.rs
@@ -46,6 +46,7 @@
                         number: copy_request.number,
                     },
                     key: copy_request.key,
+                    min_version: copy_request.min_version,
                     rank: copy_request.rank,
                     prompt_tokens: copy_request.prompt_tokens,
                     answer_tokens: copy_request.answer_tokens,
--- a/crates/relay/src/peers/link.rs
+++ b/crates/relay/src/peers/link.rs
@@ -57,8 +57,17 @@
     pending: PendingAnswers,
 }
 
-/// Answer to a copy request: the requests that run on the engine.
-pub(super) type Answer = Result<u32, CopyRequestFailure>;
+/// A copy that a request may use.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct GrantedCopy {
+    /// Requests running on the engine or about to run.
+    pub running: u32,
+    /// Version of the copy, if its holder told it.
+    pub version: Option<u64>,
+}
+
+/// Answer to a copy request.
+pub(super) type Answer = Result<GrantedCopy, CopyRequestFailure>;
 
 /// Connections to other instances, opened on first use.
 #[derive(Clone)]
--- a/crates/relay/src/peers/message.rs
+++ b/crates/relay/src/peers/message.rs
@@ -20,6 +20,9 @@
     pub upstream: UpstreamName,
     /// Adapter or base model that the request runs on.
     pub key: AdapterKey,
+    /// Oldest version of the adapter on which the request may begin; `None` for any.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub min_version: Option<u64>,
     /// Rank of the request; 0 is served first.
     pub rank: u32,
     /// Length of its prompt, in tokens.
@@ -312,6 +315,9 @@
         number: u64,
         /// Requests running on the engine or about to run.
         running: u32,
+        /// Version of the copy, if it is known.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        version: Option<u64>,
     },
     /// The copy is not available.
     Refused {
--- a/crates/relay/src/peers/mod.rs
+++ b/crates/relay/src/peers/mod.rs
@@ -13,7 +13,7 @@
 
 pub use frame::fits;
 pub use incoming::{Incoming, PeerHandler, accept_peers};
-pub use link::{CopyRequestFailure, FeedMessage, FeedNews, PeerLinks};
+pub use link::{CopyRequestFailure, FeedMessage, FeedNews, GrantedCopy, PeerLinks};
 pub use message::{
     PeerChanges, PeerCopyRequest, PeerPermit, PeerPermitRequest, PeerPlace, PeerPlaceEnd,
     PeerPlaceRequest, PeerQuota, PeerQuotaAnswer, PeerQuotaRequest, PeerReply, PeerRequest,
--- a/crates/relay/src/peers/reply_handler.rs
+++ b/crates/relay/src/peers/reply_handler.rs
@@ -3,7 +3,7 @@
 use monsoonspread_model::InstanceName;
 use tokio::sync::mpsc::UnboundedSender;
 
-use super::link::{Answer, CopyRequestFailure, FeedMessage, FeedNews};
+use super::link::{Answer, CopyRequestFailure, FeedMessage, FeedNews, GrantedCopy};
 use super::message::PeerReply;
 use super::pending::PendingAnswers;
 use crate::gossip::ReceivedGossip;
@@ -25,7 +25,11 @@
                     request.received.set(true);
                 }
             }
-            PeerReply::Granted { number, running } => self.on_answer(number, Ok(running)),
+            PeerReply::Granted {
+                number,
+                running,
+                version,
+            } => self.on_answer(number, Ok(GrantedCopy { running, version })),
             PeerReply::Refused { number, reason } => {
                 self.on_answer(number, Err(CopyRequestFailure::Refused(reason)));
             }
--- a/crates/relay/src/settings.rs
+++ b/crates/relay/src/settings.rs
@@ -124,6 +124,10 @@
     pub quota_slack: f64,
 }
 
+/// Share of the time for a new adapter version in which requests are sent to older ones, in percent: the rest
+/// is for the announcement to arrive and for requests that wait at their engine.
+const VERSION_LEEWAY_PERCENT: u64 = 70;
+
 impl BoundSettings {
     /// Returns the time within which every instance must know any change, in milliseconds.
     pub fn change_ms(&self) -> u64 {
@@ -134,6 +138,12 @@
         }
     }
 
+    /// Returns how long after the announcement of an adapter version requests may be sent to an engine that
+    /// has an older one, in milliseconds.
+    pub fn version_leeway_ms(&self) -> u64 {
+        self.version_ms * VERSION_LEEWAY_PERCENT / 100
+    }
+
     /// Returns how old the knowledge of a configuration may be.
     pub fn config_age(&self) -> AgeBounds {
         AgeBounds::new(self.config_ms, self.strict_revoke_ms())
--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -14,7 +14,7 @@
 use monsoonspread_decisions::placement::{CandidateUpstream, Placement, PlacementSettings};
 use monsoonspread_decisions::service_route::{ServiceRouter, ServiceServer};
 use monsoonspread_decisions::store_health::StoreStatus;
-use monsoonspread_model::fleet::{EngineShape, UpstreamRecord, UpstreamStage};
+use monsoonspread_model::fleet::{AdapterKey, EngineShape, UpstreamRecord, UpstreamStage};
 use monsoonspread_model::{UnixMs, UpstreamName};
 use tokio::sync::mpsc::UnboundedSender;
 
@@ -122,7 +122,7 @@
         Self {
             borders,
             clock,
-            fleet: RefCell::default(),
+            fleet: RefCell::new(FleetView::new(bounds.version_leeway_ms())),
             config_age: RefCell::new(ConfigAge::new(bounds.config_age())),
             holding: Holding::new(local.clone(), bounds.order_gap_ms),
             peers: PeerLinks::new(local, feed, gossip),
@@ -192,6 +192,12 @@
         Some((record.address, service.engine.clone()?))
     }
 
+    /// Returns the oldest version of an adapter on which requests may begin; `None` for any.
+    pub fn required_version(&self, key: &AdapterKey) -> Option<u64> {
+        let fleet = self.fleet.borrow();
+        fleet.versions().required(self.now(), key)
+    }
+
     /// Applies a full snapshot of the store.
     pub fn on_snapshot(
         self: &Rc<Self>,
