Count the age of an adapter version from the state known before it

Cause: the time until a version is required began when the instance learned of it. After a restart, behind a cut or a slow feed that is later than the acknowledgement; the store's entry has no time, and names only the newest of several versions.

What is newer than the known state was written after that state was the newest. A call that failed moves it on, because what is written in an outage could not be known before its end and the bound counts from then.

--- a/crates/decisions/src/change_feed/tests.rs
+++ b/crates/decisions/src/change_feed/tests.rs
@@ -169,7 +169,7 @@
         let mut health = StoreHealth::default();
         let (mut now, mut calls) = (UnixMs(0), 0);
         while now < UnixMs(5_000) {
-            health.on_failure(now);
+            health.on_failure(now, now);
             calls += 1;
             now = now + health.retry_ms(timing.max_retry_ms);
         }
@@ -201,7 +201,7 @@
     for change_ms in [2_000, 3_000, 4_000] {
         let timing = FeedTiming::new(change_ms);
         let mut health = StoreHealth::default();
-        health.on_failure(UnixMs(0));
+        health.on_failure(UnixMs(0), UnixMs(0));
         let answered_after_ms = timing.coalesce_ms + health.retry_ms(timing.max_retry_ms);
         assert!(answered_after_ms + timing.heartbeat_ms / 2 < timing.stale_ms);
     }
--- a/crates/decisions/src/store_health/mod.rs
+++ b/crates/decisions/src/store_health/mod.rs
@@ -31,6 +31,8 @@
     pub back_by: UnixMs,
     /// Whether no call failed within the last lease duration.
     pub is_steady: bool,
+    /// What is newer than the known state was written after this time.
+    pub known_at: UnixMs,
 }
 
 /// Tracks whether the store answers calls.
@@ -40,6 +42,7 @@
     failures: u32,
     back_by: UnixMs,
     steady_from: UnixMs,
+    known_at: UnixMs,
 }
 
 impl StoreHealth {
@@ -52,8 +55,26 @@
         is_back
     }
 
-    /// A call failed; returns true if the previous call did not.
-    pub fn on_failure(&mut self, now: UnixMs) -> bool {
+    /// The known state was the newest at `at`: for an answer of the store, when the call began.
+    ///
+    /// ```
+    /// use monsoonspread_decisions::store_health::StoreHealth;
+    /// use monsoonspread_model::UnixMs;
+    ///
+    /// let mut health = StoreHealth::default();
+    /// health.on_current(UnixMs(2_000));
+    /// health.on_current(UnixMs(1_500));
+    /// assert_eq!(health.status(UnixMs(3_000)).known_at, UnixMs(2_000));
+    /// ```
+    pub fn on_current(&mut self, at: UnixMs) {
+        self.known_at = self.known_at.max(at);
+    }
+
+    /// A call that began at `asked_at` failed; returns true if the previous call did not.
+    ///
+    /// What is written during an outage counts as written at its end: nobody could know of it before.
+    pub fn on_failure(&mut self, asked_at: UnixMs, now: UnixMs) -> bool {
+        self.on_current(asked_at);
         self.steady_from = now + CONFIRMED_FOR_MS;
         self.failures = self.failures.saturating_add(1);
         self.failures == 1
@@ -72,7 +93,7 @@
     ///
     /// let mut health = StoreHealth::default();
     /// let pauses = [0, 150, 450].map(|now| {
-    ///     health.on_failure(UnixMs(now));
+    ///     health.on_failure(UnixMs(now), UnixMs(now));
     ///     health.retry_ms(500)
     /// });
     /// assert_eq!(pauses, [150, 300, 500]);
@@ -90,13 +111,14 @@
     ///
     /// let mut health = StoreHealth::default();
     /// assert!(health.status(UnixMs(0)).is_steady);
-    /// health.on_failure(UnixMs(0));
+    /// health.on_failure(UnixMs(0), UnixMs(0));
     /// assert!(!health.status(UnixMs(5_000)).is_steady);
     /// ```
     pub fn status(&self, now: UnixMs) -> StoreStatus {
         StoreStatus {
             back_by: self.back_by,
             is_steady: now >= self.steady_from,
+            known_at: self.known_at,
         }
     }
 }
--- a/crates/decisions/src/store_health/tests.rs
+++ b/crates/decisions/src/store_health/tests.rs
@@ -11,7 +11,7 @@
 fn an_entry_that_is_removed_after_an_outage_is_kept_for_less_than_the_bound() {
     for after_return_ms in [0, 1_240, BACK_WITHIN_MS, 2_900] {
         let mut health = StoreHealth::default();
-        health.on_failure(UnixMs(1_000));
+        health.on_failure(UnixMs(1_000), UnixMs(1_000));
         assert!(health.on_answer(UnixMs(5_000)));
         let removed_at = UnixMs(5_000 + after_return_ms);
         health.on_answer(removed_at);
@@ -25,8 +25,8 @@
 #[test]
 fn entries_that_ran_out_during_an_outage_may_come_back() {
     let mut health = StoreHealth::default();
-    assert!(health.on_failure(UnixMs(0)));
-    assert!(!health.on_failure(UnixMs(900)));
+    assert!(health.on_failure(UnixMs(0), UnixMs(0)));
+    assert!(!health.on_failure(UnixMs(900), UnixMs(900)));
     assert!(health.on_answer(UnixMs(4_000)));
     let back_by = health.status(UnixMs(4_000)).back_by;
     assert_eq!(back_by, UnixMs(4_000 + BACK_WITHIN_MS));
@@ -37,7 +37,7 @@
 #[test]
 fn announcements_that_ran_out_in_an_outage_stay_listed_until_their_owners_are_back() {
     let mut health = StoreHealth::default();
-    health.on_failure(UnixMs(1_000));
+    health.on_failure(UnixMs(1_000), UnixMs(1_000));
     health.on_answer(UnixMs(9_000));
     let status = health.status(UnixMs(9_000));
     let mut lapsing = LapsingEntries::default();
@@ -57,3 +57,29 @@
         Disappearance::Ended
     );
 }
+
+/// Guards against a version that an instance learns late and counts from then on, so that requests begin on
+/// the one before for too long: what is new was written after the state that was known before.
+#[test]
+fn what_is_new_counts_from_the_state_known_before() {
+    let mut health = StoreHealth::default();
+    // A process that has just started can't tell how old anything is.
+    assert_eq!(health.status(UnixMs(9_000)).known_at, UnixMs(0));
+    health.on_current(UnixMs(9_000));
+    // Answers may arrive long after they were asked for, and feeds tell what is older.
+    health.on_answer(UnixMs(9_900));
+    health.on_current(UnixMs(8_500));
+    assert_eq!(health.status(UnixMs(9_900)).known_at, UnixMs(9_000));
+}
+
+/// Guards against a version that is required at once after an outage in which no engine could be ordered to
+/// load it.
+#[test]
+fn what_was_written_in_an_outage_counts_from_its_end() {
+    let mut health = StoreHealth::default();
+    health.on_current(UnixMs(1_000));
+    health.on_failure(UnixMs(1_500), UnixMs(2_700));
+    health.on_failure(UnixMs(5_500), UnixMs(6_700));
+    health.on_answer(UnixMs(7_000));
+    assert_eq!(health.status(UnixMs(7_000)).known_at, UnixMs(5_500));
+}
--- a/crates/relay/src/fleet/subscribers.rs
+++ b/crates/relay/src/fleet/subscribers.rs
@@ -85,6 +85,11 @@
         status: StoreStatus,
     ) {
         self.publish_changes(shared, (after, up_to), changes, status);
+        let current = StoreStatus {
+            known_at: asked_at,
+            ..status
+        };
+        self.last_read.set((up_to, current));
         // After the changes, so that subscribers know them when they go by the confirmation.
         let mut confirmations = self.confirmations.borrow_mut();
         for (instance, confirmation) in confirmations.on_read(shared.now(), asked_at, up_to) {
@@ -114,7 +119,6 @@
         changes: Option<Vec<RevisedChange>>,
         status: StoreStatus,
     ) {
-        self.last_read.set((up_to, status));
         self.publish(|publisher| publisher.on_read(shared.now()));
         if after == up_to && changes.as_ref().is_none_or(Vec::is_empty) {
             return;
@@ -159,6 +163,7 @@
                 changes,
                 back_in_ms: status.back_by.ms_since(shared.now()),
                 is_steady: status.is_steady,
+                known_ms: Some(shared.now().ms_since(status.known_at)),
             })
         };
         let whole = message(changes);
@@ -200,6 +205,7 @@
             changes: Some(Vec::new()),
             back_in_ms: status.back_by.ms_since(now),
             is_steady: status.is_steady,
+            known_ms: Some(now.ms_since(status.known_at)),
         })
     }
 
--- a/crates/relay/src/fleet/view.rs
+++ b/crates/relay/src/fleet/view.rs
@@ -142,9 +142,13 @@
         status: StoreStatus,
     ) -> Vec<FleetEvent> {
         let mut events = self.missing_from(now, snapshot, status);
+        let listed = StoreStatus {
+            known_at: status.known_at,
+            ..StoreStatus::default()
+        };
         for change in &snapshot.changes {
             let change = change.change.clone();
-            events.extend(self.on_change(now, change, complete, StoreStatus::default()));
+            events.extend(self.on_change(now, change, complete, listed));
         }
         events
     }
@@ -178,7 +182,7 @@
             FleetChange::UpstreamGone(name) => self.remove(&name),
             FleetChange::Version(key, version) => {
                 let previous = self.versions.newest(&key);
-                let required_from = now + self.version_leeway_ms;
+                let required_from = status.known_at + self.version_leeway_ms;
                 if !self.versions.on_announced(&key, version, required_from) {
                     return None;
                 }
--- a/crates/relay/src/fleet/watcher.rs
+++ b/crates/relay/src/fleet/watcher.rs
@@ -7,6 +7,7 @@
 use monsoonspread_decisions::change_feed::{CatchUp, FeedTiming, SpanUse, StoreRead};
 use monsoonspread_decisions::config_age::Confirmation;
 use monsoonspread_decisions::store_health::{StoreHealth, StoreStatus};
+use monsoonspread_model::UnixMs;
 use tokio::sync::mpsc::UnboundedReceiver;
 use tokio::time::sleep;
 
@@ -36,6 +37,7 @@
                 first = false;
                 let status = health.status(shared.now());
                 shared.on_snapshot(&snapshot, complete, status);
+                health.on_current(asked_at);
                 shared.on_config_confirmed(asked_at);
                 let mut known = StoreView {
                     shared: &shared,
@@ -46,7 +48,7 @@
                 };
                 known.keep_up(&mut feed).await;
             }
-            Err(error) => on_failure(&shared, &mut health, &error),
+            Err(error) => on_failure(&shared, &mut health, asked_at, &error),
         }
         sleep(Duration::from_millis(health.retry_ms(timing.max_retry_ms))).await;
     }
@@ -124,7 +126,11 @@
 
     async fn on_feed(&mut self, update: PeerChanges) -> Result<(), HistoryLost> {
         match update.span().usage(self.revision) {
-            SpanUse::Known => self.catch_up.on_current(self.shared.now()),
+            SpanUse::Known => {
+                let now = self.shared.now();
+                self.catch_up.on_current(now);
+                self.health.on_current(update.known_at(now));
+            }
             SpanUse::Read => {
                 self.read(NO_WAIT_MS).await?;
             }
@@ -134,8 +140,10 @@
                 let status = StoreStatus {
                     back_by: local.back_by.max(now + update.back_in_ms),
                     is_steady: local.is_steady && update.is_steady,
+                    known_at: local.known_at.max(update.known_at(now)),
                 };
                 let known = self.revision;
+                self.health.on_current(status.known_at);
                 let changes = update.changes.unwrap_or_default().into_iter();
                 for revised in changes.filter(|revised| revised.revision > known) {
                     self.shared.on_change(revised.change, status);
@@ -152,17 +160,18 @@
     async fn read(&mut self, wait_ms: u64) -> Result<Option<FreshChanges>, HistoryLost> {
         let asked_at = self.shared.now();
         let fresh = match self.catch_up.next_read(asked_at) {
-            StoreRead::Changes => self.read_changes(wait_ms).await?,
-            StoreRead::Everything => self.read_everything().await,
+            StoreRead::Changes => self.read_changes(asked_at, wait_ms).await?,
+            StoreRead::Everything => self.read_everything(asked_at).await,
         };
         if fresh.is_some() {
             self.catch_up.on_current(asked_at);
+            self.health.on_current(asked_at);
             self.shared.on_config_confirmed(asked_at);
         }
         Ok(fresh)
     }
 
-    async fn read_everything(&mut self) -> Option<FreshChanges> {
+    async fn read_everything(&mut self, asked_at: UnixMs) -> Option<FreshChanges> {
         let after = self.revision;
         match self.shared.borders.store.read_all().await {
             Ok(snapshot) => {
@@ -177,22 +186,26 @@
                 Some((after, None, status))
             }
             Err(error) => {
-                self.on_failed_read(&error).await;
+                self.on_failed_read(asked_at, &error).await;
                 None
             }
         }
     }
 
-    async fn on_failed_read(&mut self, error: &FleetStoreError) {
+    async fn on_failed_read(&mut self, asked_at: UnixMs, error: &FleetStoreError) {
         if matches!(error, FleetStoreError::CutShort(_)) {
             self.catch_up.on_cut_short();
         }
-        on_failure(self.shared, self.health, error);
+        on_failure(self.shared, self.health, asked_at, error);
         let pause_ms = self.health.retry_ms(self.timing.max_retry_ms);
         sleep(Duration::from_millis(pause_ms)).await;
     }
 
-    async fn read_changes(&mut self, wait_ms: u64) -> Result<Option<FreshChanges>, HistoryLost> {
+    async fn read_changes(
+        &mut self,
+        asked_at: UnixMs,
+        wait_ms: u64,
+    ) -> Result<Option<FreshChanges>, HistoryLost> {
         let after = self.revision;
         match self
             .shared
@@ -220,7 +233,7 @@
                 Err(HistoryLost)
             }
             Err(error) => {
-                self.on_failed_read(&error).await;
+                self.on_failed_read(asked_at, &error).await;
                 Ok(None)
             }
         }
@@ -237,8 +250,13 @@
     }
 }
 
-fn on_failure(shared: &Shared, health: &mut StoreHealth, error: &FleetStoreError) {
-    if health.on_failure(shared.now()) {
+fn on_failure(
+    shared: &Shared,
+    health: &mut StoreHealth,
+    asked_at: UnixMs,
+    error: &FleetStoreError,
+) {
+    if health.on_failure(asked_at, shared.now()) {
         Line::new(&kind::STORE_LOST).field("error", error).log();
     }
 }
--- a/crates/relay/src/peers/message.rs
+++ b/crates/relay/src/peers/message.rs
@@ -7,7 +7,7 @@
 use monsoonspread_decisions::rate_limit::Settlement;
 use monsoonspread_decisions::room::{PlaceEnd, ReportedLoad};
 use monsoonspread_model::fleet::{AdapterKey, Merit, PromptPart};
-use monsoonspread_model::{InstanceName, ServiceName, UpstreamName, WorkspaceName};
+use monsoonspread_model::{InstanceName, ServiceName, UnixMs, UpstreamName, WorkspaceName};
 use serde::{Deserialize, Serialize};
 
 use crate::gossip::{PeerGossip, RateObservation};
@@ -60,9 +60,19 @@
     pub back_in_ms: u64,
     /// Whether the store answered every call for as long as a lease lasts.
     pub is_steady: bool,
+    /// How long ago the state at the revision `after` was known to be the newest, in milliseconds; `None` from
+    /// instances of earlier builds.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub known_ms: Option<u64>,
 }
 
 impl PeerChanges {
+    /// What follows the revision `after` was written after this time.
+    pub fn known_at(&self, now: UnixMs) -> UnixMs {
+        let known_ms = self.known_ms.unwrap_or(0);
+        UnixMs(now.0.saturating_sub(known_ms))
+    }
+
     /// Returns the range of revisions without the changes.
     pub fn span(&self) -> ChangeSpan {
         ChangeSpan {
