Don't trust the age that a delayed feed message tells; offer no outdated grants

- A subscriber that was frozen or cut off handles the messages that waited for it at once.
What they say of their age is true of the time when they were sent, so a version announced meanwhile would be required up to half a second too late.
Messages after a gap longer than a source's time-out, and those of builds that don't tell an age, no longer move the time of the known state (FeedDelays).
- A process whose first call fails took the failure as a bound for what was written before.
It can't tell, and requires all versions that it finds at once.
- A request that was granted a copy while it was allowed, and waited until it no longer was, went to an engine that was certain to reject it.
It asks the next engine instead.
A copy known from an earlier grant is not tried either when its holder answers.
- Requests that ask several engines waited for the replacement of an outdated copy at one that rejects the order; they go on to the next at once.
- A holder that learns of a version from a request did not look again at a load under way without a version; the table of known copies kept old versions when it was full.

--- a/crates/decisions/src/adapter_versions/announced.rs
+++ b/crates/decisions/src/adapter_versions/announced.rs
@@ -8,7 +8,7 @@
 /// Maximum number of versions of an adapter whose deadlines are kept apart.
 const MAX_PENDING: usize = 16;
 
-/// A version that no deadline of a newer one has replaced.
+/// An announced version and its deadline.
 #[derive(Clone, Copy, Debug)]
 struct Announced {
     version: u64,
@@ -72,13 +72,20 @@
     }
 
     /// Returns the version that an engine must have for a request that was granted a copy of version
-    /// `granted`; `None` for any. Without a usable grant only the newest version is certain to be allowed.
+    /// `granted`; `None` for any. If that is unknown or too old, it is the newest version, with which copies
+    /// are replaced.
     pub fn expected(&self, now: UnixMs, key: &AdapterKey, granted: Option<u64>) -> Option<u64> {
         let required = self.required(now, key)?;
         let granted = granted.filter(|version| *version >= required);
         granted.or_else(|| self.newest(key))
     }
 
+    /// Number of versions of an adapter whose deadlines are kept.
+    #[cfg(test)]
+    pub(super) fn pending(&self, key: &AdapterKey) -> usize {
+        self.announced.get(key).map_or(0, Vec::len)
+    }
+
     /// Returns the newest version of each adapter.
     pub fn all_newest(&self) -> impl Iterator<Item = (&AdapterKey, u64)> {
         let announced = self.announced.iter();
--- a/crates/decisions/src/adapter_versions/tests.rs
+++ b/crates/decisions/src/adapter_versions/tests.rs
@@ -53,6 +53,29 @@
     assert_eq!(required, expected);
 }
 
+/// Guards against engines that are rejected though their version is still allowed, and against requests
+/// without a version while one is required.
+#[test]
+fn an_engine_has_to_have_the_granted_version_or_the_newest() {
+    let mut versions = AdapterVersions::default();
+    versions.on_announced(&key(), 2, UnixMs(3_500));
+    versions.on_announced(&key(), 3, UnixMs(5_500));
+    let expected = |now, granted| versions.expected(UnixMs(now), &key(), granted);
+    assert_eq!(
+        [None, Some(1)].map(|granted| expected(3_000, granted)),
+        [None; 2]
+    );
+    let granted = [None, Some(1), Some(2), Some(3)];
+    assert_eq!(
+        granted.map(|granted| expected(4_000, granted)),
+        [3, 3, 2, 3].map(Some)
+    );
+    assert_eq!(
+        granted.map(|granted| expected(6_000, granted)),
+        [3; 4].map(Some)
+    );
+}
+
 #[test]
 fn a_version_that_is_not_newer_changes_nothing() {
     let mut versions = AdapterVersions::default();
@@ -72,4 +95,8 @@
         versions.on_announced(&key(), version, UnixMs(version));
         assert!(versions.required(UnixMs(version), &key()) >= Some(version));
     }
+    for version in 2_000..4_000 {
+        versions.on_announced(&key(), version, UnixMs(version * 1_000));
+    }
+    assert!(versions.pending(&key()) <= 16);
 }
--- a/crates/decisions/src/change_feed/mod.rs
+++ b/crates/decisions/src/change_feed/mod.rs
@@ -7,6 +7,7 @@
 //! instance tries its whole zone.
 
 mod catch_up;
+mod delays;
 mod publisher;
 mod split;
 #[cfg(test)]
@@ -18,6 +19,7 @@
 use monsoonspread_model::{InstanceName, UnixMs};
 
 pub use catch_up::{CatchUp, StoreRead};
+pub use delays::{FeedDelay, FeedDelays};
 pub use publisher::{Notice, Publisher, SubscribeAnswer};
 pub use split::split_by_revision;
 pub use timing::FeedTiming;
--- a/crates/decisions/src/copies/control.rs
+++ b/crates/decisions/src/copies/control.rs
@@ -1,6 +1,6 @@
 //! State machine for the adapter copies of one engine.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 
 use monsoonspread_model::fleet::{AdapterKey, EngineShape, Holdings, Order};
 use monsoonspread_model::{BaseModelName, UnixMs};
@@ -98,7 +98,7 @@
     pub fn on_request(&mut self, now: UnixMs, request: CopyRequest) -> Vec<CopyAction> {
         if let Some(version) = request.min_version {
             // The requester may know of a version before this instance does.
-            self.on_newer(&request.key, version);
+            self.on_newer(now, &request.key, version);
         }
         if let Some(reason) = self.immediate_refusal(now, &request) {
             self.refuse(request.id, reason);
@@ -168,13 +168,7 @@
 
     /// A newer version of an adapter was requested.
     pub fn on_version(&mut self, now: UnixMs, key: &AdapterKey, version: u64) -> Vec<CopyAction> {
-        self.on_newer(key, version);
-        // A pending load without a version loads the newest one; only a report of the engine shows
-        // which version that was.
-        let is_version_unknown = |copy: &Copy| copy.is_coming() && copy.ordered.is_none();
-        if self.copies.get(key).is_some_and(is_version_unknown) {
-            self.require_report(now);
-        }
+        self.on_newer(now, key, version);
         self.advance(now)
     }
 
@@ -265,9 +259,18 @@
         self.copies.values().map(|copy| copy.users() as u32).sum()
     }
 
-    fn on_newer(&mut self, key: &AdapterKey, version: u64) {
+    fn on_newer(&mut self, now: UnixMs, key: &AdapterKey, version: u64) {
         let newest = self.newest.entry(key.clone()).or_default();
-        *newest = version.max(*newest);
+        if version <= *newest {
+            return;
+        }
+        *newest = version;
+        // A pending load without a version loads the newest one; only a report of the engine shows
+        // which version that was.
+        let is_version_unknown = |copy: &Copy| copy.is_coming() && copy.ordered.is_none();
+        if self.copies.get(key).is_some_and(is_version_unknown) {
+            self.require_report(now);
+        }
     }
 
     fn apply_report(&mut self, now: UnixMs, holdings: Holdings) {
@@ -307,47 +310,6 @@
         self.actions.push(action);
     }
 
-    /// Returns the reason to refuse a copy request without queueing it, if there is one.
-    fn immediate_refusal(&self, now: UnixMs, request: &CopyRequest) -> Option<CopyRefusal> {
-        if self.is_expected(request) || request.key.adapter.is_none() {
-            return None;
-        }
-        match self.refusal_reason(request) {
-            CopyRefusal::Unread if now >= self.report_at => None,
-            reason @ (CopyRefusal::OrdersPaused | CopyRefusal::Unread) => Some(reason),
-            reason @ CopyRefusal::NoRoom if !request.patient => Some(reason),
-            reason if !request.patient && self.queued_loads() >= MAX_QUEUED_LOADS => Some(reason),
-            _ => None,
-        }
-    }
-
-    /// Number of requested adapters for which no order was given yet.
-    fn queued_loads(&self) -> usize {
-        let waiting = self.waiting.iter().map(|request| &request.key);
-        let missing = waiting.filter(|key| !self.copies.contains_key(*key));
-        missing.collect::<BTreeSet<_>>().len()
-    }
-
-    pub(super) fn refusal_reason(&self, request: &CopyRequest) -> CopyRefusal {
-        if self.is_usable_for(request) {
-            return CopyRefusal::Busy;
-        }
-        if self.is_expected(request) {
-            return CopyRefusal::TooLate;
-        }
-        if self.accepted.is_none() {
-            return CopyRefusal::Unread;
-        }
-        if !self.may_order {
-            return CopyRefusal::OrdersPaused;
-        }
-        let movable = |copy: &Copy| !copy.is_present() || copy.is_idle();
-        if self.copies.len() >= self.capacity() && !self.copies.values().any(movable) {
-            return CopyRefusal::NoRoom;
-        }
-        CopyRefusal::Queued
-    }
-
     /// The usual paces over engines changed.
     pub fn on_usual_paces(&mut self, usual: EnginePaces) {
         self.speed.on_usual(usual);
@@ -358,36 +320,11 @@
         self.speed.take_change(now)
     }
 
-    /// Whether a copy is present, loading or being removed, and can be of the version that the request needs.
-    fn is_expected(&self, request: &CopyRequest) -> bool {
-        self.copies.get(&request.key).is_some_and(|copy| {
-            let is_outdated = copy.is_present() && !copy.has_version(request.min_version);
-            !copy.is_unconfirmed() && (self.may_order || !is_outdated)
-        })
-    }
-
-    /// Whether the copy can be used by a request, which may need a newer version.
-    pub(super) fn is_usable_for(&self, request: &CopyRequest) -> bool {
-        let copy = self.copies.get(&request.key);
-        self.is_usable(&request.key)
-            && copy.is_none_or(|copy| copy.has_version(request.min_version))
-    }
-
-    pub(super) fn is_usable(&self, key: &AdapterKey) -> bool {
-        if key.adapter.is_none() {
-            return self.models.contains(&key.model);
-        }
-        self.copies.get(key).is_some_and(Copy::is_present)
-    }
-
     pub(super) fn refuse(&mut self, request: CopyRequestId, reason: CopyRefusal) {
         self.act(CopyAction::Refuse { request, reason });
     }
 }
 
-/// Number of queued loads beyond which a copy request that isn't patient is refused: together with
-/// the loads in progress they take about as long as a short request's objective.
-const MAX_QUEUED_LOADS: usize = 3;
 /// Events of a request whose end was reported without them.
 const NO_EVENTS: u32 = 0;
 /// Number of adapters whose demand a holder tracks: many times the number of adapters for which one
--- a/crates/decisions/src/copies/known_copies.rs
+++ b/crates/decisions/src/copies/known_copies.rs
@@ -61,12 +61,13 @@
         if self.copies.len() >= MAX_COPIES {
             self.copies.retain(|_, copy| copy.is_fresh(now));
         }
-        if self.copies.len() < MAX_COPIES {
+        let name = (upstream.clone(), key.clone());
+        if self.copies.len() < MAX_COPIES || self.copies.contains_key(&name) {
             let copy = KnownCopy {
                 seen_at: now,
                 version,
             };
-            self.copies.insert((upstream.clone(), key.clone()), copy);
+            self.copies.insert(name, copy);
         }
     }
 
--- a/crates/decisions/src/copies/mod.rs
+++ b/crates/decisions/src/copies/mod.rs
@@ -30,6 +30,7 @@
 mod orders;
 mod own_speed;
 mod quote;
+mod refusals;
 mod request;
 mod room;
 #[cfg(test)]
--- a/crates/decisions/src/copies/tests/versions.rs
+++ b/crates/decisions/src/copies/tests/versions.rs
@@ -31,6 +31,20 @@
     assert_eq!(world.granted, [1, 2, 3]);
 }
 
+/// Guards against requests that wait at an engine which rejects the replacement, while others may have it.
+#[test]
+fn an_impatient_request_does_not_wait_for_a_rejected_replacement() {
+    let mut world = World::new(2);
+    world.request(1, 1);
+    world.run_ms(400);
+    // The engine rejects the order, as it counts another number of accepted ones.
+    world.engine.accepted += 1;
+    world.request_version(2, 1, 5);
+    assert_eq!(world.granted, [1]);
+    world.request_version_impatiently(3, 1, 5);
+    assert_eq!(world.refused, [(3, CopyRefusal::Queued)]);
+}
+
 /// Guards against requests that wait for a replacement that nobody may order.
 #[test]
 fn a_request_for_a_newer_copy_is_refused_at_once_while_orders_are_paused() {
--- a/crates/decisions/src/copies/tests/world.rs
+++ b/crates/decisions/src/copies/tests/world.rs
@@ -107,6 +107,17 @@
         self.carry_out(actions);
     }
 
+    /// Like [`Self::request_version`], for a request that asks other engines too.
+    pub fn request_version_impatiently(&mut self, number: u64, adapter: u64, min_version: u64) {
+        let request = CopyRequest {
+            min_version: Some(min_version),
+            patient: false,
+            ..self.new_request(number, adapter)
+        };
+        let actions = self.control.on_request(self.now, request);
+        self.carry_out(actions);
+    }
+
     /// Requests a copy for a prompt of `prompt_tokens` tokens.
     pub fn request_with_prompt(&mut self, number: u64, adapter: u64, prompt_tokens: u32) {
         let request = CopyRequest {
--- a/crates/decisions/src/store_health/mod.rs
+++ b/crates/decisions/src/store_health/mod.rs
@@ -31,7 +31,7 @@
     pub back_by: UnixMs,
     /// Whether no call failed within the last lease duration.
     pub is_steady: bool,
-    /// What is newer than the known state was written after this time.
+    /// What is newer than the known state was written after this time, or in an outage that ended then.
     pub known_at: UnixMs,
 }
 
@@ -72,9 +72,12 @@
 
     /// A call that began at `asked_at` failed; returns true if the previous call did not.
     ///
-    /// What is written during an outage counts as written at its end: nobody could know of it before.
+    /// What is written during an outage counts as written at its end: nobody could know of it before. A process
+    /// that knows nothing yet can't tell what was written before the outage.
     pub fn on_failure(&mut self, asked_at: UnixMs, now: UnixMs) -> bool {
-        self.on_current(asked_at);
+        if self.known_at > UnixMs(0) {
+            self.on_current(asked_at);
+        }
         self.steady_from = now + CONFIRMED_FOR_MS;
         self.failures = self.failures.saturating_add(1);
         self.failures == 1
--- a/crates/decisions/src/store_health/tests.rs
+++ b/crates/decisions/src/store_health/tests.rs
@@ -63,7 +63,8 @@
 #[test]
 fn what_is_new_counts_from_the_state_known_before() {
     let mut health = StoreHealth::default();
-    // A process that has just started can't tell how old anything is.
+    // A process that has just started can't tell how old anything is, whether or not a call failed.
+    health.on_failure(UnixMs(8_500), UnixMs(8_600));
     assert_eq!(health.status(UnixMs(9_000)).known_at, UnixMs(0));
     health.on_current(UnixMs(9_000));
     // Answers may arrive long after they were asked for, and feeds tell what is older.
--- a/crates/relay/src/call/model_call.rs
+++ b/crates/relay/src/call/model_call.rs
@@ -200,6 +200,9 @@
         if self.shared.permit(id, &record, wait_until).await == Permit::Denied {
             return OfferOutcome::Next;
         }
+        if self.is_outdated(&grant) {
+            return OfferOutcome::Next;
+        }
         if self.offers > 0 && !self.shared.retries.spend(&self.request.service) {
             return OfferOutcome::Over;
         }
@@ -307,7 +310,15 @@
         self.shared.loads.borrow_mut().on_failed(now, &record.name);
     }
 
-    /// Returns the version that the engine must have for a copy granted at `granted`; `None` for any.
+    /// Whether a version was required since the holder granted a copy of an older one.
+    fn is_outdated(&self, grant: &Grant) -> bool {
+        let required = self.shared.required_version(&self.key);
+        // A copy that was granted before its holder fell silent may have been replaced since.
+        grant.guard.is_some() && grant.version.is_some() && grant.version < required
+    }
+
+    /// Returns the version that the engine must have for a copy that was granted with version `granted`; `None`
+    /// for any.
     fn expected_version(&self, granted: Option<u64>) -> Option<u64> {
         let fleet = self.shared.fleet.borrow();
         let versions = fleet.versions();
--- a/crates/relay/src/event/catalogue.rs
+++ b/crates/relay/src/event/catalogue.rs
@@ -62,7 +62,7 @@
     CONFIG_IN_FORCE = 1201 Info "configuration in force" "A newer configuration applies to requests from now on.";
     UPSTREAM_LISTED = 1202 Info "upstream listed" "An upstream was added, changed its stage, or restarted.";
     UPSTREAM_REMOVED = 1203 Info "upstream gone" "An upstream is no longer listed and gets no more requests.";
-    VERSION_NAMED = 1204 Info "version named" "New requests for this adapter use this version from now on. `previous` is the version that was the newest before (0 if none was named). No request begins on an older one from `required_in_ms` on, whatever is named until then.";
+    VERSION_NAMED = 1204 Info "version named" "A newer version of an adapter was announced; its copies are replaced from now on. `previous` is the version that was the newest before (0 if none was named). No request begins on an older one from `required_in_ms` on, whatever is named until then.";
     UPSTREAM_ANNOUNCED = 1206 Info "upstream announcement" "An upstream announced in an answer that it is leaving (`leaving`), or for how long this instance should back off (`later`; `unreadable` if the time is malformed), or how many requests it accepts from all instances (`limit`, with `per_s`; `limit ended`; `unreadable limit` leaves the last one in force); `forgotten` if it restarted since. `source` is the kind of answer, or the instance that reported it.";
     ANNOUNCEMENT_UNKNOWN = 1207 Warn "unknown announcement" "An upstream announces something in a header of its answers that this build doesn't know and ignores; logged once for each `header`. Look it up in the platform's documentation: the upstream may expect instances to act on it.";
     LEASE_OPENED = 1301 Info "lease opened" "This instance may hold engines.";
--- a/crates/relay/src/fleet/subscribers.rs
+++ b/crates/relay/src/fleet/subscribers.rs
@@ -85,6 +85,7 @@
         status: StoreStatus,
     ) {
         self.publish_changes(shared, (after, up_to), changes, status);
+        // The next message follows the state that this call returned.
         let current = StoreStatus {
             known_at: asked_at,
             ..status
--- a/crates/relay/src/fleet/view.rs
+++ b/crates/relay/src/fleet/view.rs
@@ -142,13 +142,13 @@
         status: StoreStatus,
     ) -> Vec<FleetEvent> {
         let mut events = self.missing_from(now, snapshot, status);
-        let listed = StoreStatus {
+        let listed_status = StoreStatus {
             known_at: status.known_at,
             ..StoreStatus::default()
         };
         for change in &snapshot.changes {
             let change = change.change.clone();
-            events.extend(self.on_change(now, change, complete, listed));
+            events.extend(self.on_change(now, change, complete, listed_status));
         }
         events
     }
--- a/crates/relay/src/fleet/watcher.rs
+++ b/crates/relay/src/fleet/watcher.rs
@@ -4,7 +4,9 @@
 use std::time::Duration;
 
 use monsoonspread_borders::relay::{FleetChanges, FleetStoreError, RevisedChange};
-use monsoonspread_decisions::change_feed::{CatchUp, FeedTiming, SpanUse, StoreRead};
+use monsoonspread_decisions::change_feed::{
+    CatchUp, FeedDelay, FeedDelays, FeedTiming, SpanUse, StoreRead,
+};
 use monsoonspread_decisions::config_age::Confirmation;
 use monsoonspread_decisions::store_health::{StoreHealth, StoreStatus};
 use monsoonspread_model::UnixMs;
@@ -45,6 +47,7 @@
                     revision: snapshot.revision,
                     catch_up: CatchUp::new(timing, asked_at),
                     health: &mut health,
+                    delays: FeedDelays::new(timing, asked_at),
                 };
                 known.keep_up(&mut feed).await;
             }
@@ -64,6 +67,7 @@
     revision: u64,
     catch_up: CatchUp,
     health: &'a mut StoreHealth,
+    delays: FeedDelays,
 }
 
 impl StoreView<'_> {
@@ -125,22 +129,27 @@
     }
 
     async fn on_feed(&mut self, update: PeerChanges) -> Result<(), HistoryLost> {
+        let now = self.shared.now();
+        let known_at = match self.delays.on_message(now) {
+            FeedDelay::Prompt => update.known_at(now),
+            FeedDelay::Unknown => None,
+        };
         match update.span().usage(self.revision) {
             SpanUse::Known => {
-                let now = self.shared.now();
                 self.catch_up.on_current(now);
-                self.health.on_current(update.known_at(now));
+                if let Some(known_at) = known_at {
+                    self.health.on_current(known_at);
+                }
             }
             SpanUse::Read => {
                 self.read(NO_WAIT_MS).await?;
             }
             SpanUse::Apply => {
-                let now = self.shared.now();
                 let local = self.health.status(now);
                 let status = StoreStatus {
                     back_by: local.back_by.max(now + update.back_in_ms),
                     is_steady: local.is_steady && update.is_steady,
-                    known_at: local.known_at.max(update.known_at(now)),
+                    known_at: known_at.unwrap_or_default().max(local.known_at),
                 };
                 let known = self.revision;
                 self.health.on_current(status.known_at);
--- a/crates/relay/src/holding/copy_query.rs
+++ b/crates/relay/src/holding/copy_query.rs
@@ -2,6 +2,7 @@
 
 use std::rc::Rc;
 
+use monsoonspread_decisions::copies::CopyRefusal;
 use monsoonspread_model::fleet::{AdapterKey, PromptPart};
 use monsoonspread_model::{UnixMs, UpstreamName};
 
@@ -115,11 +116,17 @@
     failure: CopyRequestFailure,
 ) -> Result<Grant, CopyRequestFailure> {
     let known = shared.known_copies.borrow();
-    if known.is_known(shared.now(), query.upstream, query.key) {
-        return Ok(Grant {
-            version: known.version(query.upstream, query.key),
-            ..UNGUARDED
-        });
+    if !known.is_known(shared.now(), query.upstream, query.key) {
+        return Err(failure);
     }
-    Err(failure)
+    let version = known.version(query.upstream, query.key);
+    let is_outdated = version.is_some() && version < shared.required_version(query.key);
+    // A holder that answers would have replaced the copy.
+    if is_outdated && failure == CopyRequestFailure::Refused(CopyRefusal::Unread) {
+        return Err(failure);
+    }
+    Ok(Grant {
+        version,
+        ..UNGUARDED
+    })
 }
--- a/crates/relay/src/peers/message.rs
+++ b/crates/relay/src/peers/message.rs
@@ -67,10 +67,11 @@
 }
 
 impl PeerChanges {
-    /// What follows the revision `after` was written after this time.
-    pub fn known_at(&self, now: UnixMs) -> UnixMs {
-        let known_ms = self.known_ms.unwrap_or(0);
-        UnixMs(now.0.saturating_sub(known_ms))
+    /// What follows the revision `after` was written after this time, if the message arrived at once; `None`
+    /// if its sender doesn't tell.
+    pub fn known_at(&self, now: UnixMs) -> Option<UnixMs> {
+        let known_ms = self.known_ms?;
+        Some(UnixMs(now.0.saturating_sub(known_ms)))
     }
 
     /// Returns the range of revisions without the changes.
