Log when the store came back from an older copy

The log knew no eras of the store, so an instance that takes its changes for known could not be told from one whose feed is silent.

The border to the store reads Store-Era; MR1110 has both eras, and the revision before and after.

--- a/crates/borders/src/relay/fleet_store.rs
+++ b/crates/borders/src/relay/fleet_store.rs
@@ -81,6 +81,8 @@
     pub changes: Vec<RevisedChange>,
     /// Revision up to which the changes are complete.
     pub revision: u64,
+    /// How often the store came back from an older copy.
+    pub era: u64,
 }
 
 /// A holder record to write.
--- a/crates/relay/src/fleet/watcher.rs
+++ b/crates/relay/src/fleet/watcher.rs
@@ -30,11 +30,13 @@
     let mut feed = FeedSubscription::new(local, shared.now(), timing, messages);
     let mut first = true;
     let mut health = StoreHealth::default();
+    let mut era = StoreEra::default();
     loop {
         let asked_at = shared.now();
         match shared.borders.store.read_all().await {
             Ok(snapshot) => {
                 on_answer(&shared, &mut health);
+                era.on_answer(&snapshot);
                 let complete = first && shared.settings.bootstrap;
                 first = false;
                 let status = health.status(shared.now());
@@ -45,6 +47,7 @@
                     shared: &shared,
                     timing,
                     revision: snapshot.revision,
+                    era: &mut era,
                     catch_up: CatchUp::new(timing, asked_at),
                     health: &mut health,
                     delays: FeedDelays::new(timing, asked_at),
@@ -57,6 +60,26 @@
     }
 }
 
+/// The era and the revision of the store's last answer; `None` before the first.
+#[derive(Debug, Default)]
+struct StoreEra(Option<(u64, u64)>);
+
+impl StoreEra {
+    fn on_answer(&mut self, answer: &FleetChanges) {
+        let (era, revision) = (answer.era, answer.revision);
+        if let Some((former, known)) = self.0.replace((era, revision))
+            && era != former
+        {
+            Line::new(&kind::STORE_RESTORED)
+                .field("era", era)
+                .field("former", former)
+                .field("revision", revision)
+                .field("known", known)
+                .log();
+        }
+    }
+}
+
 /// The store compacted changes that were not read.
 struct HistoryLost;
 
@@ -65,6 +88,7 @@
     shared: &'a Rc<Shared>,
     timing: FeedTiming,
     revision: u64,
+    era: &'a mut StoreEra,
     catch_up: CatchUp,
     health: &'a mut StoreHealth,
     delays: FeedDelays,
@@ -185,6 +209,7 @@
         match self.shared.borders.store.read_all().await {
             Ok(snapshot) => {
                 on_answer(self.shared, self.health);
+                self.era.on_answer(&snapshot);
                 let status = self.health.status(self.shared.now());
                 self.shared.on_snapshot(&snapshot, false, status);
                 self.revision = snapshot.revision.max(after);
@@ -223,8 +248,12 @@
             .changes_after(after, wait_ms)
             .await
         {
-            Ok(FleetChanges { changes, revision }) => {
+            Ok(fresh) => {
                 on_answer(self.shared, self.health);
+                self.era.on_answer(&fresh);
+                let FleetChanges {
+                    changes, revision, ..
+                } = fresh;
                 let status = self.health.status(self.shared.now());
                 let mut fresh = Vec::new();
                 for revised in changes {
