Count revisions over all eras of a store that comes back from a copy

Engines got orders with lower fencing tokens.

Cause: after the return the store gives out revisions again that are lower than the known ones. A subscriber of the change feed whose known revision was higher took each message for known; a source kept its old revision until a watch got 410. Fencing numbers are revisions of holders' records, so they went back too.

The border to the store counts positions: the era of the answer, then the revision. All else compares them as it compared revisions. A watch whose answer is of another era, and a whole state in pages of two eras, are read anew; a claim that names a record of an earlier era isn't sent, and one that meets another era isn't taken for written. After a return entries may be missing for as long as after an outage, and instances announce themselves again.

--- a/crates/borders/src/relay/fleet_store.rs
+++ b/crates/borders/src/relay/fleet_store.rs
@@ -79,7 +79,8 @@
 pub struct FleetChanges {
     /// The changes in order.
     pub changes: Vec<RevisedChange>,
-    /// Revision up to which the changes are complete.
+    /// Revision up to which the changes are complete; revisions never go back, also when the store comes back
+    /// from an older copy.
     pub revision: u64,
     /// How often the store came back from an older copy.
     pub era: u64,
@@ -122,6 +123,8 @@
     Refused(u16),
     /// the store has compacted the changes after revision {0}
     HistoryCompacted(u64),
+    /// the store came back from an older copy
+    Restored,
     /// the lease has ended
     LeaseEnded,
     /// the store's answer can't be read: {0}
--- a/crates/decisions/src/store_health/mod.rs
+++ b/crates/decisions/src/store_health/mod.rs
@@ -70,6 +70,12 @@
         self.known_at = self.known_at.max(at);
     }
 
+    /// The store came back from an older copy, whose entries of live owners are written again.
+    pub fn on_restored(&mut self, now: UnixMs) {
+        self.back_by = now + BACK_WITHIN_MS;
+        self.steady_from = now + CONFIRMED_FOR_MS;
+    }
+
     /// A call that began at `asked_at` failed; returns true if the previous call did not.
     ///
     /// What is written during an outage counts as written at its end: nobody could know of it before. A process
--- a/crates/relay/src/event/catalogue.rs
+++ b/crates/relay/src/event/catalogue.rs
@@ -59,7 +59,7 @@
     STATE_READ = 1107 Info "state read" "The full state of the store was read in place of the changes since the revision `after`, which were too old or too many to arrive in time.";
     CONFIG_UNCONFIRMED = 1108 Warn "configuration unconfirmed" "Neither the store nor a feed source has confirmed for `confirmed_ms_ago` that the configuration is the newest, so a key that it holds may have been taken away: requests with keys get 503 until it is confirmed. Check this instance's way to the store.";
     CONFIG_CONFIRMED = 1109 Info "configuration confirmed" "The configuration is known to be recent; requests with keys are served again.";
-    STORE_RESTORED = 1110 Warn "store restored" "The store came back from an older copy (`era` counts that, `former` is the count before): what was written since is gone, and its `revision` may be lower than the `known` one.";
+    STORE_RESTORED = 1110 Warn "store restored" "The store came back from an older copy (`era` counts that, `former` is the count before): what was written since is gone until it is written again. Revisions in the log are the era times 2^40 plus the revision of the store, so that they never go back.";
     CONFIG_IN_FORCE = 1201 Info "configuration in force" "A newer configuration applies to requests from now on.";
     UPSTREAM_LISTED = 1202 Info "upstream listed" "An upstream was added, changed its stage, or restarted.";
     UPSTREAM_REMOVED = 1203 Info "upstream gone" "An upstream is no longer listed and gets no more requests.";
--- a/crates/relay/src/fleet/watcher.rs
+++ b/crates/relay/src/fleet/watcher.rs
@@ -36,7 +36,9 @@
         match shared.borders.store.read_all().await {
             Ok(snapshot) => {
                 on_answer(&shared, &mut health);
-                era.on_answer(&snapshot);
+                if era.on_answer(&snapshot) {
+                    on_restored(&shared, &mut health);
+                }
                 let complete = first && shared.settings.bootstrap;
                 first = false;
                 let status = health.status(shared.now());
@@ -60,23 +62,22 @@
     }
 }
 
-/// The era and the revision of the store's last answer; `None` before the first.
+/// Era of the state that was read last; `None` before the first.
 #[derive(Debug, Default)]
-struct StoreEra(Option<(u64, u64)>);
+struct StoreEra(Option<u64>);
 
 impl StoreEra {
-    fn on_answer(&mut self, answer: &FleetChanges) {
-        let (era, revision) = (answer.era, answer.revision);
-        if let Some((former, known)) = self.0.replace((era, revision))
-            && era != former
-        {
-            Line::new(&kind::STORE_RESTORED)
-                .field("era", era)
-                .field("former", former)
-                .field("revision", revision)
-                .field("known", known)
-                .log();
-        }
+    /// The whole state was read; returns true if it is that of another era.
+    fn on_answer(&mut self, answer: &FleetChanges) -> bool {
+        let former = self.0.replace(answer.era);
+        let Some(former) = former.filter(|former| *former != answer.era) else {
+            return false;
+        };
+        Line::new(&kind::STORE_RESTORED)
+            .field("era", answer.era)
+            .field("former", former)
+            .log();
+        true
     }
 }
 
@@ -158,6 +159,11 @@
             FeedDelay::Prompt => update.known_at(now),
             FeedDelay::Unknown => None,
         };
+        // Instances of earlier builds count revisions anew in each era.
+        if update.known_ms.is_none() {
+            self.read(NO_WAIT_MS).await?;
+            return Ok(());
+        }
         match update.span().usage(self.revision) {
             SpanUse::Known => {
                 self.catch_up.on_current(now);
@@ -209,7 +215,9 @@
         match self.shared.borders.store.read_all().await {
             Ok(snapshot) => {
                 on_answer(self.shared, self.health);
-                self.era.on_answer(&snapshot);
+                if self.era.on_answer(&snapshot) {
+                    on_restored(self.shared, self.health);
+                }
                 let status = self.health.status(self.shared.now());
                 self.shared.on_snapshot(&snapshot, false, status);
                 self.revision = snapshot.revision.max(after);
@@ -250,7 +258,6 @@
         {
             Ok(fresh) => {
                 on_answer(self.shared, self.health);
-                self.era.on_answer(&fresh);
                 let FleetChanges {
                     changes, revision, ..
                 } = fresh;
@@ -270,6 +277,8 @@
                     .log();
                 Err(HistoryLost)
             }
+            // What is known of the store is no longer in its history: all of it is read again.
+            Err(FleetStoreError::Restored) => Err(HistoryLost),
             Err(error) => {
                 self.on_failed_read(asked_at, &error).await;
                 Ok(None)
@@ -288,6 +297,13 @@
     }
 }
 
+/// The store came back from an older copy: entries and leases written since are gone.
+fn on_restored(shared: &Shared, health: &mut StoreHealth) {
+    health.on_restored(shared.now());
+    shared.set_needs_announcement();
+    shared.holding.on_announcement_gone();
+}
+
 fn on_failure(
     shared: &Shared,
     health: &mut StoreHealth,
