Doubt servers that left and that a copy of the store lists as ready

Cause: the copy has the entry of such a server from before it left. The whole state that instances read then was taken for the present, so a server that was known to leave was ready again, and one that was gone came back.

Departures keeps which incarnation of an upstream left. For five seconds after the return, entries of the whole state that name one are not used: one that had said that it leaves not until it writes another entry, one that just disappeared until the five seconds are over, if it is still listed. An entry that arrives as a change was written after the return and is used at once.

--- a/crates/decisions/src/store_health/mod.rs
+++ b/crates/decisions/src/store_health/mod.rs
@@ -3,10 +3,12 @@
 //! During an outage of the store, entries expire although their owners are alive; these return soon
 //! after its recovery. An entry that is removed later has really ended.
 
+mod departures;
 mod lapsing;
 #[cfg(test)]
 mod tests;
 
+pub use departures::{Admission, Departures};
 pub use lapsing::{Disappearance, LapsingEntries};
 
 use monsoonspread_model::UnixMs;
--- a/crates/decisions/src/store_health/tests.rs
+++ b/crates/decisions/src/store_health/tests.rs
@@ -1,6 +1,6 @@
 use monsoonspread_model::UnixMs;
 
-use super::{BACK_WITHIN_MS, Disappearance, LapsingEntries, StoreHealth};
+use super::{Admission, BACK_WITHIN_MS, Departures, Disappearance, LapsingEntries, StoreHealth};
 
 /// Time after which no request may reach a removed upstream, in milliseconds.
 const BOUND_MS: u64 = 2_000;
@@ -84,3 +84,29 @@
     health.on_answer(UnixMs(7_000));
     assert_eq!(health.status(UnixMs(7_000)).known_at, UnixMs(5_500));
 }
+
+/// Guards against requests to an upstream that left and that a copy of the store lists as ready, and against an
+/// upstream that is back and never used again.
+#[test]
+fn entries_of_upstreams_that_left_are_doubted_after_the_store_came_back_from_a_copy() {
+    let mut departures = Departures::default();
+    let (leaving, silent) = ("engine-1".into(), "engine-2".into());
+    departures.on_left(UnixMs(1_000), &leaving, 7, true);
+    departures.on_left(UnixMs(1_000), &silent, 7, false);
+    let admissions = |departures: &Departures, now| {
+        [&leaving, &silent].map(|name| departures.admission(UnixMs(now), name, 7))
+    };
+    // A state of the store in whose history both departures are.
+    assert_eq!(admissions(&departures, 2_000), [Admission::Now; 2]);
+    departures.on_restored(UnixMs(3_000));
+    let doubted = [Admission::Never, Admission::From(UnixMs(8_000))];
+    assert_eq!(admissions(&departures, 3_000), doubted);
+    assert_eq!(admissions(&departures, 7_999), doubted);
+    // The second one writes its entry again.
+    departures.on_written(&silent);
+    assert_eq!(
+        admissions(&departures, 7_999),
+        [Admission::Never, Admission::Now]
+    );
+    assert_eq!(admissions(&departures, 8_000), [Admission::Now; 2]);
+}
--- a/crates/relay/src/fleet/mod.rs
+++ b/crates/relay/src/fleet/mod.rs
@@ -3,6 +3,7 @@
 mod announcements;
 mod changes;
 mod confirmation;
+mod restored;
 mod subscribers;
 mod subscription;
 mod view;
--- a/crates/relay/src/fleet/view.rs
+++ b/crates/relay/src/fleet/view.rs
@@ -9,7 +9,9 @@
 use monsoonspread_decisions::announced::Announcements;
 use monsoonspread_decisions::change_feed::MAX_SOURCES;
 use monsoonspread_decisions::route_table::RouteTable;
-use monsoonspread_decisions::store_health::{Disappearance, LapsingEntries, StoreStatus};
+use monsoonspread_decisions::store_health::{
+    Departures, Disappearance, LapsingEntries, StoreStatus,
+};
 use monsoonspread_model::fleet::{RateLimit, UpstreamRecord, UpstreamStage};
 use monsoonspread_model::{InstanceName, ServiceName, UnixMs, UpstreamName, ZoneName};
 
@@ -37,6 +39,10 @@
     versions: AdapterVersions,
     /// Time after an announcement in which requests may begin on older versions, in milliseconds.
     version_leeway_ms: u64,
+    /// Upstreams that left, which an older copy of the store may list.
+    pub(super) departures: Departures,
+    /// Entries that may be used later, if they are still listed.
+    pub(super) withheld: BTreeMap<UpstreamName, (UnixMs, UpstreamRecord)>,
     /// Announcements that upstreams made in their answers.
     pub(super) announcements: Announcements,
 }
@@ -148,6 +154,11 @@
         };
         for change in &snapshot.changes {
             let change = change.change.clone();
+            if let FleetChange::Upstream(record) = &change
+                && !self.is_admitted(now, record)
+            {
+                continue;
+            }
             events.extend(self.on_change(now, change, complete, listed_status));
         }
         events
@@ -174,12 +185,20 @@
                 self.routes = Some(Rc::new(RouteTable::new(*config)));
                 Some(FleetEvent::Routing)
             }
-            FleetChange::Upstream(record) => self.on_upstream(record, complete),
+            FleetChange::Upstream(record) => {
+                self.departures.on_written(&record.name);
+                self.withheld.remove(&record.name);
+                self.on_upstream(record, complete)
+            }
             FleetChange::UpstreamGone(name) if now < status.back_by => {
+                self.withheld.remove(&name);
                 self.lapse(&name, status.back_by);
                 None
             }
-            FleetChange::UpstreamGone(name) => self.remove(&name),
+            FleetChange::UpstreamGone(name) => {
+                self.withheld.remove(&name);
+                self.remove(now, &name)
+            }
             FleetChange::Version(key, version) => {
                 let previous = self.versions.newest(&key);
                 let required_from = status.known_at + self.version_leeway_ms;
@@ -228,10 +247,16 @@
             .collect();
         let members = self.lapsing_members.take_lapsed(now);
         self.members.retain(|name, _| !members.contains(name));
-        let removed = lapsed.iter().filter_map(|name| self.remove(name));
-        removed
-            .chain(members.into_iter().map(FleetEvent::MemberRemoved))
-            .collect()
+        let mut events: Vec<FleetEvent> = lapsed
+            .iter()
+            .filter_map(|name| self.remove(now, name))
+            .collect();
+        events.extend(members.into_iter().map(FleetEvent::MemberRemoved));
+        let withheld = self.withheld.extract_if(.., |_, (until, _)| *until <= now);
+        let admitted: Vec<UpstreamRecord> = withheld.map(|(_, (_, record))| record).collect();
+        let admitted = admitted.into_iter();
+        events.extend(admitted.filter_map(|record| self.on_upstream(record, false)));
+        events
     }
 
     /// Applies an upstream's entry; `None` if nothing changed.
@@ -303,8 +328,11 @@
         }
     }
 
-    fn remove(&mut self, name: &UpstreamName) -> Option<FleetEvent> {
-        self.upstreams.remove(name)?;
+    fn remove(&mut self, now: UnixMs, name: &UpstreamName) -> Option<FleetEvent> {
+        let record = self.upstreams.remove(name)?.record;
+        let was_leaving = record.stage == UpstreamStage::Leaving;
+        self.departures
+            .on_left(now, name, record.started_unix_ms, was_leaving);
         Line::new(&kind::UPSTREAM_REMOVED)
             .field("upstream", name)
             .log();
--- a/crates/relay/src/fleet/watcher.rs
+++ b/crates/relay/src/fleet/watcher.rs
@@ -300,6 +300,7 @@
 /// The store came back from an older copy: entries and leases written since are gone.
 fn on_restored(shared: &Shared, health: &mut StoreHealth) {
     health.on_restored(shared.now());
+    shared.fleet.borrow_mut().on_restored(shared.now());
     shared.set_needs_announcement();
     shared.holding.on_announcement_gone();
 }
