Doubt older incarnations of upstreams that a copy of the store lists

A departure holds for all incarnations up to the one that left, an entry older than the known one is passed over while the state is doubted, and each whole state decides anew which entries are withheld. The unit test of departures has the older incarnation; it passes, and so does the program test of servers that left.

--- a/crates/decisions/src/store_health/departures.rs
+++ b/crates/decisions/src/store_health/departures.rs
@@ -78,11 +78,16 @@
         self.doubted_until = now + DOUBTED_MS;
     }
 
+    /// Whether the whole state may list what is no longer so.
+    pub fn is_doubted(&self, now: UnixMs) -> bool {
+        now < self.doubted_until
+    }
+
     /// Decides on an entry of the whole state, of which can't be told when it was written.
     pub fn admission(&self, now: UnixMs, name: &UpstreamName, incarnation: u64) -> Admission {
         let departure = self.left.get(name);
-        match departure.filter(|departure| departure.incarnation == incarnation) {
-            Some(departure) if now < self.doubted_until => match departure.was_leaving {
+        match departure.filter(|departure| departure.incarnation >= incarnation) {
+            Some(departure) if self.is_doubted(now) => match departure.was_leaving {
                 true => Admission::Never,
                 false => Admission::From(self.doubted_until),
             },
--- a/crates/decisions/src/store_health/tests.rs
+++ b/crates/decisions/src/store_health/tests.rs
@@ -102,6 +102,9 @@
     let doubted = [Admission::Never, Admission::From(UnixMs(8_000))];
     assert_eq!(admissions(&departures, 3_000), doubted);
     assert_eq!(admissions(&departures, 7_999), doubted);
+    // The copy may be older than their last restart.
+    let older = [&leaving, &silent].map(|name| departures.admission(UnixMs(3_000), name, 6));
+    assert_eq!(older, doubted);
     // The second one writes its entry again.
     departures.on_written(&silent);
     assert_eq!(
--- a/crates/relay/src/fleet/restored.rs
+++ b/crates/relay/src/fleet/restored.rs
@@ -10,6 +10,10 @@
     /// Whether an upstream's entry in the whole state may be used now; if not, it may be later.
     pub(super) fn is_admitted(&mut self, now: UnixMs, record: &UpstreamRecord) -> bool {
         let (name, incarnation) = (&record.name, record.started_unix_ms);
+        let known = self.upstream(name).map(|known| known.started_unix_ms);
+        if known.is_some_and(|known| known > incarnation) && self.departures.is_doubted(now) {
+            return false;
+        }
         match self.departures.admission(now, name, incarnation) {
             Admission::Now => true,
             Admission::From(until) => {
--- a/crates/relay/src/fleet/view.rs
+++ b/crates/relay/src/fleet/view.rs
@@ -148,6 +148,7 @@
         status: StoreStatus,
     ) -> Vec<FleetEvent> {
         let mut events = self.missing_from(now, snapshot, status);
+        self.withheld.clear();
         let listed_status = StoreStatus {
             known_at: status.known_at,
             ..StoreStatus::default()
