Keep holders' records right when the store comes back from a copy

Cause: a holder names the last revision of its record when it writes it again. After the return the record has another one, each write conflicts, and the wait never ends; a planned stop could not be recorded either. A record in the copy may also name a holder that was replaced in the lost span; an instance that finds its name there took the engine back at once.

Held engines keep the revision of their record apart from the fence of their orders, and take it from the record that the store has now.

The replaced holder was found by reading; its test passed before too, so that part is only suspected.

--- a/crates/relay/src/holding/claims.rs
+++ b/crates/relay/src/holding/claims.rs
@@ -44,14 +44,18 @@
         self.end_waits(shared, lease).await;
     }
 
-    /// Records that this instance now gives orders to the engines whose waiting period is over.
+    /// Records that this instance gives orders to the engines whose waiting period is over, and to those whose
+    /// record in a copy of the store doesn't say so.
     async fn end_waits(&self, shared: &Rc<Shared>, lease: LeaseId) {
         let now = shared.now();
-        let is_over = |engine: &HeldEngine| engine.waits_until.is_some_and(|until| until <= now);
+        let is_due = |engine: &HeldEngine| match engine.waits_until {
+            Some(until) => until <= now,
+            None => !engine.is_recorded,
+        };
         let over: Vec<(UpstreamName, u64)> = {
             let engines = self.engines.borrow();
-            let over = engines.iter().filter(|(_, engine)| is_over(engine));
-            over.map(|(name, engine)| (name.clone(), engine.fence))
+            let over = engines.iter().filter(|(_, engine)| is_due(engine));
+            over.map(|(name, engine)| (name.clone(), engine.record))
                 .collect()
         };
         for part in over.chunks(CLAIMS_AT_ONCE) {
@@ -62,10 +66,14 @@
             let mut engines = self.engines.borrow_mut();
             for (name, former) in part {
                 if let Some(engine) = engines.get_mut(name)
-                    && engine.fence == *former
+                    && engine.record == *former
                 {
-                    engine.fence = fence;
-                    engine.waits_until = None;
+                    engine.record = fence;
+                    engine.is_recorded = true;
+                    // Orders on their way keep their fence.
+                    if engine.waits_until.take().is_some() {
+                        engine.fence = fence;
+                    }
                 }
             }
         }
@@ -77,9 +85,9 @@
         held: &[(UpstreamName, u64)],
         activity: HolderActivity,
     ) -> Vec<ClaimWrite> {
-        let records = held.iter().map(|(name, fence)| ClaimWrite {
+        let records = held.iter().map(|(name, revision)| ClaimWrite {
             upstream: name.clone(),
-            expected_revision: *fence,
+            expected_revision: *revision,
             holder: shared.settings.instance.clone(),
             activity,
         });
@@ -92,7 +100,7 @@
             let engines = self.engines.borrow();
             engines
                 .iter()
-                .map(|(name, engine)| (name.clone(), engine.fence))
+                .map(|(name, engine)| (name.clone(), engine.record))
                 .collect()
         };
         for (name, _) in &held {
@@ -141,6 +149,8 @@
                 control,
                 address,
                 fence,
+                record: fence,
+                is_recorded: true,
                 waits_until: waits.then_some(claim.orders_from),
             };
             self.engines.borrow_mut().insert(name.clone(), engine);
--- a/crates/relay/src/holding/controller.rs
+++ b/crates/relay/src/holding/controller.rs
@@ -143,6 +143,10 @@
                 drop(plan);
                 if record.holder != shared.settings.instance {
                     self.release_engine(shared, &record.upstream, CopyRefusal::NotHolder);
+                } else if let Some(engine) = self.engines.borrow_mut().get_mut(&record.upstream)
+                    && engine.record < record.fence
+                {
+                    engine.on_recorded(record);
                 }
             }
             FleetEvent::HolderRemoved(name, expired) => {
