--- a/crates/decisions/src/store_health/lapsing.rs
+++ b/crates/decisions/src/store_health/lapsing.rs
@@ -23,7 +23,7 @@
 /// use monsoonspread_decisions::store_health::{Disappearance, LapsingEntries, StoreStatus};
 /// use monsoonspread_model::UnixMs;
 ///
-/// let status = StoreStatus { back_by: UnixMs(5_000), is_steady: false };
+/// let status = StoreStatus { back_by: UnixMs(5_000), ..StoreStatus::default() };
 /// let mut lapsing = LapsingEntries::default();
 /// assert_eq!(lapsing.on_gone(UnixMs(4_000), "node-1", status), Disappearance::Lapsing);
 /// assert!(lapsing.take_lapsed(UnixMs(4_999)).is_empty());
