--- a/review/standins-2/plain.rs
+++ b/review/standins-2/plain.rs
@@ -77,6 +77,11 @@
         arrivals.iter().filter(|arrival| arrival.id.starts_with(id_prefix)).count()
     }
 
+    pub fn requests_after(&self, id_prefix: &str, after: Instant) -> usize {
+        let arrivals = self.arrivals.lock().expect("the arrivals");
+        arrivals.iter().filter(|arrival| arrival.id.starts_with(id_prefix) && arrival.at > after).count()
+    }
+
     /// Exits: its listener and connections close.
     pub fn exit(&self) {
         self.is_listed.store(false, Ordering::SeqCst);
--- a/review/standins-2/scenarios.rs
+++ b/review/standins-2/scenarios.rs
@@ -1,10 +1,10 @@
 //! The scenarios: each returns how the rule was broken, or why it could not run.
 
-mod crash;
 mod oddkey;
 mod one;
 mod ready;
 mod watchcut;
+mod waves;
 
 pub type Outcome = Result<Vec<String>, String>;
 
@@ -12,11 +12,11 @@
 pub fn run(name: &str, trouble: &str) -> Outcome {
     let is_troubled = trouble != "0";
     match name {
-        "crash" => crash::run(is_troubled),
         "oddkey" => oddkey::run(is_troubled),
         "one" => one::run(trouble),
         "ready" => ready::run(is_troubled),
         "watchcut" => watchcut::run(is_troubled),
+        "waves" => waves::run(trouble),
         other => Err(format!("there is no scenario \"{other}\"")),
     }
 }
