Log each entry of the store that isn't used, on one line

Operators saw: nothing of a server whose entry is invalid (other invalid entries were logged each time they were read). A value with a line break, such as the name of an entry, would have gone on as a line of its own.

Cause: an invalid entry of a server became its removal, and the reason was dropped. Line::field quoted values with blanks, quotes and "=" only.

An entry is logged once, until its problem changes or a read of all entries doesn't find it. Line::field also quotes other white space and control characters, which escapes them.

Evidence: the_log_names_each_entry_that_is_not_used_and_why, with eight ids that no header can hold, unknown states (one of 500,000 characters) and an unreadable address, failed before (no line MR1104) and passes now.

--- a/crates/borders/src/relay/fleet_store.rs
+++ b/crates/borders/src/relay/fleet_store.rs
@@ -56,7 +56,7 @@
     Holder(HolderRecord),
     /// An engine's holder record was removed.
     HolderGone(UpstreamName),
-    /// An invalid entry was skipped.
+    /// An entry is invalid and must not be used.
     Unreadable {
         /// Key of the entry.
         key: String,
--- a/crates/relay/src/event/catalogue.rs
+++ b/crates/relay/src/event/catalogue.rs
@@ -53,7 +53,7 @@
     STORE_LOST = 1101 Warn "store lost" "The platform's store doesn't answer; the last known state stays in use. Check the store if this lasts.";
     STORE_RECOVERED = 1102 Info "store back" "The store answers again.";
     HISTORY_COMPACTED = 1103 Warn "history compacted" "The store compacted changes that were not read yet; the full state is read again.";
-    ENTRY_INVALID = 1104 Warn "entry invalid" "An entry of the store is malformed and was skipped.";
+    ENTRY_INVALID = 1104 Warn "entry invalid" "An entry of the store is not used, as `problem` tells; the others hold. Logged once until the problem changes, or all entries are read and this one isn't among them. Correct or remove it, or ask who wrote it.";
     FEED_SOURCE = 1105 Info "feed source" "From now on this instance receives changes from `source`: another instance of its zone, or the store itself.";
     FEED_LOST = 1106 Warn "feed lost" "The feed source is unresponsive, or doesn't read the store itself now; another one is chosen.";
     STATE_READ = 1107 Info "state read" "The full state of the store was read in place of the changes since the revision `after`, which were too old or too many to arrive in time.";
--- a/crates/relay/src/event/line.rs
+++ b/crates/relay/src/event/line.rs
@@ -25,11 +25,18 @@
         }
     }
 
-    /// Appends a field; a value that is empty or contains spaces, quotes or `=` is quoted.
+    /// Appends a field; a value that is empty or contains spaces, quotes, `=` or control characters is quoted, with
+    /// these characters escaped.
+    ///
+    /// ```
+    /// # use monsoonspread_relay::event::{Line, kind};
+    /// let line = Line::new(&kind::STOPPED).field("instance", "entry\n1");
+    /// assert!(line.text().ends_with(r#" instance="entry\n1""#));
+    /// ```
     #[must_use]
     pub fn field(mut self, name: &str, value: impl Display) -> Self {
         let value = value.to_string();
-        let _ = if value.is_empty() || value.contains([' ', '"', '=']) {
+        let _ = if value.is_empty() || value.contains(needs_quotes) {
             write!(self.text, " {name}={value:?}")
         } else {
             write!(self.text, " {name}={value}")
@@ -37,8 +44,18 @@
         self
     }
 
+    /// Returns the line so far.
+    pub fn text(&self) -> &str {
+        &self.text
+    }
+
     /// Writes the line at the level of its kind.
     pub fn log(self) {
         log::log!(self.kind.level, "{}", self.text);
     }
 }
+
+/// Whether a value with this character is quoted: it would end the value, or the line.
+fn needs_quotes(character: char) -> bool {
+    matches!(character, '"' | '=') || character.is_whitespace() || character.is_control()
+}
--- a/crates/relay/src/fleet/mod.rs
+++ b/crates/relay/src/fleet/mod.rs
@@ -3,6 +3,7 @@
 mod announcements;
 mod changes;
 mod confirmation;
+mod invalid_entries;
 mod restored;
 mod subscribers;
 mod subscription;
--- a/crates/relay/src/fleet/view.rs
+++ b/crates/relay/src/fleet/view.rs
@@ -16,6 +16,7 @@
 use monsoonspread_model::{InstanceName, ServiceName, UnixMs, UpstreamName, ZoneName};
 
 use super::FleetEvent;
+use super::invalid_entries::InvalidEntries;
 use crate::event::{Line, kind};
 
 /// An upstream that is listed in the store, or was until recently.
@@ -45,6 +46,8 @@
     pub(super) withheld: BTreeMap<UpstreamName, (UnixMs, UpstreamRecord)>,
     /// Announcements that upstreams made in their answers.
     pub(super) announcements: Announcements,
+    /// Entries that are not used.
+    invalid_entries: InvalidEntries,
 }
 
 impl FleetView {
@@ -149,6 +152,7 @@
     ) -> Vec<FleetEvent> {
         let mut events = self.missing_from(now, snapshot, status);
         self.withheld.clear();
+        self.invalid_entries.on_snapshot(snapshot);
         let listed_status = StoreStatus {
             known_at: status.known_at,
             ..StoreStatus::default()
@@ -229,10 +233,7 @@
                 Some(FleetEvent::HolderRemoved(name, status.is_steady))
             }
             FleetChange::Unreadable { key, problem } => {
-                Line::new(&kind::ENTRY_INVALID)
-                    .field("key", key)
-                    .field("problem", problem)
-                    .log();
+                self.invalid_entries.on_invalid(key, problem);
                 None
             }
         }
