Hold the other engines when one has a name too long for a record

Not reported; found on the way: engines that are listed beside one with an id of 180 to 192 bytes got no holder and so no orders.

Cause: the record of an engine's holder has a longer key than its entry, and the store turns away keys of more than 200 bytes. Up to 16 records are written in one transaction, all or none, so that one long id kept 15 others from being held, at each try.

Change: an engine whose holder can't be recorded stays out of the plan of holders, with a line in the log (MR1307). Servers of plain services have no record and are used with any id that fits into a header.

--- a/crates/borders/src/relay/fleet_store.rs
+++ b/crates/borders/src/relay/fleet_store.rs
@@ -156,6 +156,9 @@
     /// Removes the announcement of an instance.
     async fn withdraw(&self, member: &InstanceName) -> Result<(), FleetStoreError>;
 
+    /// Whether the store can hold a record of this engine's holder: a name may be too long.
+    fn can_record_holder(&self, upstream: &UpstreamName) -> bool;
+
     /// Writes holder records under the lease, either all or none.
     async fn claim(
         &self,
--- a/crates/relay/src/event/catalogue.rs
+++ b/crates/relay/src/event/catalogue.rs
@@ -72,6 +72,7 @@
     ENGINE_RELEASED = 1304 Info "engine released" "This instance gives the engine no more orders.";
     CLAIM_FAILED = 1305 Info "claim failed" "Another instance claimed the engine first, or the store didn't answer; the claim is retried.";
     ORDERS_PAUSED = 1306 Warn "orders paused" "The store has not confirmed this instance's lease recently, so it gives no orders.";
+    ENGINE_UNHELD = 1307 Warn "engine unheld" "The name of the engine is too long for the key of its holder's record, so no instance holds it and it gets no orders; other engines are held as usual. Register the engine under a shorter name.";
     ORDER_ANSWERED = 1401 Info "order answered" "An engine answered an order in a way that changed its known state, or did not carry the order out.";
     REPORT_READ = 1402 Info "report read" "An engine's report of what it holds was read.";
     REPORT_FAILED = 1403 Warn "report failed" "An engine's report can't be read; the read is retried.";
--- a/crates/relay/src/holding/controller.rs
+++ b/crates/relay/src/holding/controller.rs
@@ -10,7 +10,7 @@
     QuoteQuestion,
 };
 use monsoonspread_decisions::holders::{Confirmation, HolderPlan};
-use monsoonspread_model::fleet::UpstreamStage;
+use monsoonspread_model::fleet::{UpstreamRecord, UpstreamStage};
 use monsoonspread_model::{InstanceName, UnixMs, UpstreamName};
 use tokio::sync::{Notify, oneshot};
 
@@ -109,7 +109,7 @@
                 complete,
             } => {
                 if shared.fleet.borrow().is_engine(&record.service) {
-                    plan.on_engine(now, &record.name, &record.zone, *complete);
+                    on_engine(shared, &mut plan, record, *complete);
                 }
                 drop(plan);
                 if record.stage == UpstreamStage::Leaving {
@@ -165,7 +165,7 @@
                 for record in fleet.all_ready().filter(|up| fleet.is_engine(&up.service)) {
                     // Without a configuration, engines could not be distinguished from other
                     // upstreams.
-                    plan.on_engine(now, &record.name, &record.zone, shared.settings.bootstrap);
+                    on_engine(shared, &mut plan, record, shared.settings.bootstrap);
                 }
             }
         }
@@ -366,3 +366,15 @@
             .map(|engine| (engine.address, engine.fence))
     }
 }
+
+/// Adds a listed engine to the plan. An engine whose holder can't be recorded stays out of it: the records of
+/// several engines are written together, all or none.
+fn on_engine(shared: &Shared, plan: &mut HolderPlan, record: &UpstreamRecord, complete: bool) {
+    if shared.borders.store.can_record_holder(&record.name) {
+        plan.on_engine(shared.now(), &record.name, &record.zone, complete);
+        return;
+    }
+    Line::new(&kind::ENGINE_UNHELD)
+        .field("upstream", &record.name)
+        .log();
+}
