Escape names in the labels of metrics

Not reported; found on the way: the metrics could not be read by those who collect them once a server with a quote or a backslash in its id announced a rate limit.

Cause: the names of upstreams, which other writers choose, went into labels as they are.

Change: backslashes, quotes and line breaks are escaped, as the text format asks.

Evidence: metrics_escape_names_in_labels failed before with {upstream="a"b\c"} and passes now.

--- a/crates/relay/src/http/metrics.rs
+++ b/crates/relay/src/http/metrics.rs
@@ -70,6 +70,7 @@
 fn metrics(shared: &Shared) -> String {
     let mut text = shared.metrics.text();
     let mut gauge = |name: &str, upstream: &UpstreamName, per_s: f64| {
+        let upstream = label(upstream.as_str());
         let _ = writeln!(
             text,
             "monsoonspread_{name}_per_s{{upstream=\"{upstream}\"}} {per_s:.3}"
@@ -90,6 +91,12 @@
     text
 }
 
+/// Escapes a label's value.
+fn label(value: &str) -> String {
+    let value = value.replace('\\', "\\\\");
+    value.replace('"', "\\\"").replace('\n', "\\n")
+}
+
 /// Adds what the process holds for callers.
 fn held_for_callers(shared: &Shared, text: &mut String) {
     let held_bytes = shared.guard.bodies.held_bytes();
