Take no answer whose status ends no request

Callers saw: a server's 101 as an answer, with an empty body, though nobody had asked for another protocol; statuses of 600 to 999 as they came, which HTTP doesn't have. Reported was an answer of status 000, which no route took before either.

Cause: the HTTP library rejects statuses below 100 and reads past other interim ones, but gives 101 and those above 599 out as answers. Nothing looked at the status before an answer was passed on, and the program's own calls took each for an answer of the store, of an engine to an order, or of a service.

Change: such an answer is lost, as one with a broken head: 502, or another server where the request may run again. A check whether a process runs on doesn't count it. This holds for the client of both programs' own calls too.

Evidence: an_answer_with_an_odd_head_is_no_answer sends 93 odd heads, three framings each on a plain route and one of streams and one on a resumable one, every other on a kept connection; 60 more come as interim answers before a sound one. Before, those with 101, 600, 777 and 999 reached clients, no other did: statuses 000 to 099, of other lengths and no numbers, and names of headers with blanks, tabs, control bytes, line folds or no colon were held already. an_answer_with_an_odd_head_is_lost, on the client of own calls, failed first at 101. Both pass now.

--- a/crates/borders/src/http/http_client.rs
+++ b/crates/borders/src/http/http_client.rs
@@ -8,7 +8,7 @@
 use hyper::body::Incoming;
 use hyper::header::{CONTENT_TYPE, HeaderValue};
 use hyper::http::request;
-use hyper::{Request, Response};
+use hyper::{Request, Response, StatusCode};
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::{TokioExecutor, TokioTimer};
@@ -179,10 +179,16 @@
             .body(Full::new(body.into()))
             .map_err(|error| SendError::NotSent(error.to_string()))?;
         let answer = self.client.request(request);
-        tokio::time::timeout(Duration::from_millis(timeout_ms), answer)
+        let response = tokio::time::timeout(Duration::from_millis(timeout_ms), answer)
             .await
             .map_err(|_| timed_out(timeout_ms))?
-            .map_err(SendError::from)
+            .map_err(SendError::from)?;
+        let status = response.status();
+        if !is_final(status) {
+            let problem = format!("status {} ends no request", status.as_u16());
+            return Err(SendError::AnswerLost(problem));
+        }
+        Ok(response)
     }
 
     /// Sends a request and waits for the complete answer.
@@ -208,6 +214,19 @@
     }
 }
 
+/// Returns whether a status ends a request: no request asks for another protocol, and HTTP has no status above 599.
+///
+/// ```
+/// # use hyper::StatusCode;
+/// # use monsoonspread_borders::http::is_final;
+/// assert!(is_final(StatusCode::OK) && is_final(StatusCode::GATEWAY_TIMEOUT));
+/// assert!(!is_final(StatusCode::SWITCHING_PROTOCOLS));
+/// assert!(!is_final(StatusCode::from_u16(600).unwrap()));
+/// ```
+pub fn is_final(status: StatusCode) -> bool {
+    (200..600).contains(&status.as_u16())
+}
+
 fn timed_out(timeout_ms: u64) -> SendError {
     SendError::AnswerLost(format!("no answer within {timeout_ms} ms"))
 }
--- a/crates/borders/src/http/mod.rs
+++ b/crates/borders/src/http/mod.rs
@@ -7,7 +7,7 @@
 mod send_error;
 
 pub use body_pace::BodyPace;
-pub use http_client::HttpClient;
+pub use http_client::{HttpClient, is_final};
 pub(crate) use http_client::{MAX_REPLY_BYTES, read_reply};
 pub use paced_error::PacedError;
 pub use reply::Reply;
--- a/crates/relay/src/call/attempt.rs
+++ b/crates/relay/src/call/attempt.rs
@@ -6,6 +6,7 @@
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::{Request, Response};
+use monsoonspread_borders::http::is_final;
 use monsoonspread_borders::relay::{AnswerHead, AnswerId, ServerLoad, UpstreamHead};
 use monsoonspread_model::UnixMs;
 use monsoonspread_model::fleet::UpstreamRecord;
@@ -181,12 +182,13 @@
     let status = response.status();
     let dialect = &shared.borders.dialect;
     let answer = dialect.read_answer(status, response.headers(), &request.head.request_id);
-    let is_answer = match answer.request_id {
+    let names_request = match answer.request_id {
         AnswerId::Same => true,
         AnswerId::Other => false,
         // On a kept connection, an answer that names no request may be an earlier one, sent again.
         AnswerId::Absent => !status.is_success() && !sender.was_used,
     };
+    let is_answer = names_request && is_final(status);
     if is_answer {
         let id = &request.head.request_id;
         shared.on_announcement(
--- a/crates/relay/src/call/end_check.rs
+++ b/crates/relay/src/call/end_check.rs
@@ -9,6 +9,7 @@
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::header::{HOST, HeaderValue};
 use hyper::{Request, Uri};
+use monsoonspread_borders::http::is_final;
 use monsoonspread_borders::relay::{AnsweredBy, IdentityRequest};
 use monsoonspread_decisions::answer_end::ProcessEvidence;
 use monsoonspread_model::fleet::UpstreamRecord;
@@ -79,6 +80,9 @@
     };
     let mut sender = UpstreamSender::over(stream).await.ok()?;
     let answer = sender.send(message(identity, record.address)?).await.ok()?;
+    if !is_final(answer.status()) {
+        return None;
+    }
     let (head, body) = answer.into_parts();
     let body = if identity.has_start {
         let body = Limited::new(body, MAX_REPLY_BYTES).collect().await;
