Take no answer without framing for complete when its request was left unread

Callers saw: a part of an answer without a length as a whole one, after a long upload that the server never read. It ended its side of the connection, which was reset as more of the upload arrived, and it ran on.

Cause: the end of the connection reached the program before the reset. An answer with neither a length nor chunks ends there, and the check of its end asked only whether the server's process runs on, which it did. The HTTP library fails on the upload after that, when nobody looks at the connection any more. A reset that arrives first was taken for a break already.

Change: the socket is kept after the end of such an answer. When the check of the process is over, the end counts as regular only if the request was sent in full and no reset has arrived since; else it is logged as `request unread`. Answers with a length or in chunks are left alone. A server that ends its side and goes on to read a long upload is taken to have broken off.

--- a/crates/decisions/src/answer_end/process_evidence.rs
+++ b/crates/decisions/src/answer_end/process_evidence.rs
@@ -19,6 +19,8 @@
     ConnectionRefused,
     /// no answer
     NoAnswer,
+    /// request unread
+    RequestUnread,
 }
 
 impl ProcessEvidence {
--- a/crates/decisions/src/answer_end/tests.rs
+++ b/crates/decisions/src/answer_end/tests.rs
@@ -66,6 +66,7 @@
         (ProcessEvidence::OtherProcess, [false; 3]),
         (ProcessEvidence::ConnectionRefused, [false; 3]),
         (ProcessEvidence::NoAnswer, [false; 3]),
+        (ProcessEvidence::RequestUnread, [false; 3]),
     ];
     for (evidence, expected) in cases {
         let listed = [None, Some(STARTED), Some(STARTED + 1)];
--- a/crates/relay/src/call/answer.rs
+++ b/crates/relay/src/call/answer.rs
@@ -12,7 +12,7 @@
 
 use super::end_check::process_evidence;
 use super::request::part_list;
-use crate::connection::PooledSender;
+use crate::connection::{ConnectionEnd, PooledSender};
 use crate::event::{Line, kind};
 use crate::holding::CopyRequestGuard;
 use crate::room::Place;
@@ -58,6 +58,7 @@
     longest_pause_ms: u64,
     status: u16,
     framing: Framing,
+    connection: ConnectionEnd,
     /// Where a stream of events ended.
     position: Option<StreamPosition>,
     /// The result of the check of an unconfirmed end.
@@ -98,6 +99,7 @@
             longest_pause_ms: 0,
             status,
             framing: Framing::Length,
+            connection: ConnectionEnd::default(),
             position: None,
             evidence: None,
             outcome: "left",
@@ -162,9 +164,10 @@
         self
     }
 
-    /// Sets how the answer marks its end.
-    pub(super) fn with_framing(mut self, framing: Framing) -> Self {
+    /// Sets how the answer marks its end, and how its connection ends.
+    pub(super) fn with_framing(mut self, framing: Framing, connection: ConnectionEnd) -> Self {
         self.framing = framing;
+        self.connection = connection;
         self
     }
 
@@ -181,14 +184,20 @@
         verdict
     }
 
-    /// Checks whether the upstream's process runs on after the end of the answer.
+    /// Checks whether the upstream closed the connection on purpose, and its process runs on.
     pub(super) fn check_end(&self) -> EndCheck {
         let shared = Rc::clone(&self.shared);
         let record = self.in_flight.as_ref().map(|sent| sent.upstream.clone());
+        let connection = self.connection.clone();
         Box::pin(async move {
-            match record {
-                Some(record) => process_evidence(shared, record).await,
-                None => ProcessEvidence::NoAnswer,
+            let Some(record) = record else {
+                return ProcessEvidence::NoAnswer;
+            };
+            let evidence = process_evidence(shared, record).await;
+            // By now a reset that followed the end has arrived.
+            match connection.is_regular() {
+                true => evidence,
+                false => ProcessEvidence::RequestUnread,
             }
         })
     }
--- a/crates/relay/src/call/upstream_answer.rs
+++ b/crates/relay/src/call/upstream_answer.rs
@@ -3,6 +3,7 @@
 use hyper::Version;
 use hyper::body::Incoming;
 use hyper::http::response::Parts;
+use monsoonspread_decisions::answer_end::Framing;
 
 use super::answer::AnswerEnd;
 use super::attempt::Answered;
@@ -35,7 +36,12 @@
         let framing = framing(request, &head);
         // With HTTP/1.0, the client's answer would end with its connection, broken off or not.
         head.version = Version::HTTP_11;
-        let end = self.end.with_in_flight(in_flight).with_framing(framing);
+        let connection = sender.sender.end();
+        if framing != Framing::Connection {
+            connection.ignore();
+        }
+        let end = self.end.with_in_flight(in_flight);
+        let end = end.with_framing(framing, connection);
         let end = if answer.closes {
             end
         } else {
--- a/crates/relay/src/connection/head_limit.rs
+++ b/crates/relay/src/connection/head_limit.rs
@@ -47,6 +47,11 @@
     pub(super) fn new(stream: TcpStream, limit: HeadLimit) -> Self {
         Self { stream, limit }
     }
+
+    /// Returns the stream without the limit.
+    pub(super) fn into_inner(self) -> TcpStream {
+        self.stream
+    }
 }
 
 impl AsyncRead for LimitedStream {
--- a/crates/relay/src/connection/sender.rs
+++ b/crates/relay/src/connection/sender.rs
@@ -13,6 +13,7 @@
 use thiserror::Error;
 use tokio::net::TcpStream;
 
+use super::ConnectionEnd;
 use super::head_limit::{HeadLimit, LimitedStream};
 
 /// Connect timeout, in milliseconds: a connection normally takes 1, and a lost packet is
@@ -37,6 +38,7 @@
 pub struct UpstreamSender {
     sender: SendRequest<Full<Bytes>>,
     head_limit: HeadLimit,
+    end: ConnectionEnd,
 }
 
 impl UpstreamSender {
@@ -70,11 +72,25 @@
             .handshake(TokioIo::new(stream))
             .await
             .map_err(|error| SendFailure::NotSent(error.to_string()))?;
+        let end = ConnectionEnd::default();
+        let ended = end.clone();
         tokio::task::spawn_local(async move {
-            // Errors are also returned to the request on this connection.
-            let _ = connection.await;
+            match connection.without_shutdown().await {
+                Ok(parts) => ended.on_closed(parts.io.into_inner().into_inner()),
+                // The error is also returned to the request on this connection.
+                Err(_) => ended.on_failed(),
+            }
         });
-        Ok(Self { sender, head_limit })
+        Ok(Self {
+            sender,
+            head_limit,
+            end,
+        })
+    }
+
+    /// Returns how the connection ends, if it does with the answer to the last request.
+    pub fn end(&self) -> ConnectionEnd {
+        self.end.clone()
     }
 
     /// Whether a request may be sent now.
@@ -92,6 +108,7 @@
         request: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, SendFailure> {
         self.head_limit.on_request();
+        self.end.on_request();
         let answered = self.sender.try_send_request(request).await;
         self.head_limit.on_head();
         answered.map_err(|mut failed| {
