Use the other rows of the instance list when one is invalid

Not reported; found on the way, in the programs of the own interface: one row of the instance list with a field missing or of another kind made the whole list unreadable. Instances then kept the last list that they had read, and one that starts would have had none but what its peers tell.

Cause: the list was decoded as a whole.

Change: when that fails, the rows are decoded one by one. Instances use those that can be read and log the others (MS1403), each once while it is listed so.

--- a/crates/borders/src/instance_list/http_list.rs
+++ b/crates/borders/src/instance_list/http_list.rs
@@ -3,9 +3,8 @@
 use std::net::SocketAddr;
 
 use async_trait::async_trait;
-use monsoonspread_model::ListedInstance;
 
-use super::{InstanceList, InstanceListError};
+use super::{InstanceList, InstanceListError, ReadList};
 use crate::http::{HttpClient, Reply};
 
 const TIMEOUT_MS: u64 = 2_000;
@@ -44,7 +43,7 @@
         self
     }
 
-    async fn list_at(&self, address: SocketAddr) -> Result<Vec<ListedInstance>, InstanceListError> {
+    async fn list_at(&self, address: SocketAddr) -> Result<ReadList, InstanceListError> {
         let request = self.client.request("GET", address, "/instances");
         let reply = self
             .client
@@ -57,11 +56,11 @@
 
 #[async_trait]
 impl InstanceList for HttpInstanceList {
-    async fn list(&self) -> Result<Vec<ListedInstance>, InstanceListError> {
+    async fn list(&self) -> Result<ReadList, InstanceListError> {
         let mut last_error = InstanceListError("no address is set".to_owned());
         for address in &self.addresses {
             match self.list_at(*address).await {
-                Ok(rows) => return Ok(rows),
+                Ok(list) => return Ok(list),
                 Err(error) => last_error = error,
             }
         }
@@ -69,9 +68,17 @@
     }
 }
 
-fn parse(reply: &Reply) -> Result<Vec<ListedInstance>, InstanceListError> {
+fn parse(reply: &Reply) -> Result<ReadList, InstanceListError> {
     if !reply.status.is_success() {
         return Err(InstanceListError(reply.summary()));
     }
-    serde_json::from_slice(&reply.body).map_err(|error| InstanceListError(error.to_string()))
+    if let Ok(instances) = serde_json::from_slice(&reply.body) {
+        return Ok(ReadList {
+            instances,
+            ..ReadList::default()
+        });
+    }
+    let rows = serde_json::from_slice(&reply.body);
+    rows.map(ReadList::from_rows)
+        .map_err(|error| InstanceListError(error.to_string()))
 }
--- a/crates/borders/src/instance_list/mod.rs
+++ b/crates/borders/src/instance_list/mod.rs
@@ -1,12 +1,13 @@
 //! The platform's list of live and leaving instances, which lags behind the actual state.
 
 mod http_list;
+mod read_list;
 
 pub use http_list::HttpInstanceList;
+pub use read_list::ReadList;
 
 use async_trait::async_trait;
 use displaydoc::Display;
-use monsoonspread_model::ListedInstance;
 use thiserror::Error;
 
 /// the instance list can't be read: {0}
@@ -17,5 +18,5 @@
 #[async_trait]
 pub trait InstanceList: Send + Sync {
     /// Reads the complete list.
-    async fn list(&self) -> Result<Vec<ListedInstance>, InstanceListError>;
+    async fn list(&self) -> Result<ReadList, InstanceListError>;
 }
--- a/crates/entry/src/directory/poller.rs
+++ b/crates/entry/src/directory/poller.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use monsoonspread_borders::instance_list::ReadList;
 use monsoonspread_model::ListedInstance;
 use monsoonspread_model::message::MeshMessage;
 use tokio::sync::{mpsc, watch};
@@ -26,6 +27,8 @@
     directory: watch::Sender<Arc<Directory>>,
     /// Last list, read by this instance or received from a peer.
     rows: Vec<ListedInstance>,
+    /// Why rows of the last list that was read are invalid.
+    invalid_rows: Vec<String>,
     available: bool,
     /// Whether this instance has read the list itself; if so, lists from peers are ignored.
     has_read_list: bool,
@@ -47,6 +50,7 @@
             commands,
             directory,
             rows: Vec::new(),
+            invalid_rows: Vec::new(),
             available: true,
             has_read_list: false,
         }
@@ -79,7 +83,7 @@
 
     async fn read(&mut self) {
         let error = match timeout(READ_TIMEOUT, self.platform.list.list()).await {
-            Ok(Ok(rows)) => return self.on_read(rows),
+            Ok(Ok(list)) => return self.on_read(list),
             Ok(Err(error)) => error.to_string(),
             Err(_) => "timed out".to_owned(),
         };
@@ -92,13 +96,19 @@
         }
     }
 
-    fn on_read(&mut self, rows: Vec<ListedInstance>) {
+    fn on_read(&mut self, list: ReadList) {
         if !self.available {
             Event::ListAvailable.log();
         }
         self.available = true;
         self.has_read_list = true;
-        self.publish(rows);
+        for row in &list.invalid_rows {
+            if !self.invalid_rows.contains(row) {
+                Event::RowInvalid { error: row }.log();
+            }
+        }
+        self.invalid_rows = list.invalid_rows;
+        self.publish(list.instances);
     }
 
     fn publish(&mut self, rows: Vec<ListedInstance>) {
--- a/crates/entry/src/event/catalogue.rs
+++ b/crates/entry/src/event/catalogue.rs
@@ -130,6 +130,13 @@
         "The instance list can be read again.",
         NOTHING,
     ),
+    entry(
+        1403,
+        Level::Warn,
+        "instance row invalid",
+        "A row of the instance list cannot be read and is not used; the others are. Logged once while the row is listed so.",
+        "Correct the row, or remove it.",
+    ),
     entry(
         1501,
         Level::Info,
--- a/crates/entry/src/event/mod.rs
+++ b/crates/entry/src/event/mod.rs
@@ -99,6 +99,11 @@
     },
     /// The instance list can be read again.
     ListAvailable,
+    /// A row of the instance list names no instance.
+    RowInvalid {
+        /// Error message.
+        error: &'a str,
+    },
     /// This instance became the owner of an upstream.
     OwnershipTaken {
         /// The upstream.
@@ -204,6 +209,7 @@
             Self::DispatchNotice { .. } => 1304,
             Self::ListUnavailable { .. } => 1401,
             Self::ListAvailable => 1402,
+            Self::RowInvalid { .. } => 1403,
             Self::OwnershipTaken { .. } => 1501,
             Self::OwnershipEnded { .. } => 1502,
             Self::OwnershipNotice { .. } => 1503,
@@ -266,7 +272,9 @@
             Self::StreamBroken { upstream, error } => {
                 vec![Value::new("upstream", upstream), Value::new("error", error)]
             }
-            Self::ListUnavailable { error } | Self::MetricsUnavailable { error } => {
+            Self::ListUnavailable { error }
+            | Self::RowInvalid { error }
+            | Self::MetricsUnavailable { error } => {
                 vec![Value::new("error", error)]
             }
             Self::ListAvailable => Vec::new(),
--- a/crates/standin/tests/service.rs
+++ b/crates/standin/tests/service.rs
@@ -100,7 +100,7 @@
     let client = HttpInstanceList::new(vec![list.address()]);
     list.put(row("entry-2"));
     list.set_leaving("entry-1");
-    let rows = client.list().await.expect("the list answers");
+    let rows = client.list().await.expect("the list answers").instances;
     assert_eq!(rows.len(), 2);
     assert_eq!(rows[0].state, InstanceState::Leaving);
 
@@ -111,5 +111,5 @@
     let lagging = Instances::start(settings).await.expect("the list starts");
     lagging.remove("entry-1");
     let client = HttpInstanceList::new(vec![lagging.address()]);
-    assert_eq!(client.list().await.unwrap().len(), 1);
+    assert_eq!(client.list().await.unwrap().instances.len(), 1);
 }
