--- a/crates/borders/src/http/mod.rs
+++ b/crates/borders/src/http/mod.rs
@@ -5,6 +5,8 @@
 mod paced_error;
 mod reply;
 mod send_error;
+#[cfg(test)]
+mod tests;
 
 pub use body_pace::BodyPace;
 pub use http_client::{HttpClient, is_final};
--- a/crates/borders/tests/odd_answers.rs
+++ b/crates/borders/src/http/tests.rs
@@ -2,10 +2,11 @@
 
 use std::net::SocketAddr;
 
-use monsoonspread_borders::http::{BodyPace, HttpClient, PacedError, SendError};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
 
+use super::{BodyPace, HttpClient, PacedError, SendError};
+
 /// Timeout of a call, in milliseconds.
 const TIMEOUT_MS: u64 = 2_000;
 const PACE: BodyPace = BodyPace {
--- a/crates/borders/src/instance_list/mod.rs
+++ b/crates/borders/src/instance_list/mod.rs
@@ -2,6 +2,8 @@
 
 mod http_list;
 mod read_list;
+#[cfg(test)]
+mod tests;
 
 pub use http_list::HttpInstanceList;
 pub use read_list::ReadList;
--- a/crates/borders/tests/odd_rows.rs
+++ b/crates/borders/src/instance_list/tests.rs
@@ -1,11 +1,11 @@
 //! Rows of the instance list that can't be read, among others.
 
-use monsoonspread_borders::InstanceList as _;
-use monsoonspread_borders::instance_list::HttpInstanceList;
 use serde_json::{Value, json};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
 
+use super::{HttpInstanceList, InstanceList as _};
+
 fn row(name: &str) -> Value {
     json!({"name": name, "kind": "engine", "zone": "zone-a", "address": "127.0.0.1:9", "state": "live"})
 }
