Close the socket of an answer without framing once its end is checked

Found on reading the change: the connection goes back to the pool after a complete answer, from which closed ones are swept once a second; the kept socket stayed open as long. It is closed with the check now. reset_uploads, unframed_ends and odd_heads pass.

--- a/crates/relay/src/call/answer.rs
+++ b/crates/relay/src/call/answer.rs
@@ -205,6 +205,8 @@
     /// Settles an unconfirmed end, with the result of the check; returns whether the answer is complete.
     pub(super) fn on_end_checked(&mut self, evidence: ProcessEvidence) -> bool {
         self.evidence = Some(evidence);
+        // Closes the socket.
+        self.connection.ignore();
         let is_complete = self.in_flight.as_ref().is_some_and(|sent| {
             let fleet = self.shared.fleet.borrow();
             let listed = fleet.upstream(&self.upstream);
