Answer readiness checks on their own listener only

Cause: callers and readiness checks have listeners of their own, but one function served both and recognised a check by method and path. The reverse held too: the listener for readiness checks served requests of callers, which a planned stop doesn't wait for.

Change: the listener decides. The callers' knows routes only; the one for readiness checks answers these, and 404 to anything else. Looked at as well, by reading: the listener for metrics has its own paths only, the one for other instances doesn't speak HTTP, and the routes of monsoonspread-entry are fixed and don't overlap with its own paths.

--- a/crates/relay/src/http/clients.rs
+++ b/crates/relay/src/http/clients.rs
@@ -5,11 +5,10 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper::{Request, Response, StatusCode};
+use hyper::{Request, Response};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use monsoonspread_decisions::memory_budget::ConnectionKind;
 use tokio::net::TcpListener;
@@ -20,6 +19,8 @@
 use crate::guard::{GuardedBody, GuardedConnection, GuardedStream, OutOfMemory, Reservation};
 use crate::shared::Shared;
 
+use super::readiness::answer_check;
+
 /// Maximum time to leave a connection idle or to send a head before a configuration sets a limit,
 /// in milliseconds.
 const DEFAULT_HEAD_TIMEOUT_MS: u64 = 30_000;
@@ -62,7 +63,7 @@
     }
 }
 
-/// Accepts connections of clients, and of the platform's readiness checks.
+/// Accepts connections of clients, or of the platform's readiness checks, as `kind` says.
 pub async fn serve_clients(
     listener: TcpListener,
     kind: ConnectionKind,
@@ -74,6 +75,7 @@
         let (stream, guarded) = accepted;
         let run = serve(
             stream,
+            kind,
             Rc::clone(&guarded),
             Rc::clone(&shared),
             connections.clone(),
@@ -84,6 +86,7 @@
 
 async fn serve(
     stream: GuardedStream,
+    kind: ConnectionKind,
     guarded: Rc<GuardedConnection>,
     shared: Rc<Shared>,
     connections: Connections,
@@ -93,7 +96,7 @@
     let head_timeout_ms = head_timeout_ms(&shared);
     let max_buffer_bytes = max_buffer_bytes(&shared);
     let service =
-        service_fn(move |request| answer(Rc::clone(&shared), Rc::clone(&guarded), request));
+        service_fn(move |request| answer(kind, Rc::clone(&shared), Rc::clone(&guarded), request));
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .max_buf_size(max_buffer_bytes)
@@ -110,14 +113,15 @@
 }
 
 async fn answer(
+    kind: ConnectionKind,
     shared: Rc<Shared>,
     guarded: Rc<GuardedConnection>,
     request: Request<Incoming>,
 ) -> Result<Response<GuardedBody<RelayBody>>, Infallible> {
     guarded.on_request();
-    let dialect = &shared.borders.dialect;
-    if dialect.is_readiness(request.method(), request.uri()) {
-        let response = readiness(&shared);
+    // The listener decides, not the path: a route may take any path of the callers.
+    if kind == ConnectionKind::Readiness {
+        let response = answer_check(&shared, &request);
         return Ok(response.map(|body| GuardedBody::new(body, guarded)));
     }
     let (head, response) = match hold_head(&shared, &request) {
@@ -149,14 +153,6 @@
         .sum()
 }
 
-fn readiness(shared: &Shared) -> Response<RelayBody> {
-    let mut response = Response::new(RelayBody::Whole(Option::<Bytes>::None));
-    if !shared.is_ready() {
-        *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
-    }
-    response
-}
-
 /// Returns the head timeout, which counts from the end of the previous request and so includes the
 /// idle time.
 fn head_timeout_ms(shared: &Shared) -> u64 {
--- a/crates/relay/src/http/mod.rs
+++ b/crates/relay/src/http/mod.rs
@@ -2,6 +2,7 @@
 
 mod clients;
 mod metrics;
+mod readiness;
 
 pub use clients::{Connections, serve_clients};
 pub use metrics::serve_metrics;
