Don't take a cut watch for an outage of the store

Cause: an entry that disappears in an outage of the store may come back, so it stays in use for 1,900 ms after the store's return. One failed call counted as an outage; the next answer, 150 ms later, told of the removal and "ended" it. Together that is more than 2,000 ms. Subscribers were told to wait as long.

Change: an entry of a live server expires only if several of its writes are missing. An outage lasted at most from the last answer before it (or what a feed source told of its own) to the first one after it; entries are expected back only if that is heartbeat_ms or more. New setting bounds.heartbeat_ms, from the platform's settings. MR1102 tells for how long entries are expected back. Changes, whole reads, subscribers and announcements of instances use the one decision; taking over engines still counts any failed call.

Not taken (nor tried): only to repeat a cut watch at once. The server would still be used for 1,900 ms, just under the bound.

--- a/crates/decisions/src/store_health/mod.rs
+++ b/crates/decisions/src/store_health/mod.rs
@@ -40,24 +40,52 @@
 /// Tracks whether the store answers calls.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct StoreHealth {
+    /// Outages that are shorter let no entry of a live owner expire, in milliseconds.
+    min_outage_ms: u64,
     /// Number of consecutive failed calls.
     failures: u32,
+    /// When the store was last known to answer; zero before its first answer.
+    answered_at: UnixMs,
     back_by: UnixMs,
     steady_from: UnixMs,
     known_at: UnixMs,
 }
 
 impl StoreHealth {
+    /// Sets how often upstreams write their entries, which expire when several writes are missing: an outage that
+    /// was shorter let none expire.
+    ///
+    /// ```
+    /// use monsoonspread_decisions::store_health::StoreHealth;
+    /// use monsoonspread_model::UnixMs;
+    ///
+    /// let mut health = StoreHealth::default().with_heartbeat_ms(1_200);
+    /// health.on_answer(UnixMs(1_000));
+    /// health.on_failure(UnixMs(1_500), UnixMs(1_700));
+    /// health.on_answer(UnixMs(1_850));
+    /// assert_eq!(health.status(UnixMs(1_850)).back_by, UnixMs(0));
+    /// ```
+    pub fn with_heartbeat_ms(self, heartbeat_ms: u64) -> Self {
+        Self {
+            min_outage_ms: heartbeat_ms,
+            ..self
+        }
+    }
+
     /// A call was answered; returns true if the previous call failed.
     pub fn on_answer(&mut self, now: UnixMs) -> bool {
         let is_back = std::mem::take(&mut self.failures) > 0;
-        if is_back {
+        // A single call can fail without an outage: the store may cut a watch at any time.
+        let is_first = self.answered_at == UnixMs(0);
+        let is_outage = is_first || now.ms_since(self.answered_at) >= self.min_outage_ms;
+        if is_back && is_outage {
             self.back_by = now + BACK_WITHIN_MS;
         }
+        self.answered_at = now;
         is_back
     }
 
-    /// The known state was the newest at `at`: for an answer of the store, when the call began.
+    /// The known state was the newest at `at`, as the store told: for an answer of the store, when the call began.
     ///
     /// ```
     /// use monsoonspread_decisions::store_health::StoreHealth;
@@ -70,6 +98,7 @@
     /// ```
     pub fn on_current(&mut self, at: UnixMs) {
         self.known_at = self.known_at.max(at);
+        self.answered_at = self.answered_at.max(at);
     }
 
     /// The store came back from an older copy, whose entries of live owners are written again.
@@ -84,7 +113,7 @@
     /// that knows nothing yet can't tell what was written before the outage.
     pub fn on_failure(&mut self, asked_at: UnixMs, now: UnixMs) -> bool {
         if self.known_at > UnixMs(0) {
-            self.on_current(asked_at);
+            self.known_at = self.known_at.max(asked_at);
         }
         self.steady_from = now + CONFIRMED_FOR_MS;
         self.failures = self.failures.saturating_add(1);
--- a/crates/decisions/src/store_health/tests.rs
+++ b/crates/decisions/src/store_health/tests.rs
@@ -22,6 +22,40 @@
     }
 }
 
+/// Guards against a cut watch that counts as an outage: an upstream that is removed at that moment would be used for
+/// longer than the bound, which has begun before the next call.
+#[test]
+fn an_entry_that_is_removed_as_a_watch_is_cut_is_not_expected_back() {
+    let mut health = StoreHealth::default().with_heartbeat_ms(1_200);
+    health.on_answer(UnixMs(1_000));
+    for cut_at in [1_700, 2_550, 3_400] {
+        health.on_failure(UnixMs(cut_at - 200), UnixMs(cut_at));
+        assert!(health.on_answer(UnixMs(cut_at + 150)));
+        assert_eq!(health.status(UnixMs(cut_at + 150)).back_by, UnixMs(0));
+    }
+    // An instance that heard of the store from another one, and now asks it itself.
+    health.on_current(UnixMs(60_000));
+    health.on_failure(UnixMs(60_500), UnixMs(60_700));
+    health.on_answer(UnixMs(60_850));
+    assert_eq!(health.status(UnixMs(60_850)).back_by, UnixMs(0));
+}
+
+/// Guards against servers that are taken for gone after an outage in which they could not write their entries.
+#[test]
+fn an_outage_counts_from_the_last_answer_before_it() {
+    let mut health = StoreHealth::default().with_heartbeat_ms(1_200);
+    health.on_answer(UnixMs(1_000));
+    health.on_failure(UnixMs(1_900), UnixMs(2_050));
+    health.on_failure(UnixMs(2_100), UnixMs(2_150));
+    health.on_answer(UnixMs(2_200));
+    let back_by = health.status(UnixMs(2_200)).back_by;
+    assert_eq!(back_by, UnixMs(2_200 + BACK_WITHIN_MS));
+    // A later cut doesn't shorten the time for what expired before.
+    health.on_failure(UnixMs(2_700), UnixMs(2_900));
+    health.on_answer(UnixMs(3_050));
+    assert_eq!(health.status(UnixMs(3_050)).back_by, back_by);
+}
+
 #[test]
 fn entries_that_ran_out_during_an_outage_may_come_back() {
     let mut health = StoreHealth::default();
--- a/crates/relay/src/event/catalogue.rs
+++ b/crates/relay/src/event/catalogue.rs
@@ -51,7 +51,7 @@
     CONNECTION_CLOSED = 1013 Warn "connection closed" "Connections ran short: the one that was idle for longest was closed (`closed_idle`), or a new one at once (`refused`); or a client took nothing of its answer (`closed_unread`). At most one such line a second.";
     ACCEPT_FAILED = 1014 Warn "accept failed" "A connection could not be accepted, usually because descriptors ran out; the listener tries again. At most one such line a second.";
     STORE_LOST = 1101 Warn "store lost" "The platform's store doesn't answer; the last known state stays in use. Check the store if this lasts.";
-    STORE_RECOVERED = 1102 Info "store back" "The store answers again.";
+    STORE_RECOVERED = 1102 Info "store back" "The store answers again. Entries that are missing now may come back for `entries_back_in_ms`: 0 if the outage was too short for entries to expire, or only a watch was cut.";
     HISTORY_COMPACTED = 1103 Warn "history compacted" "The store compacted changes that were not read yet; the full state is read again.";
     ENTRY_INVALID = 1104 Warn "entry invalid" "An entry of the store is not used, as `problem` tells; the others hold. Logged once until the problem changes, or all entries are read and this one isn't among them. Correct or remove it, or ask who wrote it.";
     FEED_SOURCE = 1105 Info "feed source" "From now on this instance receives changes from `source`: another instance of its zone, or the store itself.";
--- a/crates/relay/src/fleet/watcher.rs
+++ b/crates/relay/src/fleet/watcher.rs
@@ -29,7 +29,8 @@
     let local = shared.settings.instance.clone();
     let mut feed = FeedSubscription::new(local, shared.now(), timing, messages);
     let mut first = true;
-    let mut health = StoreHealth::default();
+    let heartbeat_ms = shared.settings.bounds.heartbeat_ms;
+    let mut health = StoreHealth::default().with_heartbeat_ms(heartbeat_ms);
     let mut era = StoreEra::default();
     loop {
         let asked_at = shared.now();
@@ -182,7 +183,9 @@
                     known_at: known_at.unwrap_or_default().max(local.known_at),
                 };
                 let known = self.revision;
-                self.health.on_current(status.known_at);
+                if let Some(known_at) = known_at {
+                    self.health.on_current(known_at);
+                }
                 let changes = update.changes.unwrap_or_default().into_iter();
                 for revised in changes.filter(|revised| revised.revision > known) {
                     self.shared.on_change(revised.change, status);
@@ -292,8 +295,14 @@
 type FreshChanges = (u64, Option<Vec<RevisedChange>>, StoreStatus);
 
 fn on_answer(shared: &Shared, health: &mut StoreHealth) {
-    if health.on_answer(shared.now()) {
-        Line::new(&kind::STORE_RECOVERED).log();
+    let now = shared.now();
+    if health.on_answer(now) {
+        Line::new(&kind::STORE_RECOVERED)
+            .field(
+                "entries_back_in_ms",
+                health.status(now).back_by.ms_since(now),
+            )
+            .log();
     }
 }
 
--- a/crates/relay/src/settings.rs
+++ b/crates/relay/src/settings.rs
@@ -110,6 +110,8 @@
     /// Time after which no request may reach an upstream that announced that it is leaving, in
     /// milliseconds.
     pub drain_ms: u64,
+    /// How often upstreams write their entries in the store, in milliseconds.
+    pub heartbeat_ms: u64,
     /// Time within which a configuration must be in force, in milliseconds.
     pub config_ms: u64,
     /// Time within which a key that was taken away admits no more requests, in milliseconds.
@@ -165,6 +167,7 @@
             retry_slack: 10.0,
             version_ms: 5_000,
             drain_ms: 2_000,
+            heartbeat_ms: 1_200,
             config_ms: 2_000,
             revoke_ms: 5_000,
             revoke_strict: false,
