Break off an answer whose request never left the socket

What callers saw: a part of an answer without length and chunks as a complete one, if its server ended the connection, left a long upload unread and reset the connection a little later.

Cause: the reset was looked for once the server's process had answered, some milliseconds after the end. That the request was "sent in full" shows nothing, as the system's buffers hold 3.5 MB.

A write that the socket took in part counts as well.

--- a/crates/relay/src/call/answer.rs
+++ b/crates/relay/src/call/answer.rs
@@ -194,8 +194,7 @@
                 return ProcessEvidence::NoAnswer;
             };
             let evidence = process_evidence(shared, record).await;
-            // By now a reset that followed the end has arrived.
-            match connection.is_regular() {
+            match connection.is_regular().await {
                 true => evidence,
                 false => ProcessEvidence::RequestUnread,
             }
--- a/crates/relay/src/connection/head_limit.rs
+++ b/crates/relay/src/connection/head_limit.rs
@@ -40,12 +40,22 @@
 pub(super) struct LimitedStream {
     stream: TcpStream,
     limit: HeadLimit,
+    has_unwritten: bool,
 }
 
 impl LimitedStream {
     /// Applies `limit` to heads on `stream`.
     pub(super) fn new(stream: TcpStream, limit: HeadLimit) -> Self {
-        Self { stream, limit }
+        Self {
+            stream,
+            limit,
+            has_unwritten: false,
+        }
+    }
+
+    /// Whether the last write was not taken in full.
+    pub(super) fn has_unwritten(&self) -> bool {
+        self.has_unwritten
     }
 
     /// Returns the stream without the limit.
@@ -85,7 +95,9 @@
         cx: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(cx, bytes)
+        let written = Pin::new(&mut self.stream).poll_write(cx, bytes);
+        self.has_unwritten = !is_whole(&written, bytes.len());
+        written
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
@@ -101,10 +113,18 @@
         cx: &mut Context<'_>,
         slices: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(cx, slices)
+        let written = Pin::new(&mut self.stream).poll_write_vectored(cx, slices);
+        let bytes = slices.iter().map(|slice| slice.len()).sum();
+        self.has_unwritten = !is_whole(&written, bytes);
+        written
     }
 
     fn is_write_vectored(&self) -> bool {
         self.stream.is_write_vectored()
     }
 }
+
+/// Whether a write took all `bytes`.
+fn is_whole(written: &Poll<io::Result<usize>>, bytes: usize) -> bool {
+    matches!(written, Poll::Ready(Ok(written)) if *written == bytes)
+}
--- a/crates/relay/src/connection/sender.rs
+++ b/crates/relay/src/connection/sender.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use displaydoc::Display;
 use http_body_util::Full;
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1::{Builder, SendRequest};
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
@@ -76,7 +76,13 @@
         let ended = end.clone();
         tokio::task::spawn_local(async move {
             match connection.without_shutdown().await {
-                Ok(parts) => ended.on_closed(parts.io.into_inner().into_inner()),
+                Ok(parts) => {
+                    let stream = parts.io.into_inner();
+                    match stream.has_unwritten() {
+                        true => ended.on_failed(),
+                        false => ended.on_closed(stream.into_inner()),
+                    }
+                }
                 // The error is also returned to the request on this connection.
                 Err(_) => ended.on_failed(),
             }
@@ -108,7 +114,7 @@
         request: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, SendFailure> {
         self.head_limit.on_request();
-        self.end.on_request();
+        self.end.on_request(request.body().size_hint().lower());
         let answered = self.sender.try_send_request(request).await;
         self.head_limit.on_head();
         answered.map_err(|mut failed| {
