--- a/review/14/run.sh
+++ b/review/14/run.sh
@@ -1,5 +1,5 @@
 #!/bin/bash
-# Requests that wait for a busy model server while their machine is stopped as planned.
+# A configuration moves a route to another service, and no longer lists the one before.
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run. TROUBLE=0: without the disruption.
 set -u
 cd "$(dirname "$0")/../.."
@@ -11,7 +11,7 @@
 TMPDIR=$(mktemp -d)
 export TMPDIR
 set -m
-timeout -s KILL 115 "$standins" stop review/14/record.txt &
+timeout -s KILL 115 "$standins" config review/14/record.txt &
 group=$!
 set +m
 wait "$group"
--- a/review/standins-3/main.rs
+++ b/review/standins-3/main.rs
@@ -2,6 +2,7 @@
 //!
 //! Exits with 1 if the rule was broken, 0 if it held, and 2 if the case could not run.
 mod case_backoff;
+mod case_config;
 mod case_holder;
 mod case_stop;
 mod case_stopped;
@@ -35,6 +36,7 @@
         "holder" => case_holder::run(&name, &record, trouble),
         "stopped" => case_stopped::run(&name, &record, trouble),
         "backoff" => case_backoff::run(&name, &record, trouble),
+        "config" => case_config::run(&name, &record, trouble),
         "stop" => case_stop::run(&name, &record, trouble),
         _ => 2,
     };
