--- a/review/standins-3/main.rs
+++ b/review/standins-3/main.rs
@@ -7,6 +7,8 @@
 mod case_stop;
 mod case_stopped;
 mod engine;
+mod entry_lease;
+mod entry_revoke;
 mod http;
 mod json;
 mod plain;
@@ -38,6 +40,9 @@
         "backoff" => case_backoff::run(&name, &record, trouble),
         "config" => case_config::run(&name, &record, trouble),
         "stop" => case_stop::run(&name, &record, trouble),
+        // Entries of KNOWN-RED.txt that are no cases.
+        "lease" => entry_lease::run(&name, &record, trouble),
+        "revoke" => entry_revoke::run(&name, &record, trouble),
         _ => 2,
     };
     record.add(format!("exit {code}"));
--- a/review/standins-3/store.rs
+++ b/review/standins-3/store.rs
@@ -169,6 +169,11 @@
         self.shared.1.notify_all();
     }
 
+    /// Ids of leases go on from the copy, so that they are given out again.
+    pub fn give_ids_again(&self, copy: &Copy) {
+        self.shared.0.lock().expect("the store").last_lease = copy.0.last_lease;
+    }
+
     fn handle(&self, conn: &mut Conn, call: &Message, rejects: &AtomicBool) -> bool {
         let turned_away =
             || rejects.load(Ordering::Relaxed) || self.shared.0.lock().expect("the store").is_away;
