Deliver whole answers of servers that want no requests for now

What callers saw: after a server had turned one request away with 503 and Retry-After, each of its whole answers without length and chunks was broken off in place of the last chunk, for as long as it had named. The requests were commits that had run.

Cause: such an answer is complete only if its server is shown to run on after its end. The check is a request, and a server that backs off got none: identity_request returned None, which counted as "no answer". What the server wants of new requests says nothing about an answer it has given.

Change: answers of one process that end during a back-off share their checks. CheckTimes allows them within 250 ms of the first rejection, one more when the first waiting answer would be given up otherwise, and else after the back-off. A connection without a request shows meanwhile whether the process has ended.

Ruled out: taking an accepted connection as evidence, as another process may have the address (a_crash_in_a_backoff_..., Ending::Replace).

--- a/crates/decisions/src/announced/mod.rs
+++ b/crates/decisions/src/announced/mod.rs
@@ -34,6 +34,9 @@
     /// When it was first announced that the upstream is leaving; `None` if it isn't.
     #[serde(rename = "leaves_since")]
     pub leaving_since: Option<UnixMs>,
+    /// When the upstream first turned away a request of this instance in the last back-off.
+    #[serde(rename = "away_since")]
+    pub backoff_since: Option<UnixMs>,
     /// Time until which the upstream accepts no requests from this instance; `None` without a
     /// back-off.
     #[serde(rename = "away_until")]
@@ -47,6 +50,15 @@
     pub last_received_at: UnixMs,
 }
 
+/// A span of time in which an upstream wants no requests from this instance.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Backoff {
+    /// When the upstream first turned a request away.
+    pub since: UnixMs,
+    /// Latest end that it announced since.
+    pub until: UnixMs,
+}
+
 /// Change of an upstream's rate limit.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct RateChange {
@@ -97,6 +109,9 @@
     ) -> Option<UnixMs> {
         let announcement = self.announcement(now, upstream, incarnation)?;
         let until = now + bounded(backoff_ms);
+        if announcement.backoff_until.is_none_or(|until| until <= now) {
+            announcement.backoff_since = Some(now);
+        }
         announcement.backoff_until = announcement.backoff_until.max(Some(until));
         announcement.backoff_until
     }
@@ -167,6 +182,33 @@
         })
     }
 
+    /// Returns an upstream's back-off; `None` if it accepts requests.
+    ///
+    /// ```
+    /// use monsoonspread_decisions::announced::{Announcements, Backoff};
+    /// use monsoonspread_model::UnixMs;
+    ///
+    /// let mut announcements = Announcements::default();
+    /// let server = "server-1".into();
+    /// announcements.on_backoff(UnixMs(5), &server, 1, 2_000);
+    /// announcements.on_backoff(UnixMs(9), &server, 1, 2_000);
+    /// let backoff = Backoff { since: UnixMs(5), until: UnixMs(2_009) };
+    /// assert_eq!(announcements.backoff(UnixMs(2_008), &server, 1), Some(backoff));
+    /// assert_eq!(announcements.backoff(UnixMs(2_009), &server, 1), None);
+    /// ```
+    pub fn backoff(
+        &self,
+        now: UnixMs,
+        upstream: &UpstreamName,
+        incarnation: u64,
+    ) -> Option<Backoff> {
+        let announcement = self.announcements.get(upstream)?;
+        let until = announcement.backoff_until?;
+        let since = announcement.backoff_since?;
+        let is_current = announcement.incarnation == incarnation && now < until;
+        is_current.then_some(Backoff { since, until })
+    }
+
     /// End of an upstream's back-off; `None` if it accepts requests.
     pub fn backoff_until(
         &self,
@@ -174,11 +216,8 @@
         upstream: &UpstreamName,
         incarnation: u64,
     ) -> Option<UnixMs> {
-        let announcement = self.announcements.get(upstream)?;
-        let is_current = announcement.incarnation == incarnation;
-        announcement
-            .backoff_until
-            .filter(|until| is_current && now < *until)
+        let backoff = self.backoff(now, upstream, incarnation)?;
+        Some(backoff.until)
     }
 
     /// Returns the announcement of an upstream, if it made one.
--- a/crates/decisions/src/answer_end/process_evidence.rs
+++ b/crates/decisions/src/answer_end/process_evidence.rs
@@ -19,11 +19,25 @@
     ConnectionRefused,
     /// no answer
     NoAnswer,
+    /// not asked
+    NotAsked,
     /// request unread
     RequestUnread,
 }
 
 impl ProcessEvidence {
+    /// Returns the name of the kind of evidence, for metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Answered { .. } => "answered",
+            Self::OtherProcess => "other_process",
+            Self::ConnectionRefused => "connection_refused",
+            Self::NoAnswer => "no_answer",
+            Self::NotAsked => "not_asked",
+            Self::RequestUnread => "request_unread",
+        }
+    }
+
     /// Whether this shows that the process that started at `started_unix_ms` ran on after the end of its
     /// answer; `listed_start` is that of the process that is listed now, if any.
     ///
--- a/crates/decisions/src/answer_end/tests.rs
+++ b/crates/decisions/src/answer_end/tests.rs
@@ -1,8 +1,12 @@
 use super::EndVerdict::{BrokenOff, Complete, Unconfirmed};
 use super::Framing::{Chunks, Connection, Length};
-use super::{EndVerdict, Framing, ProcessEvidence};
+use super::{CheckTimes, EndVerdict, Framing, ProcessEvidence};
+use crate::announced::Announcements;
 use crate::event_splitter::EventScanner;
 use crate::event_splitter::StreamPosition::{BeforeFirst, BetweenEvents, InsideEvent};
+use monsoonspread_model::UnixMs;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
 
 #[test]
 fn every_end_has_its_verdict() {
@@ -66,6 +70,7 @@
         (ProcessEvidence::OtherProcess, [false; 3]),
         (ProcessEvidence::ConnectionRefused, [false; 3]),
         (ProcessEvidence::NoAnswer, [false; 3]),
+        (ProcessEvidence::NotAsked, [false; 3]),
         (ProcessEvidence::RequestUnread, [false; 3]),
     ];
     for (evidence, expected) in cases {
@@ -74,3 +79,60 @@
         assert_eq!(confirmed, expected, "{evidence:?}");
     }
 }
+
+/// Time in which a rejection and the requests that cross it don't count, in milliseconds, and the maximum number of
+/// requests after it: the platform's rules.
+const UNCOUNTED_MS: u64 = 500;
+const MAX_COUNTED: usize = 2;
+
+/// Guards against checks that a server in need counts as requests while it wants none, under answers of all
+/// lengths that end while it also rejects the checks.
+#[test]
+fn checks_respect_each_backoff_and_confirm_the_first_end_in_it() {
+    for seed in 0..60 {
+        let mut random = ChaCha8Rng::seed_from_u64(seed);
+        let (server, mut announcements) = ("server-1".into(), Announcements::default());
+        let mut checks = CheckTimes::default();
+        let mut waiting: Vec<UnixMs> = Vec::new();
+        let mut rejections: Vec<(UnixMs, UnixMs)> = Vec::new();
+        let mut checked_at: Vec<UnixMs> = Vec::new();
+        let ends_in = random.random_range(1..400);
+        for now in (1..12_000).map(UnixMs) {
+            let backoff = announcements.backoff(now, &server, 1);
+            if random.random_range(0..ends_in) == 0 {
+                waiting.push(now + random.random_range(1_000..8_000));
+            }
+            let is_due = |gives_up_at: &UnixMs| checks.next(now, backoff, *gives_up_at) <= now;
+            let is_checked = waiting.iter().any(is_due);
+            if is_checked {
+                checks.on_check(now, backoff);
+                checked_at.push(now);
+                waiting.clear();
+            }
+            let given_up = waiting.iter().filter(|gives_up_at| **gives_up_at <= now);
+            if given_up.count() > 0 {
+                let since = backoff.expect("a back-off").since;
+                let has_check = checked_at.iter().any(|at| *at >= since);
+                assert!(has_check, "seed {seed}: no check since {since:?}");
+            }
+            waiting.retain(|gives_up_at| *gives_up_at > now);
+            // Requests are sent only outside of back-offs.
+            let is_rejected = (is_checked && random.random_range(0..3) == 0)
+                || (backoff.is_none() && random.random_range(0..300) == 0);
+            if is_rejected {
+                let backoff_ms = random.random_range(200..6_000);
+                announcements.on_backoff(now, &server, 1, backoff_ms);
+                rejections.push((now, now + backoff_ms));
+            }
+        }
+        assert!(!checked_at.is_empty() && !rejections.is_empty());
+        for (at, until) in rejections {
+            let counted = at + UNCOUNTED_MS..until;
+            let sent = checked_at.iter().filter(|at| counted.contains(at)).count();
+            assert!(
+                sent <= MAX_COUNTED,
+                "seed {seed}: {sent} checks in {counted:?}"
+            );
+        }
+    }
+}
--- a/crates/relay/src/call/answer.rs
+++ b/crates/relay/src/call/answer.rs
@@ -10,9 +10,9 @@
 use monsoonspread_model::fleet::{AdapterKey, PromptPart};
 use monsoonspread_model::{Fingerprint, UnixMs, UpstreamName};
 
-use super::end_check::process_evidence;
 use super::request::part_list;
 use crate::connection::{ConnectionEnd, PooledSender};
+use crate::end_check::{EndQuestion, process_evidence};
 use crate::event::{Line, kind};
 use crate::holding::CopyRequestGuard;
 use crate::room::Place;
@@ -53,6 +53,7 @@
     route: String,
     upstream: UpstreamName,
     arrived_at: UnixMs,
+    deadline: UnixMs,
     first_byte_at: Option<UnixMs>,
     last_byte_at: UnixMs,
     longest_pause_ms: u64,
@@ -94,6 +95,7 @@
             route: request.route.name.clone(),
             upstream: upstream.clone(),
             arrived_at: request.arrived_at,
+            deadline: request.deadline,
             first_byte_at: None,
             last_byte_at: UnixMs(0),
             longest_pause_ms: 0,
@@ -187,13 +189,14 @@
     /// Checks whether the upstream closed the connection on purpose, and its process runs on.
     pub(super) fn check_end(&self) -> EndCheck {
         let shared = Rc::clone(&self.shared);
-        let record = self.in_flight.as_ref().map(|sent| sent.upstream.clone());
+        let upstream = self.in_flight.as_ref().map(|sent| sent.upstream.clone());
+        let question = upstream.map(|sent| EndQuestion::new(&shared, sent, self.deadline));
         let connection = self.connection.clone();
         Box::pin(async move {
-            let Some(record) = record else {
-                return ProcessEvidence::NoAnswer;
+            let Some(question) = question else {
+                return ProcessEvidence::NotAsked;
             };
-            let evidence = process_evidence(shared, record).await;
+            let evidence = process_evidence(shared, question).await;
             match connection.is_regular().await {
                 true => evidence,
                 false => ProcessEvidence::RequestUnread,
@@ -218,6 +221,7 @@
             "unconfirmed"
         };
         self.shared.metrics.count("unframed_ends", outcome);
+        self.shared.metrics.count("end_checks", evidence.name());
         if is_complete {
             self.on_complete();
         } else {
--- a/crates/relay/src/call/mod.rs
+++ b/crates/relay/src/call/mod.rs
@@ -9,7 +9,6 @@
 mod candidates;
 mod charge;
 mod client_body;
-mod end_check;
 mod forward;
 mod handler;
 mod headers;
--- a/crates/relay/src/fleet/view.rs
+++ b/crates/relay/src/fleet/view.rs
@@ -6,7 +6,7 @@
 
 use monsoonspread_borders::relay::{FleetChange, FleetChanges, FleetMember};
 use monsoonspread_decisions::adapter_versions::AdapterVersions;
-use monsoonspread_decisions::announced::Announcements;
+use monsoonspread_decisions::announced::{Announcements, Backoff};
 use monsoonspread_decisions::change_feed::MAX_SOURCES;
 use monsoonspread_decisions::route_table::RouteTable;
 use monsoonspread_decisions::store_health::{
@@ -92,6 +92,12 @@
             .backoff_until(now, &upstream.name, incarnation)
     }
 
+    /// Returns the back-off of an upstream from this instance; `None` if it accepts work.
+    pub fn backoff(&self, now: UnixMs, upstream: &UpstreamRecord) -> Option<Backoff> {
+        let incarnation = upstream.started_unix_ms;
+        self.announcements.backoff(now, &upstream.name, incarnation)
+    }
+
     /// Returns the rate limit of this incarnation of an upstream; `None` without a limit.
     pub fn rate_limit(&self, upstream: &UpstreamName, incarnation: u64) -> Option<RateLimit> {
         self.announcements.rate_limit(upstream, incarnation)
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -10,6 +10,7 @@
 mod borders;
 mod call;
 mod connection;
+mod end_check;
 mod error;
 mod fleet;
 mod gossip;
--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -21,6 +21,7 @@
 use crate::borders::Borders;
 use crate::clock::SteadyClock;
 use crate::connection::Pool;
+use crate::end_check::EndChecks;
 use crate::fleet::{FleetEvent, FleetView, Subscribers};
 use crate::gossip::{Gossiper, ReceivedGossip};
 use crate::guard::Guard;
@@ -93,6 +94,8 @@
     pub rooms: Rooms,
     /// Requests suspected of crashing upstreams.
     pub suspects: Suspects,
+    /// Checks whether upstreams run on after the ends of answers.
+    pub end_checks: EndChecks,
     /// Unknown and malformed announcements that were logged.
     pub logged_announcements: RefCell<BTreeSet<String>>,
     /// Gossip to other instances.
@@ -138,6 +141,7 @@
             quotas: Quotas::new(&bounds, clock.now()),
             rooms: Rooms::default(),
             suspects: Suspects::default(),
+            end_checks: EndChecks::default(),
             logged_announcements: RefCell::default(),
             gossiper: Gossiper::default(),
             guard: Guard::new(&settings, clock),
