Leave servers alone that turn the check of an answer's end away

What servers saw: a server that answered the check of an answer's end with 503 and Retry-After got requests all the same.

Cause: the answer to a check was read for its process only. Whatever it announced was dropped, while the answers to requests, orders and reports are all read for announcements.

Evidence: a_server_that_turns_a_check_away_is_left_alone_too failed before (the next request was sent at once: 200 where 503 is expected) and passes.

--- a/crates/relay/src/end_check/ask.rs
+++ b/crates/relay/src/end_check/ask.rs
@@ -2,11 +2,13 @@
 
 use std::io::{Error, ErrorKind};
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::header::{HOST, HeaderValue};
+use hyper::http::response::Parts;
 use hyper::{Request, Uri};
 use monsoonspread_borders::http::is_final;
 use monsoonspread_borders::relay::{AnsweredBy, IdentityRequest};
@@ -16,6 +18,7 @@
 use tokio::time::timeout;
 
 use crate::connection::UpstreamSender;
+use crate::gossip::AnswerSource;
 use crate::shared::Shared;
 
 /// Maximum time to connect, in milliseconds: many round trips to another zone.
@@ -25,7 +28,7 @@
 
 /// Asks `upstream` which process it is; returns `None` if neither an answer nor a refusal arrives.
 pub(super) async fn ask(
-    shared: &Shared,
+    shared: &Rc<Shared>,
     upstream: &UpstreamRecord,
     identity: &IdentityRequest,
 ) -> Option<ProcessEvidence> {
@@ -52,7 +55,12 @@
     let dialect = &shared.borders.dialect;
     let answered = dialect.read_identity(&upstream.name, head.status, &head.headers, &body);
     Some(match answered {
-        AnsweredBy::Upstream { started_unix_ms } => ProcessEvidence::Answered { started_unix_ms },
+        AnsweredBy::Upstream { started_unix_ms } => {
+            if started_unix_ms.is_none_or(|started| started == upstream.started_unix_ms) {
+                on_announcement(shared, upstream, &head);
+            }
+            ProcessEvidence::Answered { started_unix_ms }
+        }
         AnsweredBy::Other => ProcessEvidence::OtherProcess,
     })
 }
@@ -72,6 +80,18 @@
     connected.ok()
 }
 
+/// Handles what the upstream announced: it may turn a check away like any other request.
+fn on_announcement(shared: &Rc<Shared>, upstream: &UpstreamRecord, head: &Parts) {
+    let dialect = &shared.borders.dialect;
+    let answer = dialect.read_answer(head.status, &head.headers, "");
+    shared.on_announcement(
+        AnswerSource::Check,
+        &upstream.name,
+        upstream.started_unix_ms,
+        &answer.announcement,
+    );
+}
+
 fn message(identity: &IdentityRequest, address: SocketAddr) -> Option<Request<Full<Bytes>>> {
     let mut message = Request::new(Full::new(Bytes::new()));
     *message.uri_mut() = identity.path.parse::<Uri>().ok()?;
--- a/crates/relay/src/gossip/received.rs
+++ b/crates/relay/src/gossip/received.rs
@@ -28,6 +28,8 @@
     Order,
     /// A report.
     Report,
+    /// The answer to a check whether the upstream's process runs on.
+    Check,
 }
 
 impl AnswerSource<'_> {
@@ -37,6 +39,7 @@
             Self::Request { .. } => "answer",
             Self::Order => "order",
             Self::Report => "report",
+            Self::Check => "check",
         }
     }
 }
@@ -184,7 +187,7 @@
         };
         let id = match source {
             AnswerSource::Request { id, .. } => id,
-            AnswerSource::Order | AnswerSource::Report => "",
+            AnswerSource::Order | AnswerSource::Report | AnswerSource::Check => "",
         };
         if self.on_rate_limit(source.name(), id, observed_at, upstream, incarnation, limit)
             && let Some(observation) = self.rate_observation(upstream)
