Keep a holder's wait for its predecessor through a planned stop

What engines saw: orders of two instances at once, after a holder that still waited for the one before it was stopped as planned and started again.

Cause: on a planned stop a holder records "Stopped" for each of its engines, also for those on which it was not allowed to give orders yet. The next process of that name takes "Stopped" for the end of all orders and begins at once. The record had no place for the wait.

Change: the record tells how long its holder still had to wait, whatever it does. The next holder waits as long from the moment it reads that. Records without it (earlier builds) are read as before.

Ruled out: keeping "Waits" in the record of a stopped holder. It binds the engine to a lease that runs on for 8 s, and the wait would begin again.

--- a/crates/borders/src/relay/fleet_store.rs
+++ b/crates/borders/src/relay/fleet_store.rs
@@ -33,6 +33,10 @@
     pub holder: InstanceName,
     /// What the holder is doing.
     pub activity: HolderActivity,
+    /// How long after the record was written the holder had to wait for its predecessors, in milliseconds; `None` if
+    /// the record doesn't show who gave orders last.
+    #[serde(default)]
+    pub orders_in_ms: Option<u64>,
     /// Store revision of the record, which is the fencing number of the holder's orders.
     pub fence: u64,
 }
@@ -97,6 +101,9 @@
     pub holder: InstanceName,
     /// What the holder is doing; the record of a holder that stopped is kept after its lease ends.
     pub activity: HolderActivity,
+    /// How long the holder still must wait for its predecessors, in milliseconds; a holder that stopped leaves
+    /// the rest of its wait to the next one.
+    pub orders_in_ms: u64,
 }
 
 /// Result of a claim.
--- a/crates/decisions/src/holders/holder_state.rs
+++ b/crates/decisions/src/holders/holder_state.rs
@@ -13,6 +13,8 @@
 const RESTART_MS: u64 = 2_500;
 
 /// Known state of an engine's holder record.
+///
+/// Each state has the time from which its next holder may give orders.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum HolderState {
     /// The engine never had a holder.
@@ -26,10 +28,8 @@
         holder: InstanceName,
         /// Revision of the record.
         revision: u64,
-        /// The holder has given no order yet because it waits for its predecessor to stop.
-        waiting: bool,
-        /// When this state was received.
-        since: UnixMs,
+        /// Time from which the holder, or its next process, may give orders.
+        orders_from: UnixMs,
     },
     /// The last holder released the engine.
     Stopped {
@@ -39,13 +39,15 @@
         revision: u64,
         /// When this state was received.
         since: UnixMs,
+        /// Time from which the next process of the holder may give orders.
+        orders_from: UnixMs,
     },
     /// The record was removed; the previous holder may not know of it yet.
     Removed {
         /// When this state was received.
         since: UnixMs,
-        /// The store was reachable throughout, so the holder's lease has run out.
-        expired: bool,
+        /// Time from which any instance may give orders.
+        orders_from: UnixMs,
     },
 }
 
@@ -75,31 +77,48 @@
         }
     }
 
+    /// Returns the state after the record was removed; `expired` if the lease of its holder ran out.
+    ///
+    /// A holder whose lease ran out gives no more orders, as the lease lasts at least as long as the confirmation.
+    /// Any other holder continues until its confirmation ends.
+    pub(super) fn removed(now: UnixMs, expired: bool, order_gap_ms: u64) -> Self {
+        let ended_by = match expired {
+            true => now,
+            false => now + CONFIRMED_FOR_MS,
+        };
+        Self::Removed {
+            since: now,
+            orders_from: ended_by + order_gap_ms + IN_TRANSIT_MS,
+        }
+    }
+
     /// Earliest time at which `local` may give an order after a claim.
     ///
-    /// A stopped holder and one whose lease ran out give no more orders. A holder whose record was
-    /// removed otherwise continues until its confirmation ends. Orders of successive holders are
-    /// `order_gap_ms` apart.
+    /// A stopped holder gives no more orders. Orders of successive holders are `order_gap_ms` apart.
     pub(super) fn orders_from(&self, local: &InstanceName, order_gap_ms: u64) -> UnixMs {
         match self {
             Self::NeverHeld { .. } => UnixMs(0),
             Self::Held {
                 holder,
-                waiting: true,
-                since,
+                orders_from,
                 ..
-            } if holder == local => *since + CONFIRMED_FOR_MS + order_gap_ms + IN_TRANSIT_MS,
-            Self::Held { holder, .. } | Self::Stopped { holder, .. } if holder == local => {
-                UnixMs(0)
             }
+            | Self::Stopped {
+                holder,
+                orders_from,
+                ..
+            } if holder == local => *orders_from,
             Self::Held { .. } => UnixMs(u64::MAX),
-            Self::Stopped { since, .. } => *since + order_gap_ms + IN_TRANSIT_MS,
-            // The lease lasts at least as long as the confirmation.
-            Self::Removed {
-                since,
-                expired: true,
-            } => *since + order_gap_ms + IN_TRANSIT_MS,
-            Self::Removed { since, .. } => *since + CONFIRMED_FOR_MS + order_gap_ms + IN_TRANSIT_MS,
+            Self::Stopped {
+                since, orders_from, ..
+            } => (*orders_from).max(*since + order_gap_ms + IN_TRANSIT_MS),
+            Self::Removed { orders_from, .. } => *orders_from,
         }
     }
 }
+
+/// Returns how long after a record of unknown truth was read orders of any former holder may arrive, in
+/// milliseconds, and how long the next holder must wait after them.
+pub(super) fn longest_wait_ms(order_gap_ms: u64) -> u64 {
+    CONFIRMED_FOR_MS + order_gap_ms + IN_TRANSIT_MS
+}
--- a/crates/decisions/src/holders/mod.rs
+++ b/crates/decisions/src/holders/mod.rs
@@ -6,10 +6,12 @@
 
 mod confirmation;
 mod holder_state;
+mod known_holder;
 mod plan;
 #[cfg(test)]
 mod tests;
 
 pub use confirmation::{CONFIRMED_FOR_MS, Confirmation};
 pub use holder_state::HolderState;
+pub use known_holder::KnownHolder;
 pub use plan::{HolderPlan, PlannedClaim};
--- a/crates/decisions/src/holders/plan.rs
+++ b/crates/decisions/src/holders/plan.rs
@@ -5,7 +5,8 @@
 use monsoonspread_model::fleet::HolderActivity;
 use monsoonspread_model::{InstanceName, UnixMs, UpstreamName, ZoneName};
 
-use super::HolderState;
+use super::holder_state::longest_wait_ms;
+use super::{HolderState, KnownHolder};
 
 /// How long each instance of the plan may claim before it is the next one's turn, in milliseconds.
 ///
@@ -71,10 +72,7 @@
         let holder_state = if complete {
             HolderState::NeverHeld { since: now }
         } else {
-            HolderState::Removed {
-                since: now,
-                expired: false,
-            }
+            self.unknown(now)
         };
         let engine = Engine {
             zone: zone.clone(),
@@ -92,35 +90,31 @@
     }
 
     /// A holder was recorded for an engine.
-    pub fn on_holder(
-        &mut self,
-        now: UnixMs,
-        name: &UpstreamName,
-        holder: InstanceName,
-        activity: HolderActivity,
-        revision: u64,
-    ) {
-        let since = now;
-        let holder_state = match activity {
+    pub fn on_holder(&mut self, now: UnixMs, name: &UpstreamName, known: KnownHolder) {
+        let revision = known.revision;
+        let waits_ms = known
+            .orders_in_ms
+            .unwrap_or(longest_wait_ms(self.order_gap_ms));
+        // The record was written before it was received.
+        let orders_from = now + waits_ms;
+        let holder_state = match known.activity {
             HolderActivity::Stopped => HolderState::Stopped {
-                holder,
+                holder: known.holder,
                 revision,
-                since,
+                since: now,
+                orders_from,
             },
             HolderActivity::Orders | HolderActivity::Waits => HolderState::Held {
-                holder,
+                holder: known.holder,
                 revision,
-                waiting: activity == HolderActivity::Waits,
-                since,
+                orders_from,
             },
         };
+        let unknown = self.unknown(now);
         let engine = self.engines.entry(name.clone()).or_insert_with(|| Engine {
             zone: ZoneName::from(""),
             listed: false,
-            holder_state: HolderState::Removed {
-                since: now,
-                expired: false,
-            },
+            holder_state: unknown,
         });
         if engine.holder_state.revision() < revision {
             engine.holder_state = holder_state;
@@ -130,10 +124,15 @@
     /// An engine's holder record was removed; `expired` if its lease certainly ran out.
     pub fn on_holder_removed(&mut self, now: UnixMs, name: &UpstreamName, expired: bool) {
         if let Some(engine) = self.engines.get_mut(name) {
-            engine.holder_state = HolderState::Removed {
-                since: now,
-                expired,
-            };
+            engine.holder_state = HolderState::removed(now, expired, self.order_gap_ms);
+        }
+    }
+
+    /// Returns the state of an engine of whose holders nothing is known.
+    fn unknown(&self, now: UnixMs) -> HolderState {
+        HolderState::Removed {
+            since: now,
+            orders_from: now + longest_wait_ms(self.order_gap_ms),
         }
     }
 
--- a/crates/relay/src/holding/claims.rs
+++ b/crates/relay/src/holding/claims.rs
@@ -4,7 +4,7 @@
 
 use monsoonspread_borders::relay::{ClaimOutcome, ClaimWrite, LeaseId};
 use monsoonspread_decisions::copies::{CopyControl, CopyRefusal};
-use monsoonspread_decisions::holders::PlannedClaim;
+use monsoonspread_decisions::holders::{KnownHolder, PlannedClaim};
 use monsoonspread_model::fleet::HolderActivity;
 use monsoonspread_model::{UnixMs, UpstreamName};
 
@@ -35,6 +35,7 @@
                     expected_revision: claim.expected_revision,
                     holder: shared.settings.instance.clone(),
                     activity: activity(claim.orders_from, now),
+                    orders_in_ms: claim.orders_from.ms_since(now),
                 })
                 .collect();
             if let Some(fence) = write(shared, lease, &writes).await {
@@ -52,21 +53,20 @@
             Some(until) => until <= now,
             None => !engine.is_recorded,
         };
-        let over: Vec<(UpstreamName, u64)> = {
+        let over: Vec<ClaimWrite> = {
             let engines = self.engines.borrow();
             let over = engines.iter().filter(|(_, engine)| is_due(engine));
-            over.map(|(name, engine)| (name.clone(), engine.record))
+            over.map(|(name, engine)| record(shared, name, engine, HolderActivity::Orders, 0))
                 .collect()
         };
-        for part in over.chunks(CLAIMS_AT_ONCE) {
-            let writes = self.records(shared, part, HolderActivity::Orders);
-            let Some(fence) = write(shared, lease, &writes).await else {
+        for writes in over.chunks(CLAIMS_AT_ONCE) {
+            let Some(fence) = write(shared, lease, writes).await else {
                 continue;
             };
             let mut engines = self.engines.borrow_mut();
-            for (name, former) in part {
-                if let Some(engine) = engines.get_mut(name)
-                    && engine.record == *former
+            for written in writes {
+                if let Some(engine) = engines.get_mut(&written.upstream)
+                    && engine.record == written.expected_revision
                 {
                     engine.record = fence;
                     engine.is_recorded = true;
@@ -79,39 +79,27 @@
         }
     }
 
-    fn records(
-        &self,
-        shared: &Shared,
-        held: &[(UpstreamName, u64)],
-        activity: HolderActivity,
-    ) -> Vec<ClaimWrite> {
-        let records = held.iter().map(|(name, revision)| ClaimWrite {
-            upstream: name.clone(),
-            expected_revision: *revision,
-            holder: shared.settings.instance.clone(),
-            activity,
-        });
-        records.collect()
-    }
-
     /// Records that this instance no longer gives orders, and releases its engines.
+    ///
+    /// An engine that waited for a former holder passes the rest of this wait on in its record.
     pub async fn release(&self, shared: &Rc<Shared>) {
-        let held: Vec<(UpstreamName, u64)> = {
+        let now = shared.now();
+        let held: Vec<ClaimWrite> = {
             let engines = self.engines.borrow();
-            engines
-                .iter()
-                .map(|(name, engine)| (name.clone(), engine.record))
-                .collect()
+            let held = engines.iter().map(|(name, engine)| {
+                let wait_ms = engine.waits_until.map_or(0, |until| until.ms_since(now));
+                record(shared, name, engine, HolderActivity::Stopped, wait_ms)
+            });
+            held.collect()
         };
-        for (name, _) in &held {
-            self.release_engine(shared, name, CopyRefusal::NotHolder);
+        for released in &held {
+            self.release_engine(shared, &released.upstream, CopyRefusal::NotHolder);
         }
         let Some(lease) = self.lease.get() else {
             return;
         };
-        for part in held.chunks(CLAIMS_AT_ONCE) {
-            let writes = self.records(shared, part, HolderActivity::Stopped);
-            write(shared, lease, &writes).await;
+        for writes in held.chunks(CLAIMS_AT_ONCE) {
+            write(shared, lease, writes).await;
         }
     }
 
@@ -120,11 +108,14 @@
         let now = shared.now();
         for claim in claims {
             let name = &claim.upstream;
-            let local = shared.settings.instance.clone();
             let activity = activity(claim.orders_from, written_at);
-            self.plan
-                .borrow_mut()
-                .on_holder(now, name, local, activity, fence);
+            let known = KnownHolder {
+                holder: shared.settings.instance.clone(),
+                activity,
+                orders_in_ms: Some(claim.orders_from.ms_since(now)),
+                revision: fence,
+            };
+            self.plan.borrow_mut().on_holder(now, name, known);
             let Some((address, shape)) = shared.engine_shape(name) else {
                 continue;
             };
@@ -167,6 +158,23 @@
     }
 }
 
+/// Returns the record of a held engine with another activity.
+fn record(
+    shared: &Shared,
+    name: &UpstreamName,
+    engine: &HeldEngine,
+    activity: HolderActivity,
+    orders_in_ms: u64,
+) -> ClaimWrite {
+    ClaimWrite {
+        upstream: name.clone(),
+        expected_revision: engine.record,
+        holder: shared.settings.instance.clone(),
+        activity,
+        orders_in_ms,
+    }
+}
+
 /// Writes holder records; returns their revision.
 async fn write(shared: &Shared, lease: LeaseId, writes: &[ClaimWrite]) -> Option<u64> {
     let outcome = match shared.borders.store.claim(lease, writes).await {
--- a/crates/relay/src/holding/controller.rs
+++ b/crates/relay/src/holding/controller.rs
@@ -9,7 +9,7 @@
     CopyAction, CopyControlDump, CopyRefusal, CopyRequest, CopyRequestId, EngineQuote, LateOrders,
     QuoteQuestion,
 };
-use monsoonspread_decisions::holders::{Confirmation, HolderPlan};
+use monsoonspread_decisions::holders::{Confirmation, HolderPlan, KnownHolder};
 use monsoonspread_model::fleet::{UpstreamRecord, UpstreamStage};
 use monsoonspread_model::{InstanceName, UnixMs, UpstreamName};
 use tokio::sync::{Notify, oneshot};
@@ -138,8 +138,13 @@
                 });
             }
             FleetEvent::Holder(record) => {
-                let holder = record.holder.clone();
-                plan.on_holder(now, &record.upstream, holder, record.activity, record.fence);
+                let known = KnownHolder {
+                    holder: record.holder.clone(),
+                    activity: record.activity,
+                    orders_in_ms: record.orders_in_ms,
+                    revision: record.fence,
+                };
+                plan.on_holder(now, &record.upstream, known);
                 drop(plan);
                 if record.holder != shared.settings.instance {
                     self.release_engine(shared, &record.upstream, CopyRefusal::NotHolder);
