Keep a holder's wait as the lease of the one that waits runs out

What engines would see: orders of two holders within the gap between them, where the instance that waited is killed in its wait and another one, which has seen no trouble of the store, takes over.

The state of a removed record was made of the moment of its removal only. The lease of an instance that waits may end before the holder before it stops.

Change: the state of a removed record keeps the wait of the record before.

Not seen with processes; found by reading.

--- a/crates/decisions/src/holders/holder_state.rs
+++ b/crates/decisions/src/holders/holder_state.rs
@@ -14,7 +14,8 @@
 
 /// Known state of an engine's holder record.
 ///
-/// Each state has the time from which its next holder may give orders.
+/// Each state has the time from which its next holder may give orders. It covers all holders before, so a state
+/// that follows another one never names an earlier time unless a holder has given orders since.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum HolderState {
     /// The engine never had a holder.
@@ -80,15 +81,22 @@
     /// Returns the state after the record was removed; `expired` if the lease of its holder ran out.
     ///
     /// A holder whose lease ran out gives no more orders, as the lease lasts at least as long as the confirmation.
-    /// Any other holder continues until its confirmation ends.
-    pub(super) fn removed(now: UnixMs, expired: bool, order_gap_ms: u64) -> Self {
+    /// Any other holder continues until its confirmation ends. A holder that was still waiting for the one before
+    /// it leaves this wait to the next one.
+    pub(super) fn removed(&self, now: UnixMs, expired: bool, order_gap_ms: u64) -> Self {
         let ended_by = match expired {
             true => now,
             false => now + CONFIRMED_FOR_MS,
         };
+        let waits_until = match self {
+            Self::NeverHeld { .. } => UnixMs(0),
+            Self::Held { orders_from, .. }
+            | Self::Stopped { orders_from, .. }
+            | Self::Removed { orders_from, .. } => *orders_from,
+        };
         Self::Removed {
             since: now,
-            orders_from: ended_by + order_gap_ms + IN_TRANSIT_MS,
+            orders_from: waits_until.max(ended_by + order_gap_ms + IN_TRANSIT_MS),
         }
     }
 
--- a/crates/decisions/src/holders/plan.rs
+++ b/crates/decisions/src/holders/plan.rs
@@ -124,7 +124,7 @@
     /// An engine's holder record was removed; `expired` if its lease certainly ran out.
     pub fn on_holder_removed(&mut self, now: UnixMs, name: &UpstreamName, expired: bool) {
         if let Some(engine) = self.engines.get_mut(name) {
-            engine.holder_state = HolderState::removed(now, expired, self.order_gap_ms);
+            engine.holder_state = engine.holder_state.removed(now, expired, self.order_gap_ms);
         }
     }
 
--- a/crates/decisions/src/holders/tests.rs
+++ b/crates/decisions/src/holders/tests.rs
@@ -126,7 +126,8 @@
     Lost,
 }
 
-/// Guards against a wait for a former holder that is forgotten on the way: in a planned stop, or as its record is lost.
+/// Guards against a wait for a former holder that is forgotten on the way: in a planned stop, as the lease of the
+/// instance that waits runs out, or as its record is lost.
 #[test]
 fn a_wait_outlasts_each_change_of_the_record() {
     const LONGEST: u64 = CONFIRMED_FOR_MS + GAP_MS + 500;
@@ -142,9 +143,12 @@
         (Orders, Some(0), Next::Lost, "b2", Some(1_000 + LONGEST)),
         (Waits, Some(WAIT), Next::Unchanged, "b1", Some(WAIT)),
         (Waits, Some(WAIT), Next::Unchanged, "b2", None),
+        (Waits, Some(WAIT), Next::Expired, "b1", Some(WAIT)),
+        (Waits, Some(WAIT), Next::Expired, "b2", Some(WAIT)),
         (Waits, Some(100), Next::Expired, "b2", Some(1_000 + GAP)),
         (Waits, Some(WAIT), Next::Lost, "b2", Some(1_000 + LONGEST)),
         (Waits, None, Next::Unchanged, "b1", Some(LONGEST)),
+        (Waits, None, Next::Expired, "b2", Some(LONGEST)),
         (Stopped, Some(0), Next::Unchanged, "b1", Some(0)),
         (Stopped, Some(0), Next::Unchanged, "b2", Some(GAP)),
         (Stopped, Some(WAIT), Next::Unchanged, "b1", Some(WAIT)),
