Ask about an answer's end at the path its request was routed with

What callers saw: when a configuration no longer listed the service of a route, whole answers of that service without length and chunks, which were under way at that moment, were broken off in place of the last chunk. The requests were commits that had run.

Cause: whether the server of such an answer runs on is asked at the health path of its service, which was looked up in the configuration in force as the answer ended. Without the service the server wasn't asked, which counts against the answer.

Change: the request takes the path along from the configuration that routed it. The question about an end is made of facts about its request only.

--- a/crates/borders/src/relay/dialect.rs
+++ b/crates/borders/src/relay/dialect.rs
@@ -127,6 +127,15 @@
     pub slowness_percent: u32,
 }
 
+/// How the upstreams of a service are asked which process they are.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct IdentityPath {
+    /// Path of the GET request.
+    pub path: String,
+    /// Whether the body of the answer tells the start time of the process.
+    pub has_start: bool,
+}
+
 /// A request to an upstream that it answers without running anything, to learn which process answers.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct IdentityRequest {
@@ -165,12 +174,15 @@
     /// Reads the metadata of an answer to the request `request_id`.
     fn read_answer(&self, status: StatusCode, headers: &HeaderMap, request_id: &str) -> AnswerHead;
 
-    /// Returns the request that asks `upstream` of `service` which process it is; `None` if the upstream can't be
-    /// named in one.
+    /// Returns how the upstreams of `service` are asked which process they are.
+    fn identity_path(&self, service: &RelayService) -> IdentityPath;
+
+    /// Returns the request that asks `upstream` at `path` which process it is; `None` if the upstream can't be named
+    /// in one.
     fn identity_request(
         &self,
         upstream: &UpstreamName,
-        service: &RelayService,
+        path: &IdentityPath,
     ) -> Option<IdentityRequest>;
 
     /// Reads the answer to an [`IdentityRequest`] for `upstream`; `body` is empty if it wasn't read.
--- a/crates/borders/src/relay/mod.rs
+++ b/crates/borders/src/relay/mod.rs
@@ -8,7 +8,7 @@
 
 pub use dialect::{
     AnnouncedRate, AnswerHead, AnswerId, AnsweredBy, Backoff, BadCallHead, CallerMark, Dialect,
-    IdentityRequest, ServerLoad, UpstreamAnnouncement, UpstreamHead,
+    IdentityPath, IdentityRequest, ServerLoad, UpstreamAnnouncement, UpstreamHead,
 };
 pub use engine_control::{EngineControl, EngineReply};
 pub use fleet_store::{
--- a/crates/relay/src/call/answer.rs
+++ b/crates/relay/src/call/answer.rs
@@ -3,7 +3,7 @@
 use std::pin::Pin;
 use std::rc::Rc;
 
-use monsoonspread_borders::relay::ServerLoad;
+use monsoonspread_borders::relay::{IdentityPath, ServerLoad};
 use monsoonspread_decisions::answer_end::{EndVerdict, Framing, ProcessEvidence};
 use monsoonspread_decisions::event_splitter::StreamPosition;
 use monsoonspread_decisions::room::PlaceEnd;
@@ -52,6 +52,7 @@
     fingerprint: Fingerprint,
     route: String,
     upstream: UpstreamName,
+    identity_path: Option<IdentityPath>,
     arrived_at: UnixMs,
     deadline: UnixMs,
     first_byte_at: Option<UnixMs>,
@@ -94,6 +95,7 @@
             fingerprint: request.fingerprint,
             route: request.route.name.clone(),
             upstream: upstream.clone(),
+            identity_path: request.identity_path.clone(),
             arrived_at: request.arrived_at,
             deadline: request.deadline,
             first_byte_at: None,
@@ -190,7 +192,10 @@
     pub(super) fn check_end(&self) -> EndCheck {
         let shared = Rc::clone(&self.shared);
         let upstream = self.in_flight.as_ref().map(|sent| sent.upstream.clone());
-        let question = upstream.map(|sent| EndQuestion::new(&shared, sent, self.deadline));
+        let path = self.identity_path.as_ref();
+        let question = upstream.zip(path).map(|(upstream, path)| {
+            EndQuestion::new(&shared, upstream, path).with_give_up_at(self.deadline)
+        });
         let connection = self.connection.clone();
         Box::pin(async move {
             let Some(question) = question else {
--- a/crates/relay/src/call/handler.rs
+++ b/crates/relay/src/call/handler.rs
@@ -79,11 +79,11 @@
     let Some(service) = pick_service(&route, &head.request_id).cloned() else {
         return refusal::not_run(NO_CONFIG_RETRY_MS);
     };
-    let engine = routes
-        .config()
-        .service(&service)
-        .is_some_and(|s| s.engine.is_some());
+    let listed = routes.config().service(&service);
+    let engine = listed.is_some_and(|service| service.engine.is_some());
+    let identity_path = listed.map(|listed| shared.borders.dialect.identity_path(listed));
     let request = RelayRequest::new(parts, body, head, caller, route, service, arrived_at)
+        .with_identity_path(identity_path)
         .with_charge(charge);
     if let Some(refusal) = suspect::refused(shared, &request) {
         return refusal;
--- a/crates/relay/src/call/request.rs
+++ b/crates/relay/src/call/request.rs
@@ -7,6 +7,7 @@
 use bytes::Bytes;
 use hyper::http::request::Parts;
 use hyper::{HeaderMap, Method, Uri};
+use monsoonspread_borders::relay::IdentityPath;
 use monsoonspread_model::fleet::{CallHead, Merit, PromptPart, Route};
 use monsoonspread_model::{Fingerprint, ServiceName, UnixMs};
 
@@ -45,6 +46,8 @@
     pub(super) suspect_parts: Rc<[Fingerprint]>,
     pub(super) route: Arc<Route>,
     pub(super) service: ServiceName,
+    /// How the service's upstreams are asked which process they are; `None` if the service isn't listed.
+    pub(super) identity_path: Option<IdentityPath>,
     pub(super) arrived_at: UnixMs,
     /// When the client or the route gives up on the request.
     pub(super) deadline: UnixMs,
@@ -79,11 +82,18 @@
             fingerprint,
             route,
             service,
+            identity_path: None,
             arrived_at,
             deadline: arrived_at + timeout_ms,
         }
     }
 
+    /// Sets how the service's upstreams are asked which process they are.
+    pub(super) fn with_identity_path(mut self, path: Option<IdentityPath>) -> Self {
+        self.identity_path = path;
+        self
+    }
+
     /// Sets what the request counts against the quota of its workspace.
     pub(super) fn with_charge(mut self, charge: Option<QuotaCharge>) -> Self {
         self.charge = charge.map(Rc::new);
