Refuse requests that still wait before a planned stop ends

What callers saw: requests that waited for a place at a busy engine when a planned stop ended got no answer. No server had run them.

Cause: a stopping process accepts requests for 2.7 s and ends 7.3 s after the signal. A request may wait for a copy for two and a half times its objective, which reaches beyond that for objectives from 1.85 s on. Nothing that waited knew of the end of the process.

Change: StopPlan has the times of a stop, among them a new one after which no request is sent to an upstream, half way between the last accepted request and the end. Requests that wait then are refused with 503, or with 502 if an upstream may have run them. This is decided around the whole request, so it holds for quotas, bodies, places, copies, permits and pauses alike; streams are not resumed after it. Copies, permits and places are asked for until then only. Short grace periods shorten all times, and a store that doesn't answer delays no step of the stop.

Ruled out: refusing all that waits with the last accepted request, 2.7 s after the signal. Most requests that wait then are sent soon after.

--- a/crates/borders/src/relay/dialect.rs
+++ b/crates/borders/src/relay/dialect.rs
@@ -161,6 +161,9 @@
 
 /// The platform's headers: how to read and write the metadata of requests and answers.
 pub trait Dialect {
+    /// Returns the id of a request; `None` if it has none that can be read.
+    fn request_id<'a>(&self, headers: &'a HeaderMap) -> Option<&'a str>;
+
     /// Reads the metadata of a request.
     ///
     /// # Errors
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -29,5 +29,6 @@
 pub mod room;
 pub mod route_table;
 pub mod service_route;
+pub mod stop_plan;
 pub mod store_health;
 pub mod straggler;
--- a/crates/relay/src/call/attempt.rs
+++ b/crates/relay/src/call/attempt.rs
@@ -37,7 +37,7 @@
         /// Load of the upstream, if it answered and reports one.
         load: Option<ServerLoad>,
     },
-    /// Not sent, because the request is suspected or quarantined, or its key admits it no longer.
+    /// Not sent, because the request is suspected or quarantined, its key admits it no longer, or the process stops.
     Withheld,
     /// The upstream may have run the request.
     Unknown,
@@ -62,11 +62,13 @@
     upstream: &UpstreamRecord,
     options: AttemptOptions,
 ) -> Attempt {
-    if !super::suspect::may_be_sent(shared, request)
+    if !shared.may_start()
+        || !super::suspect::may_be_sent(shared, request)
         || !super::admission::may_be_sent(shared, request)
     {
         return Attempt::Withheld;
     }
+    let run = request.runs.begin();
     let mut in_flight = InFlightRequest::new(
         shared,
         request.fingerprint,
@@ -90,6 +92,7 @@
         }
         Ok(Err(SendFailure::NotSent(why))) => {
             log_failure(request, upstream, "not sent", &why);
+            run.on_not_run();
             charge.inspect(|charge| charge.on_not_run());
             return Attempt::NotRun {
                 misdirected: false,
@@ -101,12 +104,16 @@
             in_flight.on_break();
             return Attempt::Unknown;
         }
-        Ok(Ok(None)) => return Attempt::Withheld,
+        Ok(Ok(None)) => {
+            run.on_not_run();
+            return Attempt::Withheld;
+        }
         Ok(Ok(Some((response, sender)))) => {
             classify_answer(shared, request, sent_at, response, sender, in_flight)
         }
     };
     if matches!(outcome, Attempt::NotRun { .. }) {
+        run.on_not_run();
         charge.inspect(|charge| charge.on_not_run());
     }
     match &outcome {
--- a/crates/relay/src/call/handler.rs
+++ b/crates/relay/src/call/handler.rs
@@ -12,6 +12,8 @@
 use super::charge::charge;
 use super::client_body::{self, read_body};
 use super::request::RelayRequest;
+use super::runs::Runs;
+use super::stopping::{given_up, refused_at_arrival, unless_stopping};
 use super::{RelayBody, model_call, refusal, service_call, suspect};
 use crate::event::{Line, kind};
 use crate::shared::Shared;
@@ -19,12 +21,14 @@
 /// `Retry-After` while no configuration has been loaded yet, in milliseconds.
 const NO_CONFIG_RETRY_MS: u64 = 500;
 
-/// `Retry-After` while stopping, in milliseconds: clients can go to another instance at once.
-const STOPPING_RETRY_MS: u64 = 0;
-
 /// Answers a client's request.
 pub async fn handle(shared: Rc<Shared>, request: Request<Incoming>) -> Response<RelayBody> {
-    let mut response = route(&shared, request).await;
+    let runs = Runs::default();
+    let id = shared.borders.dialect.request_id(request.headers());
+    let id = id.unwrap_or_default().to_owned();
+    let routed = route(&shared, request, &runs);
+    let response = unless_stopping(&shared, &runs, routed).await;
+    let mut response = response.unwrap_or_else(|| given_up(&shared, &runs, &id));
     if shared.is_stopping() {
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(CONNECTION, close);
@@ -32,9 +36,13 @@
     response
 }
 
-async fn route(shared: &Rc<Shared>, request: Request<Incoming>) -> Response<RelayBody> {
+async fn route(
+    shared: &Rc<Shared>,
+    request: Request<Incoming>,
+    runs: &Runs,
+) -> Response<RelayBody> {
     let arrived_at = shared.now();
-    if let Some(refusal) = refused_while_stopping(shared) {
+    if let Some(refusal) = refused_at_arrival(shared) {
         return refusal;
     }
     let routes = shared.fleet.borrow().routes().cloned();
@@ -73,7 +81,7 @@
         Err(failure) => return client_body::refused(shared, failure),
     };
     // The body may have taken until late in the grace period.
-    if let Some(refusal) = refused_while_stopping(shared) {
+    if let Some(refusal) = refused_at_arrival(shared) {
         return refusal;
     }
     let Some(service) = pick_service(&route, &head.request_id).cloned() else {
@@ -83,6 +91,7 @@
     let engine = listed.is_some_and(|service| service.engine.is_some());
     let identity_path = listed.map(|listed| shared.borders.dialect.identity_path(listed));
     let request = RelayRequest::new(parts, body, head, caller, route, service, arrived_at)
+        .with_runs(runs.clone())
         .with_identity_path(identity_path)
         .with_charge(charge);
     if let Some(refusal) = suspect::refused(shared, &request) {
@@ -95,11 +104,3 @@
         service_call::relay(shared, request).await
     }
 }
-
-/// Returns the response to a request that might not complete before a planned stop ends; `None` if it may run.
-fn refused_while_stopping(shared: &Shared) -> Option<Response<RelayBody>> {
-    shared.rejects_requests().then(|| {
-        shared.metrics.count("calls", "stopping");
-        refusal::not_run(STOPPING_RETRY_MS)
-    })
-}
--- a/crates/relay/src/call/mod.rs
+++ b/crates/relay/src/call/mod.rs
@@ -16,7 +16,9 @@
 mod refusal;
 mod request;
 mod resume;
+mod runs;
 mod service_call;
+mod stopping;
 mod suspect;
 mod upstream_answer;
 
--- a/crates/relay/src/call/model_call.rs
+++ b/crates/relay/src/call/model_call.rs
@@ -121,7 +121,9 @@
         if answer.is_some() || self.is_over {
             return answer;
         }
-        let latest = self.request.permit_wait_until(self.shared.now());
+        let latest = self
+            .request
+            .permit_wait_until(&self.shared, self.shared.now());
         let (free_at, _) = self.shared.next_at_limit(&self.request.service, &[])?;
         if free_at > latest {
             return None;
@@ -143,7 +145,8 @@
         let patient = names.first().map(|name| (name, true));
         let in_order = names.iter().map(|name| (name, false)).chain(patient);
         for (name, patient) in in_order {
-            if self.offers >= MAX_OFFERS || self.shared.now() >= self.request.deadline {
+            let is_late = self.shared.now() >= self.request.deadline || !self.shared.may_start();
+            if self.offers >= MAX_OFFERS || is_late {
                 self.is_over = true;
             }
             if self.is_over {
@@ -166,7 +169,7 @@
         let now = self.shared.now();
         match limits {
             Limits::Available => now,
-            Limits::AvailableBy(_) => self.request.permit_wait_until(now),
+            Limits::AvailableBy(_) => self.request.permit_wait_until(&self.shared, now),
         }
     }
 
--- a/crates/relay/src/call/request.rs
+++ b/crates/relay/src/call/request.rs
@@ -13,6 +13,8 @@
 
 use super::caller::Caller;
 use super::charge::QuotaCharge;
+use super::runs::Runs;
+use crate::shared::Shared;
 
 /// How long a request of the most urgent rank waits for an upstream at its limit, in percent of its
 /// objective.
@@ -48,6 +50,8 @@
     pub(super) service: ServiceName,
     /// How the service's upstreams are asked which process they are; `None` if the service isn't listed.
     pub(super) identity_path: Option<IdentityPath>,
+    /// The upstreams that may have run it.
+    pub(super) runs: Runs,
     pub(super) arrived_at: UnixMs,
     /// When the client or the route gives up on the request.
     pub(super) deadline: UnixMs,
@@ -83,11 +87,18 @@
             route,
             service,
             identity_path: None,
+            runs: Runs::default(),
             arrived_at,
             deadline: arrived_at + timeout_ms,
         }
     }
 
+    /// Sets the count of the upstreams that may have run it.
+    pub(super) fn with_runs(mut self, runs: Runs) -> Self {
+        self.runs = runs;
+        self
+    }
+
     /// Sets how the service's upstreams are asked which process they are.
     pub(super) fn with_identity_path(mut self, path: Option<IdentityPath>) -> Self {
         self.identity_path = path;
@@ -114,10 +125,11 @@
     ///
     /// The rest of its objective is left for the answer. Each rank waits half as long as the one before
     /// it, so that the less urgent are refused first.
-    pub(super) fn permit_wait_until(&self, now: UnixMs) -> UnixMs {
+    pub(super) fn permit_wait_until(&self, shared: &Shared, now: UnixMs) -> UnixMs {
         let patience_ms = self.route.objective_ms * PERMIT_WAIT_PERCENT / 100;
         let patience_ms = patience_ms >> self.merit.rank().min(MAX_HALVINGS);
-        self.deadline.min(now + patience_ms)
+        let latest = self.deadline.min(now + patience_ms);
+        shared.last_start_by(latest)
     }
 }
 
--- a/crates/relay/src/call/resume.rs
+++ b/crates/relay/src/call/resume.rs
@@ -1,5 +1,7 @@
 //! Event streams that another engine resumes when theirs fails.
 
+use std::rc::Rc;
+
 use bytes::Bytes;
 use futures_util::stream;
 use http_body_util::BodyExt;
@@ -16,6 +18,7 @@
 use super::body_kind::is_event_stream;
 use super::forward::{ends_by, may_still_forward};
 use super::model_call::ModelCall;
+use super::stopping::unless_stopping;
 use super::upstream_answer::UpstreamAnswer;
 
 /// Forwards whole events only, and resumes on another engine after a failure.
@@ -136,7 +139,9 @@
             if !self.call.may_run_again() {
                 return Err(why);
             }
-            let Some(answer) = self.call.next_engine(resume_after).await else {
+            let (shared, runs) = (Rc::clone(&self.call.shared), self.call.request.runs.clone());
+            let next = self.call.next_engine(resume_after);
+            let Some(Some(answer)) = unless_stopping(&shared, &runs, next).await else {
                 return Err(why);
             };
             let (head, mut segment) = Segment::new(&self.call, answer);
--- a/crates/relay/src/call/service_call.rs
+++ b/crates/relay/src/call/service_call.rs
@@ -137,7 +137,7 @@
         merit: request.merit,
         workspace: request.caller.workspace(),
         in_time_until: request.in_time_until(),
-        ends_by: request.deadline,
+        ends_by: shared.last_start_by(request.deadline),
     };
     match shared.place(ask).await {
         Placed::Refused {
@@ -189,7 +189,7 @@
         cancel(shared, &slot);
         excluded.push(record.name);
     }
-    let wait_until = request.permit_wait_until(shared.now());
+    let wait_until = request.permit_wait_until(shared, shared.now());
     for _ in 0..MAX_WAITS {
         let (free_at, next) = shared.next_at_limit(&request.service, tried)?;
         if free_at > wait_until {
--- a/crates/relay/src/holding/copy_query.rs
+++ b/crates/relay/src/holding/copy_query.rs
@@ -71,7 +71,7 @@
         shared_parts: query.shared_parts.to_vec(),
         patient: query.patient,
         in_time_until: query.waits_from + query.objective_ms.saturating_sub(READ_MS),
-        wait_until: wait_until(now, query),
+        wait_until: shared.last_start_by(wait_until(now, query)).max(now),
         ends_by: query.deadline,
     };
     match shared.holding.request_copy(shared, &request).await {
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -6,11 +6,12 @@
 use std::time::Duration;
 
 use monsoonspread_decisions::memory_budget::ConnectionKind;
+use monsoonspread_model::UnixMs;
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::mpsc::{UnboundedReceiver, unbounded_channel};
 use tokio::task::{LocalSet, spawn_local};
-use tokio::time::{Instant, interval, sleep, sleep_until};
+use tokio::time::{interval, sleep, timeout};
 
 use crate::borders::Borders;
 use crate::error::RunError;
@@ -33,11 +34,6 @@
 const STARTUP_WAIT_MS: u64 = 1_200;
 /// Interval of closing idle connections, in milliseconds.
 const SWEEP_MS: u64 = 1_000;
-/// Time until the platform stops sending clients after readiness fails, in milliseconds: it polls
-/// once a second and acts on the second failure.
-const DEREGISTRATION_MS: u64 = 2_500;
-/// Part of the grace period reserved for the final writes and the exit itself, in milliseconds.
-const STOP_MARGIN_MS: u64 = 700;
 /// How often a stopping process checks whether it is done, in milliseconds.
 const STOP_CHECK_MS: u64 = 50;
 
@@ -161,31 +157,31 @@
         return;
     };
     terminate.recv().await;
-    shared.on_stop();
-    let grace = Duration::from_secs_f64(shared.settings.bounds.stop_grace_s);
-    let ends_by = Instant::now() + grace - Duration::from_millis(STOP_MARGIN_MS);
+    let plan = shared.on_stop();
     Line::new(&kind::STOP_BEGUN)
         .field("connections", connections.open())
         .log();
-    if let Err(error) = shared
-        .borders
-        .store
-        .withdraw(&shared.settings.instance)
-        .await
-    {
-        log::debug!("the announcement was not withdrawn: {error}");
+    let withdrawn = shared.borders.store.withdraw(&shared.settings.instance);
+    match timeout(until(shared, plan.closes_idle_at), withdrawn).await {
+        Ok(Ok(())) => {}
+        Ok(Err(error)) => log::debug!("the announcement was not withdrawn: {error}"),
+        Err(_) => log::debug!("the announcement was not withdrawn in time"),
     }
-    sleep(Duration::from_millis(DEREGISTRATION_MS)).await;
+    sleep(until(shared, plan.closes_idle_at)).await;
     connections.close_idle();
-    while connections.open() > 0 && Instant::now() < ends_by {
+    while connections.open() > 0 && shared.now() < plan.ends_at {
         sleep(Duration::from_millis(STOP_CHECK_MS)).await;
     }
     // Waiting for the store must not exceed the grace period.
     tokio::select! {
         () = shared.holding.release(shared) => {}
-        () = sleep_until(ends_by + Duration::from_millis(STOP_MARGIN_MS / 2)) => {}
+        () = sleep(until(shared, plan.exits_by)) => {}
     }
     Line::new(&kind::STOPPED)
         .field("instance", &shared.settings.instance)
         .log();
 }
+
+fn until(shared: &Shared, at: UnixMs) -> Duration {
+    Duration::from_millis(at.ms_since(shared.now()))
+}
--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -4,6 +4,7 @@
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 
 use monsoonspread_borders::relay::{FleetChange, FleetChanges};
 use monsoonspread_decisions::change_feed::FeedTiming;
@@ -13,10 +14,12 @@
 use monsoonspread_decisions::load_choice::LoadChoice;
 use monsoonspread_decisions::placement::{CandidateUpstream, Placement, PlacementSettings};
 use monsoonspread_decisions::service_route::{ServiceRouter, ServiceServer};
+use monsoonspread_decisions::stop_plan::StopPlan;
 use monsoonspread_decisions::store_health::StoreStatus;
 use monsoonspread_model::fleet::{AdapterKey, EngineShape, UpstreamRecord, UpstreamStage};
 use monsoonspread_model::{UnixMs, UpstreamName};
 use tokio::sync::mpsc::UnboundedSender;
+use tokio::sync::watch;
 
 use crate::borders::Borders;
 use crate::clock::SteadyClock;
@@ -49,12 +52,6 @@
 /// Seed of the choice among servers; any value will do, as instances need not agree.
 const ROUTER_SEED: u64 = 1;
 
-/// How long a stopping process accepts requests, in milliseconds.
-///
-/// The platform stops sending clients after two to three seconds; the longest requests need the
-/// remaining time until the process is killed.
-const LAST_REQUEST_MS: u64 = 2_700;
-
 /// State shared by the tasks of the process.
 pub struct Shared {
     /// Settings read at startup.
@@ -104,7 +101,8 @@
     pub guard: Guard,
     /// Counters and latencies.
     pub metrics: Metrics,
-    stopping_since: Cell<Option<UnixMs>>,
+    /// The plan of a stop that has begun.
+    stop: watch::Sender<Option<StopPlan>>,
     needs_announcement: Cell<bool>,
 }
 
@@ -146,7 +144,7 @@
             gossiper: Gossiper::default(),
             guard: Guard::new(&settings, clock),
             metrics: Metrics::default(),
-            stopping_since: Cell::new(None),
+            stop: watch::Sender::new(None),
             needs_announcement: Cell::new(false),
             settings,
         }
@@ -157,20 +155,59 @@
         self.clock.now()
     }
 
+    /// Returns the plan of a stop that has begun; `None` before one.
+    pub fn stop_plan(&self) -> Option<StopPlan> {
+        *self.stop.borrow()
+    }
+
     /// Whether a planned stop has begun.
     pub fn is_stopping(&self) -> bool {
-        self.stopping_since.get().is_some()
+        self.stop_plan().is_some()
     }
 
     /// Whether a planned stop has progressed so far that a new request might not complete.
     pub fn rejects_requests(&self) -> bool {
-        let since = self.stopping_since.get();
-        since.is_some_and(|since| self.now() >= since + LAST_REQUEST_MS)
+        let plan = self.stop_plan();
+        plan.is_some_and(|plan| self.now() >= plan.last_request_at)
+    }
+
+    /// Whether a request may still be sent to an upstream.
+    pub fn may_start(&self) -> bool {
+        let plan = self.stop_plan();
+        plan.is_none_or(|plan| self.now() < plan.last_start_at)
+    }
+
+    /// Returns until when a request that may wait until `latest` can be sent, as far as is known now.
+    pub fn last_start_by(&self, latest: UnixMs) -> UnixMs {
+        self.stop_plan()
+            .map_or(latest, |plan| latest.min(plan.last_start_at))
+    }
+
+    /// Waits until a planned stop has progressed so far that no request may be sent to an upstream.
+    pub async fn last_start(&self) {
+        let plan = self.stop_begun().await;
+        let wait_ms = plan.last_start_at.ms_since(self.now());
+        tokio::time::sleep(Duration::from_millis(wait_ms)).await;
+    }
+
+    /// Waits until a planned stop has begun; returns its plan.
+    pub async fn stop_begun(&self) -> StopPlan {
+        let mut stop = self.stop.subscribe();
+        loop {
+            if let Some(plan) = *stop.borrow_and_update() {
+                return plan;
+            }
+            // The sender lives as long as `self`.
+            let _ = stop.changed().await;
+        }
     }
 
-    /// Begins a planned stop.
-    pub fn on_stop(&self) {
-        self.stopping_since.set(Some(self.now()));
+    /// Begins a planned stop; returns its plan.
+    pub fn on_stop(&self) -> StopPlan {
+        let grace_ms = (self.settings.bounds.stop_grace_s * 1_000.0) as u64;
+        let plan = StopPlan::new(self.now(), grace_ms);
+        self.stop.send_replace(Some(plan));
+        plan
     }
 
     /// Whether the announcement must be rewritten; resets the flag.
