Check the ends of waiting answers before a planned stop ends

What callers saw: a whole answer without length and chunks was cut with the process if its server wanted no requests for longer than the planned stop lasted.

The check of the end waited for the end of the back-off or the deadline of the request, and not for that of the process.

Change: an answer is given up with the stop at the latest, so the one late check goes out before; the beginning of a stop wakes the answers that wait.

Evidence: whole_answers_are_delivered_before_a_planned_stop_ends failed before (the stream was cut) and passes.

--- a/crates/relay/src/end_check/evidence.rs
+++ b/crates/relay/src/end_check/evidence.rs
@@ -26,7 +26,7 @@
     let upstream = &question.upstream;
     let ended_at = shared.now();
     // An answer that is ready is delivered, even if late.
-    let gives_up_at = question.gives_up_at.max(ended_at + CHECK_TIMEOUT_MS);
+    let latest = question.gives_up_at.max(ended_at + CHECK_TIMEOUT_MS);
     let checks = shared.end_checks.of(ended_at, upstream);
     let ended = checks.next_number();
     let mut changed = checks.subscribe();
@@ -37,6 +37,9 @@
             return evidence;
         }
         let now = shared.now();
+        let gives_up_at = shared
+            .stop_plan()
+            .map_or(latest, |plan| plan.ends_at.min(latest));
         let ends_at = fails_at.unwrap_or(gives_up_at).min(gives_up_at);
         if now >= ends_at {
             return match fails_at {
@@ -81,9 +84,13 @@
     }
 }
 
-/// Waits until `at`, or until a check ends.
+/// Waits until `at`, or until a check ends or a planned stop begins.
 async fn until(shared: &Shared, at: UnixMs, changed: &mut Receiver<()>) {
     let wait = Duration::from_millis(at.ms_since(shared.now()));
-    // The sender lives as long as the checks of the process.
-    let _ = timeout(wait, changed.changed()).await;
+    tokio::select! {
+        () = sleep(wait) => {}
+        // The sender lives as long as the checks of the process.
+        _ = changed.changed() => {}
+        _ = shared.stop_begun(), if !shared.is_stopping() => {}
+    }
 }
