Doubt a stopped holder's record from before the store's return

What engines saw: orders of two instances 0.6 to 0.9 s apart, after the store came back from a copy in which the record of a stopped holder was not yet replaced.

Cause: a record of an earlier era was doubted if it said "Orders" or "Waits". "Stopped" was believed, though another instance may have given orders since.

Change: KnownHolder::trusted doubts each activity of an earlier era; the next holder waits as long as any former one may go on.

--- a/crates/decisions/src/holders/known_holder.rs
+++ b/crates/decisions/src/holders/known_holder.rs
@@ -40,6 +40,7 @@
             HolderActivity::Orders => (activity, Some(0)),
             HolderActivity::Waits => (activity, orders_in_ms),
 
+            HolderActivity::Stopped if is_earlier => (activity, None),
             HolderActivity::Stopped => (activity, Some(orders_in_ms.unwrap_or(0))),
         }
     }
--- a/crates/decisions/src/holders/tests.rs
+++ b/crates/decisions/src/holders/tests.rs
@@ -1,3 +1,5 @@
+mod simulation;
+
 use monsoonspread_model::UnixMs;
 use monsoonspread_model::fleet::HolderActivity;
 use monsoonspread_model::fleet::HolderActivity::{Orders, Stopped, Waits};
