Split the search for evidence about an answer's end into steps

Inquiry::next_step decides, process_evidence carries out; the behaviour is the same. Places of plain services are asked for until the end of a planned stop, when answers are of no use, in place of the last start: a keeper ends a place by that time.

The tests of ends, planned stops and places pass.

--- a/crates/relay/src/call/service_call.rs
+++ b/crates/relay/src/call/service_call.rs
@@ -137,7 +137,7 @@
         merit: request.merit,
         workspace: request.caller.workspace(),
         in_time_until: request.in_time_until(),
-        ends_by: shared.last_start_by(request.deadline),
+        ends_by: shared.useful_until(request.deadline),
     };
     match shared.place(ask).await {
         Placed::Refused {
--- a/crates/relay/src/end_check/evidence.rs
+++ b/crates/relay/src/end_check/evidence.rs
@@ -3,6 +3,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use monsoonspread_borders::relay::IdentityRequest;
+use monsoonspread_decisions::announced::Backoff;
 use monsoonspread_decisions::answer_end::ProcessEvidence;
 use monsoonspread_model::UnixMs;
 use tokio::sync::watch::Receiver;
@@ -10,6 +12,7 @@
 
 use super::EndQuestion;
 use super::ask::{ask, is_refused};
+use super::process_checks::ProcessChecks;
 use crate::shared::Shared;
 
 /// Time in which an upstream answers a check, in milliseconds: a lost packet is sent again within it.
@@ -23,69 +26,131 @@
     let Some(identity) = &question.identity else {
         return ProcessEvidence::NotAsked;
     };
-    let upstream = &question.upstream;
-    let ended_at = shared.now();
-    // An answer that is ready is delivered, even if late.
-    let latest = question.gives_up_at.max(ended_at + CHECK_TIMEOUT_MS);
-    let checks = shared.end_checks.of(ended_at, upstream);
-    let ended = checks.next_number();
+    let checks = shared.end_checks.of(shared.now(), &question.upstream);
     let mut changed = checks.subscribe();
-    let mut fails_at: Option<UnixMs> = None;
-    let mut is_probed = false;
+    let mut inquiry = Inquiry::new(&shared, &question, &checks);
     loop {
-        if let Some(evidence) = checks.evidence_after(ended) {
-            return evidence;
+        match inquiry.next_step() {
+            Step::Conclude(evidence) => return evidence,
+            Step::Ask(backoff) => {
+                if let Some(evidence) = inquiry.ask(identity, backoff).await {
+                    return evidence;
+                }
+            }
+            Step::Connect => {
+                if is_refused(question.upstream.address).await {
+                    return ProcessEvidence::ConnectionRefused;
+                }
+            }
+            Step::WaitUntil(at) => wait_until(&shared, at, &mut changed).await,
+        }
+    }
+}
+
+/// What to do next for an answer that waits for evidence.
+enum Step {
+    Conclude(ProcessEvidence),
+    /// Send a check, in this back-off if there is one.
+    Ask(Option<Backoff>),
+    /// Connect without a request, which shows whether the process has ended.
+    Connect,
+    /// Wait until this time, or until something changes.
+    WaitUntil(UnixMs),
+}
+
+/// The search for evidence about one answer.
+struct Inquiry<'a> {
+    shared: &'a Rc<Shared>,
+    question: &'a EndQuestion,
+    checks: &'a ProcessChecks,
+    /// Number of the answer's end.
+    end: u64,
+    /// When the answer is given up at the latest.
+    latest: UnixMs,
+    /// When a check that was sent for this answer counts as unanswered.
+    unanswered_at: Option<UnixMs>,
+    has_connected: bool,
+}
+
+impl<'a> Inquiry<'a> {
+    fn new(shared: &'a Rc<Shared>, question: &'a EndQuestion, checks: &'a ProcessChecks) -> Self {
+        Self {
+            shared,
+            question,
+            checks,
+            end: checks.next_number(),
+            // An answer that is ready is delivered, even if late.
+            latest: question.gives_up_at.max(shared.now() + CHECK_TIMEOUT_MS),
+            unanswered_at: None,
+            has_connected: false,
+        }
+    }
+
+    fn next_step(&mut self) -> Step {
+        if let Some(evidence) = self.checks.evidence_after(self.end) {
+            return Step::Conclude(evidence);
         }
-        let now = shared.now();
-        let gives_up_at = shared
-            .stop_plan()
-            .map_or(latest, |plan| plan.ends_at.min(latest));
-        let ends_at = fails_at.unwrap_or(gives_up_at).min(gives_up_at);
-        if now >= ends_at {
-            return match fails_at {
+        let now = self.shared.now();
+        let gives_up_at = self.gives_up_at();
+        if now >= gives_up_at.min(self.unanswered_at.unwrap_or(gives_up_at)) {
+            return Step::Conclude(match self.unanswered_at {
                 Some(_) => ProcessEvidence::NoAnswer,
                 None => ProcessEvidence::NotAsked,
-            };
+            });
         }
-        if checks.is_under_way_after(ended) {
-            fails_at.get_or_insert(now + CHECK_TIMEOUT_MS);
-            until(&shared, ends_at, &mut changed).await;
-            continue;
+        if self.checks.is_under_way_after(self.end) {
+            return Step::WaitUntil(self.unanswered_at(now).min(gives_up_at));
         }
-        let backoff = shared.fleet.borrow().backoff(now, upstream);
-        let next_at = checks.next_at(now, backoff, gives_up_at);
-        if next_at <= now && (backoff.is_none() || !checks.is_under_way()) {
-            let ends_at = *fails_at.get_or_insert(now + CHECK_TIMEOUT_MS);
-            let check = checks.begin(now, backoff);
-            let asked = ask(&shared, upstream, identity);
-            let wait = Duration::from_millis(ends_at.min(gives_up_at).ms_since(now));
-            if let Ok(Some(evidence)) = timeout(wait, asked).await {
-                check.on_evidence(evidence);
-                return evidence;
-            }
-            drop(check);
-            let next_try = now + TRY_INTERVAL_MS;
-            sleep(Duration::from_millis(next_try.ms_since(shared.now()))).await;
-            continue;
+        let fleet = self.shared.fleet.borrow();
+        let backoff = fleet.backoff(now, &self.question.upstream);
+        let next_at = self.checks.next_at(now, backoff, gives_up_at);
+        if next_at <= now && (backoff.is_none() || !self.checks.is_under_way()) {
+            return Step::Ask(backoff);
         }
-        // The end of the process shows without a request.
-        if !is_probed {
-            is_probed = true;
-            if is_refused(upstream.address).await {
-                return ProcessEvidence::ConnectionRefused;
-            }
-            continue;
+        if !std::mem::replace(&mut self.has_connected, true) {
+            return Step::Connect;
         }
-        let wakes_at = match next_at > now {
+        let ends_at = gives_up_at.min(self.unanswered_at.unwrap_or(gives_up_at));
+        Step::WaitUntil(match next_at > now {
             true => next_at.min(ends_at),
             false => ends_at,
-        };
-        until(&shared, wakes_at, &mut changed).await;
+        })
+    }
+
+    /// Sends a check; returns `None` if nothing came of it.
+    async fn ask(
+        &mut self,
+        identity: &IdentityRequest,
+        backoff: Option<Backoff>,
+    ) -> Option<ProcessEvidence> {
+        let now = self.shared.now();
+        let ends_at = self.unanswered_at(now).min(self.gives_up_at());
+        let check = self.checks.begin(now, backoff);
+        let asked = ask(self.shared, &self.question.upstream, identity);
+        let wait = Duration::from_millis(ends_at.ms_since(now));
+        if let Ok(Some(evidence)) = timeout(wait, asked).await {
+            check.on_evidence(evidence);
+            return Some(evidence);
+        }
+        drop(check);
+        let next_try = now + TRY_INTERVAL_MS;
+        sleep(Duration::from_millis(next_try.ms_since(self.shared.now()))).await;
+        None
+    }
+
+    /// When the answer is given up: with the process, if that stops.
+    fn gives_up_at(&self) -> UnixMs {
+        self.shared.useful_until(self.latest)
+    }
+
+    /// When checks count as unanswered, the first of which is under way by `now`.
+    fn unanswered_at(&mut self, now: UnixMs) -> UnixMs {
+        *self.unanswered_at.get_or_insert(now + CHECK_TIMEOUT_MS)
     }
 }
 
 /// Waits until `at`, or until a check ends or a planned stop begins.
-async fn until(shared: &Shared, at: UnixMs, changed: &mut Receiver<()>) {
+async fn wait_until(shared: &Shared, at: UnixMs, changed: &mut Receiver<()>) {
     let wait = Duration::from_millis(at.ms_since(shared.now()));
     tokio::select! {
         () = sleep(wait) => {}
--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -183,6 +183,12 @@
             .map_or(latest, |plan| latest.min(plan.last_start_at))
     }
 
+    /// Returns until when an answer that is of use until `deadline` can reach its client, as far as is known now.
+    pub fn useful_until(&self, deadline: UnixMs) -> UnixMs {
+        self.stop_plan()
+            .map_or(deadline, |plan| deadline.min(plan.ends_at))
+    }
+
     /// Waits until a planned stop has progressed so far that no request may be sent to an upstream.
     pub async fn last_start(&self) {
         let plan = self.stop_begun().await;
